--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// outcomeHeader is the response header, or the trailer of a stream, that says
+// what became of the request.
+const outcomeHeader = "Chestnutstream-Outcome"
+
+type wireError struct {
+	Error wireErrorBody `json:"error"`
+}
+
+type wireErrorBody struct {
+	Code      string `json:"code"`
+	Message   string `json:"message"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request-id,omitempty"`
+}
+
+// refuse answers that the request did not run.
+func (x *Exchange) refuse(status int, e *RefusedError) {
+	x.Outcome = chestnutstream.NotRun
+	if e.RetryAfter > 0 {
+		x.W.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	x.fail(status, e.Code, e.Reason)
+}
+
+// fail answers an error with the exchange's outcome.
+func (x *Exchange) fail(status int, code, message string) {
+	x.Status = status
+	h := x.W.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(outcomeHeader, string(x.Outcome))
+	x.W.WriteHeader(status)
+	_ = json.NewEncoder(x.W).Encode(x.errorBody(code, message))
+}
+
+func (x *Exchange) errorBody(code, message string) wireError {
+	return wireError{wireErrorBody{Code: code, Message: message, Outcome: string(x.Outcome), RequestID: x.ID}}
+}
+
+// models lists the adapters that the caller may use.
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	x, ok := s.begin(w, r)
+	if !ok {
+		return
+	}
+	(&authenticate{secret: s.cfg.Secret}).Serve(x, func() {
+		type model struct {
+			ID      string `json:"id"`
+			Object  string `json:"object"`
+			OwnedBy string `json:"owned_by"`
+		}
+		list := struct {
+			Object string  `json:"object"`
+			Data   []model `json:"data"`
+		}{Object: "list", Data: []model{}}
+		for _, a := range x.Config.Adapters {
+			if !a.Allows(x.Caller) {
+				continue
+			}
+			for _, v := range a.Versions {
+				av := chestnutstream.AdapterVersion{Adapter: a.Name, Version: v}
+				list.Data = append(list.Data, model{av.String(), "model", a.BaseModel})
+			}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(list)
+	})
+}
+
+// refusalStatus maps the code of a refusal to an HTTP status.
+func refusalStatus(code string) int {
+	switch code {
+	case "deadline":
+		return http.StatusGatewayTimeout
+	case "queue-full", "shed":
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// bearer returns the credential of an Authorization header.
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,251 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+var (
+	_ chestnutstream.EngineOrders = (*Client)(nil)
+	_ chestnutstream.Generator    = (*Client)(nil)
+)
+
+// Limits of the client.
+const (
+	dialTimeout      = time.Second            // a new connection on one network
+	statusTimeout    = time.Second            // a status read
+	orderTimeout     = 30 * time.Second       // an order, a load included
+	unackedTimeoutMS = 2000                   // the kernel gives up unacknowledged order bytes after this
+	headerTimeout    = time.Second            // an engine answers a generation with headers at once
+	maxAnswerBytes   = 4 << 20                // a status or error answer
+	resumePause      = 50 * time.Millisecond  // between attempts to resume a stream
+	cancelTimeout    = 500 * time.Millisecond // a cancel is a courtesy
+)
+
+// Client speaks to model engines over HTTP. Orders use a fresh connection each,
+// so that none waits in a connection that has gone silent; generations share a
+// pool per engine, which is dropped when one of its connections stalls.
+type Client struct {
+	dial   chestnutstream.DialFunc
+	orders *http.Client
+	stall  StallSettings
+
+	mu    sync.Mutex
+	pools map[string]*http.Client
+	gaps  map[string]*GapEstimator
+}
+
+// NewClient returns a client for model engines. dial may be nil.
+func NewClient(dial chestnutstream.DialFunc) *Client {
+	orderDial := dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: limitUnacked}).DialContext
+	}
+	return &Client{
+		dial:   dial,
+		orders: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial}},
+		stall:  DefaultStallSettings(),
+		pools:  map[string]*http.Client{},
+		gaps:   map[string]*GapEstimator{},
+	}
+}
+
+// limitUnacked bounds the time that bytes of an order can stay under way.
+func limitUnacked(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedTimeoutMS)
+	}); cerr != nil {
+		return fmt.Errorf("control socket: %w", cerr)
+	}
+	return err
+}
+
+type wireStatus struct {
+	Epoch      string `json:"epoch"`
+	Fence      uint64 `json:"fence"`
+	Leaving    bool   `json:"leaving"`
+	BatchLimit int    `json:"batch-limit"`
+	SlotLimit  int    `json:"slot-limit"`
+	Running    int    `json:"running"`
+	Waiting    int    `json:"waiting"`
+	Slots      []struct {
+		Name     string   `json:"name"`
+		Loading  bool     `json:"loading"`
+		Requests []string `json:"requests"`
+	} `json:"slots"`
+}
+
+// Status implements chestnutstream.EngineOrders.
+func (c *Client) Status(ctx context.Context, address string) (chestnutstream.EngineStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", http.NoBody)
+	if err != nil {
+		return chestnutstream.EngineStatus{}, fmt.Errorf("build status request: %w", err)
+	}
+	resp, err := c.orders.Do(req)
+	if err != nil {
+		return chestnutstream.EngineStatus{}, fmt.Errorf("read status of %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	var w wireStatus
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&w); err != nil {
+		return chestnutstream.EngineStatus{}, fmt.Errorf("decode status of %s: %w", address, err)
+	}
+	return w.status(), nil
+}
+
+func (w wireStatus) status() chestnutstream.EngineStatus {
+	st := chestnutstream.EngineStatus{
+		Epoch: w.Epoch, Fence: w.Fence, Leaving: w.Leaving, BatchLimit: w.BatchLimit,
+		SlotLimit: w.SlotLimit, Running: w.Running, Waiting: w.Waiting,
+	}
+	for _, s := range w.Slots {
+		st.Slots = append(st.Slots, chestnutstream.EngineSlot{
+			Name: chestnutstream.LoadName(s.Name), Loading: s.Loading, Requests: s.Requests,
+		})
+	}
+	return st
+}
+
+// Load implements chestnutstream.EngineOrders. It returns when the adapter is
+// loaded or has failed to load.
+func (c *Client) Load(ctx context.Context, address string, o chestnutstream.Order) error {
+	return c.order(ctx, address, "load", o)
+}
+
+// Unload implements chestnutstream.EngineOrders.
+func (c *Client) Unload(ctx context.Context, address string, o chestnutstream.Order) error {
+	return c.order(ctx, address, "unload", o)
+}
+
+// Fence implements chestnutstream.EngineOrders: it raises the fencing number.
+func (c *Client) Fence(ctx context.Context, address string, o chestnutstream.Order) error {
+	return c.order(ctx, address, "fence", o)
+}
+
+func (c *Client) order(ctx context.Context, address, verb string, o chestnutstream.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(map[string]any{"name": string(o.Name), "fence": o.Fence})
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	// The last look at the clock is after the connection stands and before the
+	// first byte is written, so that a process paused since its decision stops
+	// here.
+	expired := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if !o.NotAfter.IsZero() && time.Now().After(o.NotAfter) {
+			expired = true
+			cancel()
+		}
+	}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders/"+verb, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build %s order: %w", verb, err)
+	}
+	req.GetBody = nil
+	resp, err := c.orders.Do(req)
+	if expired {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return fmt.Errorf("%s %s: %w", verb, o.Name, chestnutstream.ErrOrderExpired)
+	}
+	if err != nil {
+		return fmt.Errorf("%s %s on %s: %w", verb, o.Name, address, err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return fmt.Errorf("%s %s on %s: %w", verb, o.Name, address, chestnutstream.ErrFenced)
+	case http.StatusInsufficientStorage:
+		return fmt.Errorf("%s %s on %s: %w", verb, o.Name, address, chestnutstream.ErrNoSlot)
+	default:
+		return fmt.Errorf("%s %s on %s: %w: %s", verb, o.Name, address, chestnutstream.ErrLoadFailed, bytes.TrimSpace(text))
+	}
+}
+
+// pool returns the connection pool of an engine.
+func (c *Client) pool(address string) (*http.Client, *GapEstimator) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = &http.Client{Transport: &http.Transport{
+			DialContext:           c.dial,
+			MaxIdleConnsPerHost:   32,
+			IdleConnTimeout:       30 * time.Second,
+			ResponseHeaderTimeout: headerTimeout,
+		}}
+		c.pools[address] = p
+		c.gaps[address] = &GapEstimator{}
+	}
+	return p, c.gaps[address]
+}
+
+// dropPool forgets the idle connections of an engine after one has stalled:
+// what made one silent has often made its neighbours silent.
+func (c *Client) dropPool(address string, stale *http.Client) {
+	c.mu.Lock()
+	if c.pools[address] == stale {
+		delete(c.pools, address)
+	}
+	c.mu.Unlock()
+	stale.CloseIdleConnections()
+}
+
+// RefusedError says that the engine refused the generation: it did not run.
+type RefusedError struct {
+	Status int
+	Code   string // the engine's code, such as "unknown-model" or "queue-full"
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return fmt.Sprintf("engine refused: %d %s", e.Status, e.Code) }
+
+// ErrNotSent is returned when no byte of the request was handed to a
+// connection.
+var ErrNotSent = errors.New("not sent")
+
+// ErrStreamLost is returned when a stream broke and cannot be resumed.
+var ErrStreamLost = errors.New("stream lost")
+
+// UnknownModel reports whether err says that the load name is not loaded.
+func UnknownModel(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Code == "unknown-model"
+}
+
+func refusal(resp *http.Response) error {
+	var body struct {
+		Code string `json:"code"`
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	_ = json.Unmarshal(text, &body)
+	if body.Code == "" {
+		body.Code = strings.TrimSpace(string(text[:min(len(text), 80)]))
+	}
+	return &RefusedError{Status: resp.StatusCode, Code: body.Code}
+}
--- /dev/null
+++ b/engine/naive.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+var (
+	_ chestnutstream.LoadPolicy      = NaiveLoads{}
+	_ chestnutstream.PlacementPolicy = NaivePlacement{}
+)
+
+// NaiveLoads is the baseline load policy: first come first served, and the
+// least recently used idle slot is evicted.
+type NaiveLoads struct{}
+
+// Priority implements chestnutstream.LoadPolicy.
+func (NaiveLoads) Priority(_ chestnutstream.Measures, c chestnutstream.LoadCandidate) float64 {
+	return c.Oldest.Seconds()
+}
+
+// Victim implements chestnutstream.LoadPolicy.
+func (NaiveLoads) Victim(_ time.Time, _ chestnutstream.Measures, c chestnutstream.LoadCandidate, slots []chestnutstream.SlotUse) (int, bool) {
+	idle, oldest := -1, -1
+	for i, s := range slots {
+		if s.Uses == 0 && (idle < 0 || s.LastUsed.Before(slots[idle].LastUsed)) {
+			idle = i
+		}
+		if oldest < 0 || s.LastUsed.Before(slots[oldest].LastUsed) {
+			oldest = i
+		}
+	}
+	if idle >= 0 {
+		return idle, false
+	}
+	if oldest >= 0 && c.Oldest >= drainAfter {
+		return oldest, true
+	}
+	return -1, false
+}
+
+// NaivePlacement is the baseline placement policy: each request goes to a
+// random server of the zone and waits there for its adapter; requests do not
+// share loads. Seed makes the choice repeatable.
+type NaivePlacement struct {
+	Seed string
+	Zone string
+}
+
+// QueueKey implements chestnutstream.PlacementPolicy.
+func (NaivePlacement) QueueKey(requestID string, _ chestnutstream.AdapterVersion) string {
+	return requestID
+}
+
+// pick returns the server that a queue belongs to, or -1. Servers of the zone
+// are preferred; without any, all are taken.
+func (n NaivePlacement) pick(key string, servers []chestnutstream.ServerLoad) int {
+	var zone []int
+	for i, s := range servers {
+		if s.Zone == n.Zone && s.Loadable {
+			zone = append(zone, i)
+		}
+	}
+	if len(zone) == 0 {
+		for i, s := range servers {
+			if s.Loadable {
+				zone = append(zone, i)
+			}
+		}
+	}
+	if len(zone) == 0 {
+		return -1
+	}
+	return zone[xxhash.Sum64String(n.Seed+"\x00"+key)%uint64(len(zone))]
+}
+
+// Eligible implements chestnutstream.PlacementPolicy: the server that was
+// picked for the queue.
+func (NaivePlacement) Eligible(q chestnutstream.QueueView, l chestnutstream.ServerLoad) bool {
+	for _, name := range q.Wanted {
+		if l.Server == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose implements chestnutstream.PlacementPolicy.
+func (NaivePlacement) Choose(chestnutstream.QueueView, int, []chestnutstream.ServerLoad) int {
+	return 0
+}
+
+// Want implements chestnutstream.PlacementPolicy.
+func (n NaivePlacement) Want(q chestnutstream.QueueView, servers []chestnutstream.ServerLoad) []string {
+	for _, name := range q.Wanted {
+		for _, l := range servers {
+			if l.Server == name {
+				return []string{name}
+			}
+		}
+	}
+	i := n.pick(q.Key, servers)
+	if i < 0 {
+		return nil
+	}
+	return []string{servers[i].Server}
+}
--- /dev/null
+++ b/engine/placement.go
@@ -0,0 +1,715 @@
+package engine
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// PlacementSettings are the times and limits of placement.
+type PlacementSettings struct {
+	ReportAge     time.Duration // what was sent this long ago shows in the reports
+	SuspectFor    time.Duration // a server whose connections fail is avoided this long
+	StoreSilence  time.Duration // without the table service this long, nobody can take over a server
+	AgingPerPoint time.Duration // waiting this long raises a request's urgency by one point
+}
+
+// DefaultPlacementSettings returns the settings in use.
+func DefaultPlacementSettings() PlacementSettings {
+	return PlacementSettings{
+		ReportAge: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second,
+		AgingPerPoint: 100 * time.Millisecond,
+	}
+}
+
+// Pending is a request that waits for a server.
+type Pending struct {
+	ID             string
+	AdapterVersion chestnutstream.AdapterVersion
+	BaseModel      string
+	Class          string
+	Urgency        int
+	Deadline       time.Time
+	Avoid          map[string]bool // servers that failed it
+}
+
+// Events of Placement.
+type (
+	// Servers names the engines that may be placed on, and their addresses.
+	Servers struct {
+		Servers   []chestnutstream.ServerSettings
+		Addresses map[string]string
+		Leaving   map[string]bool // by the platform's list
+	}
+	// Reported is what an owner told of a server.
+	Reported struct {
+		Owner  string
+		Fence  uint64
+		Report chestnutstream.ServerReport
+	}
+	// LoadsSeen are the load figures that an owner told.
+	LoadsSeen struct {
+		Owner string
+		Loads []ServerFigures
+	}
+	// OwnerServers is the whole list of servers that an owner holds now.
+	OwnerServers struct {
+		Owner   string
+		Servers []string
+	}
+	// Promised says until when what an owner told may be acted on.
+	Promised struct {
+		Owner string
+		Until time.Time
+	}
+	// StoreHeard says when the table service last answered this instance.
+	StoreHeard struct{ At time.Time }
+	// Submit queues a request.
+	Submit struct{ Request Pending }
+	// Withdraw takes a waiting request out of its queue.
+	Withdraw struct{ ID string }
+	// Finished ends a dispatched request's use of its slot.
+	Finished struct {
+		ID      string
+		Failure Failure
+	}
+	// PlacementTick passes the time.
+	PlacementTick struct{ Limits QueueLimits }
+)
+
+// QueueLimits bound the queues of an instance.
+type QueueLimits struct {
+	PerAdapter int
+	Total      int
+	PerClass   map[string]int
+}
+
+// Failure says how a dispatched request failed, as far as placement minds.
+type Failure string
+
+// The failures of a dispatched request.
+const (
+	NoFailure    Failure = ""
+	NotLoaded    Failure = "not-loaded"    // the engine does not know the load name
+	Unreachable  Failure = "unreachable"   // no connection, or one that broke
+	WrongAdapter Failure = "wrong-adapter" // the answer named another adapter
+	Busy         Failure = "busy"          // the engine's queue is full
+)
+
+// Actions of Placement.
+type (
+	// Dispatch sends a request to a server. The slot is in use from now until
+	// Finished.
+	Dispatch struct {
+		ID      string
+		Server  string
+		Address string
+		Name    chestnutstream.LoadName
+		Stall   time.Duration // the wait for the adapter to arrive
+		Reason  string
+	}
+	// Refuse ends a waiting request; it did not run.
+	Refuse struct {
+		ID         string
+		Code       string // "queue-full", "deadline" or "shed"
+		RetryAfter time.Duration
+		Stall      time.Duration // the wait for the adapter, which did not arrive
+	}
+)
+
+// Placement decides where an instance sends its requests and which loads it
+// asks owners for. It is the user's half of the promise on which an adapter in
+// use stays loaded.
+//
+// Invariant: a Dispatch names a slot that is ready in the newest report of the
+// server's owner and whose promise has not lapsed; or, on an engine that
+// ignores fencing numbers, a slot last seen ready while no instance can take
+// the server over because the table service is silent. The slot counts as used
+// from the Dispatch until Finished.
+type Placement struct {
+	cfg        PlacementSettings
+	policy     chestnutstream.PlacementPolicy
+	zone       string
+	servers    map[string]*placeServer
+	promises   map[string]time.Time
+	storeAt    time.Time
+	queues     map[string]*queue
+	order      []string // queue keys, oldest first
+	running    map[string]*runningRequest
+	byClass    map[string]int
+	waiting    int
+	limits     QueueLimits
+	quarantine map[chestnutstream.LoadName]bool
+	drainRate  float64 // dispatches a second, decaying
+	drainAt    time.Time
+}
+
+type placeServer struct {
+	settings chestnutstream.ServerSettings
+	address  string
+	listed   bool // leaving by the platform's list
+	owner    string
+	owned    bool // the owner still says that it holds it
+	fence    uint64
+	report   chestnutstream.ServerReport
+	dead     map[chestnutstream.LoadName]bool // loads that the engine did not know
+	sent     []time.Time
+	uses     map[chestnutstream.LoadName]int
+	suspect  time.Time
+}
+
+type queue struct {
+	key     string
+	av      chestnutstream.AdapterVersion
+	base    string
+	entries []*queued
+	wanted  []string
+}
+
+type queued struct {
+	Pending
+	since   time.Time
+	arrived time.Time // when its adapter was first seen loaded for it
+}
+
+type runningRequest struct {
+	server string
+	name   chestnutstream.LoadName
+}
+
+// NewPlacement returns a placement that knows no servers.
+func NewPlacement(zone string, cfg PlacementSettings, policy chestnutstream.PlacementPolicy) *Placement {
+	return &Placement{
+		cfg: cfg, policy: policy, zone: zone,
+		servers: map[string]*placeServer{}, promises: map[string]time.Time{},
+		queues: map[string]*queue{}, running: map[string]*runningRequest{}, byClass: map[string]int{},
+		quarantine: map[chestnutstream.LoadName]bool{},
+		limits:     QueueLimits{PerAdapter: 256, Total: 2048},
+	}
+}
+
+// Step takes an event and returns the actions that it leads to.
+func (p *Placement) Step(now time.Time, event any) []any {
+	switch e := event.(type) {
+	case Servers:
+		p.setServers(e)
+	case Reported:
+		p.reported(e)
+		return p.dispatch(now)
+	case OwnerServers:
+		p.ownerServers(e)
+	case LoadsSeen:
+		p.loadsSeen(e)
+		return p.dispatch(now)
+	case Promised:
+		if e.Until.After(p.promises[e.Owner]) {
+			p.promises[e.Owner] = e.Until
+		}
+	case StoreHeard:
+		p.storeAt = e.At
+	case Submit:
+		return p.submit(now, e.Request)
+	case Withdraw:
+		p.withdraw(e.ID)
+	case Finished:
+		p.finished(now, e)
+		return p.dispatch(now)
+	case PlacementTick:
+		p.limits = e.Limits
+		return append(p.expire(now), p.dispatch(now)...)
+	}
+	return nil
+}
+
+func (p *Placement) setServers(e Servers) {
+	named := map[string]bool{}
+	for _, settings := range e.Servers {
+		named[settings.Name] = true
+		s := p.servers[settings.Name]
+		if s == nil {
+			s = &placeServer{dead: map[chestnutstream.LoadName]bool{}, uses: map[chestnutstream.LoadName]int{}}
+			p.servers[settings.Name] = s
+		}
+		s.settings = settings
+		s.listed = e.Leaving[settings.Name]
+		s.address = settings.Address
+		if a := e.Addresses[settings.Name]; a != "" {
+			s.address = a
+		}
+	}
+	for name, s := range p.servers {
+		if !named[name] && len(s.uses) == 0 {
+			delete(p.servers, name)
+		}
+	}
+}
+
+func (p *Placement) reported(e Reported) {
+	s := p.servers[e.Report.Server]
+	if s == nil || s.owner != e.Owner && s.owned && e.Fence < s.fence {
+		return
+	}
+	running, waiting := s.report.Running, s.report.Waiting
+	s.owner, s.owned, s.fence, s.report = e.Owner, true, e.Fence, e.Report
+	if e.Report.Running == 0 && e.Report.Waiting == 0 {
+		s.report.Running, s.report.Waiting = running, waiting
+	}
+	have := map[chestnutstream.LoadName]bool{}
+	for _, sl := range e.Report.Slots {
+		have[sl.Name] = true
+	}
+	for name := range s.dead {
+		if !have[name] {
+			delete(s.dead, name)
+		}
+	}
+	for name := range p.quarantine {
+		if !have[name] && s.uses[name] == 0 && p.serverOf(name) == nil {
+			delete(p.quarantine, name)
+		}
+	}
+}
+
+func (p *Placement) loadsSeen(e LoadsSeen) {
+	for _, f := range e.Loads {
+		if s := p.servers[f.Server]; s != nil && s.owner == e.Owner {
+			s.report.Running, s.report.Waiting = f.Running, f.Waiting
+		}
+	}
+}
+
+// serverOf returns the server whose report has a load name.
+func (p *Placement) serverOf(name chestnutstream.LoadName) *placeServer {
+	for _, s := range p.servers {
+		for _, sl := range s.report.Slots {
+			if sl.Name == name {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Placement) ownerServers(e OwnerServers) {
+	holds := map[string]bool{}
+	for _, name := range e.Servers {
+		holds[name] = true
+	}
+	for name, s := range p.servers {
+		if s.owner == e.Owner && !holds[name] {
+			s.owned = false
+		}
+	}
+}
+
+// mayUse reports whether the slots that a server's report shows as ready may be
+// used now.
+func (p *Placement) mayUse(now time.Time, s *placeServer) bool {
+	if s.owner == "" || s.address == "" || s.listed || s.report.Leaving || !s.report.Reachable || now.Before(s.suspect) {
+		return false
+	}
+	return p.promised(now, s) || !s.settings.ChecksFences && now.Sub(p.storeAt) >= p.cfg.StoreSilence
+}
+
+// promised reports whether the server's owner stands by its report, and so
+// takes wants.
+func (p *Placement) promised(now time.Time, s *placeServer) bool {
+	return s.owned && now.Before(p.promises[s.owner])
+}
+
+// readySlot returns a slot of the server for an adapter version.
+func (p *Placement) readySlot(s *placeServer, av chestnutstream.AdapterVersion) (chestnutstream.LoadName, bool) {
+	for _, sl := range s.report.Slots {
+		if sl.AdapterVersion == av && sl.State == chestnutstream.SlotReady && !s.dead[sl.Name] && !p.quarantine[sl.Name] {
+			return sl.Name, true
+		}
+	}
+	return "", false
+}
+
+func (p *Placement) submit(now time.Time, r Pending) []any {
+	key := p.policy.QueueKey(r.ID, r.AdapterVersion)
+	var actions []any
+	if !now.Before(r.Deadline) {
+		return []any{Refuse{ID: r.ID, Code: "deadline"}}
+	}
+	if q := p.queues[key]; q != nil && len(q.entries) >= p.limits.PerAdapter {
+		return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+	}
+	if limit := p.limits.PerClass[r.Class]; limit > 0 && p.byClass[r.Class] >= limit {
+		return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+	}
+	if p.waiting >= p.limits.Total {
+		victim := p.leastUrgent()
+		if victim == nil || victim.Urgency >= r.Urgency {
+			return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+		}
+		p.withdraw(victim.ID)
+		actions = append(actions, Refuse{ID: victim.ID, Code: "shed", RetryAfter: p.retryAfter(now), Stall: victim.stall(now)})
+	}
+	q := p.queues[key]
+	if q == nil {
+		q = &queue{key: key, av: r.AdapterVersion, base: r.BaseModel}
+		p.queues[key] = q
+		p.order = append(p.order, key)
+	}
+	q.entries = append(q.entries, &queued{Pending: r, since: now})
+	p.waiting++
+	p.byClass[r.Class]++
+	return append(actions, p.dispatch(now)...)
+}
+
+// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// retryAfter estimates when the queue will have room: the time that it takes to
+// dispatch half of what waits at the recent rate.
+func (p *Placement) retryAfter(now time.Time) time.Duration {
+	rate := p.decayedDrain(now)
+	if rate <= 0 {
+		return minRetryAfter
+	}
+	d := time.Duration(float64(p.waiting) / 2 / rate * float64(time.Second))
+	return min(maxRetryAfter, max(minRetryAfter, d))
+}
+
+// drainWindow is the time constant of the recent dispatch rate.
+const drainWindow = 10 * time.Second
+
+func (p *Placement) decayedDrain(now time.Time) float64 {
+	r := decayingRate{value: p.drainRate, at: p.drainAt}
+	return r.read(now, drainWindow)
+}
+
+func (p *Placement) noteDrain(now time.Time) {
+	p.drainRate = p.decayedDrain(now) + 1/drainWindow.Seconds()
+	p.drainAt = now
+}
+
+func (p *Placement) leastUrgent() *queued {
+	var least *queued
+	for _, q := range p.queues {
+		for _, e := range q.entries {
+			if least == nil || e.Urgency < least.Urgency || e.Urgency == least.Urgency && e.since.After(least.since) {
+				least = e
+			}
+		}
+	}
+	return least
+}
+
+func (p *Placement) withdraw(id string) bool {
+	for _, q := range p.queues {
+		for i, e := range q.entries {
+			if e.ID == id {
+				p.remove(q, i)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// remove takes an entry out of its queue, and an empty queue out of the list.
+func (p *Placement) remove(q *queue, i int) {
+	p.waiting--
+	if c := q.entries[i].Class; p.byClass[c] > 1 {
+		p.byClass[c]--
+	} else {
+		delete(p.byClass, c)
+	}
+	q.entries = append(q.entries[:i], q.entries[i+1:]...)
+	if len(q.entries) > 0 {
+		return
+	}
+	delete(p.queues, q.key)
+	for j, key := range p.order {
+		if key == q.key {
+			p.order = append(p.order[:j], p.order[j+1:]...)
+			return
+		}
+	}
+}
+
+func (p *Placement) expire(now time.Time) []any {
+	var actions []any
+	for _, key := range append([]string(nil), p.order...) {
+		q := p.queues[key]
+		for i := 0; i < len(q.entries); {
+			e := q.entries[i]
+			if now.Before(e.Deadline) {
+				i++
+				continue
+			}
+			actions = append(actions, Refuse{ID: e.ID, Code: "deadline", RetryAfter: p.retryAfter(now), Stall: e.stall(now)})
+			p.remove(q, i)
+		}
+	}
+	return actions
+}
+
+func (p *Placement) finished(now time.Time, e Finished) {
+	r := p.running[e.ID]
+	if r == nil {
+		return
+	}
+	delete(p.running, e.ID)
+	s := p.servers[r.server]
+	if s == nil {
+		return
+	}
+	if s.uses[r.name]--; s.uses[r.name] <= 0 {
+		delete(s.uses, r.name)
+	}
+	switch e.Failure {
+	case NotLoaded:
+		s.dead[r.name] = true
+	case Unreachable:
+		s.suspect = now.Add(p.cfg.SuspectFor)
+	case WrongAdapter:
+		p.quarantine[r.name] = true
+	case Busy, NoFailure:
+	}
+}
+
+// dispatch sends what can be sent, queue by queue in order of urgency, and
+// renews what each queue wants.
+func (p *Placement) dispatch(now time.Time) []any {
+	var actions []any
+	for _, q := range p.byUrgency(now) {
+		actions = append(actions, p.dispatchQueue(now, q)...)
+	}
+	return actions
+}
+
+// effective returns the urgency of a request with its age added, so that no
+// class waits for ever.
+func (p *Placement) effective(now time.Time, e *queued) int {
+	return e.Urgency + int(now.Sub(e.since)/p.cfg.AgingPerPoint)
+}
+
+// byUrgency sorts the requests within each queue and returns the queues, the
+// most urgent first.
+func (p *Placement) byUrgency(now time.Time) []*queue {
+	queues := make([]*queue, 0, len(p.order))
+	for _, key := range p.order {
+		q := p.queues[key]
+		sort.SliceStable(q.entries, func(i, j int) bool {
+			return p.effective(now, q.entries[i]) > p.effective(now, q.entries[j])
+		})
+		queues = append(queues, q)
+	}
+	sort.SliceStable(queues, func(i, j int) bool {
+		return p.effective(now, queues[i].entries[0]) > p.effective(now, queues[j].entries[0])
+	})
+	return queues
+}
+
+func (p *Placement) view(now time.Time, q *queue) chestnutstream.QueueView {
+	v := chestnutstream.QueueView{Key: q.key, AdapterVersion: q.av, Waiting: len(q.entries), Wanted: q.wanted}
+	for _, e := range q.entries {
+		v.MaxUrgency = max(v.MaxUrgency, e.Urgency)
+		v.Oldest = max(v.Oldest, now.Sub(e.since))
+	}
+	return v
+}
+
+func (p *Placement) dispatchQueue(now time.Time, q *queue) []any {
+	var actions []any
+	loads := p.loads(now, q)
+	if len(q.wanted) == 0 {
+		q.wanted = p.policy.Want(p.view(now, q), loads)
+	}
+	for i := 0; i < len(q.entries); {
+		e := q.entries[i]
+		usable := p.usable(now, q, e, loads)
+		at := -1
+		if len(usable) > 0 {
+			e.noteArrived(now)
+			at = p.policy.Choose(p.view(now, q), e.Urgency, usable)
+		}
+		if at < 0 {
+			i++
+			if len(e.Avoid) == 0 {
+				break // those behind it find no server either
+			}
+			continue
+		}
+		actions = append(actions, p.send(now, e, usable[at]))
+		for j := range loads {
+			if loads[j].Server == usable[at].Server {
+				loads[j].Outstanding++
+			}
+		}
+		p.remove(q, i)
+	}
+	if len(q.entries) > 0 {
+		q.wanted = p.policy.Want(p.view(now, q), loads)
+	}
+	return actions
+}
+
+// usable returns the servers on which a request may run now.
+func (p *Placement) usable(now time.Time, q *queue, e *queued, loads []chestnutstream.ServerLoad) []chestnutstream.ServerLoad {
+	view := p.view(now, q)
+	out := make([]chestnutstream.ServerLoad, 0, len(loads))
+	for _, l := range loads {
+		if l.Usable && !e.Avoid[l.Server] && p.policy.Eligible(view, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// noteArrived notes that the request's adapter is there.
+func (e *queued) noteArrived(now time.Time) {
+	if e.arrived.IsZero() {
+		e.arrived = now
+	}
+}
+
+// stall returns how long the request has waited for its adapter to arrive.
+func (e *queued) stall(now time.Time) time.Duration {
+	if e.arrived.IsZero() {
+		return now.Sub(e.since)
+	}
+	return e.arrived.Sub(e.since)
+}
+
+func (p *Placement) send(now time.Time, e *queued, to chestnutstream.ServerLoad) Dispatch {
+	s := p.servers[to.Server]
+	name, _ := p.readySlot(s, e.AdapterVersion)
+	s.uses[name]++
+	s.sent = append(s.sent, now)
+	p.running[e.ID] = &runningRequest{to.Server, name}
+	p.noteDrain(now)
+	return Dispatch{
+		ID: e.ID, Server: to.Server, Address: s.address, Name: name, Stall: e.stall(now),
+		Reason: fmt.Sprintf("%s is loaded there; %d of %d places taken; waited %d ms", name, to.Outstanding, to.BatchLimit, now.Sub(e.since).Milliseconds()),
+	}
+}
+
+// loads returns what is known of the servers that may serve a queue.
+func (p *Placement) loads(now time.Time, q *queue) []chestnutstream.ServerLoad {
+	var out []chestnutstream.ServerLoad
+	for name, s := range p.servers {
+		if s.settings.BaseModel != q.base || !p.mayUse(now, s) {
+			continue
+		}
+		l := chestnutstream.ServerLoad{
+			Server: name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
+			BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
+			Busy: len(s.uses), Loadable: p.promised(now, s),
+		}
+		_, l.Usable = p.readySlot(s, q.av)
+		for _, sl := range s.report.Slots {
+			if sl.AdapterVersion == q.av && !s.dead[sl.Name] && l.State != chestnutstream.SlotReady {
+				l.State = sl.State
+			}
+		}
+		out = append(out, l)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
+	p.countWanted(out)
+	return out
+}
+
+func (p *Placement) countWanted(loads []chestnutstream.ServerLoad) {
+	wanted := map[string]int{}
+	for _, q := range p.queues {
+		for _, s := range q.wanted {
+			wanted[s]++
+		}
+	}
+	for i := range loads {
+		loads[i].Wanted = wanted[loads[i].Server]
+	}
+}
+
+// outstanding estimates the requests at a server: what it reported, late, plus
+// what was sent from here since, and never less than what runs from here.
+func (p *Placement) outstanding(now time.Time, s *placeServer) int {
+	first := 0
+	for first < len(s.sent) && now.Sub(s.sent[first]) >= p.cfg.ReportAge {
+		first++
+	}
+	s.sent = s.sent[first:]
+	own := 0
+	for _, n := range s.uses {
+		own += n
+	}
+	return max(own, s.report.Running+s.report.Waiting+len(s.sent))
+}
+
+// Wants returns what this instance wants loaded, by owner.
+func (p *Placement) Wants(now time.Time) map[string][]chestnutstream.Want {
+	out := map[string][]chestnutstream.Want{}
+	for _, key := range p.order {
+		q := p.queues[key]
+		for _, server := range q.wanted {
+			s := p.servers[server]
+			if s == nil || !s.owned {
+				continue
+			}
+			w := chestnutstream.Want{Server: server, AdapterVersion: q.av, Waiting: len(q.entries)}
+			for _, e := range q.entries {
+				w.Weight += float64(e.Urgency)
+				w.OldestMS = max(w.OldestMS, now.Sub(e.since).Milliseconds())
+			}
+			out[s.owner] = append(out[s.owner], w)
+		}
+	}
+	return out
+}
+
+// Uses returns the slots in use, by the server's owner.
+func (p *Placement) Uses() map[string]map[chestnutstream.LoadName]int {
+	out := map[string]map[chestnutstream.LoadName]int{}
+	for _, s := range p.servers {
+		if len(s.uses) == 0 || s.owner == "" {
+			continue
+		}
+		if out[s.owner] == nil {
+			out[s.owner] = map[chestnutstream.LoadName]int{}
+		}
+		for name, n := range s.uses {
+			out[s.owner][name] = n
+		}
+	}
+	return out
+}
+
+// Retiring returns the retiring slots that an owner told of, sorted.
+func (p *Placement) Retiring(owner string) []chestnutstream.LoadName {
+	var out []chestnutstream.LoadName
+	for _, s := range p.servers {
+		if s.owner != owner {
+			continue
+		}
+		for _, sl := range s.report.Slots {
+			if sl.State == chestnutstream.SlotRetiring {
+				out = append(out, sl.Name)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Quarantined returns the loads that answered with another adapter.
+func (p *Placement) Quarantined() []chestnutstream.LoadName {
+	out := make([]chestnutstream.LoadName, 0, len(p.quarantine))
+	for name := range p.quarantine {
+		out = append(out, name)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Waiting returns the number of queued requests and of requests in progress.
+func (p *Placement) Waiting() (queued, running int) { return p.waiting, len(p.running) }
--- /dev/null
+++ b/engine/policy.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+var (
+	_ chestnutstream.LoadPolicy      = DefaultLoads{}
+	_ chestnutstream.PlacementPolicy = DefaultPlacement{}
+)
+
+// DefaultLoads is the load policy in use: loads go to the adapter version that
+// serves the most urgent and the most waiting requests, and evict the idle slot
+// that is asked for least often.
+type DefaultLoads struct{}
+
+// Thresholds of DefaultLoads.
+const (
+	agingPerSecond = 0.2             // priority of a second of waiting
+	drainAfter     = 4 * time.Second // a candidate that waits this long drains a slot in use
+)
+
+// Priority implements chestnutstream.LoadPolicy.
+func (DefaultLoads) Priority(m chestnutstream.Measures, c chestnutstream.LoadCandidate) float64 {
+	stall := m.StallShare()
+	urgent := c.Weight / chestnutstream.UrgentFrom
+	return stall*urgent + (1-stall)*float64(c.Waiting) + agingPerSecond*c.Oldest.Seconds()
+}
+
+// Victim implements chestnutstream.LoadPolicy.
+func (DefaultLoads) Victim(_ time.Time, _ chestnutstream.Measures, c chestnutstream.LoadCandidate, slots []chestnutstream.SlotUse) (int, bool) {
+	idle, used := -1, -1
+	for i, s := range slots {
+		if s.Uses == 0 && (idle < 0 || s.Rate < slots[idle].Rate) {
+			idle = i
+		}
+		if s.Uses > 0 && (used < 0 || s.Rate < slots[used].Rate) {
+			used = i
+		}
+	}
+	if idle >= 0 {
+		return idle, false
+	}
+	if used >= 0 && c.Oldest >= drainAfter {
+		return used, true
+	}
+	return -1, false
+}
+
+// DefaultPlacement is the placement policy in use: requests of an adapter
+// version share a queue and a load; a server is chosen by its outstanding work;
+// a load goes where the adapter version hashes to, unless that server is
+// crowded.
+type DefaultPlacement struct{}
+
+// Thresholds of DefaultPlacement.
+const (
+	urgentBatches   = 2 // batches that may be outstanding at a server for urgent requests
+	patientBatches  = 1 // and for the others
+	replicaBatches  = 1 // batches that wait before another copy is loaded
+	crowdedServer   = 2 // adapter versions wanted on a server before the next one is taken
+	maxLoadsPerWant = 2 // servers on which one queue is wanted at once
+)
+
+// QueueKey implements chestnutstream.PlacementPolicy.
+func (DefaultPlacement) QueueKey(_ string, av chestnutstream.AdapterVersion) string {
+	return av.String()
+}
+
+// Eligible implements chestnutstream.PlacementPolicy: any server that has it.
+func (DefaultPlacement) Eligible(chestnutstream.QueueView, chestnutstream.ServerLoad) bool {
+	return true
+}
+
+// Choose implements chestnutstream.PlacementPolicy.
+func (DefaultPlacement) Choose(_ chestnutstream.QueueView, urgency int, usable []chestnutstream.ServerLoad) int {
+	batches := patientBatches
+	if urgency >= chestnutstream.UrgentFrom {
+		batches = urgentBatches
+	}
+	best := -1
+	for i, l := range usable {
+		if l.Outstanding >= batches*l.BatchLimit {
+			continue
+		}
+		if best < 0 || l.Outstanding*usable[best].BatchLimit < usable[best].Outstanding*l.BatchLimit {
+			best = i
+		}
+	}
+	return best
+}
+
+// Want implements chestnutstream.PlacementPolicy.
+func (DefaultPlacement) Want(q chestnutstream.QueueView, servers []chestnutstream.ServerLoad) []string {
+	var wanted []string
+	copies := 0
+	for _, l := range servers {
+		switch l.State {
+		case chestnutstream.SlotReady:
+			copies++
+		case chestnutstream.SlotLoading:
+			wanted = append(wanted, l.Server)
+		case chestnutstream.SlotRetiring:
+		}
+	}
+	if len(wanted) > 0 {
+		return wanted // one is on its way
+	}
+	if copies > 0 {
+		batch := servers[0].BatchLimit
+		if q.Waiting < replicaBatches*batch {
+			return nil
+		}
+	}
+	for _, name := range q.Wanted {
+		for _, l := range servers {
+			if l.Server == name && l.State == "" && l.Loadable {
+				return []string{name} // stay with the choice made before
+			}
+		}
+	}
+	if name := leastCrowded(q.AdapterVersion, servers); name != "" {
+		return []string{name}
+	}
+	return nil
+}
+
+// leastCrowded returns the first server in the adapter version's own order that
+// is not crowded, or else the least crowded one.
+func leastCrowded(av chestnutstream.AdapterVersion, servers []chestnutstream.ServerLoad) string {
+	best := ""
+	bestCrowd, bestHash := 0, uint64(0)
+	for _, l := range servers {
+		if l.State != "" || !l.Loadable {
+			continue
+		}
+		crowd := max(0, l.Wanted-crowdedServer+1)
+		if l.Outstanding >= l.BatchLimit {
+			crowd++
+		}
+		h := xxhash.Sum64String(av.String() + "\x00" + l.Server)
+		if best == "" || crowd < bestCrowd || crowd == bestCrowd && h > bestHash {
+			best, bestCrowd, bestHash = l.Server, crowd, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,278 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// endMarker is the data of the last event of a whole stream.
+const endMarker = "[DONE]"
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// StallSettings say when a stream that brings nothing counts as stalled.
+type StallSettings struct {
+	Floor  time.Duration // never sooner than this
+	Ceil   time.Duration // never later than this, and before any gap was seen
+	Factor float64       // times the largest recent gap between events
+}
+
+// DefaultStallSettings returns the thresholds in use.
+func DefaultStallSettings() StallSettings {
+	return StallSettings{Floor: 400 * time.Millisecond, Ceil: 2 * time.Second, Factor: 6}
+}
+
+// GapEstimator remembers the largest recent gap between two events of an
+// engine's streams. The maximum decays, so that one slow minute is forgotten.
+type GapEstimator struct {
+	mu  sync.Mutex
+	max time.Duration
+}
+
+// gapDecay is the share of the maximum that one smaller gap leaves.
+const gapDecay = 0.999
+
+// Observe notes a gap between two events.
+func (g *GapEstimator) Observe(gap time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.max = max(gap, time.Duration(float64(g.max)*gapDecay))
+}
+
+// Threshold returns how long to wait for the next event.
+func (g *GapEstimator) Threshold(s StallSettings) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.max == 0 {
+		return s.Ceil
+	}
+	return min(s.Ceil, max(s.Floor, time.Duration(s.Factor*float64(g.max))))
+}
+
+// cursor is the state of one stream: which offset comes next, and whether the
+// end marker was seen. Events below the offset are duplicates and dropped; one
+// above it is a gap and ends the connection, not the stream.
+type cursor struct {
+	next int
+	done bool
+}
+
+// verdict is what a cursor says of an event.
+type verdict string
+
+const (
+	accept    verdict = "accept"
+	duplicate verdict = "duplicate"
+	gap       verdict = "gap"
+	finished  verdict = "finished"
+)
+
+// step takes the event at offset and says what to do with it.
+func (c *cursor) step(offset int, end bool) verdict {
+	switch {
+	case c.done || offset < c.next:
+		return duplicate
+	case offset > c.next:
+		return gap
+	case end:
+		c.done = true
+		return finished
+	default:
+		c.next++
+		return accept
+	}
+}
+
+// emitError carries an error of the receiver through the read loop.
+type emitError struct{ err error }
+
+func (e *emitError) Error() string { return e.err.Error() }
+func (e *emitError) Unwrap() error { return e.err }
+
+// errStalled ends a connection that brought nothing for too long.
+var errStalled = errors.New("stream stalled")
+
+// Generate implements chestnutstream.Generator. A connection that breaks or
+// stalls is left, and the stream goes on from its offset on a new one. It
+// returns nil only after the end marker; a *RefusedError or ErrNotSent when the
+// request did not run; ErrStreamLost when the engine no longer has the stream.
+func (c *Client) Generate(ctx context.Context, address string, g chestnutstream.Generation, emit func(chestnutstream.Chunk) error) error {
+	cur := &cursor{}
+	sent := false
+	for attempt := 0; ; attempt++ {
+		pool, gaps := c.pool(address)
+		err := c.open(ctx, pool, address, g, cur, &sent, gaps, emit)
+		if err == nil {
+			return nil
+		}
+		if !sent {
+			return fmt.Errorf("generate on %s: %w: %w", address, ErrNotSent, err)
+		}
+		var emitErr *emitError
+		if errors.As(err, &emitErr) || ctx.Err() != nil {
+			c.cancel(address, g.RequestID)
+			return fmt.Errorf("generate on %s: %w", address, err)
+		}
+		if final(err, cur) || attempt >= maxResumes {
+			return fmt.Errorf("generate on %s after %d chunks: %w", address, cur.next, err)
+		}
+		c.dropPool(address, pool)
+		if attempt > 0 {
+			pause(ctx, resumePause<<min(attempt, 5))
+		}
+	}
+}
+
+// maxResumes bounds the connections that one stream may use up.
+const maxResumes = 8
+
+// final reports whether err ends the stream and not only its connection.
+func final(err error, cur *cursor) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) || errors.Is(err, ErrStreamLost) || cur.done
+}
+
+// open makes one connection of a stream: the first sends the request, later
+// ones ask for the rest. A later one that finds the stream unknown sends the
+// request again if nothing of it was received, since the first never arrived.
+func (c *Client) open(ctx context.Context, pool *http.Client, address string, g chestnutstream.Generation,
+	cur *cursor, sent *bool, gaps *GapEstimator, emit func(chestnutstream.Chunk) error,
+) error {
+	if *sent {
+		err := c.receive(ctx, pool, resumeRequest(address, g, cur.next), cur, nil, gaps, emit)
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
+			return err
+		}
+		if cur.next > 0 {
+			return fmt.Errorf("%w: %w", ErrStreamLost, err)
+		}
+	}
+	err := c.receive(ctx, pool, firstRequest(address, g), cur, sent, gaps, emit)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Code == "request-id-in-use" {
+		return errStalled // our own earlier request did arrive: resume it
+	}
+	return err
+}
+
+func firstRequest(address string, g chestnutstream.Generation) func(context.Context) (*http.Request, error) {
+	return func(ctx context.Context) (*http.Request, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+g.Path, bytes.NewReader(g.Body))
+		if err != nil {
+			return nil, err
+		}
+		req.GetBody = nil
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Request-Id", g.RequestID)
+		req.Header.Set("Priority", strconv.Itoa(g.Priority))
+		return req, nil
+	}
+}
+
+func resumeRequest(address string, g chestnutstream.Generation, from int) func(context.Context) (*http.Request, error) {
+	return func(ctx context.Context) (*http.Request, error) {
+		url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", address, g.RequestID, from)
+		return http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	}
+}
+
+// receive sends one request and passes the events of its answer on. sent is
+// set when a connection was handed the request.
+func (c *Client) receive(ctx context.Context, pool *http.Client, build func(context.Context) (*http.Request, error),
+	cur *cursor, sent *bool, gaps *GapEstimator, emit func(chestnutstream.Chunk) error,
+) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if sent != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { *sent = true }})
+	}
+	req, err := build(ctx)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	resp, err := pool.Do(req)
+	if err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	wait := gaps.Threshold(c.stall)
+	watchdog := time.AfterFunc(wait, func() { cancel(errStalled) })
+	defer watchdog.Stop()
+	return readEvents(resp.Body, cur, emit, func(gap time.Duration, first bool) {
+		if !first {
+			gaps.Observe(gap)
+		}
+		watchdog.Reset(gaps.Threshold(c.stall))
+	})
+}
+
+// readEvents passes the events of one connection through the cursor.
+func readEvents(body io.Reader, cur *cursor, emit func(chestnutstream.Chunk) error, progress func(time.Duration, bool)) error {
+	last := time.Now()
+	first := true
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return fmt.Errorf("read stream: %w", err)
+		}
+		now := time.Now()
+		progress(now.Sub(last), first)
+		last, first = now, false
+		offset, err := strconv.Atoi(ev.LastEventID)
+		if err != nil {
+			return fmt.Errorf("event id %.20q: want an offset", ev.LastEventID)
+		}
+		switch cur.step(offset, ev.Data == endMarker) {
+		case finished:
+			return nil
+		case gap:
+			return fmt.Errorf("event %d after %d: %w", offset, cur.next, errStalled)
+		case accept:
+			if err := emit(chestnutstream.Chunk{Offset: offset, Data: []byte(ev.Data)}); err != nil {
+				return &emitError{err}
+			}
+		case duplicate:
+		}
+	}
+	return fmt.Errorf("no end marker after %d events: %w", cur.next, io.ErrUnexpectedEOF)
+}
+
+// cancel tells the engine that nobody waits for the stream any more.
+func (c *Client) cancel(address, requestID string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+requestID, http.NoBody)
+		if err != nil {
+			return
+		}
+		if resp, err := c.orders.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,319 @@
+// Package entry puts one entry instance together: the decision parts, the
+// clients of the platform, engines and services, the peer mesh, and the HTTP
+// handlers of callers and operators.
+//
+// # Usage
+//
+//	in, err := entry.Start(settings)
+//	defer in.Close()
+//	err = in.Drain(ctx) // on SIGTERM: no new work, every request ends
+//
+// # How it works
+//
+// node.go is the loop around the decision parts. Everything that happens is an
+// event: a peer's State, an engine's status, a request, the passing of time.
+// Under one mutex the event is handed to the part that it concerns; the actions
+// that come back are carried out outside the mutex, and their results are
+// events again. No decision part knows a clock, a socket or a goroutine.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/engine"
+	"github.com/chestnutstream/chestnutstream/operator"
+	"github.com/chestnutstream/chestnutstream/peer"
+	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/service"
+)
+
+// Periods of the node's work.
+const (
+	decisionPeriod  = 20 * time.Millisecond
+	ownershipPeriod = 250 * time.Millisecond
+	headPeriod      = 2 * time.Second
+	listPeriod      = 2 * time.Second
+	probePeriod     = 500 * time.Millisecond
+	sweepPeriod     = 5 * time.Second
+	platformTimeout = 2 * time.Second
+	selfPromise     = time.Second // an instance's promise to itself lasts until the next ticks
+	fullSpeedLoad   = 600 * time.Millisecond
+)
+
+// Node is the loop around the decision parts of one instance.
+type Node struct {
+	cfg     Settings
+	self    peer.Member
+	run     uint64 // incarnation of this run
+	log     log.Interface
+	metrics *metrics.Set
+	notes   *notes
+
+	platform *platform.Client
+	engines  *engine.Client
+	services *service.Client
+	lease    *platform.Lease
+	claims   *platform.Claims
+	store    *operator.Store
+	mesh     *peer.Mesh
+	pool     *pool
+
+	config   atomic.Pointer[chestnutstream.Configuration]
+	draining atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stops    []func()
+
+	mu        sync.Mutex
+	members   *members
+	ownership *engine.Ownership
+	scheduler *engine.Scheduler
+	placement *engine.Placement
+	permits   *engine.Permits
+	adoption  *operator.Adoption
+	asked     map[string]time.Time // contents that are being fetched, by hash
+	waiters   map[string]chan placed
+	reading   map[string]bool // status reads under way
+	applied   uint64          // own report version that the placement has applied
+	told      map[string]uint64
+	toldAll   uint64
+	gone      bool
+	probes    map[string]peer.ServiceState
+	sweepNext int
+}
+
+type placed struct {
+	dispatch engine.Dispatch
+	refused  *engine.Refuse
+}
+
+func newNode(cfg Settings) *Node {
+	run := rand.Uint64() | 1
+	incarnation := fmt.Sprintf("%x", run)
+	self := peer.Member{Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Zone: cfg.Zone}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg: cfg, self: self, run: run, log: cfg.Log, metrics: metrics.NewSet(), notes: newNotes(),
+		platform: platform.NewClient(cfg.Platform, cfg.Zone, platformTimeout, cfg.Dial),
+		engines:  engine.NewClient(cfg.Dial), services: service.NewClient(cfg.Dial),
+		ctx: ctx, cancel: cancel,
+		members: newMembers(self), adoption: operator.NewAdoption(),
+		asked: map[string]time.Time{}, waiters: map[string]chan placed{}, reading: map[string]bool{},
+		told: map[string]uint64{}, probes: map[string]peer.ServiceState{},
+	}
+	now := cfg.Timer.Now
+	n.lease = platform.NewLease(n.platform, now, cfg.Name, incarnation)
+	n.claims = platform.NewClaims(n.platform, now)
+	n.store = operator.NewStore(n.platform, n.platform, now)
+	n.pool = newPool()
+	loads, places := policies(cfg)
+	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(platform.LeaseDuration), cfg.Name, incarnation, now())
+	n.scheduler = engine.NewScheduler(cfg.Name, cfg.Scheduler, loads)
+	n.placement = engine.NewPlacement(cfg.Zone, cfg.Placement, places)
+	n.permits = engine.NewPermits(engine.PermitSettings{LoadsInFlight: 16, Zones: 4, FullSpeed: fullSpeedLoad, Unheard: cfg.Scheduler.PromiseValidity})
+	n.mesh = peer.NewMesh(peer.Settings{
+		Self: self, Incarnation: run, Secret: cfg.PeerSecret, PromiseValidity: cfg.Scheduler.PromiseValidity,
+		Interval: cfg.PeerInterval, IntervalPerPeer: cfg.PeerIntervalPerPeer, Timer: cfg.Timer, Dial: cfg.Dial, Log: cfg.Log,
+	}, n)
+	return n
+}
+
+func policies(cfg Settings) (chestnutstream.LoadPolicy, chestnutstream.PlacementPolicy) {
+	if cfg.Policy == PolicyNaive {
+		return engine.NaiveLoads{}, engine.NaivePlacement{Seed: cfg.Name, Zone: cfg.Zone}
+	}
+	return engine.DefaultLoads{}, engine.DefaultPlacement{}
+}
+
+// start subscribes the node's work to the timer.
+func (n *Node) start() {
+	t := n.cfg.Timer
+	n.stops = append(n.stops,
+		t.Subscribe(decisionPeriod, n.tick),
+		t.Subscribe(ownershipPeriod, n.ownershipTick),
+		t.Subscribe(platform.LeaseRenewal, func(time.Time) { n.renewLease() }),
+		t.Subscribe(jitter(headPeriod), func(time.Time) { n.readHead() }),
+		t.Subscribe(jitter(listPeriod), func(time.Time) { n.readList() }),
+		t.Subscribe(probePeriod, n.probeServices),
+		t.Subscribe(jitter(sweepPeriod), n.sweepClaims),
+	)
+	go func() {
+		n.readList()
+		n.readHead()
+		n.renewLease()
+	}()
+}
+
+// jitter spreads the periods of instances that start together.
+func jitter(d time.Duration) time.Duration {
+	return d*9/10 + rand.N(d/5)
+}
+
+func (n *Node) stop() {
+	for _, stop := range n.stops {
+		stop()
+	}
+	n.mesh.Close()
+	n.cancel()
+}
+
+// Configuration returns the configuration in force, or nil.
+func (n *Node) Configuration() *chestnutstream.Configuration { return n.config.Load() }
+
+// tick passes the time to the decision parts.
+func (n *Node) tick(now time.Time) {
+	n.mu.Lock()
+	actions := n.decide(now)
+	n.mu.Unlock()
+	n.do(actions)
+}
+
+// decide lets all parts decide with what is known now. Callers hold mu.
+func (n *Node) decide(now time.Time) []any {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	actions := n.scheduler.Step(now, engine.Tick{
+		Holdings: n.ownership.Holdings(now), Instances: n.members.all(), Measures: cfg.Measures,
+	})
+	actions = append(actions, n.placement.Step(now, engine.StoreHeard{At: n.lease.State().HeardAt})...)
+	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: queueLimits(cfg)})...)
+	actions = append(actions, n.syncSelf(now)...)
+	actions = append(actions, n.grantPermits(now)...)
+	n.notifyPeers(now)
+	return actions
+}
+
+func queueLimits(cfg *chestnutstream.Configuration) engine.QueueLimits {
+	l := engine.QueueLimits{PerAdapter: cfg.Limits.QueuePerAdapter, Total: cfg.Limits.QueueTotal, PerClass: make(map[string]int, len(cfg.Classes))}
+	for name, c := range cfg.Classes {
+		l.PerClass[name] = c.QueueLimit
+	}
+	return l
+}
+
+// syncSelf is the exchange of the instance with itself: its own reports go to
+// its placement, its own uses and wants to its scheduler. Callers hold mu.
+func (n *Node) syncSelf(now time.Time) []any {
+	var actions []any
+	if v := n.scheduler.Version(); v != n.applied {
+		for _, r := range n.scheduler.Reports(n.applied) {
+			actions = append(actions, n.placement.Step(now, engine.Reported{Owner: n.self.Name, Fence: r.Fence, Report: r.Report})...)
+		}
+		n.placement.Step(now, engine.OwnerServers{Owner: n.self.Name, Servers: n.scheduler.Owned()})
+		n.applied = v
+	}
+	n.placement.Step(now, engine.Promised{Owner: n.self.Name, Until: now.Add(selfPromise)})
+	actions = append(actions, n.placement.Step(now, engine.LoadsSeen{Owner: n.self.Name, Loads: n.scheduler.Loads()})...)
+	return append(actions, n.scheduler.Step(now, engine.PeerHeard{
+		Peer: n.self.Name, Applied: n.applied, Uses: n.placement.Uses()[n.self.Name],
+		Wants: n.placement.Wants(now)[n.self.Name], Quarantine: n.placement.Quarantined(),
+	})...)
+}
+
+// lead returns the instance that hands out the region's share of the weight
+// store's budget. Callers hold mu.
+func (n *Node) lead(now time.Time) string {
+	region := n.members.alive(now, n.aliveLimit(), n.draining.Load(), func(peer.Member) bool { return true })
+	return engine.Elect("weight-store", region)
+}
+
+func (n *Node) aliveLimit() time.Duration { return aliveIntervals * n.mesh.Interval() }
+
+// grantPermits takes the instance's own asks when it is the lead. Callers hold
+// mu.
+func (n *Node) grantPermits(now time.Time) []any {
+	if n.lead(now) != n.self.Name {
+		return nil
+	}
+	if cfg := n.config.Load(); cfg != nil {
+		n.permits.SetBudget(cfg.Limits.LoadsInFlight, cfg.Limits.Zones)
+	}
+	n.permits.Step(now, n.self.Name, n.self.Zone, n.scheduler.Asks())
+	return n.scheduler.Step(now, engine.PermitsGranted{IDs: n.permits.Granted(n.self.Name)})
+}
+
+// notifyPeers pokes the links on which something has to be heard soon. Callers
+// hold mu.
+func (n *Node) notifyPeers(now time.Time) {
+	if v := n.scheduler.Version(); v != n.toldAll {
+		n.toldAll = v
+		n.mesh.NotifyAll()
+	}
+	lead := n.lead(now)
+	wants, uses := n.placement.Wants(now), n.placement.Uses()
+	for name := range n.members.peers {
+		sig := n.urgentSignature(name, lead, wants[name], uses[name])
+		if n.told[name] != sig {
+			n.told[name] = sig
+			n.mesh.Notify(name)
+		}
+	}
+}
+
+// urgentSignature sums up what a peer should hear without waiting for the next
+// interval: new wants, ends of uses of its retiring slots, asks and grants.
+func (n *Node) urgentSignature(name, lead string, wants []chestnutstream.Want, uses map[chestnutstream.LoadName]int) uint64 {
+	h := fnv.New64a()
+	for _, w := range wants {
+		fmt.Fprintf(h, "w%s%s%d", w.Server, w.AdapterVersion, bits(w.Waiting))
+	}
+	for _, retiring := range n.placement.Retiring(name) {
+		fmt.Fprintf(h, "r%s%d", retiring, uses[retiring])
+	}
+	if name == lead {
+		for _, a := range n.scheduler.Asks() {
+			fmt.Fprintf(h, "a%s%v", a.ID, a.Running)
+		}
+	}
+	if lead == n.self.Name {
+		fmt.Fprintf(h, "g%v", n.permits.Granted(name))
+	}
+	return h.Sum64()
+}
+
+// bits returns the number of bits of a count, so that only its doublings are
+// news.
+func bits(n int) int {
+	b := 0
+	for ; n > 0; n >>= 1 {
+		b++
+	}
+	return b
+}
+
+// ownershipTick passes the time to the ownership.
+func (n *Node) ownershipTick(now time.Time) {
+	n.mu.Lock()
+	l := n.lease.State()
+	actions := n.ownership.Step(now, engine.LeaseHeld{ValidUntil: l.ValidUntil, Version: l.Version, Incarnation: l.Incarnation})
+	zone := n.members.alive(now, n.aliveLimit(), n.draining.Load(), func(m peer.Member) bool { return m.Zone == n.self.Zone })
+	actions = append(actions, n.ownership.Step(now, engine.ZoneTick{Alive: zone})...)
+	for _, name := range n.ownership.Watched() {
+		if _, valid := n.ownership.Valid(now, name); !valid {
+			actions = append(actions, engine.ReadStatus{Server: name})
+		}
+	}
+	n.mu.Unlock()
+	n.do(actions)
+}
+
+func (n *Node) renewLease() {
+	if err := n.lease.Renew(n.ctx); err != nil {
+		n.log.WithError(err).Warn("lease not renewed")
+	}
+}
+
+// note records a decision for explain.
+func (n *Node) note(d chestnutstream.Decision) { n.notes.add(d) }
--- /dev/null
+++ b/operator/document.go
@@ -0,0 +1,474 @@
+// Package operator speaks to operators: it reads and checks the configuration
+// document, adopts its revisions, commits changes, and serves the operators'
+// HTTP interface.
+//
+// # Usage
+//
+// A document is a YAML mapping of sections, in kebab case. Each section is put
+// on its own and belongs to a team; `adapters` may be split over teams as
+// `adapters/TEAM`:
+//
+//	classes:
+//	  - {name: doorway-question, urgency: 90, timeout-ms: 8000, queue-limit: 256}
+//	adapters/dunedin:
+//	  - {name: encaustic-1, base-model: base, versions: [v1], current: v1, may-use: ["*"]}
+//
+//	cfg, err := operator.Assemble(head, sections)
+//
+// An error names the section, the line and the path of what is wrong.
+package operator
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// MaxSectionBytes bounds the content of one section.
+const MaxSectionBytes = 4 << 20
+
+// DocumentError says what is wrong with a document and where.
+type DocumentError struct {
+	Section string
+	Line    int    // in the section's content, from 1; 0 when unknown
+	Path    string // YAML path, such as "$[3].urgency"
+	Reason  string
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	where := "section " + e.Section
+	if e.Line > 0 {
+		where += fmt.Sprintf(", line %d", e.Line)
+	}
+	if e.Path != "" {
+		where += ", " + e.Path
+	}
+	return where + ": " + e.Reason
+}
+
+type yamlAdapter struct {
+	Name      string   `yaml:"name"`
+	BaseModel string   `yaml:"base-model"`
+	Versions  []string `yaml:"versions"`
+	Current   string   `yaml:"current"`
+	MayUse    []string `yaml:"may-use"`
+}
+
+type yamlService struct {
+	Name       string   `yaml:"name"`
+	MayUse     []string `yaml:"may-use"`
+	Idempotent []struct {
+		Method string `yaml:"method"`
+		Path   string `yaml:"path"`
+	} `yaml:"idempotent"`
+	NotRunStatuses []int `yaml:"not-run-statuses"`
+}
+
+type yamlClass struct {
+	Name       string `yaml:"name"`
+	Urgency    int    `yaml:"urgency"`
+	TimeoutMS  int    `yaml:"timeout-ms"`
+	QueueLimit int    `yaml:"queue-limit"`
+}
+
+type yamlServer struct {
+	Name         string `yaml:"name"`
+	Kind         string `yaml:"kind"`
+	Zone         string `yaml:"availability-zone"`
+	Address      string `yaml:"address"`
+	BaseModel    string `yaml:"base-model"`
+	Service      string `yaml:"service"`
+	ChecksFences bool   `yaml:"checks-fencing-numbers"`
+}
+
+type yamlMeasures struct {
+	LoadStall       float64 `yaml:"load-stalls"`
+	BatchEfficiency float64 `yaml:"batch-efficiency"`
+}
+
+type yamlLimits struct {
+	BodyBytes       int64   `yaml:"body-bytes"`
+	QueuePerAdapter int     `yaml:"queue-per-adapter"`
+	QueueTotal      int     `yaml:"queue-total"`
+	RetryShare      float64 `yaml:"retry-share"`
+	LoadsInFlight   int     `yaml:"loads-in-flight"`
+	LoadsPerSecond  float64 `yaml:"loads-per-second"`
+	Zones           int     `yaml:"availability-zones"`
+}
+
+type yamlOwner struct {
+	Section string `yaml:"section"`
+	Team    string `yaml:"team"`
+}
+
+// kindOf returns the part of a section's name that says what it holds.
+func kindOf(section string) string {
+	kind, _, _ := strings.Cut(section, "/")
+	return kind
+}
+
+// ValidSection reports whether name may name a section.
+func ValidSection(name string) bool {
+	switch kind, team, split := strings.Cut(name, "/"); kind {
+	case "adapters":
+		return !split || chestnutstream.ValidName(team)
+	case "services", "classes", "backend-servers", "measures", "limits", "owners":
+		return !split
+	default:
+		return false
+	}
+}
+
+// SplitDocument cuts a whole document into the contents of its sections.
+func SplitDocument(document []byte) (map[string][]byte, error) {
+	var raw map[string]any
+	if err := yaml.Unmarshal(document, &raw); err != nil {
+		return nil, &DocumentError{Section: "(document)", Reason: yaml.FormatError(err, false, false)}
+	}
+	out := map[string][]byte{}
+	for name, v := range raw {
+		if !ValidSection(name) {
+			return nil, &DocumentError{Section: name, Reason: "no such section"}
+		}
+		content, err := yaml.Marshal(v)
+		if err != nil {
+			return nil, fmt.Errorf("section %s: %w", name, err)
+		}
+		out[name] = content
+	}
+	return out, nil
+}
+
+// HashSection returns the name of a section's content in the object store.
+func HashSection(section string, content []byte) string {
+	h := xxhash.New()
+	_, _ = h.WriteString(section + "\x00")
+	_, _ = h.Write(content)
+	return fmt.Sprintf("%s-%x", hex.EncodeToString(h.Sum(nil)), len(content))
+}
+
+// Assemble reads the sections and checks the document as a whole. It returns a
+// *DocumentError when something is wrong.
+func Assemble(head chestnutstream.Head, sections map[string][]byte) (*chestnutstream.Configuration, error) {
+	a := &assembler{
+		sections: sections,
+		cfg: &chestnutstream.Configuration{
+			Head:     head,
+			Adapters: map[string]chestnutstream.AdapterSettings{},
+			Services: map[string]chestnutstream.ServiceSettings{},
+			Classes:  map[string]chestnutstream.ClassSettings{},
+			Servers:  map[string]chestnutstream.ServerSettings{},
+			Measures: chestnutstream.Measures{LoadStall: 1, BatchEfficiency: 1},
+			Limits:   DefaultLimits(),
+		},
+	}
+	names := make([]string, 0, len(sections))
+	for name := range sections {
+		names = append(names, name)
+	}
+	// Adapters and servers refer to other sections and are read after them.
+	sort.Slice(names, func(i, j int) bool {
+		if ri, rj := readOrder(names[i]), readOrder(names[j]); ri != rj {
+			return ri < rj
+		}
+		return names[i] < names[j]
+	})
+	for _, name := range names {
+		if err := a.read(name); err != nil {
+			return nil, err
+		}
+	}
+	return a.cfg, nil
+}
+
+func readOrder(section string) int {
+	if kindOf(section) == "backend-servers" {
+		return 1
+	}
+	return 0
+}
+
+// DefaultLimits returns the limits that hold where the document names none.
+func DefaultLimits() chestnutstream.Limits {
+	return chestnutstream.Limits{
+		BodyBytes: 1 << 20, QueuePerAdapter: 256, QueueTotal: 2048, RetryShare: 0.2,
+		LoadsInFlight: 16, LoadsPerSecond: 3, Zones: 4,
+	}
+}
+
+type assembler struct {
+	sections map[string][]byte
+	cfg      *chestnutstream.Configuration
+}
+
+func (a *assembler) read(section string) error {
+	if !ValidSection(section) {
+		return &DocumentError{Section: section, Reason: "no such section; want adapters, adapters/TEAM, services, classes, backend-servers, measures, limits or owners"}
+	}
+	if len(a.sections[section]) > MaxSectionBytes {
+		return &DocumentError{Section: section, Reason: fmt.Sprintf("over %d bytes", MaxSectionBytes)}
+	}
+	switch kindOf(section) {
+	case "adapters":
+		return a.readAdapters(section)
+	case "services":
+		return a.readServices(section)
+	case "classes":
+		return a.readClasses(section)
+	case "backend-servers":
+		return a.readServers(section)
+	case "measures":
+		return a.readMeasures(section)
+	case "limits":
+		return a.readLimits(section)
+	default:
+		return a.readOwners(section)
+	}
+}
+
+// decode reads a section strictly: unknown and doubled keys are errors.
+func (a *assembler) decode(section string, v any) error {
+	err := yaml.UnmarshalWithOptions(a.sections[section], v, yaml.Strict())
+	if err == nil {
+		return nil
+	}
+	e := &DocumentError{Section: section, Reason: yaml.FormatError(err, false, false)}
+	if ye, ok := err.(yaml.Error); ok {
+		e.Reason = ye.GetMessage()
+		if t := ye.GetToken(); t != nil {
+			e.Line = t.Position.Line
+		}
+	}
+	return e
+}
+
+// wrong makes the error for what stands at path, with its line.
+func (a *assembler) wrong(section, path, format string, args ...any) error {
+	e := &DocumentError{Section: section, Path: path, Reason: fmt.Sprintf(format, args...)}
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return e
+	}
+	file, err := parser.ParseBytes(a.sections[section], 0)
+	if err != nil {
+		return e
+	}
+	node, err := p.FilterFile(file)
+	if err == nil && node != nil {
+		e.Line = node.GetToken().Position.Line
+	}
+	return e
+}
+
+func (a *assembler) readAdapters(section string) error {
+	var list []yamlAdapter
+	if err := a.decode(section, &list); err != nil {
+		return err
+	}
+	for i, y := range list {
+		at := fmt.Sprintf("$[%d]", i)
+		s := chestnutstream.AdapterSettings{Name: y.Name, BaseModel: y.BaseModel, Versions: y.Versions, Current: y.Current, MayUse: y.MayUse}
+		if !chestnutstream.ValidName(y.Name) {
+			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
+		}
+		if _, twice := a.cfg.Adapters[y.Name]; twice {
+			return a.wrong(section, at+".name", "adapter %q is declared twice", y.Name)
+		}
+		if !chestnutstream.ValidName(y.BaseModel) {
+			return a.wrong(section, at, "adapter %q: base-model %.80q is not a name", y.Name, y.BaseModel)
+		}
+		for j, v := range y.Versions {
+			if !chestnutstream.ValidName(v) {
+				return a.wrong(section, fmt.Sprintf("%s.versions[%d]", at, j), "adapter %q: version %.80q is not a name", y.Name, v)
+			}
+		}
+		if !s.HasVersion(y.Current) {
+			return a.wrong(section, at, "adapter %q: current version %q is not among its versions %v", y.Name, y.Current, y.Versions)
+		}
+		a.cfg.Adapters[y.Name] = s
+	}
+	return nil
+}
+
+func (a *assembler) readServices(section string) error {
+	var list []yamlService
+	if err := a.decode(section, &list); err != nil {
+		return err
+	}
+	for i, y := range list {
+		at := fmt.Sprintf("$[%d]", i)
+		if !chestnutstream.ValidName(y.Name) {
+			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
+		}
+		if _, twice := a.cfg.Services[y.Name]; twice {
+			return a.wrong(section, at+".name", "service %q is declared twice", y.Name)
+		}
+		s := chestnutstream.ServiceSettings{Name: y.Name, MayUse: y.MayUse, NotRunStatuses: y.NotRunStatuses}
+		for j, p := range y.Idempotent {
+			if p.Method != strings.ToUpper(p.Method) || p.Method == "" || !strings.HasPrefix(p.Path, "/") {
+				return a.wrong(section, fmt.Sprintf("%s.idempotent[%d]", at, j), "want a method in capitals and a path that begins with /, got %q %q", p.Method, p.Path)
+			}
+			s.Idempotent = append(s.Idempotent, chestnutstream.CallPattern{Method: p.Method, Path: p.Path})
+		}
+		for j, n := range y.NotRunStatuses {
+			if n < 400 || n > 599 {
+				return a.wrong(section, fmt.Sprintf("%s.not-run-statuses[%d]", at, j), "status %d: want 400 to 599", n)
+			}
+		}
+		a.cfg.Services[y.Name] = s
+	}
+	return nil
+}
+
+func (a *assembler) readClasses(section string) error {
+	var list []yamlClass
+	if err := a.decode(section, &list); err != nil {
+		return err
+	}
+	for i, y := range list {
+		at := fmt.Sprintf("$[%d]", i)
+		switch {
+		case !chestnutstream.ValidName(y.Name):
+			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
+		case y.Urgency < 1 || y.Urgency > 100:
+			return a.wrong(section, at+".urgency", "class %q: urgency %d: want 1 to 100", y.Name, y.Urgency)
+		case y.TimeoutMS < 1 || y.TimeoutMS > 24*3600*1000:
+			return a.wrong(section, at+".timeout-ms", "class %q: timeout-ms %d: want 1 ms to a day", y.Name, y.TimeoutMS)
+		case y.QueueLimit < 1:
+			return a.wrong(section, at+".queue-limit", "class %q: queue-limit %d: want at least 1", y.Name, y.QueueLimit)
+		}
+		if _, twice := a.cfg.Classes[y.Name]; twice {
+			return a.wrong(section, at+".name", "class %q is declared twice", y.Name)
+		}
+		a.cfg.Classes[y.Name] = chestnutstream.ClassSettings{
+			Name: y.Name, Urgency: y.Urgency, Timeout: time.Duration(y.TimeoutMS) * time.Millisecond, QueueLimit: y.QueueLimit,
+		}
+	}
+	return nil
+}
+
+func (a *assembler) readServers(section string) error {
+	var list []yamlServer
+	if err := a.decode(section, &list); err != nil {
+		return err
+	}
+	for i, y := range list {
+		at := fmt.Sprintf("$[%d]", i)
+		s := chestnutstream.ServerSettings{
+			Name: y.Name, Kind: chestnutstream.ServerKind(y.Kind), Zone: y.Zone, Address: y.Address,
+			BaseModel: y.BaseModel, Service: y.Service, ChecksFences: y.ChecksFences,
+		}
+		if err := a.checkServer(section, at, s); err != nil {
+			return err
+		}
+		a.cfg.Servers[y.Name] = s
+	}
+	return nil
+}
+
+func (a *assembler) checkServer(section, at string, s chestnutstream.ServerSettings) error {
+	if !chestnutstream.ValidName(s.Name) {
+		return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", s.Name)
+	}
+	if _, twice := a.cfg.Servers[s.Name]; twice {
+		return a.wrong(section, at+".name", "backend server %q is declared twice", s.Name)
+	}
+	if !chestnutstream.ValidName(s.Zone) {
+		return a.wrong(section, at, "backend server %q: availability-zone %.80q is not a name", s.Name, s.Zone)
+	}
+	if s.Address != "" {
+		if _, _, err := net.SplitHostPort(s.Address); err != nil {
+			return a.wrong(section, at+".address", "backend server %q: address %.80q: want HOST:PORT", s.Name, s.Address)
+		}
+	}
+	switch s.Kind {
+	case chestnutstream.KindEngine:
+		if !chestnutstream.ValidName(s.BaseModel) {
+			return a.wrong(section, at, "engine %q: base-model %.80q is not a name", s.Name, s.BaseModel)
+		}
+	case chestnutstream.KindService:
+		if _, ok := a.cfg.Services[s.Service]; !ok {
+			return a.wrong(section, at, "backend server %q: service %q is not declared in section services", s.Name, s.Service)
+		}
+	default:
+		return a.wrong(section, at, "backend server %q: kind %q: want engine or service", s.Name, s.Kind)
+	}
+	return nil
+}
+
+func (a *assembler) readMeasures(section string) error {
+	var y yamlMeasures
+	if err := a.decode(section, &y); err != nil {
+		return err
+	}
+	ok := func(f float64) bool { return f >= 0 && !math.IsInf(f, 0) }
+	if !ok(y.LoadStall) || !ok(y.BatchEfficiency) || y.LoadStall+y.BatchEfficiency == 0 {
+		return a.wrong(section, "$", "want two weights of at least 0, one above it")
+	}
+	a.cfg.Measures = chestnutstream.Measures{LoadStall: y.LoadStall, BatchEfficiency: y.BatchEfficiency}
+	return nil
+}
+
+func (a *assembler) readLimits(section string) error {
+	d := DefaultLimits()
+	y := yamlLimits{d.BodyBytes, d.QueuePerAdapter, d.QueueTotal, d.RetryShare, d.LoadsInFlight, d.LoadsPerSecond, d.Zones}
+	if err := a.decode(section, &y); err != nil {
+		return err
+	}
+	switch {
+	case y.BodyBytes < 1 || y.BodyBytes > 1<<30:
+		return a.wrong(section, "$.body-bytes", "body-bytes %d: want 1 to %d", y.BodyBytes, 1<<30)
+	case y.QueuePerAdapter < 1 || y.QueueTotal < 1:
+		return a.wrong(section, "$", "queue-per-adapter and queue-total: want at least 1")
+	case !(y.RetryShare >= 0 && y.RetryShare <= 1):
+		return a.wrong(section, "$.retry-share", "retry-share %v: want 0 to 1", y.RetryShare)
+	case y.LoadsInFlight < 1 || y.Zones < 1 || !(y.LoadsPerSecond > 0):
+		return a.wrong(section, "$", "loads-in-flight, loads-per-second and availability-zones: want more than 0")
+	}
+	a.cfg.Limits = chestnutstream.Limits{
+		BodyBytes: y.BodyBytes, QueuePerAdapter: y.QueuePerAdapter, QueueTotal: y.QueueTotal, RetryShare: y.RetryShare,
+		LoadsInFlight: y.LoadsInFlight, LoadsPerSecond: y.LoadsPerSecond, Zones: y.Zones,
+	}
+	return nil
+}
+
+func (a *assembler) readOwners(section string) error {
+	var list []yamlOwner
+	if err := a.decode(section, &list); err != nil {
+		return err
+	}
+	for i, y := range list {
+		if !ValidSection(y.Section) || !chestnutstream.ValidName(y.Team) {
+			return a.wrong(section, fmt.Sprintf("$[%d]", i), "want a section and a team, got %q and %q", y.Section, y.Team)
+		}
+		a.cfg.Owners = append(a.cfg.Owners, chestnutstream.SectionOwner{Section: y.Section, Team: y.Team})
+	}
+	return nil
+}
+
+// MayPut reports whether a team may change a section. A section without an
+// owner belongs to every team.
+func MayPut(cfg *chestnutstream.Configuration, section, team string) bool {
+	owned := false
+	for _, o := range cfg.Owners {
+		if o.Section != section {
+			continue
+		}
+		if o.Team == team {
+			return true
+		}
+		owned = true
+	}
+	return !owned
+}
