--- a/entry/entry.go
+++ b/entry/entry.go
@@ -252,3 +252,15 @@
 	defer n.mu.Unlock()
 	return len(n.ownership.Holdings(n.cfg.Timer.Now()))
 }
+
+// Pause stops the instance's decisions, its exchange with peers and its lease
+// renewals for d, as a paused process would. It is for tests and the load tool.
+func (in *Instance) Pause(d time.Duration) {
+	n := in.node
+	resume := n.lease.Pause()
+	n.mu.Lock()
+	time.AfterFunc(d, func() {
+		resume()
+		n.mu.Unlock()
+	})
+}
--- a/load/deployment.go
+++ b/load/deployment.go
@@ -107,6 +107,7 @@
 	Listener *standin.Listener
 	Engine   *standin.Engine  // of an engine
 	Service  *standin.Service // of a plain service
+	remote   string           // address, when it runs elsewhere
 }
 
 // Entry is an entry instance that runs.
@@ -115,6 +116,7 @@
 	Zone     string
 	Instance *entry.Instance
 	settings entry.Settings
+	remote   string // caller address, when it runs elsewhere
 }
 
 // Deployment is a whole deployment on loopback in this process.
@@ -127,6 +129,7 @@
 	Services         []*Server
 	Entries          []*Entry
 	Store            *operator.Store
+	remotePlatform   string // address, when it runs elsewhere
 	cancel           context.CancelFunc
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -170,6 +170,13 @@
 	e.faults = f
 }
 
+// Faults returns the faults in force.
+func (e *Engine) Faults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // Counts returns what the engine counted so far.
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
--- a/standin/http.go
+++ b/standin/http.go
@@ -11,6 +11,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -176,3 +177,24 @@
 	case <-t.C:
 	}
 }
+
+// Announce puts an instance on the list of the platform at address.
+func Announce(ctx context.Context, address string, row InstanceRow) error {
+	body, err := json.Marshal(row)
+	if err != nil {
+		return fmt.Errorf("encode instance: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/instances", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("announce %s: %w", row.Name, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("announce %s: %w", row.Name, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("announce %s: platform answers %s", row.Name, resp.Status)
+	}
+	return nil
+}
