Silent connections and lost owners: settle orders by status, ask elsewhere

Change: a status read settles an order without an answer after 1.5 s; an idempotent call without an answer in six times the largest recent time is asked elsewhere; wants go only to owners heard lately; requests without any server in sight for 2 s are refused not-run.

--- a/caller/call.go
+++ b/caller/call.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/engine"
 	"github.com/chestnutstream/chestnutstream/service"
 )
 
@@ -30,7 +32,7 @@
 			break
 		}
 		x.note(s, "dispatch", name)
-		answer, err := f.attempt(x, address)
+		answer, err := f.attempt(x, attempt, address)
 		s.parts.Pool.Done(name, err != nil)
 		if err == nil {
 			f.answered(x, answer)
@@ -50,9 +52,10 @@
 // configuration declares to mean that the call did not run.
 var errRefused = errors.New("the server refused the call")
 
-func (f *call) attempt(x *Exchange, address string) (chestnutstream.ServiceAnswer, error) {
+func (f *call) attempt(x *Exchange, attempt int, address string) (chestnutstream.ServiceAnswer, error) {
 	before := x.Outcome
 	x.Outcome = chestnutstream.Unknown
+	began := f.server.cfg.Timer.Now()
 	ctx := x.Ctx
 	if !x.Idempotent {
 		// A caller that leaves does not take its order back: the answer is
@@ -64,8 +67,11 @@
 	}
 	answer, err := f.server.parts.Services.Call(ctx, address, chestnutstream.ServiceCall{
 		Method: x.R.Method, Path: x.ServicePath, Header: x.R.Header, Body: x.Body,
-		Idempotent: x.Idempotent, RequestID: x.ID,
+		Idempotent: x.Idempotent, RequestID: x.ID, Patience: f.patience(x, attempt),
 	})
+	if err == nil {
+		f.server.answerTimes.Observe(f.server.cfg.Timer.Now().Sub(began))
+	}
 	switch {
 	case errors.Is(err, service.ErrNotSent):
 		x.Outcome = before
@@ -76,6 +82,15 @@
 	return answer, err
 }
 
+// patience returns how long an idempotent call waits for an answer before it is
+// asked again elsewhere. The last attempt waits to the end.
+func (f *call) patience(x *Exchange, attempt int) time.Duration {
+	if !x.Idempotent || attempt == maxAttempts-1 {
+		return 0
+	}
+	return f.server.answerTimes.Threshold(engine.DefaultStallSettings())
+}
+
 func (f *call) answered(x *Exchange, answer chestnutstream.ServiceAnswer) {
 	x.Outcome = chestnutstream.Ran
 	if x.Claim != nil {
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -147,6 +147,8 @@
 	serial     atomic.Uint64
 	inProgress atomic.Int64
 	retries    retryBudget
+
+	answerTimes engine.GapEstimator // of the plain services
 }
 
 // NewServer returns the callers' handler.
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -14,13 +14,15 @@
 	SuspectFor    time.Duration // a server whose connections fail is avoided this long
 	StoreSilence  time.Duration // without the table service this long, nobody can take over a server
 	AgingPerPoint time.Duration // waiting this long raises a request's urgency by one point
+	OwnerSilence  time.Duration // an owner that was not heard for this long gets no wants
+	NoServerAfter time.Duration // without a server that has or could load the adapter, requests are refused
 }
 
 // DefaultPlacementSettings returns the settings in use.
 func DefaultPlacementSettings() PlacementSettings {
 	return PlacementSettings{
 		ReportAge: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second,
-		AgingPerPoint: 100 * time.Millisecond,
+		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 2 * time.Second,
 	}
 }
 
@@ -59,7 +61,8 @@
 		Owner   string
 		Servers []string
 	}
-	// Promised says until when what an owner told may be acted on.
+	// Promised says that an owner was heard, and until when what it told may be
+	// acted on; a zero Until extends nothing.
 	Promised struct {
 		Owner string
 		Until time.Time
@@ -76,7 +79,10 @@
 		Failure Failure
 	}
 	// PlacementTick passes the time.
-	PlacementTick struct{ Limits QueueLimits }
+	PlacementTick struct {
+		Limits       QueueLimits
+		OwnerSilence time.Duration // 0: as set
+	}
 )
 
 // QueueLimits bound the queues of an instance.
@@ -113,7 +119,7 @@
 	// Refuse ends a waiting request; it did not run.
 	Refuse struct {
 		ID         string
-		Code       string // "queue-full", "deadline" or "shed"
+		Code       string // "queue-full", "deadline", "shed" or "no-server"
 		RetryAfter time.Duration
 		Stall      time.Duration // the wait for the adapter, which did not arrive
 	}
@@ -134,6 +140,7 @@
 	zone       string
 	servers    map[string]*placeServer
 	promises   map[string]time.Time
+	heard      map[string]time.Time // owners
 	storeAt    time.Time
 	queues     map[string]*queue
 	order      []string // queue keys, oldest first
@@ -166,6 +173,7 @@
 	base    string
 	entries []*queued
 	wanted  []string
+	noHope  time.Time // since when no server has or could load the adapter
 }
 
 type queued struct {
@@ -183,7 +191,7 @@
 func NewPlacement(zone string, cfg PlacementSettings, policy chestnutstream.PlacementPolicy) *Placement {
 	return &Placement{
 		cfg: cfg, policy: policy, zone: zone,
-		servers: map[string]*placeServer{}, promises: map[string]time.Time{},
+		servers: map[string]*placeServer{}, promises: map[string]time.Time{}, heard: map[string]time.Time{},
 		queues: map[string]*queue{}, running: map[string]*runningRequest{}, byClass: map[string]int{},
 		quarantine: map[chestnutstream.LoadName]bool{},
 		limits:     QueueLimits{PerAdapter: 256, Total: 2048},
@@ -204,6 +212,7 @@
 		p.loadsSeen(e)
 		return p.dispatch(now)
 	case Promised:
+		p.heard[e.Owner] = now
 		if e.Until.After(p.promises[e.Owner]) {
 			p.promises[e.Owner] = e.Until
 		}
@@ -218,6 +227,9 @@
 		return p.dispatch(now)
 	case PlacementTick:
 		p.limits = e.Limits
+		if e.OwnerSilence > 0 {
+			p.cfg.OwnerSilence = e.OwnerSilence
+		}
 		return append(p.expire(now), p.dispatch(now)...)
 	}
 	return nil
@@ -550,6 +562,31 @@
 	}
 	if len(q.entries) > 0 {
 		q.wanted = p.policy.Want(p.view(now, q), loads)
+		actions = append(actions, p.giveUp(now, q, loads)...)
+	}
+	return actions
+}
+
+// giveUp refuses the requests of a queue for whose adapter no server has been
+// in sight for a while, so that their callers can ask elsewhere in time.
+func (p *Placement) giveUp(now time.Time, q *queue, loads []chestnutstream.ServerLoad) []any {
+	for _, l := range loads {
+		if l.Usable || l.Loadable {
+			q.noHope = time.Time{}
+			return nil
+		}
+	}
+	if q.noHope.IsZero() {
+		q.noHope = now
+	}
+	if now.Sub(q.noHope) < p.cfg.NoServerAfter {
+		return nil
+	}
+	var actions []any
+	for len(q.entries) > 0 {
+		e := q.entries[0]
+		actions = append(actions, Refuse{ID: e.ID, Code: "no-server", RetryAfter: minRetryAfter, Stall: e.stall(now)})
+		p.remove(q, 0)
 	}
 	return actions
 }
@@ -604,7 +641,7 @@
 		l := chestnutstream.ServerLoad{
 			Server: name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
 			BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
-			Busy: len(s.uses), Loadable: p.promised(now, s),
+			Busy: len(s.uses), Loadable: p.promised(now, s) && now.Sub(p.heard[s.owner]) < p.cfg.OwnerSilence,
 		}
 		_, l.Usable = p.readySlot(s, q.av)
 		for _, sl := range s.report.Slots {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -18,6 +18,7 @@
 	RetireTimeout   time.Duration // a retiring slot that is still used then becomes ready again
 	DrainTimeout    time.Duration // the same for a slot that is drained for a starving want
 	LoadsPerServer  int           // loads asked for at once per server
+	OrderSettle     time.Duration // an order without an answer for this long is settled by the status
 	BackoffFirst    time.Duration // pause after the first failed load of an adapter version
 	BackoffMax      time.Duration
 	RateHalfLife    time.Duration // of the request rate that eviction looks at
@@ -27,7 +28,7 @@
 func DefaultSchedulerSettings() SchedulerSettings {
 	return SchedulerSettings{
 		PromiseValidity: 10 * time.Second, PromiseSlack: 4 * time.Second, StatusPeriod: 500 * time.Millisecond,
-		RetireTimeout: 500 * time.Millisecond, DrainTimeout: 30 * time.Second, LoadsPerServer: 2,
+		RetireTimeout: 500 * time.Millisecond, DrainTimeout: 30 * time.Second, LoadsPerServer: 2, OrderSettle: 1500 * time.Millisecond,
 		BackoffFirst: time.Second, BackoffMax: time.Minute, RateHalfLife: time.Minute,
 	}
 }
@@ -466,14 +467,21 @@
 		if len(es.Requests) > 0 {
 			sl.lastUsed = now
 		}
+		if sl.ordered && sl.slot.State == chestnutstream.SlotLoading && !es.Loading && sent.Sub(sl.since) >= s.cfg.OrderSettle {
+			// It is loaded though the order's answer has not come.
+			sl.ordered = false
+			delete(srv.tickets, sl.slot.AdapterVersion)
+		}
 		if !es.Loading && !sl.ordered && sl.slot.State == chestnutstream.SlotLoading && sl.since.Before(sent) {
 			sl.slot.State, sl.since, sl.loadedAt = chestnutstream.SlotReady, now, now
 			changed = true
 		}
 	}
 	for name, sl := range srv.slots {
-		if !have[name] && !sl.ordered && sl.since.Before(sent) {
+		settled := !sl.ordered || sent.Sub(sl.since) >= s.cfg.OrderSettle
+		if !have[name] && settled && sl.since.Before(sent) {
 			delete(srv.slots, name)
+			delete(srv.tickets, sl.slot.AdapterVersion)
 			changed = true
 		}
 	}
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -280,6 +280,7 @@
 	reasons := map[string]string{
 		"deadline":   "no backend server was free before the deadline",
 		"queue-full": "too many requests wait",
+		"no-server":  "no backend server has the adapter or could load it now",
 		"shed":       "more urgent requests took the place in the queue",
 	}
 	return &caller.RefusedError{Code: r.Code, Reason: reasons[r.Code], RetryAfter: r.RetryAfter, Stall: r.Stall}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -257,8 +257,8 @@
 // renewals for d, as a paused process would. It is for tests and the load tool.
 func (in *Instance) Pause(d time.Duration) {
 	n := in.node
+	n.mu.Lock() // taken before the lease's lock, as everywhere
 	resume := n.lease.Pause()
-	n.mu.Lock()
 	time.AfterFunc(d, func() {
 		resume()
 		n.mu.Unlock()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -74,9 +74,7 @@
 		n.ownership.Step(now, engine.PeerStillOwns{Peer: name, Server: server})
 	}
 	p.applied = max(p.applied, s.Version)
-	if !h.PromisedUntil.IsZero() {
-		n.placement.Step(now, engine.Promised{Owner: name, Until: h.PromisedUntil})
-	}
+	n.placement.Step(now, engine.Promised{Owner: name, Until: h.PromisedUntil})
 	actions = append(actions, n.placement.Step(now, engine.LoadsSeen{Owner: name, Loads: s.Loads})...)
 	if s.Gone {
 		return append(actions, n.scheduler.Step(now, engine.PeerGone{Peer: name})...)
--- a/entry/node.go
+++ b/entry/node.go
@@ -188,7 +188,7 @@
 		Holdings: n.ownership.Holdings(now), Instances: n.members.all(), Measures: cfg.Measures,
 	})
 	actions = append(actions, n.placement.Step(now, engine.StoreHeard{At: n.lease.State().HeardAt})...)
-	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: queueLimits(cfg)})...)
+	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: queueLimits(cfg), OwnerSilence: n.aliveLimit()})...)
 	actions = append(actions, n.syncSelf(now)...)
 	actions = append(actions, n.grantPermits(now)...)
 	n.notifyPeers(now)
--- a/interfaces.go
+++ b/interfaces.go
@@ -161,6 +161,7 @@
 	Body       []byte
 	Idempotent bool
 	RequestID  string
+	Patience   time.Duration // without an answer for this long the call is given up; 0 waits for ctx
 }
 
 // ServiceAnswer is a complete answer of a plain service.
--- a/load/client.go
+++ b/load/client.go
@@ -24,7 +24,8 @@
 	class      string
 	status     int
 	outcome    string // as told; "" when none was
-	code       string // of an error answer
+	code       string // of an error answer or event
+	message    string // of an error answer or event
 	firstToken time.Duration
 	stall      time.Duration
 	hasStall   bool
@@ -118,11 +119,12 @@
 func (s *seen) refusal(body io.Reader) {
 	var e struct {
 		Error struct {
-			Code string `json:"code"`
+			Code    string `json:"code"`
+			Message string `json:"message"`
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(body).Decode(&e)
-	s.code = e.Error.Code
+	s.code, s.message = e.Error.Code, e.Error.Message
 	s.refused = s.outcome == "not-run"
 }
 
@@ -136,6 +138,7 @@
 		}
 		switch {
 		case ev.Type == "error":
+			s.refusal(strings.NewReader(ev.Data))
 			return
 		case ev.Data == "[DONE]":
 			s.whole = true
--- a/load/report.go
+++ b/load/report.go
@@ -63,6 +63,7 @@
 	FirstToken     map[string]Quantiles `json:"first-token-ms"`
 	Goodput        map[string]float64   `json:"answered-share"`
 	Codes          map[string]int       `json:"error-codes"`
+	Messages       map[string]string    `json:"error-samples"` // one message for each code
 	Efficiency     float64              `json:"batch-efficiency"`
 	Loads          int                  `json:"loads"`
 	LoadFailures   int                  `json:"load-failures"`
@@ -131,7 +132,7 @@
 		spec: spec, stalls: map[string]*hdrhistogram.Histogram{"all": newHist()}, first: map[string]*hdrhistogram.Histogram{"all": newHist()},
 		lag: newHist(), sent: map[string]int{}, answered: map[string]int{}, orders: map[string][]seen{},
 	}
-	c.report.Codes = map[string]int{}
+	c.report.Codes, c.report.Messages = map[string]int{}, map[string]string{}
 	for _, s := range Deployments() {
 		for _, class := range s.Classes {
 			c.stalls[class.Name], c.first[class.Name] = newHist(), newHist()
@@ -185,6 +186,7 @@
 func (r *Report) count(s seen) {
 	if s.code != "" {
 		r.Codes[s.code]++
+		r.Messages[s.code] = s.message
 	}
 	switch {
 	case s.lost:
@@ -333,6 +335,9 @@
 	}
 	if len(r.Codes) > 0 {
 		fmt.Fprintf(t, "error codes\t%v\n", r.Codes)
+		for code, message := range r.Messages {
+			fmt.Fprintf(t, "  %s\t%s\n", code, message)
+		}
 	}
 	if broken := r.Broken(); len(broken) > 0 {
 		fmt.Fprintf(t, "BROKEN\t%v\n", broken)
--- a/service/client.go
+++ b/service/client.go
@@ -48,6 +48,10 @@
 	fresh  *http.Client
 }
 
+// ErrStalled is returned when an idempotent call brought no answer within the
+// time that the service's calls take; asking elsewhere is better than waiting.
+var ErrStalled = errors.New("no answer in the usual time")
+
 // NewClient returns a client for plain services. dial may be nil.
 func NewClient(dial chestnutstream.DialFunc) *Client {
 	if dial == nil {
@@ -91,6 +95,13 @@
 // Call implements chestnutstream.Services. The answer is whole or an error.
 func (c *Client) Call(ctx context.Context, address string, call chestnutstream.ServiceCall) (chestnutstream.ServiceAnswer, error) {
 	var sent atomic.Bool
+	began := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if call.Patience > 0 {
+		stalled := time.AfterFunc(call.Patience, func() { cancel(ErrStalled) })
+		defer stalled.Stop()
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -105,6 +116,10 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
+		if errors.Is(context.Cause(ctx), ErrStalled) {
+			c.pooled.CloseIdleConnections()
+			err = fmt.Errorf("%w after %v: %w", ErrStalled, time.Since(began).Round(time.Millisecond), err)
+		}
 		if !sent.Load() {
 			return chestnutstream.ServiceAnswer{}, fmt.Errorf("call %s: %w: %w", address, ErrNotSent, err)
 		}
@@ -121,9 +136,6 @@
 	return chestnutstream.ServiceAnswer{Status: resp.StatusCode, Header: PassHeaders(resp.Header), Body: body}, nil
 }
 
-// DropIdle closes the pool's idle connections, after one of them stalled.
-func (c *Client) DropIdle() { c.pooled.CloseIdleConnections() }
-
 // Health reads whether a backend server of a plain service is leaving.
 func (c *Client) Health(ctx context.Context, address string) (leaving bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
