Configuration: read only the sections that changed

Cause: a profile was not needed; each revision parsed all sections anew on every instance, 3,000 adapters of YAML a time, 16 times at the start alone.

Change: a section is read and checked once and remembered by its hash; joining checks what concerns more than one section.

--- a/operator/adoption.go
+++ b/operator/adoption.go
@@ -16,7 +16,8 @@
 	current  *chestnutstream.Configuration
 	target   chestnutstream.Head
 	contents map[string]content // by hash
-	refused  uint64             // highest revision that did not check
+	parts    Assembler
+	refused  uint64 // highest revision that did not check
 }
 
 type content struct {
@@ -94,7 +95,7 @@
 		sort.Slice(missing, func(i, j int) bool { return missing[i].Section < missing[j].Section })
 		return Adopted{Missing: missing}
 	}
-	cfg, err := Assemble(a.target, sections)
+	cfg, err := a.parts.Assemble(a.target, sections)
 	if err != nil {
 		a.refused = a.target.Revision
 		return Adopted{Err: err}
--- a/operator/document.go
+++ b/operator/document.go
@@ -161,35 +161,106 @@
 // Assemble reads the sections and checks the document as a whole. It returns a
 // *DocumentError when something is wrong.
 func Assemble(head chestnutstream.Head, sections map[string][]byte) (*chestnutstream.Configuration, error) {
-	a := &assembler{
-		sections: sections,
-		cfg: &chestnutstream.Configuration{
-			Head:     head,
-			Adapters: map[string]chestnutstream.AdapterSettings{},
-			Services: map[string]chestnutstream.ServiceSettings{},
-			Classes:  map[string]chestnutstream.ClassSettings{},
-			Servers:  map[string]chestnutstream.ServerSettings{},
-			Measures: chestnutstream.Measures{LoadStall: 1, BatchEfficiency: 1},
-			Limits:   DefaultLimits(),
-		},
-	}
-	names := make([]string, 0, len(sections))
-	for name := range sections {
-		names = append(names, name)
-	}
-	// Adapters and servers refer to other sections and are read after them.
-	sort.Slice(names, func(i, j int) bool {
-		if ri, rj := readOrder(names[i]), readOrder(names[j]); ri != rj {
+	return (&Assembler{}).Assemble(head, sections)
+}
+
+// Assembler assembles documents and remembers the sections that it has read, so
+// that a new revision costs the reading of what changed. The zero value works;
+// it is not safe for concurrent use.
+type Assembler struct {
+	read map[string]*part // by hash
+}
+
+// part is a section that was read and checked on its own.
+type part struct {
+	section  string
+	content  []byte
+	adapters []chestnutstream.AdapterSettings
+	services []chestnutstream.ServiceSettings
+	classes  []chestnutstream.ClassSettings
+	servers  []chestnutstream.ServerSettings
+	measures *chestnutstream.Measures
+	limits   *chestnutstream.Limits
+	owners   []chestnutstream.SectionOwner
+}
+
+// Assemble is like the function Assemble.
+func (a *Assembler) Assemble(head chestnutstream.Head, sections map[string][]byte) (*chestnutstream.Configuration, error) {
+	used := make(map[string]*part, len(sections))
+	parts := make([]*part, 0, len(sections))
+	for name, content := range sections {
+		hash := HashSection(name, content)
+		p := a.read[hash]
+		if p == nil {
+			p = &part{section: name, content: content}
+			if err := p.parse(); err != nil {
+				return nil, err
+			}
+		}
+		used[hash] = p
+		parts = append(parts, p)
+	}
+	cfg, err := merge(head, parts)
+	if err != nil {
+		return nil, err
+	}
+	a.read = used
+	return cfg, nil
+}
+
+// merge joins the parts and checks what concerns more than one of them.
+func merge(head chestnutstream.Head, parts []*part) (*chestnutstream.Configuration, error) {
+	cfg := &chestnutstream.Configuration{
+		Head:     head,
+		Adapters: map[string]chestnutstream.AdapterSettings{},
+		Services: map[string]chestnutstream.ServiceSettings{},
+		Classes:  map[string]chestnutstream.ClassSettings{},
+		Servers:  map[string]chestnutstream.ServerSettings{},
+		Measures: chestnutstream.Measures{LoadStall: 1, BatchEfficiency: 1},
+		Limits:   DefaultLimits(),
+	}
+	// Servers refer to services and are joined after them.
+	sort.Slice(parts, func(i, j int) bool {
+		if ri, rj := readOrder(parts[i].section), readOrder(parts[j].section); ri != rj {
 			return ri < rj
 		}
-		return names[i] < names[j]
+		return parts[i].section < parts[j].section
 	})
-	for _, name := range names {
-		if err := a.read(name); err != nil {
+	for _, p := range parts {
+		if err := p.addTo(cfg); err != nil {
 			return nil, err
 		}
 	}
-	return a.cfg, nil
+	return cfg, nil
+}
+
+func (p *part) addTo(cfg *chestnutstream.Configuration) error {
+	for i, s := range p.adapters {
+		if _, twice := cfg.Adapters[s.Name]; twice {
+			return p.wrong(fmt.Sprintf("$[%d].name", i), "adapter %q is declared twice", s.Name)
+		}
+		cfg.Adapters[s.Name] = s
+	}
+	for _, s := range p.services {
+		cfg.Services[s.Name] = s
+	}
+	for _, c := range p.classes {
+		cfg.Classes[c.Name] = c
+	}
+	for i, s := range p.servers {
+		if _, ok := cfg.Services[s.Service]; s.Kind == chestnutstream.KindService && !ok {
+			return p.wrong(fmt.Sprintf("$[%d]", i), "backend server %q: service %q is not declared in section services", s.Name, s.Service)
+		}
+		cfg.Servers[s.Name] = s
+	}
+	if p.measures != nil {
+		cfg.Measures = *p.measures
+	}
+	if p.limits != nil {
+		cfg.Limits = *p.limits
+	}
+	cfg.Owners = append(cfg.Owners, p.owners...)
+	return nil
 }
 
 func readOrder(section string) int {
@@ -207,43 +278,38 @@
 	}
 }
 
-type assembler struct {
-	sections map[string][]byte
-	cfg      *chestnutstream.Configuration
-}
-
-func (a *assembler) read(section string) error {
-	if !ValidSection(section) {
-		return &DocumentError{Section: section, Reason: "no such section; want adapters, adapters/TEAM, services, classes, backend-servers, measures, limits or owners"}
+func (p *part) parse() error {
+	if !ValidSection(p.section) {
+		return &DocumentError{Section: p.section, Reason: "no such section; want adapters, adapters/TEAM, services, classes, backend-servers, measures, limits or owners"}
 	}
-	if len(a.sections[section]) > MaxSectionBytes {
-		return &DocumentError{Section: section, Reason: fmt.Sprintf("over %d bytes", MaxSectionBytes)}
+	if len(p.content) > MaxSectionBytes {
+		return &DocumentError{Section: p.section, Reason: fmt.Sprintf("over %d bytes", MaxSectionBytes)}
 	}
-	switch kindOf(section) {
+	switch kindOf(p.section) {
 	case "adapters":
-		return a.readAdapters(section)
+		return p.readAdapters()
 	case "services":
-		return a.readServices(section)
+		return p.readServices()
 	case "classes":
-		return a.readClasses(section)
+		return p.readClasses()
 	case "backend-servers":
-		return a.readServers(section)
+		return p.readServers()
 	case "measures":
-		return a.readMeasures(section)
+		return p.readMeasures()
 	case "limits":
-		return a.readLimits(section)
+		return p.readLimits()
 	default:
-		return a.readOwners(section)
+		return p.readOwners()
 	}
 }
 
 // decode reads a section strictly: unknown and doubled keys are errors.
-func (a *assembler) decode(section string, v any) error {
-	err := yaml.UnmarshalWithOptions(a.sections[section], v, yaml.Strict())
+func (p *part) decode(v any) error {
+	err := yaml.UnmarshalWithOptions(p.content, v, yaml.Strict())
 	if err == nil {
 		return nil
 	}
-	e := &DocumentError{Section: section, Reason: yaml.FormatError(err, false, false)}
+	e := &DocumentError{Section: p.section, Reason: yaml.FormatError(err, false, false)}
 	if ye, ok := err.(yaml.Error); ok {
 		e.Reason = ye.GetMessage()
 		if t := ye.GetToken(); t != nil {
@@ -254,205 +320,208 @@
 }
 
 // wrong makes the error for what stands at path, with its line.
-func (a *assembler) wrong(section, path, format string, args ...any) error {
-	e := &DocumentError{Section: section, Path: path, Reason: fmt.Sprintf(format, args...)}
-	p, err := yaml.PathString(path)
+func (p *part) wrong(path, format string, args ...any) error {
+	e := &DocumentError{Section: p.section, Path: path, Reason: fmt.Sprintf(format, args...)}
+	at, err := yaml.PathString(path)
 	if err != nil {
 		return e
 	}
-	file, err := parser.ParseBytes(a.sections[section], 0)
+	file, err := parser.ParseBytes(p.content, 0)
 	if err != nil {
 		return e
 	}
-	node, err := p.FilterFile(file)
+	node, err := at.FilterFile(file)
 	if err == nil && node != nil {
 		e.Line = node.GetToken().Position.Line
 	}
 	return e
 }
 
-func (a *assembler) readAdapters(section string) error {
+func (p *part) readAdapters() error {
 	var list []yamlAdapter
-	if err := a.decode(section, &list); err != nil {
+	if err := p.decode(&list); err != nil {
 		return err
 	}
 	for i, y := range list {
 		at := fmt.Sprintf("$[%d]", i)
 		s := chestnutstream.AdapterSettings{Name: y.Name, BaseModel: y.BaseModel, Versions: y.Versions, Current: y.Current, MayUse: y.MayUse}
 		if !chestnutstream.ValidName(y.Name) {
-			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
-		}
-		if _, twice := a.cfg.Adapters[y.Name]; twice {
-			return a.wrong(section, at+".name", "adapter %q is declared twice", y.Name)
+			return p.wrong(at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
 		}
 		if !chestnutstream.ValidName(y.BaseModel) {
-			return a.wrong(section, at, "adapter %q: base-model %.80q is not a name", y.Name, y.BaseModel)
+			return p.wrong(at, "adapter %q: base-model %.80q is not a name", y.Name, y.BaseModel)
 		}
 		for j, v := range y.Versions {
 			if !chestnutstream.ValidName(v) {
-				return a.wrong(section, fmt.Sprintf("%s.versions[%d]", at, j), "adapter %q: version %.80q is not a name", y.Name, v)
+				return p.wrong(fmt.Sprintf("%s.versions[%d]", at, j), "adapter %q: version %.80q is not a name", y.Name, v)
 			}
 		}
 		if !s.HasVersion(y.Current) {
-			return a.wrong(section, at, "adapter %q: current version %q is not among its versions %v", y.Name, y.Current, y.Versions)
+			return p.wrong(at, "adapter %q: current version %q is not among its versions %v", y.Name, y.Current, y.Versions)
 		}
-		a.cfg.Adapters[y.Name] = s
+		p.adapters = append(p.adapters, s)
 	}
 	return nil
 }
 
-func (a *assembler) readServices(section string) error {
+func (p *part) readServices() error {
 	var list []yamlService
-	if err := a.decode(section, &list); err != nil {
+	if err := p.decode(&list); err != nil {
 		return err
 	}
+	seen := map[string]bool{}
 	for i, y := range list {
 		at := fmt.Sprintf("$[%d]", i)
 		if !chestnutstream.ValidName(y.Name) {
-			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
+			return p.wrong(at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
 		}
-		if _, twice := a.cfg.Services[y.Name]; twice {
-			return a.wrong(section, at+".name", "service %q is declared twice", y.Name)
+		if seen[y.Name] {
+			return p.wrong(at+".name", "service %q is declared twice", y.Name)
 		}
+		seen[y.Name] = true
 		s := chestnutstream.ServiceSettings{Name: y.Name, MayUse: y.MayUse, NotRunStatuses: y.NotRunStatuses}
-		for j, p := range y.Idempotent {
-			if p.Method != strings.ToUpper(p.Method) || p.Method == "" || !strings.HasPrefix(p.Path, "/") {
-				return a.wrong(section, fmt.Sprintf("%s.idempotent[%d]", at, j), "want a method in capitals and a path that begins with /, got %q %q", p.Method, p.Path)
+		for j, c := range y.Idempotent {
+			if c.Method != strings.ToUpper(c.Method) || c.Method == "" || !strings.HasPrefix(c.Path, "/") {
+				return p.wrong(fmt.Sprintf("%s.idempotent[%d]", at, j), "want a method in capitals and a path that begins with /, got %q %q", c.Method, c.Path)
 			}
-			s.Idempotent = append(s.Idempotent, chestnutstream.CallPattern{Method: p.Method, Path: p.Path})
+			s.Idempotent = append(s.Idempotent, chestnutstream.CallPattern{Method: c.Method, Path: c.Path})
 		}
 		for j, n := range y.NotRunStatuses {
 			if n < 400 || n > 599 {
-				return a.wrong(section, fmt.Sprintf("%s.not-run-statuses[%d]", at, j), "status %d: want 400 to 599", n)
+				return p.wrong(fmt.Sprintf("%s.not-run-statuses[%d]", at, j), "status %d: want 400 to 599", n)
 			}
 		}
-		a.cfg.Services[y.Name] = s
+		p.services = append(p.services, s)
 	}
 	return nil
 }
 
-func (a *assembler) readClasses(section string) error {
+func (p *part) readClasses() error {
 	var list []yamlClass
-	if err := a.decode(section, &list); err != nil {
+	if err := p.decode(&list); err != nil {
 		return err
 	}
+	seen := map[string]bool{}
 	for i, y := range list {
 		at := fmt.Sprintf("$[%d]", i)
 		switch {
 		case !chestnutstream.ValidName(y.Name):
-			return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
+			return p.wrong(at, "name %.80q: want letters, digits, '-', '_' or '.'", y.Name)
 		case y.Urgency < 1 || y.Urgency > 100:
-			return a.wrong(section, at+".urgency", "class %q: urgency %d: want 1 to 100", y.Name, y.Urgency)
+			return p.wrong(at+".urgency", "class %q: urgency %d: want 1 to 100", y.Name, y.Urgency)
 		case y.TimeoutMS < 1 || y.TimeoutMS > 24*3600*1000:
-			return a.wrong(section, at+".timeout-ms", "class %q: timeout-ms %d: want 1 ms to a day", y.Name, y.TimeoutMS)
+			return p.wrong(at+".timeout-ms", "class %q: timeout-ms %d: want 1 ms to a day", y.Name, y.TimeoutMS)
 		case y.QueueLimit < 1:
-			return a.wrong(section, at+".queue-limit", "class %q: queue-limit %d: want at least 1", y.Name, y.QueueLimit)
+			return p.wrong(at+".queue-limit", "class %q: queue-limit %d: want at least 1", y.Name, y.QueueLimit)
 		}
-		if _, twice := a.cfg.Classes[y.Name]; twice {
-			return a.wrong(section, at+".name", "class %q is declared twice", y.Name)
+		if seen[y.Name] {
+			return p.wrong(at+".name", "class %q is declared twice", y.Name)
 		}
-		a.cfg.Classes[y.Name] = chestnutstream.ClassSettings{
+		seen[y.Name] = true
+		p.classes = append(p.classes, chestnutstream.ClassSettings{
 			Name: y.Name, Urgency: y.Urgency, Timeout: time.Duration(y.TimeoutMS) * time.Millisecond, QueueLimit: y.QueueLimit,
-		}
+		})
 	}
 	return nil
 }
 
-func (a *assembler) readServers(section string) error {
+func (p *part) readServers() error {
 	var list []yamlServer
-	if err := a.decode(section, &list); err != nil {
+	if err := p.decode(&list); err != nil {
 		return err
 	}
+	seen := map[string]bool{}
 	for i, y := range list {
 		at := fmt.Sprintf("$[%d]", i)
 		s := chestnutstream.ServerSettings{
 			Name: y.Name, Kind: chestnutstream.ServerKind(y.Kind), Zone: y.Zone, Address: y.Address,
 			BaseModel: y.BaseModel, Service: y.Service, ChecksFences: y.ChecksFences,
 		}
-		if err := a.checkServer(section, at, s); err != nil {
+		if err := p.checkServer(at, s); err != nil {
 			return err
 		}
-		a.cfg.Servers[y.Name] = s
+		if seen[s.Name] {
+			return p.wrong(at+".name", "backend server %q is declared twice", s.Name)
+		}
+		seen[s.Name] = true
+		p.servers = append(p.servers, s)
 	}
 	return nil
 }
 
-func (a *assembler) checkServer(section, at string, s chestnutstream.ServerSettings) error {
+func (p *part) checkServer(at string, s chestnutstream.ServerSettings) error {
 	if !chestnutstream.ValidName(s.Name) {
-		return a.wrong(section, at, "name %.80q: want letters, digits, '-', '_' or '.'", s.Name)
-	}
-	if _, twice := a.cfg.Servers[s.Name]; twice {
-		return a.wrong(section, at+".name", "backend server %q is declared twice", s.Name)
+		return p.wrong(at, "name %.80q: want letters, digits, '-', '_' or '.'", s.Name)
 	}
 	if !chestnutstream.ValidName(s.Zone) {
-		return a.wrong(section, at, "backend server %q: availability-zone %.80q is not a name", s.Name, s.Zone)
+		return p.wrong(at, "backend server %q: availability-zone %.80q is not a name", s.Name, s.Zone)
 	}
 	if s.Address != "" {
 		if _, _, err := net.SplitHostPort(s.Address); err != nil {
-			return a.wrong(section, at+".address", "backend server %q: address %.80q: want HOST:PORT", s.Name, s.Address)
+			return p.wrong(at+".address", "backend server %q: address %.80q: want HOST:PORT", s.Name, s.Address)
 		}
 	}
 	switch s.Kind {
 	case chestnutstream.KindEngine:
 		if !chestnutstream.ValidName(s.BaseModel) {
-			return a.wrong(section, at, "engine %q: base-model %.80q is not a name", s.Name, s.BaseModel)
+			return p.wrong(at, "engine %q: base-model %.80q is not a name", s.Name, s.BaseModel)
 		}
 	case chestnutstream.KindService:
-		if _, ok := a.cfg.Services[s.Service]; !ok {
-			return a.wrong(section, at, "backend server %q: service %q is not declared in section services", s.Name, s.Service)
+		if !chestnutstream.ValidName(s.Service) {
+			return p.wrong(at, "backend server %q: service %.80q is not a name", s.Name, s.Service)
 		}
 	default:
-		return a.wrong(section, at, "backend server %q: kind %q: want engine or service", s.Name, s.Kind)
+		return p.wrong(at, "backend server %q: kind %q: want engine or service", s.Name, s.Kind)
 	}
 	return nil
 }
 
-func (a *assembler) readMeasures(section string) error {
+func (p *part) readMeasures() error {
 	var y yamlMeasures
-	if err := a.decode(section, &y); err != nil {
+	if err := p.decode(&y); err != nil {
 		return err
 	}
 	ok := func(f float64) bool { return f >= 0 && !math.IsInf(f, 0) }
 	if !ok(y.LoadStall) || !ok(y.BatchEfficiency) || y.LoadStall+y.BatchEfficiency == 0 {
-		return a.wrong(section, "$", "want two weights of at least 0, one above it")
+		return p.wrong("$", "want two weights of at least 0, one above it")
 	}
-	a.cfg.Measures = chestnutstream.Measures{LoadStall: y.LoadStall, BatchEfficiency: y.BatchEfficiency}
+	p.measures = &chestnutstream.Measures{LoadStall: y.LoadStall, BatchEfficiency: y.BatchEfficiency}
 	return nil
 }
 
-func (a *assembler) readLimits(section string) error {
+func (p *part) readLimits() error {
 	d := DefaultLimits()
 	y := yamlLimits{d.BodyBytes, d.QueuePerAdapter, d.QueueTotal, d.RetryShare, d.LoadsInFlight, d.LoadsPerSecond, d.Zones}
-	if err := a.decode(section, &y); err != nil {
+	if err := p.decode(&y); err != nil {
 		return err
 	}
 	switch {
 	case y.BodyBytes < 1 || y.BodyBytes > 1<<30:
-		return a.wrong(section, "$.body-bytes", "body-bytes %d: want 1 to %d", y.BodyBytes, 1<<30)
+		return p.wrong("$.body-bytes", "body-bytes %d: want 1 to %d", y.BodyBytes, 1<<30)
 	case y.QueuePerAdapter < 1 || y.QueueTotal < 1:
-		return a.wrong(section, "$", "queue-per-adapter and queue-total: want at least 1")
+		return p.wrong("$", "queue-per-adapter and queue-total: want at least 1")
 	case !(y.RetryShare >= 0 && y.RetryShare <= 1):
-		return a.wrong(section, "$.retry-share", "retry-share %v: want 0 to 1", y.RetryShare)
+		return p.wrong("$.retry-share", "retry-share %v: want 0 to 1", y.RetryShare)
 	case y.LoadsInFlight < 1 || y.Zones < 1 || !(y.LoadsPerSecond > 0):
-		return a.wrong(section, "$", "loads-in-flight, loads-per-second and availability-zones: want more than 0")
+		return p.wrong("$", "loads-in-flight, loads-per-second and availability-zones: want more than 0")
 	}
-	a.cfg.Limits = chestnutstream.Limits{
+	p.limits = &chestnutstream.Limits{
 		BodyBytes: y.BodyBytes, QueuePerAdapter: y.QueuePerAdapter, QueueTotal: y.QueueTotal, RetryShare: y.RetryShare,
 		LoadsInFlight: y.LoadsInFlight, LoadsPerSecond: y.LoadsPerSecond, Zones: y.Zones,
 	}
 	return nil
 }
 
-func (a *assembler) readOwners(section string) error {
+func (p *part) readOwners() error {
 	var list []yamlOwner
-	if err := a.decode(section, &list); err != nil {
+	if err := p.decode(&list); err != nil {
 		return err
 	}
 	for i, y := range list {
 		if !ValidSection(y.Section) || !chestnutstream.ValidName(y.Team) {
-			return a.wrong(section, fmt.Sprintf("$[%d]", i), "want a section and a team, got %q and %q", y.Section, y.Team)
+			return p.wrong(fmt.Sprintf("$[%d]", i), "want a section and a team, got %q and %q", y.Section, y.Team)
 		}
-		a.cfg.Owners = append(a.cfg.Owners, chestnutstream.SectionOwner{Section: y.Section, Team: y.Team})
+		p.owners = append(p.owners, chestnutstream.SectionOwner{Section: y.Section, Team: y.Team})
 	}
 	return nil
 }
--- a/operator/store.go
+++ b/operator/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -79,6 +80,10 @@
 	table   chestnutstream.Table
 	objects chestnutstream.Objects
 	now     func() time.Time
+
+	mu       sync.Mutex
+	parts    Assembler
+	contents map[string][]byte // of the newest head that was put on, by hash
 }
 
 // NewStore returns the document's store.
@@ -196,15 +201,13 @@
 
 // checked returns the head with the change, after checking the whole document.
 func (s *Store) checked(ctx context.Context, head chestnutstream.Head, team, section string, body []byte) (chestnutstream.Head, error) {
-	sections := map[string][]byte{}
-	for name, sec := range head.Sections {
-		content, err := s.Content(ctx, sec.Hash)
-		if err != nil {
-			return chestnutstream.Head{}, err
-		}
-		sections[name] = content
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sections, err := s.contentsOf(ctx, head)
+	if err != nil {
+		return chestnutstream.Head{}, err
 	}
-	before, err := Assemble(head, sections)
+	before, err := s.parts.Assemble(head, sections)
 	if err == nil && !MayPut(before, section, team) {
 		return chestnutstream.Head{}, &NotOwnerError{Section: section, Team: team}
 	}
@@ -214,12 +217,30 @@
 	}
 	next.Sections[section] = chestnutstream.SectionHead{Revision: next.Revision, Hash: HashSection(section, body)}
 	sections[section] = body
-	if _, err := Assemble(next, sections); err != nil {
+	if _, err := s.parts.Assemble(next, sections); err != nil {
 		return chestnutstream.Head{}, err
 	}
 	return next, nil
 }
 
+// contentsOf reads the contents of a head; those that were read before are
+// remembered. Callers hold mu.
+func (s *Store) contentsOf(ctx context.Context, head chestnutstream.Head) (map[string][]byte, error) {
+	sections, kept := map[string][]byte{}, map[string][]byte{}
+	for name, sec := range head.Sections {
+		content, ok := s.contents[sec.Hash]
+		if !ok {
+			var err error
+			if content, err = s.Content(ctx, sec.Hash); err != nil {
+				return nil, err
+			}
+		}
+		sections[name], kept[sec.Hash] = content, content
+	}
+	s.contents = kept
+	return sections, nil
+}
+
 // commit writes head, change and history in one transaction, and drops the
 // change that falls out of the history.
 func (s *Store) commit(ctx context.Context, version uint64, next chestnutstream.Head, change Change) error {
