--- a/caller/generate.go
+++ b/caller/generate.go
@@ -48,7 +48,9 @@
 		if out.started() || x.Ctx.Err() != nil {
 			break
 		}
-		avoid[d.Server] = true
+		if !engine.UnknownModel(last) {
+			avoid[d.Server] = true
+		}
 	}
 	f.giveUp(x, out, last)
 }
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -11,8 +11,10 @@
 // PlacementSettings are the times and limits of placement.
 type PlacementSettings struct {
 	ReportAge     time.Duration // what was sent this long ago shows in the reports
+	AvoidFor      time.Duration // a request keeps off servers that failed it this long
 	SuspectFor    time.Duration // a server whose connections fail is avoided this long
-	StoreSilence  time.Duration // without the table service this long, nobody can take over a server
+	StoreSilence  time.Duration // after failing for this long the table service counts as silent
+	FailureFresh  time.Duration // and only while its newest failure is not older than this
 	AgingPerPoint time.Duration // waiting this long raises a request's urgency by one point
 	OwnerSilence  time.Duration // an owner that was not heard for this long gets no wants
 	NoServerAfter time.Duration // without a server that has or could load the adapter, requests are refused
@@ -21,7 +23,7 @@
 // DefaultPlacementSettings returns the settings in use.
 func DefaultPlacementSettings() PlacementSettings {
 	return PlacementSettings{
-		ReportAge: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second,
+		ReportAge: time.Second, AvoidFor: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second, FailureFresh: 6 * time.Second,
 		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 2 * time.Second,
 	}
 }
@@ -67,8 +69,9 @@
 		Owner string
 		Until time.Time
 	}
-	// StoreHeard says when the table service last answered this instance.
-	StoreHeard struct{ At time.Time }
+	// StoreFailing says since when, and when last, the table service gave this
+	// instance no answer. Zero times: it answers.
+	StoreFailing struct{ Since, Last time.Time }
 	// Submit queues a request.
 	Submit struct{ Request Pending }
 	// Withdraw takes a waiting request out of its queue.
@@ -141,7 +144,7 @@
 	servers    map[string]*placeServer
 	promises   map[string]time.Time
 	heard      map[string]time.Time // owners
-	storeAt    time.Time
+	failing    StoreFailing
 	queues     map[string]*queue
 	order      []string // queue keys, oldest first
 	running    map[string]*runningRequest
@@ -216,8 +219,8 @@
 		if e.Until.After(p.promises[e.Owner]) {
 			p.promises[e.Owner] = e.Until
 		}
-	case StoreHeard:
-		p.storeAt = e.At
+	case StoreFailing:
+		p.failing = e
 	case Submit:
 		return p.submit(now, e.Request)
 	case Withdraw:
@@ -322,7 +325,15 @@
 	if s.owner == "" || s.address == "" || s.listed || s.report.Leaving || !s.report.Reachable || now.Before(s.suspect) {
 		return false
 	}
-	return p.promised(now, s) || !s.settings.ChecksFences && now.Sub(p.storeAt) >= p.cfg.StoreSilence
+	return p.promised(now, s) || !s.settings.ChecksFences && p.storeSilent(now)
+}
+
+// storeSilent reports whether this instance has seen the table service fail for
+// a while and up to now. A time without attempts proves nothing: an instance
+// that wakes from a pause has not seen what others did meanwhile.
+func (p *Placement) storeSilent(now time.Time) bool {
+	f := p.failing
+	return !f.Since.IsZero() && now.Sub(f.Since) >= p.cfg.StoreSilence && now.Sub(f.Last) < p.cfg.FailureFresh
 }
 
 // promised reports whether the server's owner stands by its report, and so
@@ -594,9 +605,10 @@
 // usable returns the servers on which a request may run now.
 func (p *Placement) usable(now time.Time, q *queue, e *queued, loads []chestnutstream.ServerLoad) []chestnutstream.ServerLoad {
 	view := p.view(now, q)
+	avoiding := now.Sub(e.since) < p.cfg.AvoidFor
 	out := make([]chestnutstream.ServerLoad, 0, len(loads))
 	for _, l := range loads {
-		if l.Usable && !e.Avoid[l.Server] && p.policy.Eligible(view, l) {
+		if l.Usable && !(avoiding && e.Avoid[l.Server]) && p.policy.Eligible(view, l) {
 			out = append(out, l)
 		}
 	}
--- a/engine/world_test.go
+++ b/engine/world_test.go
@@ -51,7 +51,7 @@
 	incarnation string
 	losses      int
 	renewedAt   time.Time
-	heardStore  time.Time
+	failing     StoreFailing
 	peers       map[string]*worldPeer
 	applied     uint64 // of its own reports
 	inbox       []worldMessage
@@ -143,7 +143,7 @@
 	in.dead, in.pausedUntil = false, time.Time{}
 	in.incarnation = fmt.Sprintf("%s.%d", in.name, in.run)
 	in.leaseUntil, in.leaseVer, in.losses = time.Time{}, 0, 0
-	in.renewedAt, in.heardStore = time.Time{}, time.Time{}
+	in.renewedAt, in.failing = time.Time{}, StoreFailing{}
 	in.applied, in.inbox, in.orders = 0, nil, nil
 	in.peers, in.running, in.lastSent = map[string]*worldPeer{}, map[string]worldRequest{}, map[string]time.Time{}
 	in.ownership = NewOwnership(DefaultOwnershipSettings(8*time.Second), in.name, in.incarnation, w.now)
@@ -229,7 +229,7 @@
 		all = append(all, other.name)
 	}
 	in.do(in.scheduler.Step(w.now, Tick{Holdings: in.ownership.Holdings(w.now), Instances: all, Measures: chestnutstream.Measures{LoadStall: 1, BatchEfficiency: 1}}))
-	in.do(in.placement.Step(w.now, StoreHeard{in.heardStore}))
+	in.do(in.placement.Step(w.now, in.failing))
 	in.do(in.placement.Step(w.now, PlacementTick{Limits: QueueLimits{PerAdapter: 20, Total: 50}}))
 	if v := in.scheduler.Version(); v != in.applied {
 		for _, r := range in.scheduler.Reports(in.applied) {
@@ -254,9 +254,13 @@
 	}
 	in.renewedAt = w.now
 	if w.storeDown {
+		if in.failing.Since.IsZero() {
+			in.failing.Since = w.now
+		}
+		in.failing.Last = w.now
 		return
 	}
-	in.heardStore = w.now
+	in.failing = StoreFailing{}
 	row := w.leases[in.name]
 	if row.Version != in.leaseVer {
 		if in.leaseVer != 0 {
--- a/entry/node.go
+++ b/entry/node.go
@@ -187,7 +187,8 @@
 	actions := n.scheduler.Step(now, engine.Tick{
 		Holdings: n.ownership.Holdings(now), Instances: n.members.all(), Measures: cfg.Measures,
 	})
-	actions = append(actions, n.placement.Step(now, engine.StoreHeard{At: n.lease.State().HeardAt})...)
+	l := n.lease.State()
+	actions = append(actions, n.placement.Step(now, engine.StoreFailing{Since: l.FailedSince, Last: l.FailedAt})...)
 	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: queueLimits(cfg), OwnerSilence: n.aliveLimit()})...)
 	actions = append(actions, n.syncSelf(now)...)
 	actions = append(actions, n.grantPermits(now)...)
--- a/load/client.go
+++ b/load/client.go
@@ -103,6 +103,7 @@
 		return s, nil
 	}
 	s.read(resp.Body, model, class.Tokens, planned)
+	_, _ = io.Copy(io.Discard, resp.Body) // the trailer comes after the body's end
 	s.outcome = resp.Trailer.Get("Chestnutstream-Outcome")
 	s.lost = ctx.Err() != nil
 	return s, nil
