Real processes: stopped past the lease, killed with an order, terminated

Cause: pauses and kills inside one process prove little about sockets, timers and the kernel; a test with processes of their own does.

The test starts platform, two engines (one ignores fencing numbers), a service and two instances from the one binary, configures them by 'config put', stops the owner for 14 s while its slots are fought for, wakes it, kills it between an order's run and its answer, and terminates the other with a stream of 500 tokens in progress. No unload in use, the order ran once and its repeat is told unknown, the stream came whole, exit status 0.

Also: without a server in sight requests wait 6 s, not 2, since a takeover by fencing number takes 4.

--- /dev/null
+++ b/cmd/chestnutstream/process_test.go
@@ -0,0 +1,322 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/caller"
+)
+
+const (
+	testPeerSecret     = "process-test-peer-secret"
+	testOperatorSecret = "process-test-operator-secret"
+	testCallerSecret   = "process-test-caller-secret"
+)
+
+// fleet is a small deployment of real processes.
+type fleet struct {
+	t        *testing.T
+	binary   string
+	platform string
+	engines  []string
+	service  string
+	entries  []*process
+}
+
+type process struct {
+	cmd     *exec.Cmd
+	address string
+	out     bytes.Buffer
+}
+
+// start runs the binary and waits for the address that it prints or logs.
+func (f *fleet) start(addressKey string, args ...string) *process {
+	f.t.Helper()
+	p := &process{cmd: exec.Command(f.binary, args...)}
+	out, err := p.cmd.StdoutPipe()
+	assert.NilError(f.t, err)
+	errs, err := p.cmd.StderrPipe()
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, p.cmd.Start())
+	f.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	found := make(chan string, 2)
+	for _, r := range []io.Reader{out, errs} {
+		go func() {
+			scanner := bufio.NewScanner(r)
+			for scanner.Scan() {
+				if _, rest, ok := strings.Cut(scanner.Text(), addressKey); ok {
+					select {
+					case found <- strings.FieldsFunc(rest, func(c rune) bool { return c == ' ' || c == '"' })[0]:
+					default:
+					}
+				}
+			}
+		}()
+	}
+	select {
+	case p.address = <-found:
+	case <-time.After(20 * time.Second):
+		f.t.Fatalf("%v printed no address", args)
+	}
+	return p
+}
+
+const fleetConfiguration = `services: |
+  - {name: desk, may-use: ["*"], idempotent: [{method: GET, path: /stock}]}
+classes: |
+  - {name: question, urgency: 80, timeout-ms: 30000, queue-limit: 100}
+backend-servers: |
+  - {name: engine-1, kind: engine, availability-zone: zone-a, base-model: base, checks-fencing-numbers: true}
+  - {name: engine-2, kind: engine, availability-zone: zone-a, base-model: base, checks-fencing-numbers: false}
+  - {name: desk-1, kind: service, availability-zone: zone-a, service: desk}
+`
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, binary: filepath.Join(t.TempDir(), "chestnutstream")}
+	build := exec.Command("go", "build", "-o", f.binary, ".")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, string(out))
+	f.platform = f.start("serves on ", "standin", "-loads-per-second", "50", "platform").address
+	for i, fences := range []string{"true", "false"} {
+		p := f.start("serves on ", "standin", "-name", fmt.Sprintf("engine-%d", i+1), "-platform", f.platform, "-step", "4ms", "-slots", "2", "-checks-fencing-numbers="+fences, "engine")
+		f.engines = append(f.engines, p.address)
+	}
+	f.service = f.start("serves on ", "standin", "-name", "desk-1", "-platform", f.platform, "service").address
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.entries = append(f.entries, f.start(`"caller-address":"`, "entry", "-log-format", "json", "-name", name, "-availability-zone", "zone-a",
+			"-platform", f.platform, "-caller-address", "127.0.0.1:0", "-peer-address", "127.0.0.1:0",
+			"-peer-secret", testPeerSecret, "-operator-secret", testOperatorSecret, "-caller-secret", testCallerSecret))
+	}
+	f.configure()
+	return f
+}
+
+// configure puts the document with the command that operators use.
+func (f *fleet) configure() {
+	f.t.Helper()
+	var adapters strings.Builder
+	for i := range 10 {
+		fmt.Fprintf(&adapters, "- {name: a%d, base-model: base, versions: [v1], current: v1, may-use: [\"*\"]}\n", i)
+	}
+	sections := [][2]string{{"adapters/team-x", adapters.String()}}
+	name := ""
+	for _, line := range strings.SplitAfter(fleetConfiguration, "\n") {
+		if section, ok := strings.CutSuffix(line, ": |\n"); ok {
+			name = section
+			sections = append(sections, [2]string{name, ""})
+			continue
+		}
+		sections[len(sections)-1][1] += strings.TrimPrefix(line, "  ")
+	}
+	for _, s := range sections {
+		cmd := exec.Command(f.binary, "config", "-entry", f.entries[0].address, "-operator-secret", testOperatorSecret, "-base", "0", "put", s[0])
+		cmd.Stdin = strings.NewReader(s[1])
+		out, err := cmd.CombinedOutput()
+		assert.NilError(f.t, err, "%s: %s", s[0], out)
+	}
+	for _, e := range f.entries {
+		f.eventually(20*time.Second, "both instances serve", func() bool {
+			answer, err := f.ask(e, "a0", 2)
+			return err == nil && strings.Contains(answer, "[DONE]")
+		})
+	}
+}
+
+func (f *fleet) eventually(within time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", within, what)
+}
+
+func (f *fleet) post(e *process, path, key, body string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+caller.Credential(testCallerSecret, "tester"))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	client := &http.Client{Timeout: 40 * time.Second}
+	return client.Do(req)
+}
+
+// ask returns the events of a streamed answer.
+func (f *fleet) ask(e *process, model string, tokens int) (string, error) {
+	resp, err := f.post(e, "/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":%d,"stream":true}`, model, tokens))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func (f *fleet) count(address, name string) int {
+	f.t.Helper()
+	resp, err := http.Get("http://" + address + "/counts")
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	var counts map[string]any
+	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(&counts))
+	if n, ok := counts[name].(float64); ok {
+		return int(n)
+	}
+	return 0
+}
+
+func (f *fleet) orderRuns(id string) int {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.service + "/counts")
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	var counts struct {
+		Runs map[string]int `json:"runs"`
+	}
+	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(&counts))
+	return counts.Runs[id]
+}
+
+func (f *fleet) fault(address, body string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+"/faults", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, resp.Body.Close())
+}
+
+// traffic asks an instance for ever changing adapters, so that slots are fought
+// for, and requires every answer to be whole.
+func (f *fleet) traffic(e *process, during time.Duration) {
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i, end := w, time.Now().Add(during); time.Now().Before(end); i += 3 {
+				model := fmt.Sprintf("a%d", i%10)
+				answer, err := f.ask(e, model, 40)
+				if err != nil || !strings.Contains(answer, "[DONE]") || strings.Count(answer, model+"@v1#") != 40 {
+					f.t.Errorf("asked for %s: %v: %.300s", model, err, answer)
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Real processes: an owner that is stopped past its lease and wakes, one that
+// is killed between claim and answer, and one that is told to leave.
+func TestProcessesStoppedKilledAndTerminated(t *testing.T) {
+	if _, err := exec.LookPath("go"); err != nil {
+		t.Skip("no go command")
+	}
+	f := startFleet(t)
+	first, second := f.entries[0], f.entries[1]
+
+	assert.NilError(t, first.cmd.Process.Signal(syscall.SIGSTOP))
+	f.traffic(second, 14*time.Second) // past lease, order flight and takeover
+	assert.NilError(t, first.cmd.Process.Signal(syscall.SIGCONT))
+	var both sync.WaitGroup
+	for _, e := range f.entries {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			f.traffic(e, 3*time.Second)
+		}()
+	}
+	both.Wait()
+	for _, e := range f.engines {
+		assert.Equal(t, f.count(e, "unloaded-in-use"), 0)
+		assert.Assert(t, f.count(e, "unloads") > 0, "the slots were not fought for")
+	}
+
+	f.fault(f.service, `{"delay-ms": 800}`)
+	go func() {
+		if resp, err := f.post(first, "/services/desk/orders/tray", "tray", ""); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	f.eventually(5*time.Second, "the order runs", func() bool { return f.orderRuns("tray") == 1 })
+	assert.NilError(t, first.cmd.Process.Kill())
+	resp, err := f.post(second, "/services/desk/orders/tray", "tray", "")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.Header.Get("Chestnutstream-Outcome"), "unknown")
+	assert.Equal(t, f.orderRuns("tray"), 1)
+
+	f.eventually(20*time.Second, "the engines of the instance that was killed are taken over", func() bool {
+		got, err := f.ask(second, "a0", 2)
+		return err == nil && strings.Contains(got, "[DONE]")
+	})
+	answer := make(chan string)
+	go func() {
+		got, err := f.ask(second, "a0", 500)
+		if err != nil {
+			got = err.Error()
+		}
+		answer <- got
+	}()
+	time.Sleep(700 * time.Millisecond)
+	assert.NilError(t, second.cmd.Process.Signal(syscall.SIGTERM))
+	got := <-answer
+	assert.Assert(t, strings.Contains(got, "[DONE]") && strings.Count(got, "a0@v1#") == 500, "%.300s", got)
+	state, err := second.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, state.ExitCode(), 0)
+}
+
+// A wrong setting is named with what was expected.
+func TestWrongSettingsAreNamed(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "chestnutstream")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	tests := []struct {
+		name string
+		args []string
+		env  []string
+		want string
+	}{
+		{"no name", []string{"entry"}, nil, `-name "": want a name`},
+		{"address without port", []string{"entry", "-name", "e", "-availability-zone", "z", "-platform", "10.0.0.1"}, nil, `-platform "10.0.0.1": want HOST:PORT`},
+		{"short secret from the environment", []string{"entry", "-name", "e", "-availability-zone", "z", "-platform", "h:1"}, []string{"CHESTNUTSTREAM_PEER_SECRET=short"}, "-peer-secret: want at least 16 characters"},
+		{"unknown policy", []string{"load", "-policy", "clever"}, nil, `-policy "clever": want default or naive`},
+		{"unknown fault", []string{"load", "-fault", "rain"}, nil, `fault "rain": want one of store-down`},
+		{"unknown section", []string{"config", "put", "adaptors"}, nil, `config put "adaptors": no section may be named so`},
+		{"log level", []string{"entry", "-log-level", "loud"}, nil, `-log-level "loud": want debug, info, warn, error or fatal`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cmd := exec.Command(binary, tt.args...)
+			cmd.Env = append(os.Environ(), tt.env...)
+			out, err := cmd.CombinedOutput()
+			assert.Assert(t, err != nil)
+			assert.Assert(t, strings.Contains(string(out), tt.want), string(out))
+		})
+	}
+}
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -24,7 +24,7 @@
 func DefaultPlacementSettings() PlacementSettings {
 	return PlacementSettings{
 		ReportAge: time.Second, AvoidFor: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second, FailureFresh: 6 * time.Second,
-		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 2 * time.Second,
+		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 6 * time.Second,
 	}
 }
 
