Silence of the store: not before every lease has lapsed

Cause, found by the stateful test after 2,181 runs: with the store down and its own messages to the owner lost, an instance used slots without a promise 4 s after the store fell silent, while the owner's lease ran for 3.5 s more and the owner unloaded one. Ruled out: the owner, which had heard nothing of that instance for 62 s and was settled.

Change: the store counts as silent after 8 s, the duration of a lease. Before: the recorded case fails. After: it passes, and what is loaded still goes on through 14 s without the store, since promises outlast the wait.

--- a/engine/placement.go
+++ b/engine/placement.go
@@ -10,10 +10,13 @@
 
 // PlacementSettings are the times and limits of placement.
 type PlacementSettings struct {
-	ReportAge     time.Duration // what was sent this long ago shows in the reports
-	AvoidFor      time.Duration // a request keeps off servers that failed it this long
-	SuspectFor    time.Duration // a server whose connections fail is avoided this long
-	StoreSilence  time.Duration // after failing for this long the table service counts as silent
+	ReportAge  time.Duration // what was sent this long ago shows in the reports
+	AvoidFor   time.Duration // a request keeps off servers that failed it this long
+	SuspectFor time.Duration // a server whose connections fail is avoided this long
+	// StoreSilence is how long the table service fails before it counts as silent.
+	// It is not shorter than a lease, so that by then no owner whose register is
+	// the table service can still give orders.
+	StoreSilence  time.Duration
 	FailureFresh  time.Duration // and only while its newest failure is not older than this
 	AgingPerPoint time.Duration // waiting this long raises a request's urgency by one point
 	OwnerSilence  time.Duration // an owner that was not heard for this long gets no wants
@@ -23,7 +26,7 @@
 // DefaultPlacementSettings returns the settings in use.
 func DefaultPlacementSettings() PlacementSettings {
 	return PlacementSettings{
-		ReportAge: time.Second, AvoidFor: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 4 * time.Second, FailureFresh: 6 * time.Second,
+		ReportAge: time.Second, AvoidFor: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 8 * time.Second, FailureFresh: 6 * time.Second,
 		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 6 * time.Second,
 	}
 }
--- a/engine/world_test.go
+++ b/engine/world_test.go
@@ -532,13 +532,27 @@
 		return err
 	}
 	if n := len(e.slots[name]); n > 0 {
-		w.t.Fatalf("%s unloads %s from %s while %d requests use it", by, name, e.settings.Name, n)
+		w.t.Fatalf("%s unloads %s from %s while %d requests use it\n%s", by, name, e.settings.Name, n, w.describe(e, name))
 	}
 	delete(e.slots, name)
 	w.unloads++
 	return nil
 }
 
+// describe tells who uses a slot and what each instance believes.
+func (w *world) describe(e *worldEngine, name chestnutstream.LoadName) string {
+	out := fmt.Sprintf("at %v, used by %v\n", w.now.Sub(time.Unix(1_000_000, 0)), e.slots[name])
+	for _, in := range w.instances {
+		s := in.placement.servers[e.settings.Name]
+		out += fmt.Sprintf("%s: dead %v, runs %v, owner %q owned %v fence %d promised %v silent %v uses %v\n", in.name, in.dead, len(in.running),
+			s.owner, s.owned, s.fence, in.placement.promises[s.owner].Sub(w.now), in.placement.storeSilent(w.now), s.uses)
+		for peer, p := range in.scheduler.peers {
+			out += fmt.Sprintf("  scheduler sees %s: heard %v ago, applied %d of %d, uses %v\n", peer, w.now.Sub(p.heardAt), p.applied, in.scheduler.version, p.uses)
+		}
+	}
+	return out
+}
+
 // finishOrphans ends the requests of an instance that died: the engine goes on
 // with them for a while.
 func (w *world) finishOrphans() {
