--- a/cmd/chestnutstream/load.go
+++ b/cmd/chestnutstream/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -23,6 +24,7 @@
 	html   string
 	log    logFlags
 	target string
+	seeds  int
 }
 
 func (*loadCommand) Name() string     { return "load" }
@@ -46,6 +48,7 @@
 	f.DurationVar(&c.plan.Duration, "duration", 30*time.Second, "length of the arrivals")
 	f.Float64Var(&c.plan.Rate, "rate", 1, "factor on the deployment's arrival rates")
 	f.StringVar(&c.target, "target", "", "file written by demo -addresses: send to those instances instead of starting a deployment")
+	f.IntVar(&c.seeds, "compare", 0, "run both policies side by side for this many seeds and print medians")
 	f.BoolVar(&c.asJSON, "json", false, "print one JSON object instead of a table")
 	f.StringVar(&c.html, "html", "", "write a report with plots to this file")
 	c.log.set(f, "fatal")
@@ -63,14 +66,26 @@
 	if c.plan.Policy != entry.PolicyDefault && c.plan.Policy != entry.PolicyNaive {
 		return misused(fmt.Errorf("-policy %q: want default or naive", c.policy))
 	}
+	if c.seeds > 0 {
+		comparison, err := load.Compare(ctx, c.plan, c.seeds)
+		if err != nil {
+			return failed(err)
+		}
+		return c.verdict(c.print(comparison, comparison.Table), comparison.Broken())
+	}
 	report, err := c.run(ctx)
 	if err != nil {
 		return failed(err)
 	}
-	if err := c.write(report); err != nil {
+	return c.verdict(c.write(report), report.Broken())
+}
+
+// verdict returns the exit status for a report that was written.
+func (c *loadCommand) verdict(err error, broken []string) subcommands.ExitStatus {
+	if err != nil {
 		return failed(err)
 	}
-	if broken := report.Broken(); len(broken) > 0 {
+	if len(broken) > 0 {
 		return failed(fmt.Errorf("rules that must always hold did not: %v", broken))
 	}
 	return subcommands.ExitSuccess
@@ -108,8 +123,13 @@
 			return err
 		}
 	}
+	return c.print(report, report.Table)
+}
+
+// print prints a report as JSON or as a table.
+func (c *loadCommand) print(report any, table func(io.Writer) error) error {
 	if !c.asJSON {
-		return report.Table(os.Stdout)
+		return table(os.Stdout)
 	}
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- /dev/null
+++ b/load/compare.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/chestnutstream/chestnutstream/entry"
+)
+
+// Comparison is the default policy beside the naive one, over several seeds.
+type Comparison struct {
+	Deployment string    `json:"deployment"`
+	Faults     string    `json:"faults"`
+	Duration   string    `json:"duration"`
+	Rate       float64   `json:"rate"`
+	Naive      []*Report `json:"naive"`
+	Default    []*Report `json:"default"`
+}
+
+// Compare runs a plan under both policies for the seeds 1 to n. The two runs of
+// a seed have the same arrivals and run side by side.
+func Compare(ctx context.Context, plan Plan, n int) (*Comparison, error) {
+	c := &Comparison{Deployment: plan.Deployment, Faults: plan.Faults, Duration: plan.Duration.String(), Rate: plan.Rate}
+	for seed := range n {
+		plan.Seed = uint64(seed + 1)
+		var wg sync.WaitGroup
+		var reports [2]*Report
+		var errs [2]error
+		for i, policy := range []entry.Policy{entry.PolicyNaive, entry.PolicyDefault} {
+			p := plan
+			p.Policy = policy
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				reports[i], errs[i] = Run(ctx, p)
+			}()
+		}
+		wg.Wait()
+		for _, err := range errs {
+			if err != nil {
+				return nil, fmt.Errorf("seed %d: %w", plan.Seed, err)
+			}
+		}
+		c.Naive, c.Default = append(c.Naive, reports[0]), append(c.Default, reports[1])
+	}
+	return c, nil
+}
+
+// Broken returns the rules that did not hold in any run.
+func (c *Comparison) Broken() []string {
+	var out []string
+	for _, r := range append(append([]*Report{}, c.Naive...), c.Default...) {
+		for _, b := range r.Broken() {
+			out = append(out, fmt.Sprintf("%s seed %d: %s", r.Policy, r.Seed, b))
+		}
+	}
+	return out
+}
+
+// median returns the median of a figure over reports.
+func median(reports []*Report, figure func(*Report) float64) float64 {
+	var values []float64
+	for _, r := range reports {
+		values = append(values, figure(r))
+	}
+	sort.Float64s(values)
+	return values[len(values)/2]
+}
+
+// Table writes the medians side by side.
+func (c *Comparison) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "%s, %s at rate %g, faults %q, medians of %d seeds\tnaive\tdefault\tratio\n", c.Deployment, c.Duration, c.Rate, c.Faults, len(c.Naive))
+	row := func(name string, figure func(*Report) float64) {
+		n, d := median(c.Naive, figure), median(c.Default, figure)
+		ratio := "-"
+		if n != 0 {
+			ratio = fmt.Sprintf("%.2f", d/n)
+		}
+		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%s\n", name, n, d, ratio)
+	}
+	row("batch efficiency", func(r *Report) float64 { return r.Efficiency })
+	row("loads", func(r *Report) float64 { return float64(r.Loads) })
+	for _, class := range sortedKeys(c.Default[0].Goodput) {
+		row(class+": answered share", func(r *Report) float64 { return r.Goodput[class] })
+		if c.Default[0].LoadStall[class].Count == 0 {
+			continue
+		}
+		row(class+": load stall p50, ms", func(r *Report) float64 { return r.LoadStall[class].P50 })
+		row(class+": load stall p95, ms", func(r *Report) float64 { return r.LoadStall[class].P95 })
+		row(class+": first token p50, ms", func(r *Report) float64 { return r.FirstToken[class].P50 })
+		row(class+": first token p95, ms", func(r *Report) float64 { return r.FirstToken[class].P95 })
+	}
+	for _, b := range c.Broken() {
+		fmt.Fprintf(t, "BROKEN\t%s\n", b)
+	}
+	return t.Flush()
+}
