Decision parts at the size of a region: index instead of scans

Change: servers are indexed by adapter version, retiring slots by owner; what a queue wants is renewed every 50 ms, not at every event; a peer's urgent news are worked out only for peers that some concern; the lead is elected every 100 ms; an idle instance decides every 100 ms; load figures travel without names.

--- a/engine/permits.go
+++ b/engine/permits.go
@@ -147,5 +147,12 @@
 	return ids
 }
 
+// Holders adds the instances that hold grants to names.
+func (p *Permits) Holders(names map[string]bool) {
+	for _, g := range p.granted {
+		names[g.instance] = true
+	}
+}
+
 // InFlight returns the number of grants in use.
 func (p *Permits) InFlight() int { return len(p.granted) }
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -148,6 +148,9 @@
 	promises   map[string]time.Time
 	heard      map[string]time.Time // owners
 	failing    StoreFailing
+	byAdapter  map[chestnutstream.AdapterVersion][]*placeServer // servers whose report has it
+	wanted     map[string]int                                   // queues that want a load, by server
+	retiring   map[string]map[chestnutstream.LoadName]bool      // by owner
 	queues     map[string]*queue
 	order      []string // queue keys, oldest first
 	running    map[string]*runningRequest
@@ -174,12 +177,13 @@
 }
 
 type queue struct {
-	key     string
-	av      chestnutstream.AdapterVersion
-	base    string
-	entries []*queued
-	wanted  []string
-	noHope  time.Time // since when no server has or could load the adapter
+	key      string
+	av       chestnutstream.AdapterVersion
+	base     string
+	entries  []*queued
+	wanted   []string
+	wantedAt time.Time // when wanted was looked at
+	noHope   time.Time // since when no server has or could load the adapter
 }
 
 type queued struct {
@@ -198,7 +202,9 @@
 	return &Placement{
 		cfg: cfg, policy: policy, zone: zone,
 		servers: map[string]*placeServer{}, promises: map[string]time.Time{}, heard: map[string]time.Time{},
-		queues: map[string]*queue{}, running: map[string]*runningRequest{}, byClass: map[string]int{},
+		byAdapter: map[chestnutstream.AdapterVersion][]*placeServer{}, wanted: map[string]int{},
+		retiring: map[string]map[chestnutstream.LoadName]bool{},
+		queues:   map[string]*queue{}, running: map[string]*runningRequest{}, byClass: map[string]int{},
 		quarantine: map[chestnutstream.LoadName]bool{},
 		limits:     QueueLimits{PerAdapter: 256, Total: 2048},
 	}
@@ -211,12 +217,10 @@
 		p.setServers(e)
 	case Reported:
 		p.reported(e)
-		return p.dispatch(now)
 	case OwnerServers:
 		p.ownerServers(e)
 	case LoadsSeen:
 		p.loadsSeen(e)
-		return p.dispatch(now)
 	case Promised:
 		p.heard[e.Owner] = now
 		if e.Until.After(p.promises[e.Owner]) {
@@ -230,7 +234,9 @@
 		p.withdraw(e.ID)
 	case Finished:
 		p.finished(now, e)
-		return p.dispatch(now)
+		if len(p.queues) <= promptQueues {
+			return p.dispatch(now)
+		}
 	case PlacementTick:
 		p.limits = e.Limits
 		if e.OwnerSilence > 0 {
@@ -241,6 +247,10 @@
 	return nil
 }
 
+// promptQueues is the number of queues up to which the end of a request has all
+// of them looked at at once; with more, the next tick does.
+const promptQueues = 64
+
 func (p *Placement) setServers(e Servers) {
 	named := map[string]bool{}
 	for _, settings := range e.Servers {
@@ -259,17 +269,62 @@
 	}
 	for name, s := range p.servers {
 		if !named[name] && len(s.uses) == 0 {
+			p.unindex(s)
 			delete(p.servers, name)
 		}
 	}
 }
 
+// index enters a server's report under the adapter versions that it has.
+func (p *Placement) index(s *placeServer) {
+	for i, sl := range s.report.Slots {
+		if sl.State == chestnutstream.SlotRetiring {
+			if p.retiring[s.owner] == nil {
+				p.retiring[s.owner] = map[chestnutstream.LoadName]bool{}
+			}
+			p.retiring[s.owner][sl.Name] = true
+		}
+		if !hasAdapter(s.report.Slots[:i], sl.AdapterVersion) {
+			p.byAdapter[sl.AdapterVersion] = append(p.byAdapter[sl.AdapterVersion], s)
+		}
+	}
+}
+
+// unindex takes a server's report out again.
+func (p *Placement) unindex(s *placeServer) {
+	for _, sl := range s.report.Slots {
+		if delete(p.retiring[s.owner], sl.Name); len(p.retiring[s.owner]) == 0 {
+			delete(p.retiring, s.owner)
+		}
+		kept := p.byAdapter[sl.AdapterVersion][:0]
+		for _, other := range p.byAdapter[sl.AdapterVersion] {
+			if other != s {
+				kept = append(kept, other)
+			}
+		}
+		if p.byAdapter[sl.AdapterVersion] = kept; len(kept) == 0 {
+			delete(p.byAdapter, sl.AdapterVersion)
+		}
+	}
+}
+
+func hasAdapter(slots []chestnutstream.Slot, av chestnutstream.AdapterVersion) bool {
+	for _, sl := range slots {
+		if sl.AdapterVersion == av {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Placement) reported(e Reported) {
 	s := p.servers[e.Report.Server]
 	if s == nil || s.owner != e.Owner && s.owned && e.Fence < s.fence {
 		return
 	}
 	running, waiting := s.report.Running, s.report.Waiting
+	p.unindex(s)
+	defer p.index(s)
 	s.owner, s.owned, s.fence, s.report = e.Owner, true, e.Fence, e.Report
 	if e.Report.Running == 0 && e.Report.Waiting == 0 {
 		s.report.Running, s.report.Waiting = running, waiting
@@ -384,7 +439,8 @@
 	q.entries = append(q.entries, &queued{Pending: r, since: now})
 	p.waiting++
 	p.byClass[r.Class]++
-	return append(actions, p.dispatch(now)...)
+	p.sortQueue(now, q)
+	return append(actions, p.dispatchQueue(now, q, &round{p: p, now: now})...)
 }
 
 // minRetryAfter and maxRetryAfter bound what a refused caller is told.
@@ -453,6 +509,7 @@
 	if len(q.entries) > 0 {
 		return
 	}
+	p.setWanted(q, nil)
 	delete(p.queues, q.key)
 	for j, key := range p.order {
 		if key == q.key {
@@ -506,13 +563,82 @@
 // dispatch sends what can be sent, queue by queue in order of urgency, and
 // renews what each queue wants.
 func (p *Placement) dispatch(now time.Time) []any {
+	if len(p.queues) == 0 {
+		return nil
+	}
 	var actions []any
+	r := &round{p: p, now: now}
 	for _, q := range p.byUrgency(now) {
-		actions = append(actions, p.dispatchQueue(now, q)...)
+		actions = append(actions, p.dispatchQueue(now, q, r)...)
 	}
 	return actions
 }
 
+// round is one look at all servers, shared by the queues that are dispatched in
+// it.
+type round struct {
+	p     *Placement
+	now   time.Time
+	loads map[string][]chestnutstream.ServerLoad // by base model, sorted by server
+}
+
+// all returns what is known of the servers of a base model, without regard to
+// an adapter version.
+func (r *round) all(base string) []chestnutstream.ServerLoad {
+	if loads, ok := r.loads[base]; ok {
+		return loads
+	}
+	loads := []chestnutstream.ServerLoad{}
+	for _, s := range r.p.servers {
+		if s.settings.BaseModel == base && r.p.mayUse(r.now, s) {
+			loads = append(loads, r.p.load(r.now, s))
+		}
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].Server < loads[j].Server })
+	if r.loads == nil {
+		r.loads = map[string][]chestnutstream.ServerLoad{}
+	}
+	r.loads[base] = loads
+	return loads
+}
+
+// dispatched counts a request that was sent to a server in this round.
+func (r *round) dispatched(base, server string) {
+	loads := r.loads[base]
+	if i := findLoad(loads, server); i >= 0 {
+		loads[i].Outstanding++
+	}
+}
+
+// findLoad returns the index of a server in loads that are sorted by server, or
+// -1.
+func findLoad(loads []chestnutstream.ServerLoad, server string) int {
+	i := sort.Search(len(loads), func(i int) bool { return loads[i].Server >= server })
+	if i == len(loads) || loads[i].Server != server {
+		return -1
+	}
+	return i
+}
+
+// withAdapter calls f with all servers of the queue's base model, their state
+// set for the queue's adapter version.
+func (r *round) withAdapter(q *queue, f func(loads []chestnutstream.ServerLoad)) {
+	loads := r.all(q.base)
+	var set []int
+	for _, s := range r.p.byAdapter[q.av] {
+		i := findLoad(loads, s.settings.Name)
+		if i < 0 {
+			continue
+		}
+		r.p.setState(s, q.av, &loads[i])
+		set = append(set, i)
+	}
+	f(loads)
+	for _, i := range set {
+		loads[i].State, loads[i].Usable = "", false
+	}
+}
+
 // effective returns the urgency of a request with its age added, so that no
 // class waits for ever.
 func (p *Placement) effective(now time.Time, e *queued) int {
@@ -525,9 +651,7 @@
 	queues := make([]*queue, 0, len(p.order))
 	for _, key := range p.order {
 		q := p.queues[key]
-		sort.SliceStable(q.entries, func(i, j int) bool {
-			return p.effective(now, q.entries[i]) > p.effective(now, q.entries[j])
-		})
+		p.sortQueue(now, q)
 		queues = append(queues, q)
 	}
 	sort.SliceStable(queues, func(i, j int) bool {
@@ -536,6 +660,12 @@
 	return queues
 }
 
+func (p *Placement) sortQueue(now time.Time, q *queue) {
+	sort.SliceStable(q.entries, func(i, j int) bool {
+		return p.effective(now, q.entries[i]) > p.effective(now, q.entries[j])
+	})
+}
+
 func (p *Placement) view(now time.Time, q *queue) chestnutstream.QueueView {
 	v := chestnutstream.QueueView{Key: q.key, AdapterVersion: q.av, Waiting: len(q.entries), Wanted: q.wanted}
 	for _, e := range q.entries {
@@ -545,19 +675,27 @@
 	return v
 }
 
-func (p *Placement) dispatchQueue(now time.Time, q *queue) []any {
+// wantPeriod is the time between two looks at what a queue wants, wantLoad that
+// per queue: with many queues each is looked at less often.
+const (
+	wantPeriod   = 50 * time.Millisecond
+	wantPerQueue = time.Millisecond
+)
+
+func (p *Placement) dispatchQueue(now time.Time, q *queue, r *round) []any {
 	var actions []any
-	loads := p.loads(now, q)
-	if len(q.wanted) == 0 {
-		q.wanted = p.policy.Want(p.view(now, q), loads)
+	if q.wantedAt.IsZero() {
+		actions = append(actions, p.renewWants(now, q, r)...)
 	}
-	for i := 0; i < len(q.entries); {
+	usable := p.usableServers(now, q)
+	view := p.view(now, q)
+	for i := 0; i < len(q.entries) && len(usable) > 0; {
 		e := q.entries[i]
-		usable := p.usable(now, q, e, loads)
+		may := p.mayRun(now, view, e, usable)
 		at := -1
-		if len(usable) > 0 {
+		if len(may) > 0 {
 			e.noteArrived(now)
-			at = p.policy.Choose(p.view(now, q), e.Urgency, usable)
+			at = p.policy.Choose(view, e.Urgency, may)
 		}
 		if at < 0 {
 			i++
@@ -566,21 +704,69 @@
 			}
 			continue
 		}
-		actions = append(actions, p.send(now, e, usable[at]))
-		for j := range loads {
-			if loads[j].Server == usable[at].Server {
-				loads[j].Outstanding++
+		actions = append(actions, p.send(now, e, may[at]))
+		r.dispatched(q.base, may[at].Server)
+		for j := range usable {
+			if usable[j].Server == may[at].Server {
+				usable[j].Outstanding++
 			}
 		}
 		p.remove(q, i)
 	}
-	if len(q.entries) > 0 {
-		q.wanted = p.policy.Want(p.view(now, q), loads)
-		actions = append(actions, p.giveUp(now, q, loads)...)
+	period := max(wantPeriod, time.Duration(len(p.queues))*wantPerQueue)
+	if len(q.entries) > 0 && now.Sub(q.wantedAt) >= period {
+		actions = append(actions, p.renewWants(now, q, r)...)
 	}
 	return actions
 }
 
+// renewWants looks at what a queue wants loaded, and gives it up when no server
+// is in sight.
+func (p *Placement) renewWants(now time.Time, q *queue, r *round) []any {
+	var actions []any
+	r.withAdapter(q, func(loads []chestnutstream.ServerLoad) {
+		before := q.wanted
+		p.setWanted(q, p.policy.Want(p.view(now, q), loads))
+		for _, name := range append(before, q.wanted...) {
+			if i := findLoad(loads, name); i >= 0 {
+				loads[i].Wanted = p.wanted[name]
+			}
+		}
+		actions = p.giveUp(now, q, loads)
+	})
+	q.wantedAt = now
+	return actions
+}
+
+func (p *Placement) setWanted(q *queue, servers []string) {
+	for _, name := range q.wanted {
+		if p.wanted[name]--; p.wanted[name] <= 0 {
+			delete(p.wanted, name)
+		}
+	}
+	q.wanted = servers
+	for _, name := range servers {
+		p.wanted[name]++
+	}
+}
+
+// usableServers returns the servers that have the queue's adapter version ready
+// and may be used now.
+func (p *Placement) usableServers(now time.Time, q *queue) []chestnutstream.ServerLoad {
+	var out []chestnutstream.ServerLoad
+	for _, s := range p.byAdapter[q.av] {
+		if s.settings.BaseModel != q.base || !p.mayUse(now, s) {
+			continue
+		}
+		l := p.load(now, s)
+		if p.setState(s, q.av, &l); l.Usable {
+			out = append(out, l)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
+	return out
+}
+
 // giveUp refuses the requests of a queue for whose adapter no server has been
 // in sight for a while, so that their callers can ask elsewhere in time.
 func (p *Placement) giveUp(now time.Time, q *queue, loads []chestnutstream.ServerLoad) []any {
@@ -605,13 +791,12 @@
 	return actions
 }
 
-// usable returns the servers on which a request may run now.
-func (p *Placement) usable(now time.Time, q *queue, e *queued, loads []chestnutstream.ServerLoad) []chestnutstream.ServerLoad {
-	view := p.view(now, q)
+// mayRun returns the usable servers on which a request may run.
+func (p *Placement) mayRun(now time.Time, view chestnutstream.QueueView, e *queued, usable []chestnutstream.ServerLoad) []chestnutstream.ServerLoad {
 	avoiding := now.Sub(e.since) < p.cfg.AvoidFor
-	out := make([]chestnutstream.ServerLoad, 0, len(loads))
-	for _, l := range loads {
-		if l.Usable && !(avoiding && e.Avoid[l.Server]) && p.policy.Eligible(view, l) {
+	out := make([]chestnutstream.ServerLoad, 0, len(usable))
+	for _, l := range usable {
+		if !(avoiding && e.Avoid[l.Server]) && p.policy.Eligible(view, l) {
 			out = append(out, l)
 		}
 	}
@@ -646,41 +831,24 @@
 	}
 }
 
-// loads returns what is known of the servers that may serve a queue.
-func (p *Placement) loads(now time.Time, q *queue) []chestnutstream.ServerLoad {
-	var out []chestnutstream.ServerLoad
-	for name, s := range p.servers {
-		if s.settings.BaseModel != q.base || !p.mayUse(now, s) {
-			continue
-		}
-		l := chestnutstream.ServerLoad{
-			Server: name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
-			BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
-			Busy: len(s.uses), Loadable: p.promised(now, s) && now.Sub(p.heard[s.owner]) < p.cfg.OwnerSilence,
-		}
-		_, l.Usable = p.readySlot(s, q.av)
-		for _, sl := range s.report.Slots {
-			if sl.AdapterVersion == q.av && !s.dead[sl.Name] && l.State != chestnutstream.SlotReady {
-				l.State = sl.State
-			}
-		}
-		out = append(out, l)
+// load returns what is known of a server, without regard to an adapter version.
+func (p *Placement) load(now time.Time, s *placeServer) chestnutstream.ServerLoad {
+	return chestnutstream.ServerLoad{
+		Server: s.settings.Name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
+		BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
+		Busy: len(s.uses), Wanted: p.wanted[s.settings.Name],
+		Loadable: p.promised(now, s) && now.Sub(p.heard[s.owner]) < p.cfg.OwnerSilence,
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
-	p.countWanted(out)
-	return out
 }
 
-func (p *Placement) countWanted(loads []chestnutstream.ServerLoad) {
-	wanted := map[string]int{}
-	for _, q := range p.queues {
-		for _, s := range q.wanted {
-			wanted[s]++
+// setState sets what the server's report says of an adapter version.
+func (p *Placement) setState(s *placeServer, av chestnutstream.AdapterVersion, l *chestnutstream.ServerLoad) {
+	_, l.Usable = p.readySlot(s, av)
+	for _, sl := range s.report.Slots {
+		if sl.AdapterVersion == av && !s.dead[sl.Name] && l.State != chestnutstream.SlotReady {
+			l.State = sl.State
 		}
 	}
-	for i := range loads {
-		loads[i].Wanted = wanted[loads[i].Server]
-	}
 }
 
 // outstanding estimates the requests at a server: what it reported, late, plus
@@ -736,22 +904,8 @@
 	return out
 }
 
-// Retiring returns the retiring slots that an owner told of, sorted.
-func (p *Placement) Retiring(owner string) []chestnutstream.LoadName {
-	var out []chestnutstream.LoadName
-	for _, s := range p.servers {
-		if s.owner != owner {
-			continue
-		}
-		for _, sl := range s.report.Slots {
-			if sl.State == chestnutstream.SlotRetiring {
-				out = append(out, sl.Name)
-			}
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
+// Retiring returns the retiring slots that each owner told of.
+func (p *Placement) Retiring() map[string]map[chestnutstream.LoadName]bool { return p.retiring }
 
 // Quarantined returns the loads that answered with another adapter.
 func (p *Placement) Quarantined() []chestnutstream.LoadName {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -245,6 +245,21 @@
 	Running, Waiting int
 }
 
+// Busy reports whether a load or an unload waits for its next step.
+func (s *Scheduler) Busy() bool {
+	for _, srv := range s.servers {
+		if len(srv.tickets) > 0 {
+			return true
+		}
+		for _, sl := range srv.slots {
+			if sl.slot.State == chestnutstream.SlotRetiring {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Owned returns the names of the servers that are scheduled here.
 func (s *Scheduler) Owned() []string {
 	out := make([]string, 0, len(s.servers))
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -118,6 +118,7 @@
 // inForce puts a configuration in force. Callers hold mu.
 func (n *Node) inForce(now time.Time, cfg *chestnutstream.Configuration) {
 	n.config.Store(cfg)
+	n.limits = queueLimits(cfg)
 	n.note(chestnutstream.Decision{At: now, Subject: "configuration", Step: "adopt", Detail: formatRevision(cfg.Revision())})
 	n.useServers(now, cfg)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -24,9 +24,12 @@
 func (n *Node) stateFor(now time.Time, name string, after uint64) peer.State {
 	s := peer.State{
 		Version: n.scheduler.Version(), Leaving: n.draining.Load(), Gone: n.gone,
-		Loads: n.scheduler.Loads(), Uses: n.placement.Uses()[name], Wants: n.placement.Wants(now)[name],
+		Uses: n.placement.Uses()[name], Wants: n.placement.Wants(now)[name],
 		Quarantine: n.placement.Quarantined(),
 	}
+	for _, f := range n.scheduler.Loads() {
+		s.Loads = append(s.Loads, peer.Figures{Running: f.Running, Waiting: f.Waiting})
+	}
 	if cfg := n.config.Load(); cfg != nil {
 		s.Revision = cfg.Revision()
 	}
@@ -75,7 +78,7 @@
 	}
 	p.applied = max(p.applied, s.Version)
 	n.placement.Step(now, engine.Promised{Owner: name, Until: h.PromisedUntil})
-	actions = append(actions, n.placement.Step(now, engine.LoadsSeen{Owner: name, Loads: s.Loads})...)
+	n.placement.Step(now, engine.LoadsSeen{Owner: name, Loads: figuresOf(p.owned, s.Loads)})
 	if s.Gone {
 		return append(actions, n.scheduler.Step(now, engine.PeerGone{Peer: name})...)
 	}
@@ -92,6 +95,19 @@
 	return actions
 }
 
+// figuresOf joins load figures with the servers that they are of. Figures that
+// belong to another list of servers than the one that was told are left out.
+func figuresOf(servers []string, figures []peer.Figures) []engine.ServerFigures {
+	if len(servers) != len(figures) {
+		return nil
+	}
+	out := make([]engine.ServerFigures, len(servers))
+	for i, name := range servers {
+		out[i] = engine.ServerFigures{Server: name, Running: figures[i].Running, Waiting: figures[i].Waiting}
+	}
+	return out
+}
+
 // MembersHeard implements peer.Node.
 func (n *Node) MembersHeard(list []peer.Member) {
 	for _, m := range list {
--- a/entry/members.go
+++ b/entry/members.go
@@ -18,9 +18,9 @@
 // members joins the platform's lagging list with what peers say. A peer's own
 // word that it is leaving wins at once.
 type members struct {
-	self   peer.Member
-	peers  map[string]*memberState
-	listed bool // the platform's list was read at least once
+	self  peer.Member
+	peers map[string]*memberState
+	names []string // of all, sorted; made anew when their number changes
 	// Backend servers of the list, by name.
 	addresses map[string]string
 	leaving   map[string]bool
@@ -44,7 +44,6 @@
 
 // list takes the platform's list and returns the peers to link and to forget.
 func (m *members) list(now time.Time, rows []chestnutstream.Instance) (add []peer.Member, gone []string) {
-	m.listed = true
 	m.addresses, m.leaving = map[string]string{}, map[string]bool{}
 	for _, p := range m.peers {
 		p.listed = false
@@ -69,6 +68,7 @@
 	for name, p := range m.peers {
 		if !p.listed && now.Sub(p.heardAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter {
 			delete(m.peers, name)
+			m.names = nil
 			gone = append(gone, name)
 		}
 	}
@@ -114,11 +114,15 @@
 
 // all returns the names of all instances of the region that are known.
 func (m *members) all() []string {
+	if len(m.names) == len(m.peers)+1 {
+		return m.names
+	}
 	names := []string{m.self.Name}
 	for name := range m.peers {
 		names = append(names, name)
 	}
 	sort.Strings(names)
+	m.names = names
 	return names
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -28,6 +27,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
@@ -40,6 +40,7 @@
 // Periods of the node's work.
 const (
 	decisionPeriod  = 20 * time.Millisecond
+	idlePeriod      = 100 * time.Millisecond
 	ownershipPeriod = 250 * time.Millisecond
 	headPeriod      = 2 * time.Second
 	listPeriod      = 2 * time.Second
@@ -48,6 +49,7 @@
 	platformTimeout = 2 * time.Second
 	selfPromise     = time.Second // an instance's promise to itself lasts until the next ticks
 	fullSpeedLoad   = 600 * time.Millisecond
+	leadPeriod      = 100 * time.Millisecond // between elections of the lead
 )
 
 // Node is the loop around the decision parts of one instance.
@@ -88,6 +90,10 @@
 	told      map[string]uint64
 	toldAll   uint64
 	gone      bool
+	decidedAt time.Time
+	leadName  string // as of leadAt
+	leadAt    time.Time
+	limits    engine.QueueLimits // of the configuration in force
 	probes    map[string]peer.ServiceState
 	sweepNext int
 }
@@ -170,9 +176,15 @@
 // Configuration returns the configuration in force, or nil.
 func (n *Node) Configuration() *chestnutstream.Configuration { return n.config.Load() }
 
-// tick passes the time to the decision parts.
+// tick passes the time to the decision parts: every decisionPeriod while
+// something waits for a decision, else every idlePeriod.
 func (n *Node) tick(now time.Time) {
 	n.mu.Lock()
+	queued, _ := n.placement.Waiting()
+	if queued == 0 && !n.scheduler.Busy() && now.Sub(n.decidedAt) < idlePeriod {
+		n.mu.Unlock()
+		return
+	}
 	actions := n.decide(now)
 	n.mu.Unlock()
 	n.do(actions)
@@ -184,12 +196,13 @@
 	if cfg == nil {
 		return nil
 	}
+	n.decidedAt = now
 	actions := n.scheduler.Step(now, engine.Tick{
 		Holdings: n.ownership.Holdings(now), Instances: n.members.all(), Measures: cfg.Measures,
 	})
 	l := n.lease.State()
 	actions = append(actions, n.placement.Step(now, engine.StoreFailing{Since: l.FailedSince, Last: l.FailedAt})...)
-	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: queueLimits(cfg), OwnerSilence: n.aliveLimit()})...)
+	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: n.limits, OwnerSilence: n.aliveLimit()})...)
 	actions = append(actions, n.syncSelf(now)...)
 	actions = append(actions, n.grantPermits(now)...)
 	n.notifyPeers(now)
@@ -226,8 +239,12 @@
 // lead returns the instance that hands out the region's share of the weight
 // store's budget. Callers hold mu.
 func (n *Node) lead(now time.Time) string {
+	if n.leadName != "" && now.Sub(n.leadAt) < leadPeriod {
+		return n.leadName
+	}
 	region := n.members.alive(now, n.aliveLimit(), n.draining.Load(), func(peer.Member) bool { return true })
-	return engine.Elect("weight-store", region)
+	n.leadName, n.leadAt = engine.Elect("weight-store", region), now
+	return n.leadName
 }
 
 func (n *Node) aliveLimit() time.Duration { return aliveIntervals * n.mesh.Interval() }
@@ -253,35 +270,60 @@
 		n.mesh.NotifyAll()
 	}
 	lead := n.lead(now)
-	wants, uses := n.placement.Wants(now), n.placement.Uses()
-	for name := range n.members.peers {
-		sig := n.urgentSignature(name, lead, wants[name], uses[name])
-		if n.told[name] != sig {
-			n.told[name] = sig
-			n.mesh.Notify(name)
+	wants, retiring := n.placement.Wants(now), n.placement.Retiring()
+	var uses map[string]map[chestnutstream.LoadName]int
+	if len(retiring) > 0 {
+		uses = n.placement.Uses()
+	}
+	concerned := map[string]bool{lead: true}
+	for name := range wants {
+		concerned[name] = true
+	}
+	for name := range retiring {
+		concerned[name] = true
+	}
+	for name := range n.told {
+		concerned[name] = true
+	}
+	if lead == n.self.Name {
+		n.permits.Holders(concerned)
+	}
+	delete(concerned, n.self.Name)
+	for name := range concerned {
+		sig := n.urgentSignature(name, lead, wants[name], retiring[name], uses[name])
+		if n.told[name] == sig {
+			continue
 		}
+		n.told[name] = sig
+		if sig == 0 {
+			delete(n.told, name)
+		}
+		n.mesh.Notify(name)
 	}
 }
 
 // urgentSignature sums up what a peer should hear without waiting for the next
-// interval: new wants, ends of uses of its retiring slots, asks and grants.
-func (n *Node) urgentSignature(name, lead string, wants []chestnutstream.Want, uses map[chestnutstream.LoadName]int) uint64 {
-	h := fnv.New64a()
+// interval: new wants, ends of uses of its retiring slots, asks and grants. It
+// is 0 when there is nothing of these.
+func (n *Node) urgentSignature(name, lead string, wants []chestnutstream.Want, retiring map[chestnutstream.LoadName]bool, uses map[chestnutstream.LoadName]int) uint64 {
+	var sum uint64 // of hashes, so that no order matters
 	for _, w := range wants {
-		fmt.Fprintf(h, "w%s%s%d", w.Server, w.AdapterVersion, bits(w.Waiting))
+		sum += xxhash.Sum64String(fmt.Sprintf("w%s%s%d", w.Server, w.AdapterVersion, bits(w.Waiting)))
 	}
-	for _, retiring := range n.placement.Retiring(name) {
-		fmt.Fprintf(h, "r%s%d", retiring, uses[retiring])
+	for slot := range retiring {
+		sum += xxhash.Sum64String(fmt.Sprintf("r%s%d", slot, uses[slot]))
 	}
 	if name == lead {
 		for _, a := range n.scheduler.Asks() {
-			fmt.Fprintf(h, "a%s%v", a.ID, a.Running)
+			sum += xxhash.Sum64String(fmt.Sprintf("a%s%v", a.ID, a.Running))
 		}
 	}
 	if lead == n.self.Name {
-		fmt.Fprintf(h, "g%v", n.permits.Granted(name))
+		for _, id := range n.permits.Granted(name) {
+			sum += xxhash.Sum64String("g" + id)
+		}
 	}
-	return h.Sum64()
+	return sum
 }
 
 // bits returns the number of bits of a count, so that only its doublings are
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -44,12 +44,6 @@
 	Slots      []wireSlot `cbor:"slots,omitempty"`
 }
 
-type wireFigures struct {
-	Server  string `cbor:"server"`
-	Running int    `cbor:"running,omitempty"`
-	Waiting int    `cbor:"waiting,omitempty"`
-}
-
 type wireWant struct {
 	Server   string  `cbor:"server"`
 	Adapter  string  `cbor:"adapter"`
@@ -83,7 +77,7 @@
 	HasOwned       bool           `cbor:"has-owned,omitempty"`
 	Owned          []string       `cbor:"owned,omitempty"`
 	Reports        []wireReport   `cbor:"reports,omitempty"`
-	Loads          []wireFigures  `cbor:"loads,omitempty"`
+	Loads          []int          `cbor:"loads,omitempty"` // running and waiting of each server in turn
 	Wants          []wireWant     `cbor:"wants,omitempty"`
 	Uses           map[string]int `cbor:"uses,omitempty"`
 	Quarantine     []string       `cbor:"quarantine,omitempty"`
@@ -187,7 +181,7 @@
 		w.Reports = append(w.Reports, encodeReport(r))
 	}
 	for _, f := range s.Loads {
-		w.Loads = append(w.Loads, wireFigures(f))
+		w.Loads = append(w.Loads, f.Running, f.Waiting)
 	}
 	for _, x := range s.Wants {
 		w.Wants = append(w.Wants, wireWant{x.Server, x.AdapterVersion.Adapter, x.AdapterVersion.Version, x.Waiting, x.Weight, x.OldestMS})
@@ -234,8 +228,8 @@
 		}
 		s.Reports = append(s.Reports, report)
 	}
-	for _, f := range w.Loads {
-		s.Loads = append(s.Loads, engine.ServerFigures(f))
+	for i := 0; i+1 < len(w.Loads); i += 2 {
+		s.Loads = append(s.Loads, Figures{w.Loads[i], w.Loads[i+1]})
 	}
 	for _, x := range w.Wants {
 		s.Wants = append(s.Wants, chestnutstream.Want{
--- a/peer/message.go
+++ b/peer/message.go
@@ -57,7 +57,7 @@
 	HasOwned       bool   // Owned is told: it changed since the receiver's version
 	Owned          []string
 	Reports        []engine.OwnerReport
-	Loads          []engine.ServerFigures
+	Loads          []Figures // of the servers that the sender owns, sorted by name
 	Wants          []chestnutstream.Want
 	Uses           map[chestnutstream.LoadName]int
 	Quarantine     []chestnutstream.LoadName
@@ -66,6 +66,11 @@
 	Servers        []ServiceState
 }
 
+// Figures are the load figures of a server as its engine reported them, late.
+type Figures struct {
+	Running, Waiting int
+}
+
 // ServiceState is the state of a plain service's server, told by the instance
 // that probes it.
 type ServiceState struct {
