--- a/caller/call.go
+++ b/caller/call.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
 	"github.com/chestnutstream/chestnutstream/service"
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
 )
--- a/caller/read.go
+++ b/caller/read.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
--- a/caller/resolve.go
+++ b/caller/resolve.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/chestnutstream/chestnutstream"
--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -1,11 +1,11 @@
 package engine
 
 import (
-	"errors"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 )
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -1,12 +1,13 @@
 package engine
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/chestnutstream/chestnutstream"
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/caller"
 	"github.com/chestnutstream/chestnutstream/engine"
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/caller"
@@ -226,13 +226,13 @@
 
 func (in *Instance) shutdown(ctx context.Context) error {
 	in.node.stop()
-	var errs []error
+	var first error
 	for _, srv := range in.servers {
-		if err := srv.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("shut down: %w", err))
+		if err := srv.Shutdown(ctx); err != nil && first == nil {
+			first = fmt.Errorf("shut down: %w", err)
 		}
 	}
-	return errors.Join(errs...)
+	return first
 }
 
 // Close stops the instance at once, as a kill would: requests in progress are
--- a/interfaces.go
+++ b/interfaces.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Timer is the timer service. Parts subscribe to it instead of reading clocks.
--- a/load/client.go
+++ b/load/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/chestnutstream/chestnutstream/caller"
--- a/load/failures_test.go
+++ b/load/failures_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
--- a/load/network.go
+++ b/load/network.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
--- a/load/report.go
+++ b/load/report.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"sort"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream/operator"
 	"github.com/chestnutstream/chestnutstream/standin"
--- a/load/target.go
+++ b/load/target.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
--- a/operator/adoption_test.go
+++ b/operator/adoption_test.go
@@ -1,10 +1,10 @@
 package operator
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
--- a/operator/http.go
+++ b/operator/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"strings"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/peer"
--- a/operator/store.go
+++ b/operator/store.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 )
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,10 +1,10 @@
 package peer
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
--- a/service/client.go
+++ b/service/client.go
@@ -15,7 +15,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +24,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
