--- a/engine/placement.go
+++ b/engine/placement.go
@@ -27,7 +27,7 @@
 func DefaultPlacementSettings() PlacementSettings {
 	return PlacementSettings{
 		ReportAge: time.Second, AvoidFor: time.Second, SuspectFor: 2 * time.Second, StoreSilence: 8 * time.Second, FailureFresh: 6 * time.Second,
-		AgingPerPoint: 100 * time.Millisecond, OwnerSilence: 2 * time.Second, NoServerAfter: 6 * time.Second,
+		AgingPerPoint: time.Second, OwnerSilence: 2 * time.Second, NoServerAfter: 6 * time.Second,
 	}
 }
 
@@ -171,7 +171,7 @@
 	fence    uint64
 	report   chestnutstream.ServerReport
 	dead     map[chestnutstream.LoadName]bool // loads that the engine did not know
-	sent     []time.Time
+	sent     map[string]time.Time             // requests in progress that the reports may not show yet
 	uses     map[chestnutstream.LoadName]int
 	suspect  time.Time
 }
@@ -257,7 +257,7 @@
 		named[settings.Name] = true
 		s := p.servers[settings.Name]
 		if s == nil {
-			s = &placeServer{dead: map[chestnutstream.LoadName]bool{}, uses: map[chestnutstream.LoadName]int{}}
+			s = &placeServer{dead: map[chestnutstream.LoadName]bool{}, uses: map[chestnutstream.LoadName]int{}, sent: map[string]time.Time{}}
 			p.servers[settings.Name] = s
 		}
 		s.settings = settings
@@ -423,8 +423,8 @@
 		return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
 	}
 	if p.waiting >= p.limits.Total {
-		victim := p.leastUrgent()
-		if victim == nil || victim.Urgency >= r.Urgency {
+		victim := p.leastUrgent(now)
+		if victim == nil || p.effective(now, victim) >= r.Urgency {
 			return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
 		}
 		p.withdraw(victim.ID)
@@ -473,11 +473,13 @@
 	p.drainAt = now
 }
 
-func (p *Placement) leastUrgent() *queued {
+// leastUrgent returns the waiting request that is shed first. Its age counts, so
+// that no class is shed for ever.
+func (p *Placement) leastUrgent(now time.Time) *queued {
 	var least *queued
-	for _, q := range p.queues {
-		for _, e := range q.entries {
-			if least == nil || e.Urgency < least.Urgency || e.Urgency == least.Urgency && e.since.After(least.since) {
+	for _, key := range p.order {
+		for _, e := range p.queues[key].entries {
+			if least == nil || p.effective(now, e) < p.effective(now, least) {
 				least = e
 			}
 		}
@@ -546,6 +548,7 @@
 	if s == nil {
 		return
 	}
+	delete(s.sent, e.ID)
 	if s.uses[r.name]--; s.uses[r.name] <= 0 {
 		delete(s.uses, r.name)
 	}
@@ -695,7 +698,7 @@
 		at := -1
 		if len(may) > 0 {
 			e.noteArrived(now)
-			at = p.policy.Choose(view, e.Urgency, may)
+			at = p.policy.Choose(view, p.effective(now, e), may)
 		}
 		if at < 0 {
 			i++
@@ -822,7 +825,7 @@
 	s := p.servers[to.Server]
 	name, _ := p.readySlot(s, e.AdapterVersion)
 	s.uses[name]++
-	s.sent = append(s.sent, now)
+	s.sent[e.ID] = now
 	p.running[e.ID] = &runningRequest{to.Server, name}
 	p.noteDrain(now)
 	return Dispatch{
@@ -854,11 +857,11 @@
 // outstanding estimates the requests at a server: what it reported, late, plus
 // what was sent from here since, and never less than what runs from here.
 func (p *Placement) outstanding(now time.Time, s *placeServer) int {
-	first := 0
-	for first < len(s.sent) && now.Sub(s.sent[first]) >= p.cfg.ReportAge {
-		first++
+	for id, at := range s.sent {
+		if now.Sub(at) >= p.cfg.ReportAge {
+			delete(s.sent, id)
+		}
 	}
-	s.sent = s.sent[first:]
 	own := 0
 	for _, n := range s.uses {
 		own += n
--- /dev/null
+++ b/engine/stream_test.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Whatever a stream's connections bring, again, out of order or with gaps, the
+// caller gets every chunk once and in order, and the end only after all.
+func TestCursorGivesEachChunkOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const chunks = 6
+		c := &cursor{}
+		var got []int
+		ended := false
+		t.Repeat(map[string]func(*rapid.T){
+			"event": func(t *rapid.T) {
+				offset := rapid.IntRange(0, chunks).Draw(t, "offset")
+				switch c.step(offset, offset == chunks) {
+				case accept:
+					got = append(got, offset)
+				case finished:
+					ended = true
+				case gap:
+					if offset <= len(got) {
+						t.Fatalf("event %d after %v is no gap", offset, got)
+					}
+				case duplicate:
+					if offset > len(got) || offset == len(got) && !ended {
+						t.Fatalf("event %d after %v is no duplicate", offset, got)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, offset := range got {
+					if i != offset {
+						t.Fatalf("got %v", got)
+					}
+				}
+				if ended && len(got) != chunks {
+					t.Fatalf("ended after %v", got)
+				}
+			},
+		})
+	})
+}
+
+func TestGapEstimatorFollowsObservedGaps(t *testing.T) {
+	s := DefaultStallSettings()
+	tests := []struct {
+		name string
+		gaps []time.Duration
+		want time.Duration
+	}{
+		{"nothing seen", nil, s.Ceil},
+		{"fast stream keeps the floor", []time.Duration{10 * time.Millisecond, 20 * time.Millisecond}, s.Floor},
+		{"six times the largest", []time.Duration{100 * time.Millisecond}, 600 * time.Millisecond},
+		{"never over the ceiling", []time.Duration{time.Second}, s.Ceil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g GapEstimator
+			for _, gap := range tt.gaps {
+				g.Observe(gap)
+			}
+			assert.Equal(t, g.Threshold(s), tt.want)
+		})
+	}
+}
