Placement: loads go where a slot is idle; batches are packed by weight

Cause: wants went to the adapter version's first server unless two more were wanted there, although the owner knew that all its slots were in use; and the least loaded server was taken even where batch efficiency counts most.

Change: load figures carry the idle slots; a want goes to the first server in the adapter's order that has one to spare. Requests fill a server up to the batch-efficiency weight's share of its batch before the next one is begun.

--- a/engine/placement.go
+++ b/engine/placement.go
@@ -87,6 +87,7 @@
 	// PlacementTick passes the time.
 	PlacementTick struct {
 		Limits       QueueLimits
+		Measures     chestnutstream.Measures
 		OwnerSilence time.Duration // 0: as set
 	}
 )
@@ -157,6 +158,7 @@
 	byClass    map[string]int
 	waiting    int
 	limits     QueueLimits
+	measures   chestnutstream.Measures
 	quarantine map[chestnutstream.LoadName]bool
 	drainRate  float64 // dispatches a second, decaying
 	drainAt    time.Time
@@ -170,6 +172,7 @@
 	owned    bool // the owner still says that it holds it
 	fence    uint64
 	report   chestnutstream.ServerReport
+	idle     int
 	dead     map[chestnutstream.LoadName]bool // loads that the engine did not know
 	sent     map[string]time.Time             // requests in progress that the reports may not show yet
 	uses     map[chestnutstream.LoadName]int
@@ -238,7 +241,7 @@
 			return p.dispatch(now)
 		}
 	case PlacementTick:
-		p.limits = e.Limits
+		p.limits, p.measures = e.Limits, e.Measures
 		if e.OwnerSilence > 0 {
 			p.cfg.OwnerSilence = e.OwnerSilence
 		}
@@ -348,7 +351,7 @@
 func (p *Placement) loadsSeen(e LoadsSeen) {
 	for _, f := range e.Loads {
 		if s := p.servers[f.Server]; s != nil && s.owner == e.Owner {
-			s.report.Running, s.report.Waiting = f.Running, f.Waiting
+			s.report.Running, s.report.Waiting, s.idle = f.Running, f.Waiting, f.Idle
 		}
 	}
 }
@@ -670,7 +673,7 @@
 }
 
 func (p *Placement) view(now time.Time, q *queue) chestnutstream.QueueView {
-	v := chestnutstream.QueueView{Key: q.key, AdapterVersion: q.av, Waiting: len(q.entries), Wanted: q.wanted}
+	v := chestnutstream.QueueView{Key: q.key, AdapterVersion: q.av, Waiting: len(q.entries), Wanted: q.wanted, Measures: p.measures}
 	for _, e := range q.entries {
 		v.MaxUrgency = max(v.MaxUrgency, e.Urgency)
 		v.Oldest = max(v.Oldest, now.Sub(e.since))
@@ -839,7 +842,7 @@
 	return chestnutstream.ServerLoad{
 		Server: s.settings.Name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
 		BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
-		Busy: len(s.uses), Wanted: p.wanted[s.settings.Name],
+		Idle: s.idle, Wanted: p.wanted[s.settings.Name],
 		Loadable: p.promised(now, s) && now.Sub(p.heard[s.owner]) < p.cfg.OwnerSilence,
 	}
 }
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -59,11 +59,9 @@
 
 // Thresholds of DefaultPlacement.
 const (
-	urgentBatches   = 2 // batches that may be outstanding at a server for urgent requests
-	patientBatches  = 1 // and for the others
-	replicaBatches  = 1 // batches that wait before another copy is loaded
-	crowdedServer   = 2 // adapter versions wanted on a server before the next one is taken
-	maxLoadsPerWant = 2 // servers on which one queue is wanted at once
+	urgentBatches  = 2 // batches that may be outstanding at a server for urgent requests
+	patientBatches = 1 // and for the others
+	replicaBatches = 1 // batches that wait before another copy is loaded
 )
 
 // QueueKey implements chestnutstream.PlacementPolicy.
@@ -76,22 +74,38 @@
 	return true
 }
 
-// Choose implements chestnutstream.PlacementPolicy.
-func (DefaultPlacement) Choose(_ chestnutstream.QueueView, urgency int, usable []chestnutstream.ServerLoad) int {
+// Choose implements chestnutstream.PlacementPolicy. Where batch efficiency
+// counts, the fullest server that still has a place in its batch is taken, so
+// that fewer engines work with fuller batches; else, and without such a server,
+// the one with the least outstanding work.
+func (DefaultPlacement) Choose(q chestnutstream.QueueView, urgency int, usable []chestnutstream.ServerLoad) int {
 	batches := patientBatches
 	if urgency >= chestnutstream.UrgentFrom {
 		batches = urgentBatches
 	}
-	best := -1
+	fullest, least := -1, -1
 	for i, l := range usable {
 		if l.Outstanding >= batches*l.BatchLimit {
 			continue
 		}
-		if best < 0 || l.Outstanding*usable[best].BatchLimit < usable[best].Outstanding*l.BatchLimit {
-			best = i
+		if l.Outstanding < packedShare(q.Measures, l.BatchLimit) && (fullest < 0 || l.Outstanding > usable[fullest].Outstanding) {
+			fullest = i
+		}
+		if least < 0 || l.Outstanding*usable[least].BatchLimit < usable[least].Outstanding*l.BatchLimit {
+			least = i
 		}
 	}
-	return best
+	if fullest >= 0 {
+		return fullest
+	}
+	return least
+}
+
+// packedShare returns up to how many outstanding requests a server is filled
+// before another one is begun: none where only load stalls count, the whole
+// batch where only batch efficiency does.
+func packedShare(m chestnutstream.Measures, batch int) int {
+	return int((1-m.StallShare())*float64(batch) + 0.5)
 }
 
 // Want implements chestnutstream.PlacementPolicy.
@@ -130,7 +144,7 @@
 }
 
 // leastCrowded returns the first server in the adapter version's own order that
-// is not crowded, or else the least crowded one.
+// has an idle slot to spare, or else the least crowded one.
 func leastCrowded(av chestnutstream.AdapterVersion, servers []chestnutstream.ServerLoad) string {
 	best := ""
 	bestCrowd, bestHash := 0, uint64(0)
@@ -138,7 +152,7 @@
 		if l.State != "" || !l.Loadable {
 			continue
 		}
-		crowd := max(0, l.Wanted-crowdedServer+1)
+		crowd := max(0, l.Wanted+1-l.Idle)
 		if l.Outstanding >= l.BatchLimit {
 			crowd++
 		}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -235,7 +235,7 @@
 func (s *Scheduler) Loads() []ServerFigures {
 	out := make([]ServerFigures, 0, len(s.servers))
 	for _, srv := range s.sorted() {
-		out = append(out, ServerFigures{Server: srv.name, Running: srv.status.Running, Waiting: srv.status.Waiting})
+		out = append(out, ServerFigures{Server: srv.name, Running: srv.status.Running, Waiting: srv.status.Waiting, Idle: s.idleSlots(srv)})
 	}
 	return out
 }
@@ -244,6 +244,33 @@
 type ServerFigures struct {
 	Server           string
 	Running, Waiting int
+	Idle             int // slots that are free, or ready and in no use
+}
+
+// idleSlots counts the slots that a load could take without waiting for a
+// request to end, less the loads that are on their way.
+func (s *Scheduler) idleSlots(srv *ownedServer) int {
+	idle := srv.status.SlotLimit - len(srv.slots)
+	for name, sl := range srv.slots {
+		if sl.slot.State == chestnutstream.SlotReady && s.uses(name) == 0 {
+			idle++
+		}
+	}
+	for _, t := range srv.tickets {
+		if !t.loading {
+			idle--
+		}
+	}
+	return max(0, idle)
+}
+
+// uses returns the requests that use a slot, over all instances.
+func (s *Scheduler) uses(name chestnutstream.LoadName) int {
+	n := 0
+	for _, p := range s.peers {
+		n += p.uses[name]
+	}
+	return n
 }
 
 // Busy reports whether a load or an unload waits for its next step.
@@ -828,10 +855,7 @@
 	}
 	uses := make([]chestnutstream.SlotUse, 0, len(slots))
 	for _, sl := range slots {
-		u := chestnutstream.SlotUse{Slot: sl.slot, LastUsed: sl.lastUsed, LoadedAt: sl.loadedAt}
-		for _, p := range s.peers {
-			u.Uses += p.uses[sl.slot.Name]
-		}
+		u := chestnutstream.SlotUse{Slot: sl.slot, Uses: s.uses(sl.slot.Name), LastUsed: sl.lastUsed, LoadedAt: sl.loadedAt}
 		if r := s.rates[sl.slot.AdapterVersion]; r != nil {
 			u.Rate = r.read(now, s.cfg.RateHalfLife)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -264,3 +264,11 @@
 		n.mu.Unlock()
 	})
 }
+
+// ControlCounts returns the bytes of peer frames sent and received, and the
+// reads and writes of the table service, so far.
+func (in *Instance) ControlCounts() (peerBytes, tableReads, tableWrites int64) {
+	sent, received := in.node.mesh.Bytes()
+	reads, writes := in.node.platform.Operations()
+	return sent + received, reads, writes
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -28,7 +28,7 @@
 		Quarantine: n.placement.Quarantined(),
 	}
 	for _, f := range n.scheduler.Loads() {
-		s.Loads = append(s.Loads, peer.Figures{Running: f.Running, Waiting: f.Waiting})
+		s.Loads = append(s.Loads, peer.Figures{Running: f.Running, Waiting: f.Waiting, Idle: f.Idle})
 	}
 	if cfg := n.config.Load(); cfg != nil {
 		s.Revision = cfg.Revision()
@@ -103,7 +103,7 @@
 	}
 	out := make([]engine.ServerFigures, len(servers))
 	for i, name := range servers {
-		out[i] = engine.ServerFigures{Server: name, Running: figures[i].Running, Waiting: figures[i].Waiting}
+		out[i] = engine.ServerFigures{Server: name, Running: figures[i].Running, Waiting: figures[i].Waiting, Idle: figures[i].Idle}
 	}
 	return out
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -202,7 +202,7 @@
 	})
 	l := n.lease.State()
 	actions = append(actions, n.placement.Step(now, engine.StoreFailing{Since: l.FailedSince, Last: l.FailedAt})...)
-	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: n.limits, OwnerSilence: n.aliveLimit()})...)
+	actions = append(actions, n.placement.Step(now, engine.PlacementTick{Limits: n.limits, Measures: cfg.Measures, OwnerSilence: n.aliveLimit()})...)
 	actions = append(actions, n.syncSelf(now)...)
 	actions = append(actions, n.grantPermits(now)...)
 	n.notifyPeers(now)
--- a/load/target.go
+++ b/load/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -88,8 +89,15 @@
 		return counts, fmt.Errorf("read counts: %w", err)
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+	if err := decodeJSON(resp.Body, &counts); err != nil {
 		return counts, fmt.Errorf("read counts of %s: %w", address, err)
 	}
 	return counts, nil
 }
+
+func decodeJSON(r io.Reader, v any) error {
+	if err := json.NewDecoder(r).Decode(v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -77,7 +77,7 @@
 	HasOwned       bool           `cbor:"has-owned,omitempty"`
 	Owned          []string       `cbor:"owned,omitempty"`
 	Reports        []wireReport   `cbor:"reports,omitempty"`
-	Loads          []int          `cbor:"loads,omitempty"` // running and waiting of each server in turn
+	Loads          []int          `cbor:"loads,omitempty"` // running, waiting and idle of each server in turn
 	Wants          []wireWant     `cbor:"wants,omitempty"`
 	Uses           map[string]int `cbor:"uses,omitempty"`
 	Quarantine     []string       `cbor:"quarantine,omitempty"`
@@ -181,7 +181,7 @@
 		w.Reports = append(w.Reports, encodeReport(r))
 	}
 	for _, f := range s.Loads {
-		w.Loads = append(w.Loads, f.Running, f.Waiting)
+		w.Loads = append(w.Loads, f.Running, f.Waiting, f.Idle)
 	}
 	for _, x := range s.Wants {
 		w.Wants = append(w.Wants, wireWant{x.Server, x.AdapterVersion.Adapter, x.AdapterVersion.Version, x.Waiting, x.Weight, x.OldestMS})
@@ -228,8 +228,8 @@
 		}
 		s.Reports = append(s.Reports, report)
 	}
-	for i := 0; i+1 < len(w.Loads); i += 2 {
-		s.Loads = append(s.Loads, Figures{w.Loads[i], w.Loads[i+1]})
+	for i := 0; i+2 < len(w.Loads); i += 3 {
+		s.Loads = append(s.Loads, Figures{w.Loads[i], w.Loads[i+1], w.Loads[i+2]})
 	}
 	for _, x := range w.Wants {
 		s.Wants = append(s.Wants, chestnutstream.Want{
--- a/peer/message.go
+++ b/peer/message.go
@@ -68,7 +68,7 @@
 
 // Figures are the load figures of a server as its engine reported them, late.
 type Figures struct {
-	Running, Waiting int
+	Running, Waiting, Idle int
 }
 
 // ServiceState is the state of a plain service's server, told by the instance
--- a/policy.go
+++ b/policy.go
@@ -41,7 +41,7 @@
 	BatchLimit  int
 	SlotLimit   int
 	Slots       int // taken adapter slots
-	Busy        int // slots in use by this instance
+	Idle        int // slots that are free or in no use, over all instances, late
 	Wanted      int // adapter versions that this instance wants loaded there
 	State       SlotState
 	Loadable    bool // its owner takes wants
@@ -56,6 +56,7 @@
 	MaxUrgency     int
 	Oldest         time.Duration
 	Wanted         []string // servers on which it is wanted now
+	Measures       Measures
 }
 
 // PlacementPolicy decides where an instance sends requests and where it wants
