Load order: what someone waits for first, patient work by its deadline

Change: a candidate with an urgent request goes before any without; a patient one grows urgent over the last 30 s before its deadline. Among equal servers a load goes to the fullest that has room, where batch efficiency counts.

--- a/chestnutstream.go
+++ b/chestnutstream.go
@@ -182,14 +182,17 @@
 }
 
 // Want is the demand of one instance for an adapter version on a server.
-// Weight is the sum of the urgencies of the waiting requests; OldestMS is the
-// age of the oldest in milliseconds.
+// Weight is the sum of the urgencies of the waiting requests, Urgent the number
+// of those for whose answer someone waits; OldestMS is the age of the oldest and
+// SlackMS the time until the first deadline, in milliseconds.
 type Want struct {
 	Server         string
 	AdapterVersion AdapterVersion
 	Waiting        int
+	Urgent         int
 	Weight         float64
 	OldestMS       int64
+	SlackMS        int64
 }
 
 // Decision is one line of the bounded record that explain reads.
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -882,8 +883,12 @@
 			if s == nil || !s.owned {
 				continue
 			}
-			w := chestnutstream.Want{Server: server, AdapterVersion: q.av, Waiting: len(q.entries)}
+			w := chestnutstream.Want{Server: server, AdapterVersion: q.av, Waiting: len(q.entries), SlackMS: math.MaxInt32}
 			for _, e := range q.entries {
+				if e.Urgency >= chestnutstream.UrgentFrom {
+					w.Urgent++
+				}
+				w.SlackMS = min(w.SlackMS, e.Deadline.Sub(now).Milliseconds())
 				w.Weight += float64(e.Urgency)
 				w.OldestMS = max(w.OldestMS, now.Sub(e.since).Milliseconds())
 			}
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -13,22 +13,29 @@
 	_ chestnutstream.PlacementPolicy = DefaultPlacement{}
 )
 
-// DefaultLoads is the load policy in use: loads go to the adapter version that
-// serves the most urgent and the most waiting requests, and evict the idle slot
-// that is asked for least often.
+// DefaultLoads is the load policy in use: what someone waits for is loaded
+// first, then what serves the most requests; patient requests wait for spare
+// loads until their deadline comes near. A load evicts the idle slot that is
+// asked for least often.
 type DefaultLoads struct{}
 
 // Thresholds of DefaultLoads.
 const (
-	agingPerSecond = 0.2             // priority of a second of waiting
-	drainAfter     = 4 * time.Second // a candidate that waits this long drains a slot in use
+	urgentPriority = 10.0             // priority of having an urgent request at all
+	lateFrom       = 30 * time.Second // from this slack on a patient request grows urgent
+	agingPerSecond = 0.2              // priority of a second of waiting
+	drainAfter     = 4 * time.Second  // a candidate that waits this long drains a slot in use
 )
 
 // Priority implements chestnutstream.LoadPolicy.
 func (DefaultLoads) Priority(m chestnutstream.Measures, c chestnutstream.LoadCandidate) float64 {
 	stall := m.StallShare()
-	urgent := c.Weight / chestnutstream.UrgentFrom
-	return stall*urgent + (1-stall)*float64(c.Waiting) + agingPerSecond*c.Oldest.Seconds()
+	p := stall*c.Weight/chestnutstream.UrgentFrom + (1-stall)*float64(c.Waiting) + agingPerSecond*c.Oldest.Seconds()
+	if c.Urgent > 0 {
+		return p + urgentPriority
+	}
+	late := 1 - c.Slack.Seconds()/lateFrom.Seconds()
+	return p + urgentPriority*min(1, max(0, late))
 }
 
 // Victim implements chestnutstream.LoadPolicy.
@@ -137,29 +144,50 @@
 			}
 		}
 	}
-	if name := leastCrowded(q.AdapterVersion, servers); name != "" {
+	if name := leastCrowded(q, servers); name != "" {
 		return []string{name}
 	}
 	return nil
 }
 
-// leastCrowded returns the first server in the adapter version's own order that
-// has an idle slot to spare, or else the least crowded one.
-func leastCrowded(av chestnutstream.AdapterVersion, servers []chestnutstream.ServerLoad) string {
+// leastCrowded returns a server that has an idle slot to spare, or else the
+// least crowded one. Among equals it is the fullest that has room in the packed
+// share of its batch, or else the first in the adapter version's own order,
+// which is the same on all instances.
+func leastCrowded(q chestnutstream.QueueView, servers []chestnutstream.ServerLoad) string {
 	best := ""
-	bestCrowd, bestHash := 0, uint64(0)
+	var bestRank serverRank
 	for _, l := range servers {
 		if l.State != "" || !l.Loadable {
 			continue
 		}
-		crowd := max(0, l.Wanted+1-l.Idle)
+		r := serverRank{crowd: max(0, l.Wanted+1-l.Idle), hash: xxhash.Sum64String(q.AdapterVersion.String() + "\x00" + l.Server)}
 		if l.Outstanding >= l.BatchLimit {
-			crowd++
+			r.crowd++
+		}
+		if l.Outstanding < packedShare(q.Measures, l.BatchLimit) {
+			r.filled = l.Outstanding
 		}
-		h := xxhash.Sum64String(av.String() + "\x00" + l.Server)
-		if best == "" || crowd < bestCrowd || crowd == bestCrowd && h > bestHash {
-			best, bestCrowd, bestHash = l.Server, crowd, h
+		if best == "" || r.before(bestRank) {
+			best, bestRank = l.Server, r
 		}
 	}
 	return best
 }
+
+// serverRank orders the servers on which an adapter version may be wanted.
+type serverRank struct {
+	crowd  int
+	filled int
+	hash   uint64
+}
+
+func (r serverRank) before(other serverRank) bool {
+	if r.crowd != other.crowd {
+		return r.crowd < other.crowd
+	}
+	if r.filled != other.filled {
+		return r.filled > other.filled
+	}
+	return r.hash > other.hash
+}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -724,7 +724,12 @@
 				c = &chestnutstream.LoadCandidate{Server: w.Server, AdapterVersion: w.AdapterVersion}
 				byAV[w.AdapterVersion] = c
 			}
+			slack := time.Duration(w.SlackMS)*time.Millisecond - now.Sub(p.heardAt)
+			if c.Waiting == 0 || slack < c.Slack {
+				c.Slack = slack
+			}
 			c.Waiting += w.Waiting
+			c.Urgent += w.Urgent
 			c.Weight += w.Weight
 			c.Oldest = max(c.Oldest, time.Duration(w.OldestMS)*time.Millisecond+now.Sub(p.heardAt))
 		}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -49,6 +49,8 @@
 	Adapter  string  `cbor:"adapter"`
 	Version  string  `cbor:"version"`
 	Waiting  int     `cbor:"waiting"`
+	Urgent   int     `cbor:"urgent,omitempty"`
+	SlackMS  int64   `cbor:"slack-ms"`
 	Weight   float64 `cbor:"weight"`
 	OldestMS int64   `cbor:"oldest-ms"`
 }
@@ -184,7 +186,7 @@
 		w.Loads = append(w.Loads, f.Running, f.Waiting, f.Idle)
 	}
 	for _, x := range s.Wants {
-		w.Wants = append(w.Wants, wireWant{x.Server, x.AdapterVersion.Adapter, x.AdapterVersion.Version, x.Waiting, x.Weight, x.OldestMS})
+		w.Wants = append(w.Wants, wireWant{x.Server, x.AdapterVersion.Adapter, x.AdapterVersion.Version, x.Waiting, x.Urgent, x.SlackMS, x.Weight, x.OldestMS})
 	}
 	if len(s.Uses) > 0 {
 		w.Uses = make(map[string]int, len(s.Uses))
@@ -234,7 +236,7 @@
 	for _, x := range w.Wants {
 		s.Wants = append(s.Wants, chestnutstream.Want{
 			Server: x.Server, AdapterVersion: chestnutstream.AdapterVersion{Adapter: x.Adapter, Version: x.Version},
-			Waiting: x.Waiting, Weight: x.Weight, OldestMS: x.OldestMS,
+			Waiting: x.Waiting, Urgent: x.Urgent, SlackMS: x.SlackMS, Weight: x.Weight, OldestMS: x.OldestMS,
 		})
 	}
 	for name, n := range w.Uses {
--- a/policy.go
+++ b/policy.go
@@ -8,8 +8,10 @@
 	Server         string
 	AdapterVersion AdapterVersion
 	Waiting        int           // requests, over all instances
+	Urgent         int           // those for whose answer someone waits
 	Weight         float64       // sum of their urgencies
 	Oldest         time.Duration // age of the oldest
+	Slack          time.Duration // until the first deadline
 }
 
 // SlotUse is a loaded adapter version and how it is used.
