Engine package: scheduler and placement in smaller files

Cause: two files of about 900 lines each held the promise, the queues, the dispatch and the loading.

--- a/engine/doc.go
+++ b/engine/doc.go
@@ -3,8 +3,10 @@
 //	client.go     orders and status over HTTP
 //	stream.go     generations: offsets, end marker, resume
 //	ownership.go  which instance may give a server orders, and until when
-//	scheduler.go  what an owner loads and unloads, and when
-//	placement.go  where an instance sends a request, and what it asks to load
+//	scheduler.go  the owner's half of the promise; loading.go and retire.go: what
+//	              is loaded, and what makes room
+//	placement.go  the user's half of the promise; queue.go and dispatch.go: who waits,
+//	              and where requests go
 //	naive.go      the baseline policy that measurements compare with
 //
 // # Usage
