--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+func TestCallTellsNotSentFromLost(t *testing.T) {
+	runs := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
+		runs++
+		panic(http.ErrAbortHandler)
+	}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	call := chestnutstream.ServiceCall{Method: http.MethodPost, Path: "/orders/1", Body: []byte("x")}
+	_, err := NewClient(nil).Call(context.Background(), address, call)
+	assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%v", err)
+	assert.Equal(t, runs, 1, "it is sent once")
+	_, err = NewClient(nil).Call(context.Background(), "127.0.0.1:1", call)
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+}
+
+func TestIdempotentCallLosesPatience(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer srv.Close()
+	defer close(release)
+	call := chestnutstream.ServiceCall{Method: http.MethodGet, Path: "/stock/1", Idempotent: true, Patience: 20 * time.Millisecond}
+	_, err := NewClient(nil).Call(context.Background(), strings.TrimPrefix(srv.URL, "http://"), call)
+	assert.Assert(t, errors.Is(err, ErrStalled), "%v", err)
+}
+
+func TestPassHeadersDropsWhatBelongsToOneConnection(t *testing.T) {
+	h := http.Header{"Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Transfer-Encoding": {"chunked"}, "X-Kept": {"1"}}
+	assert.DeepEqual(t, PassHeaders(h), http.Header{"X-Kept": {"1"}})
+}
--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,34 @@
+package timer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestManualRunsWhatFallsDueInOrder(t *testing.T) {
+	start := time.Unix(0, 0)
+	m := NewManual(start)
+	var got []string
+	m.Subscribe(2*time.Second, func(now time.Time) { got = append(got, "every "+now.Sub(start).String()) })
+	stop := m.After(time.Second, func(time.Time) { got = append(got, "stopped") })
+	stop()
+	m.After(3*time.Second, func(now time.Time) { got = append(got, "once "+now.Sub(start).String()) })
+	m.Advance(5 * time.Second)
+	assert.DeepEqual(t, got, []string{"every 2s", "once 3s", "every 4s"})
+	assert.Equal(t, m.Now(), start.Add(5*time.Second))
+}
+
+func TestSystemStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		stop := NewSystem().Subscribe(time.Second, func(time.Time) { calls++ })
+		time.Sleep(3500 * time.Millisecond)
+		stop()
+		stop()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, calls, 3)
+	})
+}
