Takeover at the size of a region: silence by intervals, fewer lease reads

Cause, worked out for docs/CAPACITY.md: with 105 instances a State comes every 3.15 s, so an owner was replaced after 4 s when a single one came 0.9 s late; and each instance of a zone that starts read the leases of all owners of the zone, 1,056 reads a second for 32 instances.

Change: an owner is replaced after three State intervals, 4 s at least; only the leases of the owners of servers that the instance should own are read. Before/after, worked out: false takeover at 0.9 s of delay / at 6.3 s; 1,056 / about 160 reads a second.

--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -47,6 +47,7 @@
 	self       string
 	startedAt  time.Time
 	draining   bool
+	unheard    time.Duration
 	alive      []string
 	aliveSince map[string]time.Time
 	lease      LeaseHeld
@@ -129,7 +130,10 @@
 	Drain struct{}
 	// ZoneTick passes the time. Alive are the instances of the zone that were
 	// heard lately and are not leaving, this one included.
-	ZoneTick struct{ Alive []string }
+	ZoneTick struct {
+		Alive   []string
+		Unheard time.Duration // raises the silence after which an owner is replaced; 0: as set
+	}
 )
 
 // OwnerRow is an ownership row of the table service.
@@ -148,8 +152,8 @@
 
 // Actions of Ownership.
 type (
-	// ReadOwners asks for OwnersRead.
-	ReadOwners struct{}
+	// ReadOwners asks for OwnersRead of these servers.
+	ReadOwners struct{ Servers []string }
 	// AcquireRow writes the ownership row if it has RowVersion, our lease has
 	// MyLease, and the lease of OldOwner has OldLease, which is then deleted.
 	AcquireRow struct {
@@ -185,7 +189,7 @@
 // NewOwnership returns an ownership of nothing. now is the instance's start.
 func NewOwnership(cfg OwnershipSettings, self, incarnation string, now time.Time) *Ownership {
 	return &Ownership{
-		cfg: cfg, self: self, startedAt: now, lease: LeaseHeld{Incarnation: incarnation},
+		cfg: cfg, self: self, startedAt: now, unheard: cfg.Unheard, lease: LeaseHeld{Incarnation: incarnation},
 		aliveSince: map[string]time.Time{}, servers: map[string]*ownedBy{},
 	}
 }
@@ -214,6 +218,7 @@
 	case Drain:
 		o.draining = true
 	case ZoneTick:
+		o.unheard = max(o.cfg.Unheard, e.Unheard)
 		return o.tick(now, e.Alive)
 	}
 	return nil
@@ -286,7 +291,7 @@
 
 func (o *Ownership) peerOwns(now time.Time, e PeerOwns) {
 	s := o.servers[e.Server]
-	if s == nil || e.Fence < s.reportFence && now.Sub(s.reportedAt) < o.cfg.Unheard {
+	if s == nil || e.Fence < s.reportFence && now.Sub(s.reportedAt) < o.unheard {
 		return
 	}
 	s.reporter, s.reportedAt, s.reportFence, s.yielding = e.Peer, now, e.Fence, e.Yielding
@@ -396,7 +401,7 @@
 		return nil // first hear who is there
 	}
 	var actions []any
-	needRows := false
+	var needRows []string
 	for _, name := range o.names() {
 		s := o.servers[name]
 		if s.held {
@@ -407,7 +412,7 @@
 			continue
 		}
 		if !s.settings.ChecksFences {
-			needRows = true
+			needRows = append(needRows, name)
 			continue
 		}
 		if o.vacant(now, s) {
@@ -415,9 +420,9 @@
 			actions = append(actions, RaiseFence{Server: name, Fence: o.nextFence(max(s.seenFence, s.reportFence))})
 		}
 	}
-	if needRows && now.Sub(o.readAt) >= o.cfg.ReadPeriod {
+	if len(needRows) > 0 && now.Sub(o.readAt) >= o.cfg.ReadPeriod {
 		o.readAt = now
-		actions = append(actions, ReadOwners{})
+		actions = append(actions, ReadOwners{needRows})
 	}
 	return actions
 }
@@ -455,9 +460,9 @@
 func (o *Ownership) vacant(now time.Time, s *ownedBy) bool {
 	if s.reporter == "" {
 		neverOwned := s.statusSeen && s.seenFence == 0
-		return neverOwned || now.Sub(o.startedAt) >= o.cfg.Unheard
+		return neverOwned || now.Sub(o.startedAt) >= o.unheard
 	}
-	return s.yielding || now.Sub(s.reportedAt) >= o.cfg.Unheard
+	return s.yielding || now.Sub(s.reportedAt) >= o.unheard
 }
 
 // wantsToYield reports whether a server should be handed over: the instance is
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -41,7 +41,7 @@
 		case engine.UnloadOrder:
 			go n.unload(a)
 		case engine.ReadOwners:
-			go n.readOwners()
+			go n.readOwners(a.Servers)
 		case engine.AcquireRow:
 			go n.acquireRow(a)
 		case engine.ReleaseRow:
@@ -174,7 +174,13 @@
 	})
 }
 
-func (n *Node) readOwners() {
+// readOwners reads the ownership rows of the zone, and the leases of the owners
+// of the servers that this instance should own.
+func (n *Node) readOwners(servers []string) {
+	asked := make(map[string]bool, len(servers))
+	for _, name := range servers {
+		asked[name] = true
+	}
 	rows, err := n.platform.Scan(n.ctx, ownerPrefix(n.self.Zone))
 	if err != nil {
 		n.log.WithError(err).Debug("ownership rows not read")
@@ -188,6 +194,9 @@
 			continue
 		}
 		server := row.Key[len(ownerPrefix(n.self.Zone)):]
+		if !asked[server] {
+			continue
+		}
 		read.Owners[server] = engine.OwnerRow{Owner: w.Owner, Incarnation: w.Incarnation, Fence: w.Fence, Version: row.Version}
 		if _, ok := read.Leases[w.Owner]; ok || w.Owner == "" {
 			continue
--- a/entry/members.go
+++ b/entry/members.go
@@ -12,6 +12,10 @@
 // not heard no longer counts as alive.
 const aliveIntervals = 4
 
+// unheardIntervals is the number of State intervals after which the owner of an
+// engine that checks fencing numbers is replaced.
+const unheardIntervals = 3
+
 // forgetAfter is how long a peer that is on no list and not heard is kept.
 const forgetAfter = time.Minute
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -342,7 +342,7 @@
 	l := n.lease.State()
 	actions := n.ownership.Step(now, engine.LeaseHeld{ValidUntil: l.ValidUntil, Version: l.Version, Incarnation: l.Incarnation})
 	zone := n.members.alive(now, n.aliveLimit(), n.draining.Load(), func(m peer.Member) bool { return m.Zone == n.self.Zone })
-	actions = append(actions, n.ownership.Step(now, engine.ZoneTick{Alive: zone})...)
+	actions = append(actions, n.ownership.Step(now, engine.ZoneTick{Alive: zone, Unheard: unheardIntervals * n.mesh.Interval()})...)
 	for _, name := range n.ownership.Watched() {
 		if _, valid := n.ownership.Valid(now, name); !valid {
 			actions = append(actions, engine.ReadStatus{Server: name})
