A server that may not load gives its permits back

The owner of a leaving engine kept the permits that it had asked for, and they blocked the region's budget. Ruled out: placement, which wanted nothing more of that engine within 50 ms.

Change: asks that do not load are withdrawn as soon as the server may not load.

--- a/cmd/chestnutstream/load.go
+++ b/cmd/chestnutstream/load.go
@@ -68,6 +68,7 @@
 		return misused(err)
 	}
 	c.plan.Policy, c.plan.Log = entry.Policy(c.policy), logger
+	c.plan.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
 	if c.plan.Policy != entry.PolicyDefault && c.plan.Policy != entry.PolicyNaive {
 		return misused(fmt.Errorf("-policy %q: want default or naive", c.policy))
 	}
--- a/engine/loading.go
+++ b/engine/loading.go
@@ -169,14 +169,15 @@
 }
 
 func (s *Scheduler) scheduleServer(now time.Time, srv *ownedServer, wants map[chestnutstream.AdapterVersion]*chestnutstream.LoadCandidate) []any {
-	if !srv.reachable || srv.status.Leaving || !now.Before(srv.holding.NotAfter) || srv.status.SlotLimit == 0 {
-		return nil
-	}
+	mayLoad := srv.reachable && !srv.status.Leaving && now.Before(srv.holding.NotAfter) && srv.status.SlotLimit > 0
 	for av, t := range srv.tickets {
-		if wants[av] == nil && !t.loading {
-			delete(srv.tickets, av) // nobody waits for it any more
+		if !t.loading && (!mayLoad || wants[av] == nil) {
+			delete(srv.tickets, av) // a permit that it holds goes to another
 		}
 	}
+	if !mayLoad {
+		return nil
+	}
 	var actions []any
 	for _, c := range s.candidates(now, srv, wants) {
 		t := srv.tickets[c.AdapterVersion]
--- a/load/matrix.go
+++ b/load/matrix.go
@@ -51,6 +51,9 @@
 				return
 			}
 			m.Runs[i] = report
+			if plan.Progress != nil {
+				plan.Progress(fmt.Sprintf("faults %q, seed %d: %d of %d answered, broken %v", p.Faults, p.Seed, report.Answered, report.Requests, report.Broken()))
+			}
 		}()
 	}
 	wg.Wait()
