Weight store: the share of a lead by zones, rounded once

Cause: 16/(2 x 13) was rounded to none a zone, then raised to one a zone: 13 in flight, and 26 while leads change. Change: rounded after the zones that a lead hears are summed.

--- a/engine/permits.go
+++ b/engine/permits.go
@@ -16,10 +16,11 @@
 // Permits is the lead's part of load scheduling: it grants the loads of one
 // region's budget in order of priority over all owners.
 //
-// The budget needs no coordination between leads: a lead grants at most
-// LoadsInFlight/(2*Zones) loads for each zone that it hears. Each zone is heard
-// by at most two leads at once (its own side of a cut, and the lead of before
-// the cut until it notices), so the store never sees more than LoadsInFlight.
+// The budget needs no coordination between leads: a lead grants at most half of
+// LoadsInFlight, by the share of all zones that it hears, and at least one. Each
+// zone is heard by at most two leads at once (its own side of a cut, and the lead
+// of before the cut until it notices), so the store never sees more than
+// LoadsInFlight, unless more than that many zones and leads stand alone.
 //
 // Within that bound the limit follows the store: it shrinks while loads take
 // longer than at full speed, since whatever waits in the store can no longer be
@@ -103,8 +104,7 @@
 	for _, a := range p.asks {
 		zones[a.zone] = true
 	}
-	share := max(1, p.cfg.LoadsInFlight/(2*max(1, p.cfg.Zones)))
-	return max(1, share*len(zones))
+	return max(1, p.cfg.LoadsInFlight*len(zones)/(2*max(1, p.cfg.Zones)))
 }
 
 func (p *Permits) grant(now time.Time) {
