--- a/engine/dispatch.go
+++ b/engine/dispatch.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// wantPeriod is the time between two looks at what a queue wants, and wantPerQueue what
+// each queue adds to it: with many queues each is looked at less often.
+const (
+	wantPeriod   = 50 * time.Millisecond
+	wantPerQueue = time.Millisecond
+)
+
 func (p *Placement) dispatchQueue(now time.Time, q *queue, r *round) []any {
 	var actions []any
 	if q.wantedAt.IsZero() {
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -392,19 +392,6 @@
 	return "", false
 }
 
-// minRetryAfter and maxRetryAfter bound what a refused caller is told.
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
-)
-
-// wantPeriod is the time between two looks at what a queue wants, wantLoad that
-// per queue: with many queues each is looked at less often.
-const (
-	wantPeriod   = 50 * time.Millisecond
-	wantPerQueue = time.Millisecond
-)
-
 // Uses returns the slots in use, by the server's owner.
 func (p *Placement) Uses() map[string]map[chestnutstream.LoadName]int {
 	out := map[string]map[chestnutstream.LoadName]int{}
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutstream/chestnutstream"
 )
 
+// queue holds the waiting requests that share loads.
 type queue struct {
 	key      string
 	av       chestnutstream.AdapterVersion
@@ -18,6 +19,7 @@
 	noHope   time.Time // since when no server has or could load the adapter
 }
 
+// queued is a waiting request.
 type queued struct {
 	Pending
 	since   time.Time
@@ -57,6 +59,12 @@
 	return append(actions, p.dispatchQueue(now, q, &round{p: p, now: now})...)
 }
 
+// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
 // retryAfter estimates when the queue will have room: the time that it takes to
 // dispatch half of what waits at the recent rate.
 func (p *Placement) retryAfter(now time.Time) time.Duration {
--- a/load/capacity_test.go
+++ b/load/capacity_test.go
@@ -104,15 +104,20 @@
 		b.Run(tt.name, func(b *testing.B) {
 			body := fmt.Appendf(nil, `{"model":%q,"prompt":"x","max_tokens":%d,"stream":true}`, tt.model, tt.tokens)
 			cpu := cpuTime(b)
+			times := newHist()
 			b.ReportAllocs()
 			for b.Loop() {
+				began := time.Now()
 				resp, err := c.send(context.Background(), http.MethodPost, tt.address, "/v1/completions", Class{}, nil, body)
 				assert.NilError(b, err)
 				n, err := io.Copy(io.Discard, resp.Body)
 				assert.NilError(b, err)
 				assert.NilError(b, resp.Body.Close())
 				assert.Assert(b, n > int64(100*tt.tokens))
+				_ = times.RecordValue(time.Since(began).Microseconds())
 			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-µs")
+			b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-µs")
 			b.ReportMetric(float64(cpuTime(b)-cpu)/float64(b.N)/1000, "cpu-µs/op")
 		})
 	}
