--- a/service/client_test.go
+++ b/service/client_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,9 +16,9 @@
 )
 
 func TestCallTellsNotSentFromLost(t *testing.T) {
-	runs := 0
+	var runs atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		runs++
+		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	defer srv.Close()
@@ -25,7 +26,7 @@
 	call := chestnutstream.ServiceCall{Method: http.MethodPost, Path: "/orders/1", Body: []byte("x")}
 	_, err := NewClient(nil).Call(context.Background(), address, call)
 	assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%v", err)
-	assert.Equal(t, runs, 1, "it is sent once")
+	assert.Equal(t, runs.Load(), int32(1), "it is sent once")
 	_, err = NewClient(nil).Call(context.Background(), "127.0.0.1:1", call)
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 }
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,12 +24,12 @@
 
 func TestSystemStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
-		stop := NewSystem().Subscribe(time.Second, func(time.Time) { calls++ })
+		var calls atomic.Int32
+		stop := NewSystem().Subscribe(time.Second, func(time.Time) { calls.Add(1) })
 		time.Sleep(3500 * time.Millisecond)
 		stop()
 		stop()
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, calls, 3)
+		assert.Equal(t, calls.Load(), int32(3))
 	})
 }
