--- a/cmd/chestnutstream/operating.go
+++ b/cmd/chestnutstream/operating.go
@@ -105,7 +105,7 @@
 	case "history", "status":
 		_, answer, err = c.call(ctx, http.MethodGet, c.entry, "/configuration/"+verb, nil, nil)
 	case "check", "put":
-		answer, err = c.change1(ctx, verb, section)
+		answer, err = c.checkOrPut(ctx, verb, section)
 	default:
 		return misused(fmt.Errorf("config %q: want get, check, put, history or status", verb))
 	}
@@ -116,8 +116,8 @@
 	return subcommands.ExitSuccess
 }
 
-// change1 checks or puts one section.
-func (c *configCommand) change1(ctx context.Context, verb, section string) ([]byte, error) {
+// checkOrPut checks or puts one section.
+func (c *configCommand) checkOrPut(ctx context.Context, verb, section string) ([]byte, error) {
 	if !operator.ValidSection(section) {
 		return nil, fmt.Errorf("config %s %q: no section may be named so", verb, section)
 	}
