Dead code out; one function elects

Read once more as a whole: Ownership.Holds, SplitDocument, a server load's slot count, a port option and a test field were used by nothing, and Elect only wrapped its twin. Behaviour is the same; tests unchanged.

--- a/engine/dispatch.go
+++ b/engine/dispatch.go
@@ -237,7 +237,7 @@
 func (p *Placement) load(now time.Time, s *placeServer) chestnutstream.ServerLoad {
 	return chestnutstream.ServerLoad{
 		Server: s.settings.Name, Zone: s.settings.Zone, Outstanding: p.outstanding(now, s),
-		BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit, Slots: len(s.report.Slots),
+		BatchLimit: s.report.BatchLimit, SlotLimit: s.report.SlotLimit,
 		Idle: s.idle, Wanted: p.wanted[s.settings.Name],
 		Loadable: p.promised(now, s) && now.Sub(p.heard[s.owner]) < p.cfg.OwnerSilence,
 	}
--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -265,12 +265,6 @@
 	return out
 }
 
-// Holds reports whether the instance holds a server, validly or not.
-func (o *Ownership) Holds(server string) bool {
-	s := o.servers[server]
-	return s != nil && s.held
-}
-
 func (o *Ownership) setServers(servers []chestnutstream.ServerSettings) {
 	named := map[string]bool{}
 	for _, settings := range servers {
@@ -453,7 +447,7 @@
 }
 
 // target returns the instance that should own a server.
-func (o *Ownership) target(server string) string { return rendezvous(server, o.alive) }
+func (o *Ownership) target(server string) string { return Elect(server, o.alive) }
 
 // vacant reports whether an engine that checks fences has no owner that was
 // heard of lately, or one that hands it over.
@@ -541,12 +535,10 @@
 	return take, true
 }
 
-// Elect returns the one of the names that looks after key: the same on every
-// instance that sees the same names.
-func Elect(key string, names []string) string { return rendezvous(key, names) }
-
-// rendezvous returns the name with the highest hash for key, or "".
-func rendezvous(key string, names []string) string {
+// Elect returns the one of the names that looks after key, by rendezvous
+// hashing: the same on every instance that sees the same names. Without names it
+// is empty.
+func Elect(key string, names []string) string {
 	best, bestHash := "", uint64(0)
 	for _, n := range names {
 		if h := xxhash.Sum64String(key + "\x00" + n); best == "" || h > bestHash || h == bestHash && n < best {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -108,7 +108,7 @@
 	case n.self.Name:
 		n.permits.Step(now, name, h.From.Zone, s.Asks)
 	}
-	n.pool.heard(now, name, s.Servers)
+	n.pool.heard(now, s.Servers)
 	return actions
 }
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -114,7 +114,7 @@
 }
 
 // heard takes what a peer, or this instance, found out about servers.
-func (p *pool) heard(now time.Time, _ string, states []peer.ServiceState) {
+func (p *pool) heard(now time.Time, states []peer.ServiceState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, st := range states {
@@ -172,7 +172,7 @@
 	changed := n.probes[server] != state
 	n.probes[server] = state
 	n.mu.Unlock()
-	n.pool.heard(n.cfg.Timer.Now(), n.self.Name, []peer.ServiceState{state})
+	n.pool.heard(n.cfg.Timer.Now(), []peer.ServiceState{state})
 	if changed {
 		n.mesh.NotifyAll()
 	}
--- a/load/client.go
+++ b/load/client.go
@@ -35,7 +35,6 @@
 	wrong      bool // another adapter version made a part of it
 	lost       bool // no final answer in time
 	refused    bool
-	server     string
 }
 
 // client sends requests as callers do.
--- a/load/deployment.go
+++ b/load/deployment.go
@@ -135,10 +135,9 @@
 
 // Options of a deployment.
 type Options struct {
-	Seed     uint64
-	Policy   entry.Policy
-	Log      log.Interface
-	FixPorts bool // entries listen on 127.0.0.1:8080 and up
+	Seed   uint64
+	Policy entry.Policy
+	Log    log.Interface
 }
 
 // adapterName returns the name of the adapter of a popularity rank.
@@ -229,9 +228,6 @@
 	s.Zone = zoneName(i % d.Spec.Zones)
 	s.Name = fmt.Sprintf("entry-%s%d", strings.TrimPrefix(s.Zone, "zone-"), i/d.Spec.Zones+1)
 	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
-	if opt.FixPorts {
-		s.CallerAddress = fmt.Sprintf("127.0.0.1:%d", 8080+i)
-	}
 	s.Platform = d.PlatformListener.Address
 	s.PeerSecret, s.OperatorSecret, s.CallerSecret = PeerSecret, OperatorSecret, CallerSecret
 	s.Policy, s.Timer, s.Log = opt.Policy, timer.NewSystem(), opt.Log
--- a/load/run.go
+++ b/load/run.go
@@ -202,7 +202,6 @@
 		s := r.viaBalancer(draw, func(address string) (seen, error) {
 			return r.client.generate(ctx, address, model, class, planned)
 		})
-		s.server = model
 		r.report.add(s, planned.Sub(r.began))
 	}
 }
--- a/operator/document.go
+++ b/operator/document.go
@@ -130,26 +130,6 @@
 	}
 }
 
-// SplitDocument cuts a whole document into the contents of its sections.
-func SplitDocument(document []byte) (map[string][]byte, error) {
-	var raw map[string]any
-	if err := yaml.Unmarshal(document, &raw); err != nil {
-		return nil, &DocumentError{Section: "(document)", Reason: yaml.FormatError(err, false, false)}
-	}
-	out := map[string][]byte{}
-	for name, v := range raw {
-		if !ValidSection(name) {
-			return nil, &DocumentError{Section: name, Reason: "no such section"}
-		}
-		content, err := yaml.Marshal(v)
-		if err != nil {
-			return nil, fmt.Errorf("section %s: %w", name, err)
-		}
-		out[name] = content
-	}
-	return out, nil
-}
-
 // HashSection returns the name of a section's content in the object store.
 func HashSection(section string, content []byte) string {
 	h := xxhash.New()
--- a/policy.go
+++ b/policy.go
@@ -42,7 +42,6 @@
 	Outstanding int // running and waiting by the last report, plus what was sent since
 	BatchLimit  int
 	SlotLimit   int
-	Slots       int // taken adapter slots
 	Idle        int // slots that are free or in no use, over all instances, late
 	Wanted      int // adapter versions that this instance wants loaded there
 	State       SlotState
