--- a/entry/node.go
+++ b/entry/node.go
@@ -121,7 +121,7 @@
 	n.lease = platform.NewLease(n.platform, now, cfg.Name, incarnation)
 	n.claims = platform.NewClaims(n.platform, now)
 	n.store = operator.NewStore(n.platform, n.platform, now)
-	n.pool = newPool()
+	n.pool = newPool(now)
 	loads, places := policies(cfg)
 	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(platform.LeaseDuration), cfg.Name, incarnation, now())
 	n.scheduler = engine.NewScheduler(cfg.Name, cfg.Scheduler, loads)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -22,6 +22,8 @@
 // pool chooses among the backend servers of plain services: the live one with
 // the fewest calls from here in progress.
 type pool struct {
+	now func() time.Time
+
 	mu      sync.Mutex
 	servers map[string]*poolServer
 }
@@ -36,7 +38,9 @@
 	picked   uint64
 }
 
-func newPool() *pool { return &pool{servers: map[string]*poolServer{}} }
+func newPool(now func() time.Time) *pool {
+	return &pool{now: now, servers: map[string]*poolServer{}}
+}
 
 func (p *pool) set(servers []chestnutstream.ServerSettings, addresses map[string]string, leaving map[string]bool) {
 	p.mu.Lock()
@@ -65,7 +69,7 @@
 func (p *pool) Pick(service string, avoid map[string]bool) (server, address string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	var best *poolServer
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for _, name := range p.names() {
@@ -109,7 +113,7 @@
 	}
 	s.calls = max(0, s.calls-1)
 	if failed {
-		s.down = time.Now().Add(avoidFailedFor)
+		s.down = p.now().Add(avoidFailedFor)
 	}
 }
 
