--- /dev/null
+++ b/edge/dump.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
+)
+
+type wireDump struct {
+	Instance string       `json:"instance"`
+	Zone     string       `json:"availability-zone"`
+	Config   uint64       `json:"configuration-version"`
+	Ready    bool         `json:"ready"`
+	Lease    bool         `json:"lease-valid"`
+	Peers    []string     `json:"peers"`
+	Servers  []wireServer `json:"servers"`
+}
+
+type wireServer struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Zone     string  `json:"availability-zone"`
+	Address  string  `json:"address"`
+	State    string  `json:"state"`
+	Owner    string  `json:"owner,omitempty"`
+	InFlight int     `json:"in-flight"`
+	Load     float64 `json:"load"`
+	Slots    int     `json:"slots-taken,omitempty"`
+	AllSlots int     `json:"slots,omitempty"`
+}
+
+// dump writes the state of the instance as JSON.
+func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
+	d := wireDump{Instance: n.cfg.Instance, Zone: n.cfg.Zone, Ready: n.Ready(), Peers: n.mesh.Peers()}
+	if t := n.table.Load(); t != nil {
+		d.Config = t.Version
+	}
+	n.mu.Lock()
+	d.Lease = n.book.Valid(n.boot())
+	for _, s := range n.fleet.Servers() {
+		d.Servers = append(d.Servers, n.dumpServer(s))
+	}
+	n.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		n.log.WithError(err).Warn("dump not written")
+	}
+}
+
+func (n *Node) dumpServer(s *fleet.Server) wireServer {
+	out := wireServer{
+		ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, State: string(s.State),
+		Owner: n.ownerOf(s.ID), InFlight: s.InFlight, Load: s.Load(n.now()),
+	}
+	if e := n.loaders[s.ID]; e != nil {
+		out.Slots, out.AllSlots = e.Slots()
+	}
+	return out
+}
--- /dev/null
+++ b/edge/feeds.go
@@ -0,0 +1,276 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/lease"
+	"github.com/chestnutstream/chestnutstream/platform"
+)
+
+// Times of the reading of the store. Calls to it are priced and its rates are
+// shared by all instances.
+const (
+	operatorWait = 10 * time.Second       // a feed of the operator's table answers at once when there is news
+	serversPause = 600 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
+	serversWait  = 2 * time.Second
+	leasesPause  = 2500 * time.Millisecond // between reads of the leases
+	leasesWait   = time.Second
+	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
+	feedRetryMax = 900 * time.Millisecond
+	startSpread  = 150 * time.Millisecond // over which instances that start together spread their first reads
+)
+
+// feed follows one table.
+type feed struct {
+	table  string
+	pause  time.Duration
+	wait   time.Duration
+	listed func(rows []chestnutstream.TableRow)
+	fed    func(rows []chestnutstream.TableRow)
+}
+
+func (n *Node) feeds() []feed {
+	return []feed{
+		{table: platform.TableOperator, wait: operatorWait, listed: n.operatorRows, fed: n.operatorRows},
+		{
+			table: platform.TableServers, pause: serversPause, wait: serversWait,
+			listed: func(rows []chestnutstream.TableRow) { n.serverRows(rows, true) },
+			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false) },
+		},
+		{
+			table: lease.Table, pause: leasesPause, wait: leasesWait,
+			listed: func(rows []chestnutstream.TableRow) { n.leaseRows(rows, true) },
+			fed:    func(rows []chestnutstream.TableRow) { n.leaseRows(rows, false) },
+		},
+	}
+}
+
+// follow reads a table whole, then its changes, until the node stops.
+func (n *Node) follow(f feed) {
+	n.sleep(rand.N(startSpread))
+	version, known := uint64(0), false
+	failures := 0
+	for n.ctx.Err() == nil {
+		var rows []chestnutstream.TableRow
+		var err error
+		if !known {
+			rows, version, err = n.readTable(f.table)
+		} else {
+			rows, version, err = n.readFeed(f, version)
+		}
+		if n.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, chestnutstream.ErrHistoryLost) {
+				n.log.WithField("table", f.table).WithField("after", version).Warn("history lost, the table is read anew")
+				known = false
+				continue
+			}
+			n.storeFailed(f.table, err)
+			n.sleep(min(feedRetry<<min(failures, 4), feedRetryMax))
+			failures++
+			continue
+		}
+		failures = 0
+		n.storeAnswered()
+		if known {
+			f.fed(rows)
+		} else {
+			f.listed(rows)
+			known = true
+		}
+		n.poke()
+		n.sleep(f.pause)
+	}
+}
+
+func (n *Node) readTable(table string) ([]chestnutstream.TableRow, uint64, error) {
+	return n.store.Rows(n.ctx, table)
+}
+
+// readFeed reads the changes of a table; on failure the version stays.
+func (n *Node) readFeed(f feed, after uint64) ([]chestnutstream.TableRow, uint64, error) {
+	rows, version, err := n.store.Feed(n.ctx, f.table, after, f.wait)
+	if err != nil {
+		return nil, after, err
+	}
+	return rows, max(version, after), nil
+}
+
+func (n *Node) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// storeFailed notes that the store gave no answer to a read.
+func (n *Node) storeFailed(table string, err error) {
+	n.mu.Lock()
+	now := n.now()
+	n.fleet.StoreFailed(now)
+	first := !n.store1.down
+	if first {
+		n.store1 = dependency{down: true, since: now}
+	}
+	n.mu.Unlock()
+	if first && !errors.Is(err, context.Canceled) {
+		n.log.WithError(err).WithField("table", table).Warn("store lost")
+	}
+}
+
+// storeAnswered notes that the store answered a read.
+func (n *Node) storeAnswered() {
+	n.mu.Lock()
+	was := n.store1
+	n.store1 = dependency{}
+	if was.down {
+		n.fleet.StoreFailed(n.now()) // entries that lapsed meanwhile may come back yet
+	}
+	n.mu.Unlock()
+	if was.down {
+		n.log.WithField("away-ms", n.now().Sub(was.since).Milliseconds()).Info("store regained")
+	}
+}
+
+// operatorRows takes rows of the operator's table: the configuration, and
+// declarations of adapter versions.
+func (n *Node) operatorRows(rows []chestnutstream.TableRow) {
+	for _, r := range rows {
+		if r.Removed {
+			continue // nothing that was accepted is taken back
+		}
+		if r.Key == platform.KeyConfig {
+			n.adopt(r.Value, r.Version, "store")
+			continue
+		}
+		n.declare(r.Key, r.Value, r.Version)
+	}
+}
+
+// adopt takes a configuration; versions only rise.
+func (n *Node) adopt(value []byte, row uint64, from string) {
+	t, err := platform.DecodeRouteTable(value)
+	if err != nil {
+		n.log.WithError(err).WithField("row", row).Error("configuration not taken")
+		return
+	}
+	n.mu.Lock()
+	old := n.table.Load()
+	if old != nil && old.Version >= t.Version {
+		n.mu.Unlock()
+		return
+	}
+	n.table.Store(t)
+	n.rows.config, n.rows.configRow = value, row
+	n.mu.Unlock()
+	n.log.WithFields(log.Fields{"version": t.Version, "row": row, "routes": t.Routes(), "from": from}).Info("configuration in force")
+	n.poke()
+}
+
+func (n *Node) declare(key string, value []byte, row uint64) {
+	target, version, ok, err := platform.DecodeAdapterVersion(key, value)
+	if err != nil {
+		n.log.WithError(err).WithField("key", key).Warn("declaration not taken")
+		return
+	}
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	n.fleet.Declare(target, version)
+	n.rows.versions[key] = instance.ServerRow{Key: key, Value: value, Row: row}
+	n.mu.Unlock()
+	n.log.WithFields(log.Fields{"adapter": target.String(), "version": version, "row": row}).Info("adapter version declared")
+}
+
+// serverRows takes entries of the servers.
+func (n *Node) serverRows(rows []chestnutstream.TableRow, whole bool) {
+	entries := make([]fleet.Entry, 0, len(rows))
+	for _, r := range rows {
+		e := fleet.Entry{Key: r.Key, Row: r.Version, Removed: r.Removed}
+		if !r.Removed {
+			e.Backend, e.Err = platform.DecodeBackend(r.Key, r.Value)
+		}
+		entries = append(entries, e)
+	}
+	n.mu.Lock()
+	now := n.now()
+	var changes []fleet.Change
+	if whole {
+		changes = n.fleet.Listed(now, entries)
+	} else {
+		changes = n.fleet.Fed(now, entries)
+	}
+	for _, r := range rows {
+		if r.Removed {
+			delete(n.rows.servers, r.Key)
+			continue
+		}
+		n.rows.servers[r.Key] = instance.ServerRow{Key: r.Key, Value: r.Value, Row: r.Version}
+	}
+	changes = append(changes, n.fleet.Tick(now)...)
+	n.serversChanged(changes)
+	n.mu.Unlock()
+	n.logChanges(changes)
+}
+
+// serversChanged ends what hangs on servers that have gone or started again.
+// Callers hold mu.
+func (n *Node) serversChanged(changes []fleet.Change) {
+	for _, c := range changes {
+		switch c.What {
+		case "gone", "restarted":
+			delete(n.loaders, c.Server)
+			n.book.Forget(c.Server)
+			n.failWaits(c.Server, "server "+c.What)
+		case "draining":
+			n.failWaits(c.Server, "server draining")
+		}
+	}
+}
+
+func (n *Node) logChanges(changes []fleet.Change) {
+	for _, c := range changes {
+		l := n.log.WithFields(log.Fields{"server": c.Server, "change": c.What, "row": c.Row})
+		if c.Err != nil {
+			l.WithError(c.Err).Warn("server entry")
+			continue
+		}
+		l.Info("server entry")
+	}
+}
+
+// leaseRows takes rows of the leases.
+func (n *Node) leaseRows(rows []chestnutstream.TableRow, whole bool) {
+	n.mu.Lock()
+	boot := n.boot()
+	var err error
+	if whole {
+		err = n.book.Listed(boot, rows)
+	} else {
+		err = n.book.Fed(boot, rows)
+	}
+	members := n.book.Holders(boot)
+	n.mu.Unlock()
+	if err != nil {
+		n.log.WithError(err).Warn("lease row")
+	}
+	for _, h := range members {
+		n.mesh.Add(instance.Member{Name: h.Name, Address: h.Address, Zone: h.Zone})
+	}
+}
--- /dev/null
+++ b/edge/node.go
@@ -0,0 +1,156 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/ingress"
+	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/lease"
+	"github.com/chestnutstream/chestnutstream/loader"
+	"github.com/chestnutstream/chestnutstream/platform"
+)
+
+var (
+	_ ingress.Dispatcher = (*Node)(nil)
+	_ instance.Handler   = (*Node)(nil)
+)
+
+// storeTimeout bounds a call of the store: it answers within milliseconds, and
+// within a few hundred when it is slow.
+const storeTimeout = 1500 * time.Millisecond
+
+// Node is what one instance knows, and the decisions that it takes from it.
+type Node struct {
+	cfg      platform.Settings
+	log      log.Interface
+	timer    chestnutstream.Timer
+	boot     func() time.Duration
+	metrics  *metrics.Set
+	run      uint64
+	store    *platform.Store
+	backends *platform.Backends
+	mesh     *instance.Mesh
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+
+	table    atomic.Pointer[chestnutstream.RouteTable]
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	rows    rows
+	fleet   *fleet.Fleet
+	book    *lease.Book
+	loaders map[string]*loader.Engine
+	peers   map[string]*peer
+	waits   map[holdKey]*wait
+	used    map[holdKey]int // adapters used at engines of other owners since they were last told
+	usedAt  time.Time
+	budgets map[string]*fleet.Budget
+	store1  dependency
+}
+
+// holdKey names an adapter on a server.
+type holdKey struct {
+	server string
+	target chestnutstream.ModelAdapter
+}
+
+// peer is another instance as its own word has it.
+type peer struct {
+	run   uint64
+	owned map[string]bool
+}
+
+// rows are the newest rows of the platform's store, kept as they were read for
+// instances that cannot read them.
+type rows struct {
+	config    []byte
+	configRow uint64
+	servers   map[string]instance.ServerRow
+	versions  map[string]instance.ServerRow
+}
+
+// dependency is whether something that the instance needs answers, and since
+// when.
+type dependency struct {
+	down  bool
+	since time.Time
+}
+
+func newNode(cfg platform.Settings, logger log.Interface, t chestnutstream.Timer, boot func() time.Duration) *Node {
+	run := rand.Uint64()>>8 | 1
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), run: run,
+		store: platform.NewStore(cfg.Store, storeTimeout, nil), backends: platform.NewBackends(boot),
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
+		fleet:   fleet.New(cfg.Zone, rand.New(rand.NewPCG(run, 1))),
+		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
+		used: map[holdKey]int{}, budgets: map[string]*fleet.Budget{},
+	}
+	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
+	n.book = lease.NewBook(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Run: run}, lease.DefaultSettings(cfg.OrderTurn))
+	n.mesh = instance.NewMesh(instance.Settings{Self: self, Run: run, Timer: t, Log: logger}, n)
+	return n
+}
+
+// Routes implements ingress.Dispatcher.
+func (n *Node) Routes() *chestnutstream.RouteTable { return n.table.Load() }
+
+// Leaving implements ingress.Dispatcher.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready reports whether callers should be sent here: a configuration is in
+// force, servers are known, and the instance is not leaving.
+func (n *Node) Ready() bool {
+	if n.leaving.Load() || n.table.Load() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Len() > 0
+}
+
+// poke makes the control loop look at what is to be done.
+func (n *Node) poke() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// now returns the time of the timer service.
+func (n *Node) now() time.Time { return n.timer.Now() }
+
+// engineKind returns what the configuration says of a service's engines, or nil.
+func (n *Node) engineKind(service string) *chestnutstream.EngineKind {
+	t := n.table.Load()
+	if t == nil || t.Services[service] == nil {
+		return nil
+	}
+	return t.Services[service].Engine
+}
+
+// engines returns the engines that need an owner. Callers hold mu.
+func (n *Node) engines() []lease.Server {
+	var out []lease.Server
+	for _, s := range n.fleet.Servers() {
+		if n.engineKind(s.Service) != nil && s.State == chestnutstream.BackendReady {
+			out = append(out, lease.Server{ID: s.ID, Zone: s.Zone})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/platform"
+)
+
+// Linked implements instance.Handler.
+func (n *Node) Linked(to instance.Member) instance.Bundle {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := instance.Bundle{HasOwned: true, AskConfig: n.table.Load() == nil}
+	for id := range n.loaders {
+		b.Owned = append(b.Owned, id)
+	}
+	n.log.WithField("peer", to.Name).Info("peer linked")
+	return b
+}
+
+// Unlinked implements instance.Handler.
+func (n *Node) Unlinked(to instance.Member, err error) {
+	n.mu.Lock()
+	delete(n.peers, to.Name)
+	n.failWaitsOf(to.Name, "owner not reachable")
+	n.mu.Unlock()
+	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
+}
+
+// Heard implements instance.Handler.
+func (n *Node) Heard(from instance.Member, b instance.Bundle) {
+	n.mu.Lock()
+	p := n.peers[from.Name]
+	if p == nil {
+		p = &peer{owned: map[string]bool{}}
+		n.peers[from.Name] = p
+	}
+	if b.Run != 0 {
+		p.run = b.Run
+	}
+	if b.HasOwned {
+		p.owned = make(map[string]bool, len(b.Owned))
+		for _, id := range b.Owned {
+			p.owned[id] = true
+		}
+	}
+	boot := n.boot()
+	for _, w := range b.Wants {
+		n.wanted(boot, from.Name, w)
+	}
+	for _, u := range b.Used {
+		if e := n.loaders[u.Server]; e != nil {
+			e.Used(boot, from.Name, u.Target, u.Count)
+		}
+	}
+	for _, g := range b.Got {
+		n.got(g)
+	}
+	ask := b.AskConfig && n.rows.config != nil
+	var told instance.Bundle
+	if ask {
+		told = n.rows.bundle()
+	}
+	n.mu.Unlock()
+	if ask {
+		n.mesh.Send(from.Name, func(out *instance.Bundle) {
+			out.Config, out.ConfigRow, out.Servers, out.Versions = told.Config, told.ConfigRow, told.Servers, told.Versions
+		})
+	}
+	if b.Config != nil && n.table.Load() == nil {
+		n.takeRows(from.Name, b)
+	}
+	if len(b.Wants) > 0 {
+		n.poke()
+	}
+}
+
+// bundle returns the rows for an instance that cannot read the store.
+func (r *rows) bundle() instance.Bundle {
+	b := instance.Bundle{Config: r.config, ConfigRow: r.configRow}
+	for _, s := range r.servers {
+		b.Servers = append(b.Servers, s)
+	}
+	for _, v := range r.versions {
+		b.Versions = append(b.Versions, v)
+	}
+	return b
+}
+
+// takeRows takes a peer's rows, for an instance that started while the store is
+// away. They are never newer than the store's own.
+func (n *Node) takeRows(from string, b instance.Bundle) {
+	for _, v := range b.Versions {
+		n.declare(v.Key, v.Value, v.Row)
+	}
+	entries := make([]fleet.Entry, 0, len(b.Servers))
+	for _, s := range b.Servers {
+		e := fleet.Entry{Key: s.Key, Row: s.Row}
+		e.Backend, e.Err = platform.DecodeBackend(s.Key, s.Value)
+		entries = append(entries, e)
+	}
+	n.mu.Lock()
+	changes := n.fleet.Fed(n.now(), entries)
+	n.mu.Unlock()
+	n.logChanges(changes)
+	n.adopt(b.Config, b.ConfigRow, from)
+	n.log.WithFields(log.Fields{"peer": from, "servers": len(entries)}).Info("state taken from a peer")
+}
+
+// wanted hands a want to the loader of an engine that this instance owns, or
+// says that it does not. Callers hold mu.
+func (n *Node) wanted(boot time.Duration, from string, w instance.Want) {
+	if e := n.loaders[w.Server]; e != nil {
+		e.Want(boot, from, w.Target, w.Version, w.Waiting)
+		return
+	}
+	g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, RetryAfterMS: notOwnerPause.Milliseconds()}
+	n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
+}
+
+// notOwnerPause is what an instance tells that is asked for a load at an engine
+// that it does not own.
+const notOwnerPause = 300 * time.Millisecond
+
+// got takes an owner's word about an adapter. Callers hold mu.
+func (n *Node) got(g instance.Got) {
+	switch {
+	case g.Held:
+		n.fleet.Held(n.now(), g.Server, g.Target, g.Version)
+		n.endWait(holdKey{g.Server, g.Target}, waitResult{held: true})
+	case g.Dropped:
+		n.fleet.NotHeld(g.Server, g.Target)
+	default:
+		n.endWait(holdKey{g.Server, g.Target}, waitResult{retryAfter: time.Duration(g.RetryAfterMS) * time.Millisecond, reason: "its owner has no room"})
+	}
+}
+
+// ownerOf returns the instance that may be asked for loads at a server: the one
+// that says so itself. Callers hold mu.
+func (n *Node) ownerOf(server string) string {
+	if n.loaders[server] != nil {
+		return n.cfg.Instance
+	}
+	if name := n.book.Owner(server); name != "" {
+		if p := n.peers[name]; p != nil && p.owned[server] {
+			return name
+		}
+	}
+	for name, p := range n.peers {
+		if p.owned[server] {
+			return name
+		}
+	}
+	return ""
+}
+
+// tellUsed tells owners which adapters were used at their engines. Callers hold
+// mu.
+func (n *Node) tellUsed(now time.Time) {
+	if len(n.used) == 0 || now.Sub(n.usedAt) < usedPause {
+		return
+	}
+	n.usedAt = now
+	boot := n.boot()
+	byOwner := map[string][]instance.Use{}
+	for k, count := range n.used {
+		if e := n.loaders[k.server]; e != nil {
+			e.Used(boot, n.cfg.Instance, k.target, count)
+			continue
+		}
+		if owner := n.ownerOf(k.server); owner != "" {
+			byOwner[owner] = append(byOwner[owner], instance.Use{Server: k.server, Target: k.target, Count: count})
+		}
+	}
+	clear(n.used)
+	for owner, uses := range byOwner {
+		n.mesh.Send(owner, func(b *instance.Bundle) { b.Used = append(b.Used, uses...) })
+	}
+}
--- /dev/null
+++ b/edge/place.go
@@ -0,0 +1,261 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/ingress"
+	"github.com/chestnutstream/chestnutstream/instance"
+)
+
+// Times of placing.
+const (
+	ownerSilence = 900 * time.Millisecond // an owner answers a want within a load's time; after that another engine is tried
+	placesMost   = 6                      // engines that are tried for one placement
+	noServer     = 300 * time.Millisecond // told to callers when no server is known: entries come about once a second
+	copyPause    = 500 * time.Millisecond // between wants of one copy
+)
+
+// wait is a load that requests of this instance wait for.
+type wait struct {
+	owner   string
+	asked   time.Time
+	waiters []chan waitResult
+}
+
+// waitResult is the end of a wait.
+type waitResult struct {
+	held       bool
+	retryAfter time.Duration
+	reason     string
+}
+
+// Place implements ingress.Dispatcher.
+func (n *Node) Place(ctx context.Context, p ingress.Placement) (ingress.Placed, error) {
+	if n.engineKind(p.Service) == nil {
+		return n.placePlain(p)
+	}
+	return n.placeEngine(ctx, p)
+}
+
+func (n *Node) placePlain(p ingress.Placement) (ingress.Placed, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.fleet.PickPlain(n.now(), p.Service, p.Avoid)
+	if s == nil {
+		return ingress.Placed{}, &ingress.NoPlaceError{Reason: fmt.Sprintf("no server of %s may take work, of %d", p.Service, len(n.fleet.Service(p.Service))), RetryAfter: noServer}
+	}
+	n.fleet.Sent(s.ID)
+	return ingress.Placed{Server: s.Backend}, nil
+}
+
+// placeEngine finds an engine that holds the request's adapter, or has it
+// loaded on one.
+func (n *Node) placeEngine(ctx context.Context, p ingress.Placement) (ingress.Placed, error) {
+	began := n.now()
+	avoid := make(map[string]bool, len(p.Avoid)+2)
+	for id := range p.Avoid {
+		avoid[id] = true
+	}
+	last := waitResult{retryAfter: noServer, reason: "no engine may take work"}
+	for try := 0; try < placesMost; try++ {
+		n.mu.Lock()
+		version := n.fleet.Version(p.Target)
+		c := n.fleet.PickEngine(n.now(), p.Service, p.Target, version, avoid, n.loadable)
+		if c.Server == nil {
+			n.mu.Unlock()
+			break
+		}
+		if c.Copy != nil {
+			n.wantCopy(c.Copy.ID, p.Target, version)
+		}
+		if c.Held {
+			placed := n.placed(c.Server, p.Target, version, n.now().Sub(began))
+			n.mu.Unlock()
+			return placed, nil
+		}
+		ch := n.want(c.Server.ID, p.Target, version)
+		n.mu.Unlock()
+		result, err := n.await(ctx, c.Server.ID, p.Target, ch)
+		if err != nil {
+			return ingress.Placed{}, err
+		}
+		n.log.WithFields(log.Fields{
+			"request-id": p.RequestID, "server": c.Server.ID, "target": p.Target.String(), "version": version,
+			"held": result.held, "reason": result.reason, "ms": n.now().Sub(began).Milliseconds(),
+		}).Info("adapter wanted")
+		if !result.held {
+			avoid[c.Server.ID] = true
+			last = result
+			continue
+		}
+		n.mu.Lock()
+		if s := n.fleet.Server(c.Server.ID); s != nil && s.Usable() {
+			placed := n.placed(s, p.Target, version, n.now().Sub(began))
+			n.mu.Unlock()
+			return placed, nil
+		}
+		n.mu.Unlock()
+		avoid[c.Server.ID] = true
+	}
+	return ingress.Placed{}, &ingress.NoPlaceError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, copyPause/4)}
+}
+
+// placed notes that a request goes to a server. Callers hold mu.
+func (n *Node) placed(s *fleet.Server, target chestnutstream.ModelAdapter, version int, stall time.Duration) ingress.Placed {
+	n.fleet.Sent(s.ID)
+	n.used[holdKey{s.ID, target}]++
+	return ingress.Placed{Server: s.Backend, Version: version, Stall: stall}
+}
+
+// loadable reports whether loads can be asked for at a server. Callers hold mu.
+func (n *Node) loadable(s *fleet.Server) bool { return n.ownerOf(s.ID) != "" }
+
+// want asks for an adapter on a server and returns where its end is told.
+// Callers hold mu.
+func (n *Node) want(server string, target chestnutstream.ModelAdapter, version int) chan waitResult {
+	k := holdKey{server, target}
+	ch := make(chan waitResult, 1)
+	w := n.waits[k]
+	if w == nil {
+		w = &wait{}
+		n.waits[k] = w
+	}
+	w.waiters = append(w.waiters, ch)
+	n.ask(k, w, version)
+	return ch
+}
+
+// ask sends a want to the owner of its server, unless it was asked lately.
+// Callers hold mu.
+func (n *Node) ask(k holdKey, w *wait, version int) {
+	now := n.now()
+	if now.Sub(w.asked) < copyPause {
+		return
+	}
+	w.asked = now
+	w.owner = n.ownerOf(k.server)
+	msg := instance.Want{Server: k.server, Target: k.target, Version: version, Waiting: len(w.waiters)}
+	if w.owner == n.cfg.Instance {
+		n.loaders[k.server].Want(n.boot(), n.cfg.Instance, k.target, version, len(w.waiters))
+		n.poke()
+		return
+	}
+	if w.owner == "" || !n.mesh.Send(w.owner, func(b *instance.Bundle) { b.Wants = append(b.Wants, msg) }) {
+		n.endWait(k, waitResult{retryAfter: noServer, reason: "its owner is not reachable"})
+	}
+}
+
+// wantCopy asks for one more copy of a hot adapter, without waiting for it.
+// Callers hold mu.
+func (n *Node) wantCopy(server string, target chestnutstream.ModelAdapter, version int) {
+	k := holdKey{server, target}
+	w := n.waits[k]
+	if w == nil {
+		w = &wait{}
+		n.waits[k] = w
+	}
+	n.ask(k, w, version)
+}
+
+func (n *Node) await(ctx context.Context, server string, target chestnutstream.ModelAdapter, ch chan waitResult) (waitResult, error) {
+	t := time.NewTimer(ownerSilence)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-ctx.Done():
+		return waitResult{}, fmt.Errorf("wait for %s on %s: %w", target, server, ctx.Err())
+	case <-t.C:
+		n.mu.Lock()
+		delete(n.waits, holdKey{server, target})
+		n.mu.Unlock()
+		return waitResult{retryAfter: noServer, reason: "its owner is silent"}, nil
+	}
+}
+
+// endWait tells those who wait for a load how it ended. Callers hold mu.
+func (n *Node) endWait(k holdKey, r waitResult) {
+	w := n.waits[k]
+	if w == nil {
+		return
+	}
+	delete(n.waits, k)
+	for _, ch := range w.waiters {
+		ch <- r
+	}
+}
+
+// failWaits ends all waits for a server. Callers hold mu.
+func (n *Node) failWaits(server, reason string) {
+	for k := range n.waits {
+		if k.server == server {
+			n.endWait(k, waitResult{reason: reason})
+		}
+	}
+}
+
+// failWaitsOf ends all waits for loads that an instance was asked for. Callers
+// hold mu.
+func (n *Node) failWaitsOf(owner, reason string) {
+	for k, w := range n.waits {
+		if w.owner == owner {
+			n.endWait(k, waitResult{reason: reason})
+		}
+	}
+}
+
+// Answered implements ingress.Dispatcher.
+func (n *Node) Answered(p ingress.Placed, target chestnutstream.ModelAdapter, r ingress.Result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	n.fleet.Outcome(now, p.Server.ID, r.Outcome, r.Took)
+	if r.Load != nil {
+		n.fleet.LoadTold(now, p.Server.ID, r.Load.Running, r.Load.Waiting, r.Load.Slots)
+	}
+	switch {
+	case r.Foreign:
+		n.fleet.Misplaced(p.Server.ID)
+	case r.NotHeld:
+		n.fleet.NotHeld(p.Server.ID, target)
+	case r.Outcome == fleet.Answered && target.Model != "":
+		n.fleet.Held(now, p.Server.ID, target, max(p.Version, 0))
+	}
+}
+
+// Done implements ingress.Dispatcher.
+func (n *Node) Done(p ingress.Placed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Done(p.Server.ID)
+}
+
+// Again implements ingress.Dispatcher.
+func (n *Node) Again(service string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.budget(service).Take(n.now())
+}
+
+// Earn implements ingress.Dispatcher.
+func (n *Node) Earn(service string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.budget(service).Earn(n.now())
+}
+
+// budget returns the retry budget of a service. Callers hold mu.
+func (n *Node) budget(service string) *fleet.Budget {
+	b := n.budgets[service]
+	if b == nil {
+		b = fleet.NewBudget(n.cfg.RetryShare, n.cfg.RetryExtra, n.cfg.RetryWindow, n.book.Instances(n.boot()))
+		n.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Times of the list of servers.
+const (
+	// comeBack is how long an entry that lapsed while the store was away may
+	// take to come back: the platform says about two seconds.
+	comeBack = 2200 * time.Millisecond
+	// storeShadow is how long after a failed read of the store a missing entry
+	// may have lapsed for want of the store, and not because the server left.
+	storeShadow = 4 * time.Second
+)
+
+// Entry is a row of the platform's list of servers, decoded.
+type Entry struct {
+	Key     string
+	Row     uint64
+	Removed bool
+	Backend chestnutstream.Backend
+	Err     error // the entry cannot be read: it names no server to use
+}
+
+// Change is a change of what the instance believes of a server.
+type Change struct {
+	Server string
+	What   string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed"
+	Row    uint64
+	Err    error
+}
+
+// StoreFailed notes that the store did not answer a read.
+func (f *Fleet) StoreFailed(now time.Time) { f.storeBad = now }
+
+// Listed takes the whole list of servers. What is not on it has left.
+func (f *Fleet) Listed(now time.Time, entries []Entry) []Change {
+	var changes []Change
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = true
+	}
+	for _, s := range f.Servers() {
+		if !listed[s.ID] {
+			changes = append(changes, f.lost(now, s, 0)...)
+		}
+	}
+	return append(changes, f.Fed(now, entries)...)
+}
+
+// Fed takes changes of the list, in the store's order.
+func (f *Fleet) Fed(now time.Time, entries []Entry) []Change {
+	var changes []Change
+	for _, e := range entries {
+		changes = append(changes, f.entry(now, e)...)
+	}
+	if len(changes) > 0 {
+		f.index()
+	}
+	return changes
+}
+
+func (f *Fleet) entry(now time.Time, e Entry) []Change {
+	s := f.servers[e.Key]
+	switch {
+	case s != nil && e.Row < s.Row:
+		return nil // an older read
+	case s != nil && e.Row == s.Row && s.Missing.IsZero():
+		return nil
+	case e.Removed:
+		if s == nil {
+			return nil
+		}
+		return f.lost(now, s, e.Row)
+	case e.Err != nil:
+		c := Change{Server: e.Key, What: "unreadable", Row: e.Row, Err: e.Err}
+		if s != nil {
+			// Another writer's bytes stand where the server's entry was. They say
+			// nothing of it; its next entry does.
+			s.Row = e.Row
+		}
+		return []Change{c}
+	case s == nil:
+		f.servers[e.Key] = newServer(e.Backend, e.Row)
+		f.holdsListed(now, f.servers[e.Key])
+		return []Change{{Server: e.Key, What: "new", Row: e.Row}}
+	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
+		if e.Backend.Born < s.Born {
+			return nil // a late entry of an earlier start
+		}
+		fresh := newServer(e.Backend, e.Row)
+		fresh.Owner, fresh.InFlight = s.Owner, s.InFlight
+		f.servers[e.Key] = fresh
+		f.holdsListed(now, fresh)
+		return []Change{{Server: e.Key, What: "restarted", Row: e.Row}}
+	}
+	return f.updated(s, e)
+}
+
+// updated takes a new entry of the same start. A server that drains does not
+// become ready again.
+func (f *Fleet) updated(s *Server, e Entry) []Change {
+	var changes []Change
+	if !s.Missing.IsZero() {
+		s.Missing = time.Time{}
+		changes = append(changes, Change{Server: s.ID, What: "back", Row: e.Row})
+	}
+	s.Row, s.Misplace = e.Row, false
+	if s.State == chestnutstream.BackendReady && e.Backend.State == chestnutstream.BackendDraining {
+		s.State = chestnutstream.BackendDraining
+		changes = append(changes, Change{Server: s.ID, What: "draining", Row: e.Row})
+	}
+	s.Models, s.Slots, s.Zone = e.Backend.Models, e.Backend.Slots, e.Backend.Zone
+	return changes
+}
+
+// lost takes the absence of a server's entry. While the store was failing lately
+// the entry may have lapsed though the server lives; it is kept for comeBack.
+func (f *Fleet) lost(now time.Time, s *Server, row uint64) []Change {
+	s.Row = max(s.Row, row)
+	if s.State == chestnutstream.BackendReady && !f.storeBad.IsZero() && now.Sub(f.storeBad) < storeShadow {
+		if !s.Missing.IsZero() {
+			return nil
+		}
+		s.Missing = now
+		return []Change{{Server: s.ID, What: "missing", Row: row}}
+	}
+	delete(f.servers, s.ID)
+	f.index()
+	return []Change{{Server: s.ID, What: "gone", Row: row}}
+}
+
+// Tick drops servers whose entries did not come back.
+func (f *Fleet) Tick(now time.Time) []Change {
+	var changes []Change
+	for _, s := range f.servers {
+		if !s.Missing.IsZero() && now.Sub(s.Missing) > comeBack {
+			delete(f.servers, s.ID)
+			changes = append(changes, Change{Server: s.ID, What: "gone", Row: s.Row})
+		}
+	}
+	if len(changes) > 0 {
+		f.index()
+	}
+	return changes
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Server is a backend server with what this instance knows of it.
+type Server struct {
+	chestnutstream.Backend
+	Row      uint64    // version of its entry
+	Missing  time.Time // since when its entry is gone though it may come back; zero: it is there
+	Misplace bool      // another server answered at its address
+
+	InFlight int // requests of this instance
+	judge    judge
+	load     loadSeen
+	holds    map[chestnutstream.ModelAdapter]holding
+	Owner    string // instance that may give it orders; empty: not known
+	hash     uint64
+}
+
+// holding is a model or adapter that is believed to be on an engine.
+type holding struct {
+	version int
+	seen    time.Time // when an answer or its owner last said so
+}
+
+// loadSeen is the newest load that an answer told, and how many requests of
+// this instance were in flight then.
+type loadSeen struct {
+	at       time.Time
+	total    int // running and waiting
+	waiting  int
+	slots    int
+	inFlight int
+}
+
+// loadFade is how long a told load counts; after that only this instance's own
+// requests do.
+const loadFade = 2 * time.Second
+
+// Load estimates the requests that the server runs and has waiting: the newest
+// told figure plus what this instance has sent since, less what ended.
+func (s *Server) Load(now time.Time) float64 {
+	age := now.Sub(s.load.at)
+	if s.load.at.IsZero() || age > loadFade {
+		return float64(s.InFlight)
+	}
+	others := max(s.load.total-s.load.inFlight, 0)
+	return float64(s.InFlight) + float64(others)*(1-float64(age)/float64(loadFade))
+}
+
+// Waiting returns how many requests waited at the server by its newest word.
+func (s *Server) Waiting(now time.Time) int {
+	if s.load.at.IsZero() || now.Sub(s.load.at) > loadFade {
+		return 0
+	}
+	return s.load.waiting
+}
+
+// Fleet is all backend servers by ID.
+type Fleet struct {
+	zone     string
+	rand     *rand.Rand
+	servers  map[string]*Server
+	services map[string][]*Server // in order of ID
+	storeBad time.Time            // when the store last failed this instance
+	versions map[chestnutstream.ModelAdapter]int
+	zoneDark map[string]time.Time
+}
+
+// New returns an empty fleet as seen from an availability zone.
+func New(zone string, r *rand.Rand) *Fleet {
+	return &Fleet{
+		zone: zone, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
+		versions: map[chestnutstream.ModelAdapter]int{}, zoneDark: map[string]time.Time{},
+	}
+}
+
+// Server returns a server, or nil.
+func (f *Fleet) Server(id string) *Server { return f.servers[id] }
+
+// Servers returns all servers in order of ID.
+func (f *Fleet) Servers() []*Server {
+	out := make([]*Server, 0, len(f.servers))
+	for _, s := range f.servers {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Len returns the number of servers.
+func (f *Fleet) Len() int { return len(f.servers) }
+
+// Service returns the servers of a service in order of ID.
+func (f *Fleet) Service(name string) []*Server { return f.services[name] }
+
+// Version returns the newest declared version of an adapter; undeclared ones
+// have version 1.
+func (f *Fleet) Version(target chestnutstream.ModelAdapter) int {
+	if target.Adapter == "" {
+		return 0
+	}
+	return max(f.versions[target], 1)
+}
+
+// Declare takes the declaration of an adapter's version. Versions only rise.
+func (f *Fleet) Declare(target chestnutstream.ModelAdapter, version int) {
+	f.versions[target] = max(f.versions[target], version)
+}
+
+// Sent notes that a request of this instance goes to a server.
+func (f *Fleet) Sent(id string) {
+	if s := f.servers[id]; s != nil {
+		s.InFlight++
+	}
+}
+
+// Done notes that a request of this instance at a server has ended.
+func (f *Fleet) Done(id string) {
+	if s := f.servers[id]; s != nil && s.InFlight > 0 {
+		s.InFlight--
+	}
+}
+
+// LoadTold takes the load that a server's answer tells.
+func (f *Fleet) LoadTold(now time.Time, id string, running, waiting, slots int) {
+	if s := f.servers[id]; s != nil {
+		s.load = loadSeen{at: now, total: running + waiting, waiting: waiting, slots: slots, inFlight: s.InFlight}
+	}
+}
+
+// Outcome notes what became of a request at a server.
+func (f *Fleet) Outcome(now time.Time, id string, o Outcome, took time.Duration) {
+	if s := f.servers[id]; s != nil {
+		s.judge.note(now, o, took)
+	}
+}
+
+// Misplaced notes that another server answered at the address of this one. It
+// gets nothing more until its entry changes.
+func (f *Fleet) Misplaced(id string) {
+	if s := f.servers[id]; s != nil {
+		s.Misplace = true
+	}
+}
+
+// Usable reports whether a server may get new work.
+func (s *Server) Usable() bool {
+	return s.State == chestnutstream.BackendReady && !s.Misplace
+}
+
+func (f *Fleet) index() {
+	f.services = map[string][]*Server{}
+	for _, s := range f.Servers() {
+		f.services[s.Service] = append(f.services[s.Service], s)
+	}
+}
+
+func newServer(b chestnutstream.Backend, row uint64) *Server {
+	s := &Server{Backend: b, Row: row, holds: map[chestnutstream.ModelAdapter]holding{}, hash: xxhash.Sum64String(b.ID)}
+	return s
+}
+
+// mix combines two hashes into one that depends on both.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b*0x9E3779B97F4A7C15 + 0x7F4A7C15)
+	x ^= x >> 32
+	x *= 0xD6E8FEB86659FD93
+	x ^= x >> 29
+	x *= 0xD6E8FEB86659FD93
+	x ^= x >> 32
+	return x
+}
+
+// hashOf returns the placement hash of a model or adapter.
+func hashOf(t chestnutstream.ModelAdapter) uint64 {
+	return mix(xxhash.Sum64String(t.Model), xxhash.Sum64String(t.Adapter))
+}
--- /dev/null
+++ b/fleet/place.go
@@ -0,0 +1,182 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Figures of placement.
+const (
+	// otherZone is what a server of another zone costs, in requests: bytes
+	// between zones are priced, a queue costs more.
+	otherZone = 0.7
+	// hotFactor and hotSlack bound the load of an adapter's first server against
+	// the mean of its service, before requests go on to its next server.
+	hotFactor = 1.3
+	hotSlack  = 6.0
+	// trustHolding is how long an engine is believed to hold an adapter after an
+	// answer or its owner said so.
+	trustHolding = 20 * time.Second
+	// fullShare is the load at which an engine's batch counts as full.
+	fullShare = 0.95
+)
+
+// PickPlain chooses a server of a plain service: the least expected wait, with
+// a little for the distance. It returns nil when none may get work.
+func (f *Fleet) PickPlain(now time.Time, service string, avoid map[string]bool) *Server {
+	var best *Server
+	bestCost := 0.0
+	list := f.services[service]
+	start := 0
+	if len(list) > 0 {
+		start = f.rand.IntN(len(list))
+	}
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for i := range list {
+			s := list[(start+i)%len(list)]
+			if !s.Usable() || avoid[s.ID] || (pass == 0 && !s.judge.open(now)) {
+				continue
+			}
+			if cost := f.plainCost(now, s); best == nil || cost < bestCost {
+				best, bestCost = s, cost
+			}
+		}
+	}
+	if best != nil {
+		best.judge.chosen(now)
+	}
+	return best
+}
+
+func (f *Fleet) plainCost(now time.Time, s *Server) float64 {
+	cost := 1 + s.Load(now)
+	if slots := float64(max(s.Slots, 1)); cost > slots {
+		cost += 2 * (cost - slots)
+	}
+	if s.Zone != f.zone {
+		cost += otherZone
+	}
+	return cost * (1 + 4*s.judge.failing(now))
+}
+
+// Choice is where a request for a model goes.
+type Choice struct {
+	Server *Server
+	Held   bool    // it is believed to hold the adapter at the version asked for
+	Copy   *Server // where a copy should be loaded meanwhile, or nil
+}
+
+// PickEngine chooses an engine for a model or adapter. Engines are taken in an
+// order that depends on the adapter alone, so that all instances agree on where
+// it lives, its reloads are fast and its prompts stay cached; an engine that is
+// loaded well over the mean is passed over, so that a hot adapter is copied
+// before its engine queues. loadable says whether an engine's owner can be
+// asked.
+func (f *Fleet) PickEngine(now time.Time, service string, target chestnutstream.ModelAdapter, version int, avoid map[string]bool, loadable func(*Server) bool) Choice {
+	order, mean := f.engines(now, service, target, avoid, false)
+	if len(order) == 0 {
+		order, mean = f.engines(now, service, target, avoid, true)
+	}
+	bound := mean*hotFactor + hotSlack
+	var cold, leastHeld, copyTo *Server
+	for _, s := range order {
+		held := f.Holds(now, s, target, version)
+		hot := s.Load(now) > bound || f.full(now, s)
+		switch {
+		case held && !hot:
+			return f.chose(now, Choice{Server: s, Held: true, Copy: copyTo})
+		case held && (leastHeld == nil || s.Load(now) < leastHeld.Load(now)):
+			leastHeld = s
+		case !held && !hot && loadable(s) && cold == nil:
+			cold = s
+			if leastHeld != nil {
+				copyTo = s // its first servers are hot: one more copy
+			}
+		}
+	}
+	switch {
+	case leastHeld != nil:
+		return f.chose(now, Choice{Server: leastHeld, Held: true, Copy: copyTo})
+	case cold != nil:
+		return f.chose(now, Choice{Server: cold})
+	}
+	for _, s := range order {
+		if loadable(s) {
+			return f.chose(now, Choice{Server: s})
+		}
+	}
+	return Choice{}
+}
+
+func (f *Fleet) chose(now time.Time, c Choice) Choice {
+	c.Server.judge.chosen(now)
+	return c
+}
+
+func (f *Fleet) full(now time.Time, s *Server) bool {
+	return s.Slots > 0 && s.Load(now) >= fullShare*float64(s.Slots)
+}
+
+// engines returns the engines that may take a request, in the adapter's order,
+// and the mean of their loads.
+func (f *Fleet) engines(now time.Time, service string, target chestnutstream.ModelAdapter, avoid map[string]bool, closed bool) ([]*Server, float64) {
+	type ranked struct {
+		s    *Server
+		rank uint64
+	}
+	h := hashOf(target)
+	list := make([]ranked, 0, len(f.services[service]))
+	total := 0.0
+	for _, s := range f.services[service] {
+		if !s.Usable() || avoid[s.ID] || (!closed && !s.judge.open(now)) {
+			continue
+		}
+		list = append(list, ranked{s, mix(h, s.hash)})
+		total += s.Load(now)
+	}
+	if len(list) == 0 {
+		return nil, 0
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].rank > list[j].rank })
+	out := make([]*Server, len(list))
+	for i, r := range list {
+		out[i] = r.s
+	}
+	return out, total / float64(len(list))
+}
+
+// Holds reports whether an engine is believed to hold an adapter at a version
+// (0: any).
+func (f *Fleet) Holds(now time.Time, s *Server, target chestnutstream.ModelAdapter, version int) bool {
+	h, ok := s.holds[target]
+	if !ok || (version > 0 && h.version != version) {
+		return false
+	}
+	return now.Sub(h.seen) < trustHolding
+}
+
+// Held notes that an engine holds an adapter at a version.
+func (f *Fleet) Held(now time.Time, id string, target chestnutstream.ModelAdapter, version int) {
+	if s := f.servers[id]; s != nil {
+		s.holds[target] = holding{version: version, seen: now}
+	}
+}
+
+// NotHeld notes that an engine no longer holds an adapter.
+func (f *Fleet) NotHeld(id string, target chestnutstream.ModelAdapter) {
+	if s := f.servers[id]; s != nil {
+		delete(s.holds, target)
+	}
+}
+
+// holdsListed takes what a server's first entry says that it holds.
+func (f *Fleet) holdsListed(now time.Time, s *Server) {
+	for _, m := range s.Models {
+		s.holds[chestnutstream.ModelAdapter{Model: m.Name}] = holding{version: m.Version, seen: now}
+		for _, a := range m.Adapters {
+			s.holds[chestnutstream.ModelAdapter{Model: m.Name, Adapter: a.Name}] = holding{version: a.Version, seen: now}
+		}
+	}
+}
--- /dev/null
+++ b/ingress/run.go
@@ -0,0 +1,212 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/platform"
+)
+
+// Figures of sending again.
+const (
+	sendsMost        = 5   // of one request, refused ones included
+	patienceAnswers  = 0.8 // of the latency target: after that a repeatable request is asked elsewhere
+	patienceStreams  = 2.0
+	patienceLeast    = 60 * time.Millisecond
+	pauseAfterRefuse = 25 * time.Millisecond
+	runMargin        = 15 * time.Millisecond // less than this before the deadline nothing new is sent
+)
+
+// run sends the request until it is answered, or cannot be any more.
+func (x *exchange) run() {
+	for {
+		p, err := x.place()
+		if err != nil {
+			x.giveUp(err)
+			return
+		}
+		done := x.attempt(p)
+		x.server.dispatcher.Done(p)
+		if done {
+			return
+		}
+	}
+}
+
+func (x *exchange) place() (Placed, error) {
+	if x.sends >= sendsMost {
+		return Placed{}, &NoPlaceError{Reason: fmt.Sprintf("not taken by %d servers: %s", x.sends, x.reason), RetryAfter: retrySoon}
+	}
+	p, err := x.server.dispatcher.Place(x.ctx, Placement{RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Avoid: x.avoid, Resumes: x.stream != nil})
+	if err != nil {
+		return Placed{}, fmt.Errorf("place: %w", err)
+	}
+	x.stall += p.Stall
+	if x.sends > 0 && !x.server.dispatcher.Again(x.service) {
+		x.server.dispatcher.Done(p)
+		return Placed{}, &NoPlaceError{Reason: "retry budget spent: " + x.reason, RetryAfter: retrySoon}
+	}
+	return p, nil
+}
+
+// attempt sends the request to one server. It returns true when the caller has
+// been answered.
+func (x *exchange) attempt(p Placed) bool {
+	began := x.server.cfg.Timer.Now()
+	x.sends++
+	x.servers = append(x.servers, p.Server.ID)
+	a, handed, err := x.send(p, x.lastEvent(), x.patience())
+	took := x.server.cfg.Timer.Now().Sub(began)
+	if err != nil {
+		return x.sendFailed(p, handed, took, err)
+	}
+	defer a.close()
+	return x.check(p, a, took)
+}
+
+// patience returns how long a server may be silent before a request that may
+// be repeated goes elsewhere.
+func (x *exchange) patience() time.Duration {
+	if !x.route.Repeatable() || len(x.servers) >= x.route.MaxServers || x.route.TargetLatency <= 0 {
+		return 0
+	}
+	share := patienceAnswers
+	if x.route.Kind == "streaming" {
+		share = patienceStreams
+	}
+	return max(time.Duration(share*float64(x.route.TargetLatency)), patienceLeast)
+}
+
+func (x *exchange) sendFailed(p Placed, handed bool, took time.Duration, err error) bool {
+	x.reason = err.Error()
+	r := Result{Took: took, Outcome: fleet.Failed}
+	switch {
+	case x.r.Context().Err() != nil:
+		x.status = statusClientGone
+		return true
+	case errors.Is(err, errSilent), errors.Is(err, context.DeadlineExceeded):
+		r.Outcome = fleet.Silent
+	case !handed:
+		r.Outcome = fleet.Unreachable
+	}
+	x.server.dispatcher.Answered(p, x.header.Target, r)
+	x.avoid[p.Server.ID] = true
+	if !handed {
+		return false
+	}
+	x.mayRun = true
+	if x.mayRepeat() {
+		return false
+	}
+	x.fail(err)
+	return true
+}
+
+// mayRepeat reports whether a request that may have run may be sent to one more
+// server.
+func (x *exchange) mayRepeat() bool {
+	if !x.route.Repeatable() || x.ctx.Err() != nil || x.left() < runMargin {
+		return false
+	}
+	return x.distinctServers() < x.route.MaxServers
+}
+
+func (x *exchange) distinctServers() int {
+	seen := map[string]bool{}
+	for _, s := range x.servers {
+		seen[s] = true
+	}
+	return len(seen)
+}
+
+// check looks at the beginning of an answer and relays it, if it is one.
+func (x *exchange) check(p Placed, a *sent, took time.Duration) bool {
+	h := a.resp.Header
+	r := Result{Took: took, Outcome: fleet.Answered}
+	if l, ok := platform.ReadServerLoad(h); ok {
+		r.Load = &l
+	}
+	status := a.resp.StatusCode
+	if platform.NotExecuted(status, h) {
+		r.Outcome = fleet.Refused
+		if status == http.StatusMisdirectedRequest {
+			id := h.Get(platform.HeaderServerID)
+			r.Foreign = id != "" && id != p.Server.ID
+			r.NotHeld = !r.Foreign
+		}
+		x.server.dispatcher.Answered(p, x.header.Target, r)
+		return x.refusedBy(p, a, r)
+	}
+	if id := h.Get(platform.HeaderRequestID); id != x.header.ID || h.Get(platform.HeaderSignature) == "" {
+		r.Outcome = fleet.Failed
+		x.server.dispatcher.Answered(p, x.header.Target, r)
+		x.mayRun, x.avoid[p.Server.ID] = true, true
+		x.reason = fmt.Sprintf("%s: answer %d is of request %q, signed %t", p.Server.ID, status, id, h.Get(platform.HeaderSignature) != "")
+		if x.mayRepeat() {
+			return false
+		}
+		x.answer(statusBroken, x.reason)
+		return true
+	}
+	x.mayRun = true
+	if status >= http.StatusInternalServerError {
+		r.Outcome = fleet.Failed
+	}
+	if x.stream != nil && status != http.StatusOK {
+		x.server.dispatcher.Answered(p, x.header.Target, r)
+		return x.streamBroke(p, fmt.Errorf("going on was answered %d", status))
+	}
+	x.server.dispatcher.Answered(p, x.header.Target, r)
+	return x.relay(p, a)
+}
+
+// refusedBy goes on after a server said that it did not run the request.
+func (x *exchange) refusedBy(p Placed, a *sent, r Result) bool {
+	x.reason = fmt.Sprintf("%s refused: %d", p.Server.ID, a.resp.StatusCode)
+	if !r.NotHeld {
+		x.avoid[p.Server.ID] = true
+	}
+	if x.ctx.Err() == nil && len(x.servers) > 1 {
+		select {
+		case <-x.ctx.Done():
+		case <-time.After(pauseAfterRefuse):
+		}
+	}
+	return false
+}
+
+// giveUp gives the final answer when no server can take the request.
+func (x *exchange) giveUp(err error) {
+	if x.r.Context().Err() != nil {
+		x.status, x.reason = statusClientGone, "the caller has gone"
+		return
+	}
+	if x.stream != nil {
+		x.status, x.reason = statusBroken, "stream broken off: "+err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	if x.mayRun {
+		x.fail(err)
+		return
+	}
+	after := retrySoon
+	var none *NoPlaceError
+	if errors.As(err, &none) {
+		after = none.RetryAfter
+	}
+	x.refuse(after, err.Error())
+}
+
+// fail answers a request that may have run and has no answer.
+func (x *exchange) fail(err error) {
+	if x.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+		x.answer(statusTimeout, err.Error())
+		return
+	}
+	x.answer(statusBroken, err.Error())
+}
--- /dev/null
+++ b/instance/codec.go
@@ -0,0 +1,127 @@
+package instance
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+type wireBundle struct {
+	Name       string    `cbor:"1,keyasint,omitempty"`
+	Address    string    `cbor:"2,keyasint,omitempty"`
+	Zone       string    `cbor:"3,keyasint,omitempty"`
+	Run        uint64    `cbor:"4,keyasint,omitempty"`
+	HasOwned   bool      `cbor:"5,keyasint,omitempty"`
+	Owned      []string  `cbor:"6,keyasint,omitempty"`
+	Leaving    bool      `cbor:"7,keyasint,omitempty"`
+	Wants      []wireAsk `cbor:"8,keyasint,omitempty"`
+	Got        []wireGot `cbor:"9,keyasint,omitempty"`
+	Used       []wireAsk `cbor:"10,keyasint,omitempty"`
+	AskConfig  bool      `cbor:"11,keyasint,omitempty"`
+	Config     []byte    `cbor:"12,keyasint,omitempty"`
+	ConfigRow  uint64    `cbor:"13,keyasint,omitempty"`
+	Servers    []wireRow `cbor:"14,keyasint,omitempty"`
+	Versions   []wireRow `cbor:"15,keyasint,omitempty"`
+	HaveConfig uint64    `cbor:"16,keyasint,omitempty"`
+}
+
+// wireAsk is a Want or a Use.
+type wireAsk struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Model   string
+	Adapter string
+	Version int
+	Count   int
+}
+
+type wireGot struct {
+	_            struct{} `cbor:",toarray"`
+	Server       string
+	Model        string
+	Adapter      string
+	Version      int
+	Held         bool
+	RetryAfterMS int64
+	Dropped      bool
+}
+
+type wireRow struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+	Row   uint64
+}
+
+// Encode returns the frame of a bundle.
+func Encode(b Bundle) ([]byte, error) {
+	w := wireBundle{
+		Name: b.From.Name, Address: b.From.Address, Zone: b.From.Zone, Run: b.Run,
+		HasOwned: b.HasOwned, Owned: b.Owned, Leaving: b.Leaving, AskConfig: b.AskConfig,
+		Config: b.Config, ConfigRow: b.ConfigRow, HaveConfig: b.HaveConfig,
+		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
+	}
+	for _, x := range b.Wants {
+		w.Wants = append(w.Wants, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Count: x.Waiting})
+	}
+	for _, x := range b.Got {
+		w.Got = append(w.Got, wireGot{
+			Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version,
+			Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped,
+		})
+	}
+	for _, x := range b.Used {
+		w.Used = append(w.Used, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Count: x.Count})
+	}
+	frame, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("encode bundle: %w", err)
+	}
+	return frame, nil
+}
+
+// Decode reads a frame.
+func Decode(frame []byte) (Bundle, error) {
+	var w wireBundle
+	if err := cbor.Unmarshal(frame, &w); err != nil {
+		return Bundle{}, fmt.Errorf("decode bundle: %w", err)
+	}
+	b := Bundle{
+		From: Member{Name: w.Name, Address: w.Address, Zone: w.Zone}, Run: w.Run,
+		HasOwned: w.HasOwned, Owned: w.Owned, Leaving: w.Leaving, AskConfig: w.AskConfig,
+		Config: w.Config, ConfigRow: w.ConfigRow, HaveConfig: w.HaveConfig,
+		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
+	}
+	for _, x := range w.Wants {
+		b.Wants = append(b.Wants, Want{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
+	}
+	for _, x := range w.Got {
+		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped})
+	}
+	for _, x := range w.Used {
+		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Count: x.Count})
+	}
+	return b, nil
+}
+
+func target(model, adapter string) chestnutstream.ModelAdapter {
+	return chestnutstream.ModelAdapter{Model: model, Adapter: adapter}
+}
+
+func encodeRows(rows []ServerRow) []wireRow {
+	var out []wireRow
+	for _, r := range rows {
+		out = append(out, wireRow{Key: r.Key, Value: r.Value, Row: r.Row})
+	}
+	return out
+}
+
+func decodeRows(rows []wireRow) []ServerRow {
+	var out []ServerRow
+	for _, r := range rows {
+		out = append(out, ServerRow{Key: r.Key, Value: r.Value, Row: r.Row})
+	}
+	return out
+}
--- /dev/null
+++ b/instance/doc.go
@@ -0,0 +1,85 @@
+// Package instance speaks to the other instances of the system on the users'
+// platform, over WebSocket and CBOR.
+//
+// Each instance dials each other one and sends on that connection only; what
+// the other has to say comes on the connection that the other dialled. A frame
+// is one Bundle: all that was to be said since the last frame. Nothing is
+// acknowledged and nothing is sent twice: what is lost with a connection is
+// asked again by whoever waits for it.
+//
+// # Usage
+//
+//	m := instance.NewMesh(settings, handler)
+//	router.Handle(instance.Path, m)
+//	m.Add(instance.Member{Name: "edge-a-1", Address: "10.1.0.38:8144"})
+//	m.Send("edge-a-1", func(b *instance.Bundle) { b.Wants = append(b.Wants, w) })
+//
+// A connection that brings nothing for some beats has gone silent and is
+// dialled anew.
+package instance
+
+import "github.com/chestnutstream/chestnutstream"
+
+// Path is the HTTP path of the protocol.
+const Path = "/instance"
+
+// Member is an instance as the others know it.
+type Member struct {
+	Name    string
+	Address string // of the protocol, "host:port"
+	Zone    string
+}
+
+// Bundle is what one frame carries.
+type Bundle struct {
+	From       Member // in the first frame of a connection
+	Run        uint64 // of the sender's process, in the first frame
+	HasOwned   bool
+	Owned      []string // servers to which the sender may give orders
+	Leaving    bool
+	Wants      []Want
+	Got        []Got
+	Used       []Use
+	AskConfig  bool // the sender has no configuration and cannot read one
+	Config     []byte
+	ConfigRow  uint64
+	Servers    []ServerRow
+	Versions   []ServerRow // declarations of adapter versions, as rows
+	HaveConfig uint64      // version of the row that the sender has in force
+}
+
+// Want asks the owner of a server to load an adapter there.
+type Want struct {
+	Server  string
+	Target  chestnutstream.ModelAdapter
+	Version int
+	Waiting int // requests
+}
+
+// Got answers a Want: the adapter is there, or cannot be there for a while.
+type Got struct {
+	Server       string
+	Target       chestnutstream.ModelAdapter
+	Version      int
+	Held         bool
+	RetryAfterMS int64 // when it is not held
+	Dropped      bool  // nobody asked: it has been unloaded
+}
+
+// Use tells the owner of a server which adapters the sender used there lately.
+type Use struct {
+	Server string
+	Target chestnutstream.ModelAdapter
+	Count  int
+}
+
+// ServerRow is a row of the platform's store, passed on as it was read.
+type ServerRow struct {
+	Key   string
+	Value []byte
+	Row   uint64
+}
+
+func (b *Bundle) empty() bool {
+	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,472 @@
+// Package lease decides which instance may give orders to which model engine.
+//
+// There is one lease row for each instance, which it renews, and one owner row
+// for each engine, which names an instance and refers to its lease. So renewals
+// grow with instances, not with engines.
+//
+// # Usage
+//
+//	b := lease.NewBook("edge-a-1", run, settings)
+//	for _, a := range b.Step(boot, servers) { ... } // Renew, Acquire
+//	b.Renewed(sent, version)
+//	token, until, ok := b.Fence(boot, "i-7f3a91c2")
+//
+// # Invariants
+//
+// All times are on the boot clock, which counts while the machine is suspended.
+// A lease holds for Duration from before its renewal was sent. Another instance
+// ends it only after it has itself seen the same version of the row for
+// Duration and for Turn beyond, and in a transaction that checks that version
+// and removes the row; so the next renewal fails. Turn covers the orders that
+// the old holder sent last.
+//
+// A fencing number is the version of the transaction that acquired the engine:
+// unique, and rising with each acquisition, also by the same instance.
+//
+// An instance that starts again is the same holder. It takes over what its
+// earlier process owned at once, under a higher number.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Table is the table of the platform's store that leases and owners stand in.
+const Table = "fleet"
+
+// Key prefixes of its rows.
+const (
+	instancePrefix = "instance/"
+	ownerPrefix    = "owner/"
+)
+
+// Settings are the times of leases.
+type Settings struct {
+	Duration time.Duration // from before a renewal is sent
+	Renewal  time.Duration // between renewals
+	Safety   time.Duration // taken off the holder's end, for clock rates that differ
+	Turn     time.Duration // between the last order of one holder and the first of the next
+	Settle   time.Duration // after the first read, before engines are acquired: others start at the same moment
+}
+
+// DefaultSettings returns times for engines that do not check fencing numbers,
+// where turn is how long two holders must not take turns. A lease outlasts most
+// outages of the store: while it is away nobody can take over.
+func DefaultSettings(turn time.Duration) Settings {
+	return Settings{
+		Duration: 10 * time.Second, Renewal: 2500 * time.Millisecond, Safety: 400 * time.Millisecond,
+		Turn: turn + 500*time.Millisecond, Settle: 1200 * time.Millisecond,
+	}
+}
+
+// Server is an engine that needs an owner.
+type Server struct {
+	ID   string
+	Zone string
+}
+
+// Holder is an instance's lease as this instance sees it.
+type Holder struct {
+	Name    string
+	Zone    string
+	Address string // of the instances' protocol
+	Run     uint64
+	version uint64
+	seen    time.Duration // when this version was first seen, on the boot clock
+}
+
+type owner struct {
+	name    string
+	run     uint64
+	version uint64 // of the row, which is also the fencing number
+}
+
+// Book is what an instance knows of all leases, and decides about its own.
+type Book struct {
+	cfg  Settings
+	self Holder
+
+	holders map[string]*Holder
+	owners  map[string]owner
+	read    bool          // the table was read once
+	readAt  time.Duration // when it was first read
+	fedAt   time.Duration // when it was last read
+
+	version   uint64        // of the own row; 0: not held by this process
+	validTo   time.Duration // end of the own lease, safety taken off
+	renewAt   time.Duration
+	renewing  bool
+	acquiring map[string]bool
+	retryAt   map[string]time.Duration
+	leaving   bool
+}
+
+// NewBook returns the book of an instance that holds nothing yet.
+func NewBook(self Holder, cfg Settings) *Book {
+	return &Book{cfg: cfg, self: self, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, retryAt: map[string]time.Duration{}}
+}
+
+// Action is what the book wants done.
+type Action struct {
+	Servers     []string // to acquire; none: renew the lease
+	Transaction chestnutstream.RowTransaction
+}
+
+type wireHolder struct {
+	Zone    string `json:"z"`
+	Address string `json:"a"`
+	Run     uint64 `json:"r"`
+}
+
+type wireOwner struct {
+	Name string `json:"n"`
+	Run  uint64 `json:"r"`
+}
+
+func instanceKey(name string) string { return instancePrefix + name }
+func ownerKey(server string) string  { return ownerPrefix + server }
+
+// Listed takes the whole table.
+func (b *Book) Listed(boot time.Duration, rows []chestnutstream.TableRow) error {
+	listed := map[string]bool{}
+	for _, r := range rows {
+		listed[r.Key] = true
+	}
+	for name := range b.holders {
+		if !listed[instanceKey(name)] {
+			delete(b.holders, name)
+		}
+	}
+	for server := range b.owners {
+		if !listed[ownerKey(server)] {
+			delete(b.owners, server)
+		}
+	}
+	if !b.read {
+		b.read, b.readAt = true, boot
+	}
+	return b.Fed(boot, rows)
+}
+
+// readGap is the time without a read of the table after which the others are
+// given their leases' whole duration anew: nobody could renew, or this instance
+// could not see it.
+const readGap = 5 * time.Second
+
+// Fed takes changes of the table. A row that cannot be read is left as it was;
+// the error names the first.
+func (b *Book) Fed(boot time.Duration, rows []chestnutstream.TableRow) error {
+	if boot-b.fedAt > readGap {
+		for _, h := range b.holders {
+			h.seen = boot
+		}
+	}
+	b.fedAt = boot
+	var first error
+	for _, r := range rows {
+		if err := b.row(boot, r); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (b *Book) row(boot time.Duration, r chestnutstream.TableRow) error {
+	switch {
+	case strings.HasPrefix(r.Key, instancePrefix):
+		return b.holderRow(boot, strings.TrimPrefix(r.Key, instancePrefix), r)
+	case strings.HasPrefix(r.Key, ownerPrefix):
+		return b.ownerRow(strings.TrimPrefix(r.Key, ownerPrefix), r)
+	}
+	return nil
+}
+
+func (b *Book) holderRow(boot time.Duration, name string, r chestnutstream.TableRow) error {
+	h := b.holders[name]
+	if h != nil && r.Version <= h.version {
+		return nil
+	}
+	if r.Removed {
+		delete(b.holders, name)
+		return nil
+	}
+	var w wireHolder
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return fmt.Errorf("decode lease of %s: %w", name, err)
+	}
+	b.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Run: w.Run, version: r.Version, seen: boot}
+	return nil
+}
+
+func (b *Book) ownerRow(server string, r chestnutstream.TableRow) error {
+	if r.Version <= b.owners[server].version {
+		return nil
+	}
+	if r.Removed {
+		delete(b.owners, server)
+		return nil
+	}
+	var w wireOwner
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return fmt.Errorf("decode owner of %s: %w", server, err)
+	}
+	b.owners[server] = owner{name: w.Name, run: w.Run, version: r.Version}
+	return nil
+}
+
+// Holders returns the other instances whose leases this instance has seen
+// renewed lately, in order of name.
+func (b *Book) Holders(boot time.Duration) []Holder {
+	var out []Holder
+	for _, h := range b.holders {
+		if h.Name != b.self.Name && b.alive(boot, h) {
+			out = append(out, *h)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Instances returns how many instances hold a lease, this one included.
+func (b *Book) Instances(boot time.Duration) int { return len(b.Holders(boot)) + 1 }
+
+func (b *Book) alive(boot time.Duration, h *Holder) bool { return boot-h.seen < b.cfg.Duration }
+
+// dead reports whether a holder's lease may be ended: the same version was seen
+// for the lease's whole duration, and its last orders have arrived.
+func (b *Book) dead(boot time.Duration, h *Holder) bool {
+	return boot-h.seen > b.cfg.Duration+b.cfg.Turn
+}
+
+// Owner returns the instance that owns a server, or "".
+func (b *Book) Owner(server string) string { return b.owners[server].name }
+
+// Owned returns the servers that this process owns while its lease holds.
+func (b *Book) Owned(boot time.Duration) []string {
+	if !b.Valid(boot) {
+		return nil
+	}
+	var out []string
+	for server, o := range b.owners {
+		if o.name == b.self.Name && o.run == b.self.Run {
+			out = append(out, server)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Valid reports whether the own lease holds.
+func (b *Book) Valid(boot time.Duration) bool { return b.version != 0 && boot < b.validTo }
+
+// Fence returns the fencing number for orders to a server and until when they
+// may be sent. ok is false when this process does not own it now.
+func (b *Book) Fence(boot time.Duration, server string) (number uint64, until time.Duration, ok bool) {
+	o := b.owners[server]
+	if o.name != b.self.Name || o.run != b.self.Run || !b.Valid(boot) {
+		return 0, 0, false
+	}
+	return o.version, b.validTo, true
+}
+
+// Leave stops acquisitions; what is owned stays until the process ends, since
+// the instance mostly starts again and goes on with it.
+func (b *Book) Leave() { b.leaving = true }
+
+// Step returns what is to be done now. At most one renewal and one acquisition
+// are under way.
+func (b *Book) Step(boot time.Duration, servers []Server) []Action {
+	if !b.read {
+		return nil
+	}
+	var actions []Action
+	if !b.renewing && boot >= b.renewAt {
+		b.renewing = true
+		actions = append(actions, Action{Transaction: b.renewal()})
+	}
+	if a, ok := b.acquisition(boot, servers); ok {
+		actions = append(actions, a)
+	}
+	return actions
+}
+
+// renewal writes the own lease row, on condition that it is as last seen: the
+// own one, or that of this instance's earlier process.
+func (b *Book) renewal() chestnutstream.RowTransaction {
+	value, _ := json.Marshal(wireHolder{Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run})
+	key := instanceKey(b.self.Name)
+	version := b.version
+	if h := b.holders[b.self.Name]; version == 0 && h != nil {
+		version = h.version
+	}
+	return chestnutstream.RowTransaction{
+		Checks: []chestnutstream.RowCheck{{Table: Table, Key: key, Version: version}},
+		Writes: []chestnutstream.TableRow{{Table: Table, Key: key, Value: value}},
+	}
+}
+
+// Renewed notes that the renewal which was sent at a moment took effect.
+func (b *Book) Renewed(boot, sent time.Duration, version uint64) {
+	b.renewing = false
+	b.renewAt = sent + b.cfg.Renewal
+	b.version = version
+	b.validTo = max(b.validTo, sent+b.cfg.Duration-b.cfg.Safety)
+	b.holders[b.self.Name] = &Holder{Name: b.self.Name, Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run, version: version, seen: boot}
+}
+
+// renewRetry is how long after a failed renewal the next one is sent.
+const renewRetry = 400 * time.Millisecond
+
+// RenewalFailed notes that a renewal did not take effect, or may not have.
+func (b *Book) RenewalFailed(boot time.Duration) {
+	b.renewing = false
+	b.renewAt = boot + renewRetry
+}
+
+// RenewalConflict notes that the own lease row was not as expected. The row that
+// stands there is either an own renewal whose answer was lost, or another
+// instance has ended the lease: then nothing is owned any more.
+func (b *Book) RenewalConflict(boot time.Duration, rows []chestnutstream.TableRow) (lost bool) {
+	b.renewing = false
+	b.renewAt = boot
+	for _, r := range rows {
+		if r.Key != instanceKey(b.self.Name) || r.Version == 0 {
+			continue
+		}
+		var w wireHolder
+		if err := json.Unmarshal(r.Value, &w); err == nil && w.Run == b.self.Run && b.version != 0 {
+			b.version = r.Version
+			return false
+		}
+		b.forgetOwn()
+		b.holders[b.self.Name] = &Holder{Name: b.self.Name, version: r.Version, seen: boot}
+		return true
+	}
+	lost = b.version != 0
+	b.forgetOwn()
+	delete(b.holders, b.self.Name)
+	return lost
+}
+
+// forgetOwn ends the own lease: another instance may own everything now. The
+// run changes, so that rows of before count as those of an earlier process.
+func (b *Book) forgetOwn() {
+	if b.version != 0 {
+		b.self.Run++
+	}
+	b.version, b.validTo = 0, 0
+}
+
+// acquisition picks the servers that this instance should own: those that its
+// earlier process owned, and those without a living owner for which it is the
+// one that all choose.
+func (b *Book) acquisition(boot time.Duration, servers []Server) (Action, bool) {
+	if !b.Valid(boot) || b.leaving || len(b.acquiring) > 0 {
+		return Action{}, false
+	}
+	var a Action
+	revoked := map[string]bool{}
+	for _, s := range servers {
+		if boot < b.retryAt[s.ID] || !b.wanted(boot, s) {
+			continue
+		}
+		o := b.owners[s.ID]
+		if old := b.holders[o.name]; old != nil && o.name != b.self.Name && !revoked[o.name] {
+			// The old holder's next renewal fails with this.
+			row := chestnutstream.TableRow{Table: Table, Key: instanceKey(o.name)}
+			a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: row.Key, Version: old.version})
+			a.Transaction.Removes = append(a.Transaction.Removes, row)
+			revoked[o.name] = true
+		}
+		value, _ := json.Marshal(wireOwner{Name: b.self.Name, Run: b.self.Run})
+		a.Servers = append(a.Servers, s.ID)
+		a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: ownerKey(s.ID), Version: o.version})
+		a.Transaction.Writes = append(a.Transaction.Writes, chestnutstream.TableRow{Table: Table, Key: ownerKey(s.ID), Value: value})
+	}
+	if len(a.Servers) == 0 {
+		return Action{}, false
+	}
+	// The own lease must still stand when the rows are written.
+	a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: instanceKey(b.self.Name), Version: b.version})
+	for _, s := range a.Servers {
+		b.acquiring[s] = true
+	}
+	return a, true
+}
+
+// wanted reports whether this instance should acquire a server now.
+func (b *Book) wanted(boot time.Duration, s Server) bool {
+	o, owned := b.owners[s.ID]
+	if o.name == b.self.Name {
+		return o.run != b.self.Run
+	}
+	if boot-b.readAt < b.cfg.Settle {
+		return false
+	}
+	if owned {
+		if h := b.holders[o.name]; h != nil && !b.dead(boot, h) {
+			return false
+		}
+		// A removed lease row means that the lease was ended by a takeover of
+		// another server of that holder, after the same wait.
+	}
+	return b.elected(boot, s) == b.self.Name
+}
+
+// elected returns the instance that all choose for a server: one of its own
+// availability zone if any is alive there.
+func (b *Book) elected(boot time.Duration, s Server) string {
+	best, bestRank, bestNear := "", uint64(0), false
+	consider := func(name, zone string) {
+		near := zone == s.Zone
+		rank := xxhash.Sum64String(name + "\x00" + s.ID)
+		if best == "" || (near && !bestNear) || (near == bestNear && rank > bestRank) {
+			best, bestRank, bestNear = name, rank, near
+		}
+	}
+	consider(b.self.Name, b.self.Zone)
+	for _, h := range b.holders {
+		if h.Name != b.self.Name && b.alive(boot, h) {
+			consider(h.Name, h.Zone)
+		}
+	}
+	return best
+}
+
+// Acquired notes that an acquisition took effect with a version.
+func (b *Book) Acquired(servers []string, version uint64) {
+	for _, s := range servers {
+		delete(b.acquiring, s)
+		b.owners[s] = owner{name: b.self.Name, run: b.self.Run, version: version}
+	}
+}
+
+// acquireRetry is how long after a failed acquisition the next one is tried.
+const acquireRetry = 500 * time.Millisecond
+
+// AcquisitionFailed notes that an acquisition did not take effect, or that this
+// is not known; the rows tell.
+func (b *Book) AcquisitionFailed(boot time.Duration, servers []string, rows []chestnutstream.TableRow) error {
+	for _, s := range servers {
+		delete(b.acquiring, s)
+		b.retryAt[s] = boot + acquireRetry
+	}
+	var first error
+	for _, r := range rows {
+		if err := b.row(boot, r); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// Forget drops what is kept of a server that has left.
+func (b *Book) Forget(server string) { delete(b.retryAt, server) }
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,628 @@
+// Package loader decides the orders to one model engine: which adapters are
+// loaded there, at which version, and what makes room.
+//
+// # Usage
+//
+//	e := loader.NewEngine(server, kind, boot)
+//	e.Want(boot, "edge-b-2", target, version, 1)
+//	for _, a := range e.Step(boot) { ... } // Report, Order, Tell
+//	e.Ordered(boot, order, chestnutstream.OrderUnderWay)
+//	e.Reported(boot, report)
+//
+// # Invariants
+//
+// One order is under way at a time, and each carries the number of orders that
+// the engine should have accepted. An order without an answer makes everything
+// doubtful: nothing is ordered until a report that is newer than its latest
+// effect has been read.
+//
+// A slot counts from its order until the engine has said that it is empty, so
+// there are never more adapters than slots, loading and doubtful ones included:
+// an engine that is ordered to load one more crashes.
+package loader
+
+import (
+	"sort"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Times and figures.
+const (
+	reportLag      = 450 * time.Millisecond // a report is some hundred milliseconds old
+	transitMost    = 4                      // adapters on their way to an engine at once: the platform's limit
+	loadGuessFirst = 240 * time.Millisecond // the platform's time for an adapter that the engine did not have
+	loadGuessAgain = 20 * time.Millisecond  // and for one that it had lately
+	askAgain       = 25 * time.Millisecond  // between looks at a load that takes longer than guessed
+	askMost        = 200 * time.Millisecond // longest such pause
+	loadLost       = 6 * time.Second        // a load that takes so long is looked up in a report
+	modelLook      = 250 * time.Millisecond // between reports while a model is on its way
+	modelPause     = 2500 * time.Millisecond
+	unloadLook     = 300 * time.Millisecond // between reports while an unload waits for its runs
+	scoreHalf      = 8 * time.Second        // half-life of an adapter's use count
+	busyFor        = 700 * time.Millisecond // after its last use a slot counts as in use
+	tellDrop       = 25 * time.Second       // instances that used an adapter so lately are told that it is gone
+	pastMost       = 100                    // adapters that an engine keeps nearby after they were unloaded
+	refuseAfter    = 150 * time.Millisecond // a want without a free slot is answered after this
+	waitLook       = 50 * time.Millisecond  // between looks for room
+	refuseFor      = 300 * time.Millisecond // and should not come back before this
+	failPause      = 300 * time.Millisecond // after a failed call to the engine; doubles
+	failPauseMost  = 2 * time.Second
+)
+
+type slotState string
+
+const (
+	slotLoading   slotState = "loading"
+	slotHeld      slotState = "held"
+	slotUnloading slotState = "unloading"
+)
+
+// slot is one adapter on an engine, or on its way to or from it.
+type slot struct {
+	state    slotState
+	version  int // that is held, or on its way
+	askAt    time.Duration
+	askPause time.Duration
+	since    time.Duration
+	lastUsed time.Duration
+	score    float64
+	scoredAt time.Duration
+	users    map[string]time.Duration
+}
+
+// want is an adapter that instances wait for.
+type want struct {
+	version int
+	askers  map[string]bool
+	waiting int
+	since   time.Duration
+}
+
+// Engine is the loader of one engine.
+type Engine struct {
+	Server chestnutstream.Backend
+	kind   chestnutstream.EngineKind
+
+	synced   bool
+	lookAt   time.Duration // earliest next report
+	count    int           // orders that the engine accepted
+	calling  bool
+	failures int
+
+	models    map[string]int // held models and their versions
+	modelWant string         // on its way
+	modelAt   time.Duration
+	slots     map[chestnutstream.ModelAdapter]*slot
+	wants     map[chestnutstream.ModelAdapter]*want
+	past      map[chestnutstream.ModelAdapter]time.Duration
+
+	Running, Queued int // as of the newest report
+}
+
+// NewEngine returns the loader of an engine of which nothing is known. Its
+// state is read before the first order; notBefore is the earliest moment at
+// which the orders of an earlier holder have all arrived.
+func NewEngine(server chestnutstream.Backend, kind chestnutstream.EngineKind, notBefore time.Duration) *Engine {
+	return &Engine{
+		Server: server, kind: kind, lookAt: notBefore,
+		models: map[string]int{}, slots: map[chestnutstream.ModelAdapter]*slot{},
+		wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
+	}
+}
+
+// ActionKind is what an action asks for.
+type ActionKind string
+
+// The kinds of actions.
+const (
+	ReadReport ActionKind = "read-report"
+	GiveOrder  ActionKind = "give-order"
+	TellHeld   ActionKind = "tell-held"
+	TellRetry  ActionKind = "tell-retry"
+	TellGone   ActionKind = "tell-gone"
+)
+
+// Action is what the loader wants done. Orders lack holder, fencing number and
+// end of validity, which the owner's lease adds.
+type Action struct {
+	Kind       ActionKind
+	Order      chestnutstream.BackendOrder
+	To         []string // instances that are told
+	Target     chestnutstream.ModelAdapter
+	Version    int
+	RetryAfter time.Duration
+	Why        string
+}
+
+// Want notes that an instance waits for an adapter.
+func (e *Engine) Want(boot time.Duration, from string, target chestnutstream.ModelAdapter, version, waiting int) {
+	w := e.wants[target]
+	if w == nil {
+		w = &want{askers: map[string]bool{}, since: boot}
+		e.wants[target] = w
+	}
+	w.version = max(w.version, version)
+	w.askers[from] = true
+	w.waiting += max(waiting, 1)
+}
+
+// Used notes that an instance has sent requests for an adapter to the engine.
+func (e *Engine) Used(boot time.Duration, from string, target chestnutstream.ModelAdapter, count int) {
+	s := e.slots[target]
+	if s == nil {
+		return
+	}
+	s.touch(boot, float64(count))
+	s.users[from] = boot
+}
+
+func (s *slot) touch(boot time.Duration, count float64) {
+	s.score = s.scoreAt(boot) + count
+	s.scoredAt, s.lastUsed = boot, boot
+}
+
+func (s *slot) scoreAt(boot time.Duration) float64 {
+	return s.score / (1 + float64(boot-s.scoredAt)/float64(scoreHalf))
+}
+
+// Holds reports whether the engine holds an adapter at a version.
+func (e *Engine) Holds(target chestnutstream.ModelAdapter, version int) bool {
+	if target.Adapter == "" {
+		_, ok := e.models[target.Model]
+		return ok
+	}
+	s := e.slots[target]
+	return s != nil && s.state == slotHeld && s.version >= version
+}
+
+// Slots returns how many slots are taken and how many there are.
+func (e *Engine) Slots() (taken, all int) { return len(e.slots), e.kind.AdapterSlots }
+
+// Step returns what is to be done now.
+func (e *Engine) Step(boot time.Duration) []Action {
+	actions := e.tellHeld()
+	if e.calling {
+		return append(actions, e.tellRetry(boot)...)
+	}
+	if a, ok := e.next(boot); ok {
+		e.calling = true
+		actions = append(actions, a)
+	}
+	return append(actions, e.tellRetry(boot)...)
+}
+
+// tellHeld answers the wants that are met.
+func (e *Engine) tellHeld() []Action {
+	var actions []Action
+	for target, w := range e.wants {
+		if e.Holds(target, w.version) {
+			version := w.version
+			if s := e.slots[target]; s != nil {
+				version = s.version
+				s.touch(s.lastUsed, float64(w.waiting))
+			}
+			actions = append(actions, Action{Kind: TellHeld, To: names(w.askers), Target: target, Version: version})
+			delete(e.wants, target)
+		}
+	}
+	return actions
+}
+
+// tellRetry answers the wants for which there is no room.
+func (e *Engine) tellRetry(boot time.Duration) []Action {
+	var actions []Action
+	for target, w := range e.wants {
+		if e.slots[target] != nil || boot-w.since < refuseAfter {
+			continue
+		}
+		if e.synced && e.modelWant == "" && e.hasModel(target.Model) && e.room(boot) {
+			continue // its turn comes
+		}
+		why := "all slots in use"
+		switch {
+		case !e.synced:
+			why = "state of the engine not known"
+		case !e.hasModel(target.Model):
+			why = "base model not loaded"
+		}
+		actions = append(actions, Action{Kind: TellRetry, To: names(w.askers), Target: target, Version: w.version, RetryAfter: refuseFor, Why: why})
+		delete(e.wants, target)
+	}
+	return actions
+}
+
+func (e *Engine) hasModel(model string) bool {
+	_, ok := e.models[model]
+	return ok
+}
+
+// room reports whether a slot is free or can be made free.
+func (e *Engine) room(boot time.Duration) bool {
+	if len(e.slots) < e.kind.AdapterSlots {
+		return true
+	}
+	_, ok := e.victim(boot)
+	return ok
+}
+
+// next picks the next call to the engine.
+func (e *Engine) next(boot time.Duration) (Action, bool) {
+	if !e.synced {
+		if boot < e.lookAt {
+			return Action{}, false
+		}
+		return Action{Kind: ReadReport, Why: "state not known"}, true
+	}
+	if a, ok := e.nextModel(boot); ok {
+		return a, true
+	}
+	if e.modelWant != "" {
+		return Action{}, false
+	}
+	if a, ok := e.nextLook(boot); ok {
+		return a, true
+	}
+	return e.nextLoad(boot)
+}
+
+// nextModel loads a base model onto an engine that holds none.
+func (e *Engine) nextModel(boot time.Duration) (Action, bool) {
+	if e.modelWant != "" {
+		if boot < e.lookAt {
+			return Action{}, false
+		}
+		return Action{Kind: ReadReport, Why: "model on its way"}, true
+	}
+	if len(e.models) > 0 || boot < e.modelAt {
+		return Action{}, false
+	}
+	model := e.chooseModel()
+	if model == "" {
+		return Action{}, false
+	}
+	return Action{Kind: GiveOrder, Why: "engine holds no model", Order: chestnutstream.BackendOrder{
+		Kind: chestnutstream.OrderLoad, Target: chestnutstream.ModelAdapter{Model: model}, OrderCount: e.count,
+	}}, true
+}
+
+// chooseModel returns the model that requests wait for, else the first that
+// fits.
+func (e *Engine) chooseModel() string {
+	best, waiting := "", -1
+	for _, m := range e.kind.Models {
+		if m.WeightsMB > e.kind.WeightsMB {
+			continue
+		}
+		n := 0
+		for target, w := range e.wants {
+			if target.Model == m.Name {
+				n += w.waiting
+			}
+		}
+		if n > waiting {
+			best, waiting = m.Name, n
+		}
+	}
+	return best
+}
+
+// nextLook looks at a load or unload that should be complete.
+func (e *Engine) nextLook(boot time.Duration) (Action, bool) {
+	var due chestnutstream.ModelAdapter
+	var found *slot
+	for target, s := range e.slots {
+		if s.state != slotHeld && boot >= s.askAt && (found == nil || s.askAt < found.askAt) {
+			due, found = target, s
+		}
+	}
+	if found == nil {
+		return Action{}, false
+	}
+	if found.state == slotUnloading || boot-found.since > loadLost {
+		if boot < e.lookAt {
+			return Action{}, false
+		}
+		return Action{Kind: ReadReport, Why: string(found.state) + " takes long"}, true
+	}
+	return Action{Kind: GiveOrder, Why: "is it loaded", Order: e.loadOrder(due, found.version)}, true
+}
+
+func (e *Engine) loadOrder(target chestnutstream.ModelAdapter, version int) chestnutstream.BackendOrder {
+	return chestnutstream.BackendOrder{Kind: chestnutstream.OrderLoad, Target: target, Version: version, OrderCount: e.count}
+}
+
+// nextLoad gives the next load order, or makes room for it.
+func (e *Engine) nextLoad(boot time.Duration) (Action, bool) {
+	target, w := e.first()
+	if w == nil || e.inTransit() >= transitMost {
+		return Action{}, false
+	}
+	if s := e.slots[target]; s != nil || len(e.slots) < e.kind.AdapterSlots {
+		why := "wanted"
+		if s != nil {
+			why = "newer version wanted"
+		}
+		return Action{Kind: GiveOrder, Why: why, Order: e.loadOrder(target, w.version)}, true
+	}
+	victim, ok := e.victim(boot)
+	if !ok {
+		return Action{}, false
+	}
+	return Action{Kind: GiveOrder, Why: "room for " + target.String(), Order: chestnutstream.BackendOrder{
+		Kind: chestnutstream.OrderUnload, Target: victim, OrderCount: e.count,
+	}}, true
+}
+
+// first returns the want that is served next: more waiting requests first, then
+// the older.
+func (e *Engine) first() (chestnutstream.ModelAdapter, *want) {
+	var best chestnutstream.ModelAdapter
+	var found *want
+	for target, w := range e.wants {
+		if s := e.slots[target]; s != nil && s.state != slotHeld {
+			continue
+		}
+		if !e.hasModel(target.Model) {
+			continue
+		}
+		if found == nil || w.waiting > found.waiting || (w.waiting == found.waiting && w.since < found.since) {
+			best, found = target, w
+		}
+	}
+	return best, found
+}
+
+func (e *Engine) inTransit() int {
+	n := 0
+	for _, s := range e.slots {
+		if s.state == slotLoading {
+			n++
+		}
+	}
+	return n
+}
+
+// victim returns the slot that makes room: the least used that is not in use
+// and that nobody waits for.
+func (e *Engine) victim(boot time.Duration) (chestnutstream.ModelAdapter, bool) {
+	var best chestnutstream.ModelAdapter
+	found, least := false, 0.0
+	for target, s := range e.slots {
+		if s.state != slotHeld || boot-s.lastUsed < busyFor || e.wants[target] != nil {
+			continue
+		}
+		if score := s.scoreAt(boot); !found || score < least || (score == least && target.Adapter < best.Adapter) {
+			best, least, found = target, score, true
+		}
+	}
+	return best, found
+}
+
+// Reported takes a report.
+func (e *Engine) Reported(boot time.Duration, r chestnutstream.BackendReport) []Action {
+	e.calling, e.failures = false, 0
+	e.lookAt = boot + unloadLook
+	e.Running, e.Queued = r.Running, r.Queued
+	if e.synced && r.OrderCount < e.count {
+		return nil // older than the newest order
+	}
+	e.count, e.synced = r.OrderCount, true
+	gone := e.adopt(boot, r)
+	if e.modelWant != "" {
+		if _, ok := e.models[e.modelWant]; ok {
+			e.modelWant = ""
+		} else if !r.Busy && boot > e.modelAt {
+			e.modelWant = "" // it failed: ordered again
+		}
+		e.lookAt = boot + modelLook
+	}
+	return gone
+}
+
+// adopt takes what a report says that the engine holds.
+func (e *Engine) adopt(boot time.Duration, r chestnutstream.BackendReport) []Action {
+	e.models = map[string]int{}
+	said := map[chestnutstream.ModelAdapter]bool{}
+	for _, m := range r.Models {
+		e.models[m.Name] = m.Version
+		for _, a := range m.Adapters {
+			t := chestnutstream.ModelAdapter{Model: m.Name, Adapter: a.Name}
+			said[t] = true
+			s := e.slot(boot, t)
+			if s.state == slotLoading && s.version > a.Version {
+				continue // its newer version is on its way
+			}
+			if s.state != slotUnloading {
+				s.state, s.version = slotHeld, a.Version
+			}
+		}
+	}
+	for _, p := range r.Pending {
+		said[p.ModelAdapter] = true
+		s := e.slot(boot, p.ModelAdapter)
+		if s.state != slotLoading {
+			s.state, s.version, s.since, s.askAt, s.askPause = slotLoading, p.Version, boot, boot+askAgain, askAgain
+		}
+	}
+	var actions []Action
+	for target, s := range e.slots {
+		if !said[target] {
+			actions = append(actions, e.dropped(boot, target, s)...)
+		}
+	}
+	return actions
+}
+
+// slot returns the slot of an adapter, a held one of no use if there is none.
+func (e *Engine) slot(boot time.Duration, t chestnutstream.ModelAdapter) *slot {
+	s := e.slots[t]
+	if s == nil {
+		s = &slot{state: slotHeld, since: boot, lastUsed: boot, users: map[string]time.Duration{}, askPause: askAgain}
+		e.slots[t] = s
+	}
+	return s
+}
+
+// dropped frees a slot and tells the instances that used it.
+func (e *Engine) dropped(boot time.Duration, target chestnutstream.ModelAdapter, s *slot) []Action {
+	delete(e.slots, target)
+	e.remember(boot, target)
+	var to []string
+	for name, at := range s.users {
+		if boot-at < tellDrop {
+			to = append(to, name)
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	sort.Strings(to)
+	return []Action{{Kind: TellGone, To: to, Target: target, Version: s.version}}
+}
+
+// remember keeps which adapters the engine had lately: they load fast.
+func (e *Engine) remember(boot time.Duration, target chestnutstream.ModelAdapter) {
+	e.past[target] = boot
+	if len(e.past) <= pastMost {
+		return
+	}
+	oldest, at := target, boot
+	for t, when := range e.past {
+		if when < at {
+			oldest, at = t, when
+		}
+	}
+	delete(e.past, oldest)
+}
+
+// ReportFailed notes that a report could not be read.
+func (e *Engine) ReportFailed(boot time.Duration) {
+	e.calling = false
+	e.lookAt = boot + e.pause()
+}
+
+func (e *Engine) pause() time.Duration {
+	e.failures++
+	return min(failPause<<min(e.failures-1, 4), failPauseMost)
+}
+
+// Ordered takes the answer to an order.
+func (e *Engine) Ordered(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) []Action {
+	e.calling = false
+	switch a {
+	case chestnutstream.OrderUnderWay, chestnutstream.OrderHolds:
+		e.failures = 0
+	case chestnutstream.OrderConflict:
+		if s := e.slots[o.Target]; s != nil && s.state == slotLoading && o.Kind == chestnutstream.OrderLoad {
+			e.lookLater(boot, s)
+			return nil
+		}
+		e.doubt(boot + reportLag)
+		return nil
+	default:
+		e.doubt(boot + max(reportLag, e.pause()))
+		return nil
+	}
+	if o.Target.Adapter == "" {
+		e.orderedModel(boot, o, a)
+		return nil
+	}
+	if o.Kind == chestnutstream.OrderUnload {
+		return e.orderedUnload(boot, o, a)
+	}
+	e.orderedLoad(boot, o, a)
+	return nil
+}
+
+// doubt makes the state of the engine unknown until it is read.
+func (e *Engine) doubt(lookAt time.Duration) {
+	e.synced, e.lookAt = false, lookAt
+}
+
+func (e *Engine) lookLater(boot time.Duration, s *slot) {
+	s.askAt = boot + s.askPause
+	s.askPause = min(2*s.askPause, askMost)
+}
+
+func (e *Engine) orderedModel(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) {
+	if a == chestnutstream.OrderHolds {
+		e.doubt(boot + reportLag)
+		return
+	}
+	e.count++
+	e.modelWant = o.Target.Model
+	e.modelAt = boot + modelPause
+	e.lookAt = boot + modelLook
+}
+
+func (e *Engine) orderedUnload(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) []Action {
+	e.count++
+	s := e.slots[o.Target]
+	if s == nil {
+		return nil
+	}
+	if a == chestnutstream.OrderHolds {
+		return e.dropped(boot, o.Target, s)
+	}
+	s.state, s.since, s.askAt = slotUnloading, boot, boot+unloadLook
+	return nil
+}
+
+func (e *Engine) orderedLoad(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) {
+	s := e.slot(boot, o.Target)
+	if a == chestnutstream.OrderHolds {
+		s.state, s.version = slotHeld, o.Version
+		s.lastUsed = boot
+		return
+	}
+	if s.state == slotLoading {
+		e.lookLater(boot, s)
+		return
+	}
+	e.count++
+	guess := loadGuessFirst
+	if _, ok := e.past[o.Target]; ok {
+		guess = loadGuessAgain
+	}
+	s.state, s.version, s.since, s.askAt, s.askPause = slotLoading, o.Version, boot, boot+guess, askAgain
+}
+
+// NextAt returns when Step may have something to do by itself; ok is false when
+// only an event can bring it.
+func (e *Engine) NextAt(boot time.Duration) (at time.Duration, ok bool) {
+	earliest := func(t time.Duration) {
+		if !ok || t < at {
+			at, ok = t, true
+		}
+	}
+	if !e.synced || e.modelWant != "" {
+		earliest(e.lookAt)
+	}
+	for _, s := range e.slots {
+		switch s.state {
+		case slotLoading:
+			earliest(s.askAt)
+		case slotUnloading:
+			earliest(max(s.askAt, e.lookAt))
+		}
+	}
+	for _, w := range e.wants {
+		// Past that, a want waits for a slot that falls idle.
+		earliest(max(w.since+refuseAfter, boot+waitLook))
+	}
+	if e.synced && len(e.models) == 0 && e.modelWant == "" {
+		earliest(e.modelAt)
+	}
+	return at, ok
+}
+
+func names(set map[string]bool) []string {
+	out := make([]string, 0, len(set))
+	for name := range set {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -9,10 +9,13 @@
 package timer
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
@@ -147,3 +150,15 @@
 	}
 	return s, m.now
 }
+
+// Boot returns the time since the machine was started, with the time during
+// which it was suspended; Go's monotonic reading leaves that out. Leases are
+// checked on it.
+func Boot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The clock exists since Linux 2.6.39; without it no lease can be held.
+		panic(fmt.Sprintf("read boot clock: %v", err))
+	}
+	return time.Duration(t.Nano())
+}
