Server list: only what lapsed during an outage of the store may come back

Cause: after the store's return every missing entry was kept for 2.2 s, for 4 s after the last failed read. Ruled out: the pause between reads (0.6 s); the entry had been read 0.3 s after. Now an entry counts as lapsed only in the first second after the return, and until 2.2 s after the return.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		failures = 0
-		n.storeAnswered()
+		n.storeAnswered(f.table)
 		if known {
 			f.fed(rows)
 		} else {
@@ -122,10 +122,12 @@
 func (n *Node) storeFailed(table string, err error) {
 	n.mu.Lock()
 	now := n.now()
-	n.fleet.StoreFailed(now)
-	first := !n.store1.down
+	if table == platform.TableServers {
+		n.fleet.StoreFailed()
+	}
+	first := !n.storeState.down
 	if first {
-		n.store1 = dependency{down: true, since: now}
+		n.storeState = dependency{down: true, since: now}
 	}
 	n.mu.Unlock()
 	if first && !errors.Is(err, context.Canceled) {
@@ -134,12 +136,12 @@
 }
 
 // storeAnswered notes that the store answered a read.
-func (n *Node) storeAnswered() {
+func (n *Node) storeAnswered(table string) {
 	n.mu.Lock()
-	was := n.store1
-	n.store1 = dependency{}
-	if was.down {
-		n.fleet.StoreFailed(n.now()) // entries that lapsed meanwhile may come back yet
+	was := n.storeState
+	n.storeState = dependency{}
+	if table == platform.TableServers {
+		n.fleet.StoreAnswered(n.now())
 	}
 	n.mu.Unlock()
 	if was.down {
--- a/edge/node.go
+++ b/edge/node.go
@@ -48,17 +48,17 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
-	mu      sync.Mutex
-	rows    rows
-	fleet   *fleet.Fleet
-	book    *lease.Book
-	loaders map[string]*loader.Engine
-	peers   map[string]*peer
-	waits   map[holdKey]*wait
-	used    map[holdKey]int // adapters used at engines of other owners since they were last told
-	usedAt  time.Time
-	budgets map[string]*fleet.Budget
-	store1  dependency
+	mu         sync.Mutex
+	rows       rows
+	fleet      *fleet.Fleet
+	book       *lease.Book
+	loaders    map[string]*loader.Engine
+	peers      map[string]*peer
+	waits      map[holdKey]*wait
+	used       map[holdKey]int // adapters used at engines of other owners since they were last told
+	usedAt     time.Time
+	budgets    map[string]*fleet.Budget
+	storeState dependency
 }
 
 // holdKey names an adapter on a server.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -11,9 +11,10 @@
 	// comeBack is how long an entry that lapsed while the store was away may
 	// take to come back: the platform says about two seconds.
 	comeBack = 2200 * time.Millisecond
-	// storeShadow is how long after a failed read of the store a missing entry
-	// may have lapsed for want of the store, and not because the server left.
-	storeShadow = 4 * time.Second
+	// lapseShadow is how long after the store's return a missing entry may have
+	// lapsed for want of the store, and not because the server left: the first
+	// read after it shows what lapsed meanwhile.
+	lapseShadow = time.Second
 )
 
 // Entry is a row of the platform's list of servers, decoded.
@@ -33,8 +34,16 @@
 	Err    error
 }
 
-// StoreFailed notes that the store did not answer a read.
-func (f *Fleet) StoreFailed(now time.Time) { f.storeBad = now }
+// StoreFailed notes that the store did not answer a read of the list.
+func (f *Fleet) StoreFailed() { f.storeAway = true }
+
+// StoreAnswered notes that the store answered a read of the list. It comes
+// before what was read.
+func (f *Fleet) StoreAnswered(now time.Time) {
+	if f.storeAway {
+		f.storeAway, f.storeBack = false, now
+	}
+}
 
 // Listed takes the whole list of servers. What is not on it has left.
 func (f *Fleet) Listed(now time.Time, entries []Entry) []Change {
@@ -117,15 +126,16 @@
 	return changes
 }
 
-// lost takes the absence of a server's entry. While the store was failing lately
-// the entry may have lapsed though the server lives; it is kept for comeBack.
+// lost takes the absence of a server's entry. Just after the store's return the
+// entry may have lapsed though the server lives; it may come back until comeBack
+// after the return.
 func (f *Fleet) lost(now time.Time, s *Server, row uint64) []Change {
 	s.Row = max(s.Row, row)
-	if s.State == chestnutstream.BackendReady && !f.storeBad.IsZero() && now.Sub(f.storeBad) < storeShadow {
+	if s.State == chestnutstream.BackendReady && !f.storeBack.IsZero() && now.Sub(f.storeBack) < lapseShadow {
 		if !s.Missing.IsZero() {
 			return nil
 		}
-		s.Missing = now
+		s.Missing = f.storeBack
 		return []Change{{Server: s.ID, What: "missing", Row: row}}
 	}
 	delete(f.servers, s.ID)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,7 +14,7 @@
 type Server struct {
 	chestnutstream.Backend
 	Row      uint64    // version of its entry
-	Missing  time.Time // since when its entry is gone though it may come back; zero: it is there
+	Missing  time.Time // the store's return before which its entry lapsed, though it may come back; zero: it is there
 	Misplace bool      // another server answered at its address
 
 	InFlight int // requests of this instance
@@ -70,16 +70,17 @@
 	rand     *rand.Rand
 	servers  map[string]*Server
 	services map[string][]*Server // in order of ID
-	storeBad time.Time            // when the store last failed this instance
 	versions map[chestnutstream.ModelAdapter]int
-	zoneDark map[string]time.Time
+
+	storeAway bool      // the newest read of the list failed
+	storeBack time.Time // when a read succeeded after failures
 }
 
 // New returns an empty fleet as seen from an availability zone.
 func New(zone string, r *rand.Rand) *Fleet {
 	return &Fleet{
 		zone: zone, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
-		versions: map[chestnutstream.ModelAdapter]int{}, zoneDark: map[string]time.Time{},
+		versions: map[chestnutstream.ModelAdapter]int{},
 	}
 }
 
