Adapter loads: owners know what is in use, and wants wait at them

An unload of an adapter in use makes the engine refuse every other order until its runs end, and the loader took that for lost track and read the state anew (0.45 s). A want that its owner did not meet at once went on to the next engine, so one adapter was fetched up to five times, and the store, with 36 loads at once, slowed all. Ruled out: places (162) being too few: the busiest 162 adapters take 83% of requests, and what is lately unloaded comes back in 25 ms.

Instances now tell owners which adapters they use at the moment; engines that wait for runs are asked again every 30 ms; an order without an answer is sent again under the same number of orders; loads from the store are limited by how long they take; a want is acknowledged and waits at its owner for up to 3 s.

--- a/edge/control.go
+++ b/edge/control.go
@@ -17,8 +17,8 @@
 const (
 	controlLeast  = 2 * time.Millisecond   // between two looks
 	controlMost   = 250 * time.Millisecond // leases and lapsed entries are looked at so often
-	orderTimeout  = time.Second            // an engine answers within milliseconds
-	usedPause     = 400 * time.Millisecond // between words to owners about the use of their adapters
+	orderTimeout  = 300 * time.Millisecond // an engine answers within milliseconds
+	usedPause     = 60 * time.Millisecond  // between words to owners about the use of their adapters
 	reportTimeout = 700 * time.Millisecond
 )
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -55,8 +55,9 @@
 	loaders    map[string]*loader.Engine
 	peers      map[string]*peer
 	waits      map[holdKey]*wait
-	used       map[holdKey]int // adapters used at engines of other owners since they were last told
-	usedAt     time.Time
+	uses       map[holdKey]*adapterUse
+	changed    map[holdKey]bool // uses that their owners have not been told
+	toldAt     time.Time
 	budgets    map[string]*fleet.Budget
 	storeState dependency
 }
@@ -67,6 +68,12 @@
 	target chestnutstream.ModelAdapter
 }
 
+// adapterUse is this instance's use of an adapter on an engine.
+type adapterUse struct {
+	begun      int // requests since its owner was last told
+	inProgress int
+}
+
 // peer is another instance as its own word has it.
 type peer struct {
 	run   uint64
@@ -99,7 +106,7 @@
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
 		fleet:   fleet.New(cfg.Zone, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		used: map[holdKey]int{}, budgets: map[string]*fleet.Budget{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, budgets: map[string]*fleet.Budget{},
 	}
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	n.book = lease.NewBook(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Run: run}, lease.DefaultSettings(cfg.OrderTurn))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -18,6 +18,7 @@
 	for id := range n.loaders {
 		b.Owned = append(b.Owned, id)
 	}
+	b.Used = n.allUses(to.Name)
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
 }
@@ -54,7 +55,7 @@
 	}
 	for _, u := range b.Used {
 		if e := n.loaders[u.Server]; e != nil {
-			e.Used(boot, from.Name, u.Target, u.Count)
+			e.Used(boot, from.Name, u.Target, u.Begun, u.InProgress)
 		}
 	}
 	for _, g := range b.Got {
@@ -116,6 +117,8 @@
 func (n *Node) wanted(boot time.Duration, from string, w instance.Want) {
 	if e := n.loaders[w.Server]; e != nil {
 		e.Want(boot, from, w.Target, w.Version, w.Waiting)
+		g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, Pending: true}
+		n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 		return
 	}
 	g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, RetryAfterMS: notOwnerPause.Milliseconds()}
@@ -129,6 +132,10 @@
 // got takes an owner's word about an adapter. Callers hold mu.
 func (n *Node) got(g instance.Got) {
 	switch {
+	case g.Pending:
+		if w := n.waits[holdKey{g.Server, g.Target}]; w != nil {
+			w.pending = true
+		}
 	case g.Held:
 		n.fleet.Held(n.now(), g.Server, g.Target, g.Version)
 		n.endWait(holdKey{g.Server, g.Target}, waitResult{held: true})
@@ -158,26 +165,43 @@
 	return ""
 }
 
-// tellUsed tells owners which adapters were used at their engines. Callers hold
-// mu.
+// tellUsed tells owners how the use of adapters at their engines has changed.
+// Callers hold mu.
 func (n *Node) tellUsed(now time.Time) {
-	if len(n.used) == 0 || now.Sub(n.usedAt) < usedPause {
+	if len(n.changed) == 0 || now.Sub(n.toldAt) < usedPause {
 		return
 	}
-	n.usedAt = now
+	n.toldAt = now
 	boot := n.boot()
 	byOwner := map[string][]instance.Use{}
-	for k, count := range n.used {
+	for k := range n.changed {
+		u := n.uses[k]
+		begun, inProgress := u.begun, u.inProgress
+		u.begun = 0
+		if inProgress == 0 {
+			delete(n.uses, k)
+		}
 		if e := n.loaders[k.server]; e != nil {
-			e.Used(boot, n.cfg.Instance, k.target, count)
+			e.Used(boot, n.cfg.Instance, k.target, begun, inProgress)
 			continue
 		}
 		if owner := n.ownerOf(k.server); owner != "" {
-			byOwner[owner] = append(byOwner[owner], instance.Use{Server: k.server, Target: k.target, Count: count})
+			byOwner[owner] = append(byOwner[owner], instance.Use{Server: k.server, Target: k.target, Begun: begun, InProgress: inProgress})
 		}
 	}
-	clear(n.used)
+	clear(n.changed)
 	for owner, uses := range byOwner {
 		n.mesh.Send(owner, func(b *instance.Bundle) { b.Used = append(b.Used, uses...) })
 	}
 }
+
+// allUses returns what this instance uses of a peer's engines. Callers hold mu.
+func (n *Node) allUses(owner string) []instance.Use {
+	var out []instance.Use
+	for k, u := range n.uses {
+		if u.inProgress > 0 && n.ownerOf(k.server) == owner {
+			out = append(out, instance.Use{Server: k.server, Target: k.target, InProgress: u.inProgress})
+		}
+	}
+	return out
+}
--- a/edge/place.go
+++ b/edge/place.go
@@ -15,7 +15,8 @@
 
 // Times of placing.
 const (
-	ownerSilence = 900 * time.Millisecond // an owner answers a want within a load's time; after that another engine is tried
+	ownerSilence = 350 * time.Millisecond // an owner answers a want at once, if only that it waits; after that another engine is tried
+	loadSilence  = 3 * time.Second        // and how long it may wait
 	placesMost   = 6                      // engines that are tried for one placement
 	noServer     = 300 * time.Millisecond // told to callers when no server is known: entries come about once a second
 	copyPause    = 500 * time.Millisecond // between wants of one copy
@@ -25,6 +26,7 @@
 type wait struct {
 	owner   string
 	asked   time.Time
+	pending bool // the owner has said that it waits
 	waiters []chan waitResult
 }
 
@@ -109,8 +111,25 @@
 // placed notes that a request goes to a server. Callers hold mu.
 func (n *Node) placed(s *fleet.Server, target chestnutstream.ModelAdapter, version int, stall time.Duration) ingress.Placed {
 	n.fleet.Sent(s.ID)
-	n.used[holdKey{s.ID, target}]++
-	return ingress.Placed{Server: s.Backend, Version: version, Stall: stall}
+	k := holdKey{s.ID, target}
+	u := n.uses[k]
+	if u == nil {
+		u = &adapterUse{}
+		n.uses[k] = u
+	}
+	u.begun++
+	u.inProgress++
+	n.useChanged(k)
+	return ingress.Placed{Server: s.Backend, Target: target, Version: version, Stall: stall}
+}
+
+// useChanged notes that the owner of a server is to be told of a use. Callers
+// hold mu.
+func (n *Node) useChanged(k holdKey) {
+	if len(n.changed) == 0 {
+		time.AfterFunc(usedPause, n.poke)
+	}
+	n.changed[k] = true
 }
 
 // loadable reports whether loads can be asked for at a server. Callers hold mu.
@@ -138,10 +157,11 @@
 	if now.Sub(w.asked) < copyPause {
 		return
 	}
-	w.asked = now
+	w.asked, w.pending = now, false
 	w.owner = n.ownerOf(k.server)
 	msg := instance.Want{Server: k.server, Target: k.target, Version: version, Waiting: len(w.waiters)}
 	if w.owner == n.cfg.Instance {
+		w.pending = true
 		n.loaders[k.server].Want(n.boot(), n.cfg.Instance, k.target, version, len(w.waiters))
 		n.poke()
 		return
@@ -163,20 +183,29 @@
 	n.ask(k, w, version)
 }
 
+// await waits for the end of a load that this instance asked for.
 func (n *Node) await(ctx context.Context, server string, target chestnutstream.ModelAdapter, ch chan waitResult) (waitResult, error) {
-	t := time.NewTimer(ownerSilence)
-	defer t.Stop()
-	select {
-	case r := <-ch:
-		return r, nil
-	case <-ctx.Done():
-		return waitResult{}, fmt.Errorf("wait for %s on %s: %w", target, server, ctx.Err())
-	case <-t.C:
+	k := holdKey{server, target}
+	for _, limit := range []time.Duration{ownerSilence, loadSilence} {
+		t := time.NewTimer(limit)
+		select {
+		case r := <-ch:
+			t.Stop()
+			return r, nil
+		case <-ctx.Done():
+			t.Stop()
+			return waitResult{}, fmt.Errorf("wait for %s on %s: %w", target, server, ctx.Err())
+		case <-t.C:
+		}
 		n.mu.Lock()
-		delete(n.waits, holdKey{server, target})
+		w := n.waits[k]
+		pending := w != nil && w.pending
+		if !pending || limit == loadSilence {
+			n.endWait(k, waitResult{retryAfter: noServer, reason: "its owner is silent"})
+		}
 		n.mu.Unlock()
-		return waitResult{retryAfter: noServer, reason: "its owner is silent"}, nil
 	}
+	return waitResult{retryAfter: noServer, reason: "its owner is silent"}, nil
 }
 
 // endWait tells those who wait for a load how it ended. Callers hold mu.
@@ -234,6 +263,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fleet.Done(p.Server.ID)
+	k := holdKey{p.Server.ID, p.Target}
+	if u := n.uses[k]; u != nil && u.inProgress > 0 {
+		u.inProgress--
+		n.useChanged(k)
+	}
 }
 
 // Again implements ingress.Dispatcher.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -89,7 +89,7 @@
 			return f.chose(now, Choice{Server: s, Held: true, Copy: copyTo})
 		case held && (leastHeld == nil || s.Load(now) < leastHeld.Load(now)):
 			leastHeld = s
-		case !held && !hot && loadable(s) && cold == nil:
+		case !held && !hot && cold == nil && s.hasModel(target.Model) && loadable(s):
 			cold = s
 			if leastHeld != nil {
 				copyTo = s // its first servers are hot: one more copy
@@ -102,14 +102,26 @@
 	case cold != nil:
 		return f.chose(now, Choice{Server: cold})
 	}
-	for _, s := range order {
-		if loadable(s) {
-			return f.chose(now, Choice{Server: s})
+	for _, withModel := range []bool{true, false} {
+		for _, s := range order {
+			if s.hasModel(target.Model) == withModel && loadable(s) {
+				return f.chose(now, Choice{Server: s})
+			}
 		}
 	}
 	return Choice{}
 }
 
+// hasModel reports whether the engine's newest entry lists a base model.
+func (s *Server) hasModel(name string) bool {
+	for _, m := range s.Models {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fleet) chose(now time.Time, c Choice) Choice {
 	c.Server.judge.chosen(now)
 	return c
@@ -150,6 +162,9 @@
 // Holds reports whether an engine is believed to hold an adapter at a version
 // (0: any).
 func (f *Fleet) Holds(now time.Time, s *Server, target chestnutstream.ModelAdapter, version int) bool {
+	if target.Adapter == "" {
+		return s.hasModel(target.Model)
+	}
 	h, ok := s.holds[target]
 	if !ok || (version > 0 && h.version != version) {
 		return false
@@ -174,7 +189,6 @@
 // holdsListed takes what a server's first entry says that it holds.
 func (f *Fleet) holdsListed(now time.Time, s *Server) {
 	for _, m := range s.Models {
-		s.holds[chestnutstream.ModelAdapter{Model: m.Name}] = holding{version: m.Version, seen: now}
 		for _, a := range m.Adapters {
 			s.holds[chestnutstream.ModelAdapter{Model: m.Name, Adapter: a.Name}] = holding{version: a.Version, seen: now}
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -37,6 +37,7 @@
 // with Done.
 type Placed struct {
 	Server  chestnutstream.Backend
+	Target  chestnutstream.ModelAdapter
 	Version int           // of the adapter
 	Stall   time.Duration // the time that was spent waiting for the adapter
 }
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -27,13 +27,14 @@
 	HaveConfig uint64    `cbor:"16,keyasint,omitempty"`
 }
 
-// wireAsk is a Want or a Use.
+// wireAsk is a Want (version, requests that wait) or a Use (requests begun,
+// requests in progress).
 type wireAsk struct {
 	_       struct{} `cbor:",toarray"`
 	Server  string
 	Model   string
 	Adapter string
-	Version int
+	Version int // or requests begun
 	Count   int
 }
 
@@ -46,6 +47,7 @@
 	Held         bool
 	RetryAfterMS int64
 	Dropped      bool
+	Pending      bool
 }
 
 type wireRow struct {
@@ -69,11 +71,11 @@
 	for _, x := range b.Got {
 		w.Got = append(w.Got, wireGot{
 			Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version,
-			Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped,
+			Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending,
 		})
 	}
 	for _, x := range b.Used {
-		w.Used = append(w.Used, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Count: x.Count})
+		w.Used = append(w.Used, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Begun, Count: x.InProgress})
 	}
 	frame, err := cbor.Marshal(w)
 	if err != nil {
@@ -98,10 +100,10 @@
 		b.Wants = append(b.Wants, Want{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
 	}
 	for _, x := range w.Got {
-		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped})
+		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending})
 	}
 	for _, x := range w.Used {
-		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Count: x.Count})
+		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Version, InProgress: x.Count})
 	}
 	return b, nil
 }
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -62,15 +62,17 @@
 	Target       chestnutstream.ModelAdapter
 	Version      int
 	Held         bool
+	Pending      bool  // it is waited for: another word follows
 	RetryAfterMS int64 // when it is not held
 	Dropped      bool  // nobody asked: it has been unloaded
 }
 
-// Use tells the owner of a server which adapters the sender used there lately.
+// Use tells the owner of a server how the sender uses an adapter there.
 type Use struct {
-	Server string
-	Target chestnutstream.ModelAdapter
-	Count  int
+	Server     string
+	Target     chestnutstream.ModelAdapter
+	Begun      int // requests since it last told
+	InProgress int // requests
 }
 
 // ServerRow is a row of the platform's store, passed on as it was read.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -32,19 +32,23 @@
 const (
 	reportLag      = 450 * time.Millisecond // a report is some hundred milliseconds old
 	transitMost    = 4                      // adapters on their way to an engine at once: the platform's limit
-	loadGuessFirst = 240 * time.Millisecond // the platform's time for an adapter that the engine did not have
-	loadGuessAgain = 20 * time.Millisecond  // and for one that it had lately
-	askAgain       = 25 * time.Millisecond  // between looks at a load that takes longer than guessed
+	loadGuessFirst = 251 * time.Millisecond // the platform's time for an adapter that the engine did not have
+	loadGuessAgain = 26 * time.Millisecond  // and for one that it had lately: a tenth
+	askAgain       = 15 * time.Millisecond  // between looks at a load that takes longer than guessed
 	askMost        = 200 * time.Millisecond // longest such pause
 	loadLost       = 6 * time.Second        // a load that takes so long is looked up in a report
 	modelLook      = 250 * time.Millisecond // between reports while a model is on its way
 	modelPause     = 2500 * time.Millisecond
-	unloadLook     = 300 * time.Millisecond // between reports while an unload waits for its runs
+	blockedLook    = 30 * time.Millisecond  // between tries while the engine waits for the runs of an adapter that goes or is replaced
+	blockedMost    = 8 * time.Second        // of that; then the state is read
 	scoreHalf      = 8 * time.Second        // half-life of an adapter's use count
-	busyFor        = 700 * time.Millisecond // after its last use a slot counts as in use
+	busyFor        = 150 * time.Millisecond // after its last use a slot counts as in use: instances tell of uses with a delay
+	useForgotten   = 15 * time.Second       // a use that was told goes on for no longer: its instance may be gone
+	resendsMost    = 3                      // of an order without an answer
 	tellDrop       = 25 * time.Second       // instances that used an adapter so lately are told that it is gone
 	pastMost       = 100                    // adapters that an engine keeps nearby after they were unloaded
-	refuseAfter    = 150 * time.Millisecond // a want without a free slot is answered after this
+	refuseAfter    = 700 * time.Millisecond // a want without a free slot is answered after this: a copy elsewhere costs a load from the store
+	unknownAfter   = 100 * time.Millisecond // and one at an engine whose state is not known, or that has no model
 	waitLook       = 50 * time.Millisecond  // between looks for room
 	refuseFor      = 300 * time.Millisecond // and should not come back before this
 	failPause      = 300 * time.Millisecond // after a failed call to the engine; doubles
@@ -69,7 +73,15 @@
 	lastUsed time.Duration
 	score    float64
 	scoredAt time.Duration
-	users    map[string]time.Duration
+	users    map[string]use
+	cold     bool // loading from the weight store, as far as is known
+	replaces bool // loading: the older version is in its place until its runs have ended
+}
+
+// use is what an instance has told of its use of an adapter.
+type use struct {
+	at       time.Duration
+	requests int // in progress
 }
 
 // want is an adapter that instances wait for.
@@ -80,6 +92,18 @@
 	since   time.Duration
 }
 
+// Figures of the number of adapters that are on their way from the weight store
+// at once. The store slows all loads beyond a number over all engines, so what
+// waits here instead of there keeps its place for the more wanted ones.
+const (
+	coldFirst = 2.0
+	coldLeast = 1.0
+	coldMost  = float64(transitMost) - 1 // one place is left for what the engine had lately
+	coldMore  = 0.1                      // after a load at full speed
+	coldLess  = 0.4                      // after a slowed one
+	slowed    = 1.35                     // times the usual
+)
+
 // Engine is the loader of one engine.
 type Engine struct {
 	Server chestnutstream.Backend
@@ -90,6 +114,9 @@
 	count    int           // orders that the engine accepted
 	calling  bool
 	failures int
+	resends  int
+	again    *chestnutstream.BackendOrder // an order without an answer, to be sent again
+	blocked  time.Duration                // until when the engine is not asked: it waits for runs to end
 
 	models    map[string]int // held models and their versions
 	modelWant string         // on its way
@@ -97,6 +124,7 @@
 	slots     map[chestnutstream.ModelAdapter]*slot
 	wants     map[chestnutstream.ModelAdapter]*want
 	past      map[chestnutstream.ModelAdapter]time.Duration
+	cold      float64 // how many may be on their way from the weight store
 
 	Running, Queued int // as of the newest report
 }
@@ -108,7 +136,7 @@
 	return &Engine{
 		Server: server, kind: kind, lookAt: notBefore,
 		models: map[string]int{}, slots: map[chestnutstream.ModelAdapter]*slot{},
-		wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
+		cold: coldFirst, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
 	}
 }
 
@@ -148,14 +176,25 @@
 	w.waiting += max(waiting, 1)
 }
 
-// Used notes that an instance has sent requests for an adapter to the engine.
-func (e *Engine) Used(boot time.Duration, from string, target chestnutstream.ModelAdapter, count int) {
+// Used notes how many requests an instance has begun for an adapter on the
+// engine since it last told, and how many are in progress.
+func (e *Engine) Used(boot time.Duration, from string, target chestnutstream.ModelAdapter, begun, inProgress int) {
 	s := e.slots[target]
 	if s == nil {
 		return
 	}
-	s.touch(boot, float64(count))
-	s.users[from] = boot
+	s.touch(boot, float64(begun))
+	s.users[from] = use{at: boot, requests: inProgress}
+}
+
+// inUse reports whether an instance has told of a request in progress.
+func (s *slot) inUse(boot time.Duration) bool {
+	for _, u := range s.users {
+		if u.requests > 0 && boot-u.at < useForgotten {
+			return true
+		}
+	}
+	return boot-s.lastUsed < busyFor
 }
 
 func (s *slot) touch(boot time.Duration, count float64) {
@@ -210,22 +249,24 @@
 	return actions
 }
 
-// tellRetry answers the wants for which there is no room.
+// tellRetry answers the wants that have waited for too long.
 func (e *Engine) tellRetry(boot time.Duration) []Action {
 	var actions []Action
 	for target, w := range e.wants {
-		if e.slots[target] != nil || boot-w.since < refuseAfter {
+		if e.slots[target] != nil {
 			continue
 		}
-		if e.synced && e.modelWant == "" && e.hasModel(target.Model) && e.room(boot) {
-			continue // its turn comes
-		}
-		why := "all slots in use"
+		limit, why := refuseAfter, "all slots in use"
 		switch {
 		case !e.synced:
-			why = "state of the engine not known"
+			limit, why = unknownAfter, "state of the engine not known"
 		case !e.hasModel(target.Model):
-			why = "base model not loaded"
+			limit, why = unknownAfter, "base model not loaded"
+		case e.room(boot):
+			continue // its turn comes
+		}
+		if boot-w.since < limit {
+			continue
 		}
 		actions = append(actions, Action{Kind: TellRetry, To: names(w.askers), Target: target, Version: w.version, RetryAfter: refuseFor, Why: why})
 		delete(e.wants, target)
@@ -258,7 +299,12 @@
 	if a, ok := e.nextModel(boot); ok {
 		return a, true
 	}
-	if e.modelWant != "" {
+	if e.again != nil {
+		o := *e.again
+		e.again = nil
+		return Action{Kind: GiveOrder, Why: "no answer", Order: o}, true
+	}
+	if e.modelWant != "" || boot < e.blocked {
 		return Action{}, false
 	}
 	if a, ok := e.nextLook(boot); ok {
@@ -320,12 +366,15 @@
 	if found == nil {
 		return Action{}, false
 	}
-	if found.state == slotUnloading || boot-found.since > loadLost {
+	if boot-found.since > loadLost {
 		if boot < e.lookAt {
 			return Action{}, false
 		}
 		return Action{Kind: ReadReport, Why: string(found.state) + " takes long"}, true
 	}
+	if found.state == slotUnloading {
+		return Action{Kind: GiveOrder, Why: "is it gone", Order: e.unloadOrder(due)}, true
+	}
 	return Action{Kind: GiveOrder, Why: "is it loaded", Order: e.loadOrder(due, found.version)}, true
 }
 
@@ -333,10 +382,14 @@
 	return chestnutstream.BackendOrder{Kind: chestnutstream.OrderLoad, Target: target, Version: version, OrderCount: e.count}
 }
 
+func (e *Engine) unloadOrder(target chestnutstream.ModelAdapter) chestnutstream.BackendOrder {
+	return chestnutstream.BackendOrder{Kind: chestnutstream.OrderUnload, Target: target, OrderCount: e.count}
+}
+
 // nextLoad gives the next load order, or makes room for it.
 func (e *Engine) nextLoad(boot time.Duration) (Action, bool) {
 	target, w := e.first()
-	if w == nil || e.inTransit() >= transitMost {
+	if w == nil {
 		return Action{}, false
 	}
 	if s := e.slots[target]; s != nil || len(e.slots) < e.kind.AdapterSlots {
@@ -350,9 +403,7 @@
 	if !ok {
 		return Action{}, false
 	}
-	return Action{Kind: GiveOrder, Why: "room for " + target.String(), Order: chestnutstream.BackendOrder{
-		Kind: chestnutstream.OrderUnload, Target: victim, OrderCount: e.count,
-	}}, true
+	return Action{Kind: GiveOrder, Why: "room for " + target.String(), Order: e.unloadOrder(victim)}, true
 }
 
 // first returns the want that is served next: more waiting requests first, then
@@ -360,7 +411,14 @@
 func (e *Engine) first() (chestnutstream.ModelAdapter, *want) {
 	var best chestnutstream.ModelAdapter
 	var found *want
+	cold, all := e.inTransit()
+	if all >= transitMost {
+		return best, nil
+	}
 	for target, w := range e.wants {
+		if e.isCold(target) && float64(cold) >= e.cold {
+			continue
+		}
 		if s := e.slots[target]; s != nil && s.state != slotHeld {
 			continue
 		}
@@ -374,14 +432,36 @@
 	return best, found
 }
 
-func (e *Engine) inTransit() int {
-	n := 0
+// inTransit returns how many adapters are on their way, and how many of these
+// from the weight store.
+func (e *Engine) inTransit() (cold, all int) {
 	for _, s := range e.slots {
 		if s.state == slotLoading {
-			n++
+			all++
+			if s.cold {
+				cold++
+			}
 		}
 	}
-	return n
+	return cold, all
+}
+
+// isCold reports whether a load would come from the weight store.
+func (e *Engine) isCold(target chestnutstream.ModelAdapter) bool {
+	_, lately := e.past[target]
+	return !lately || e.slots[target] != nil
+}
+
+// loaded adapts the number of loads from the weight store to how long one took.
+func (e *Engine) loaded(s *slot, took time.Duration) {
+	if !s.cold {
+		return
+	}
+	if float64(took) > slowed*float64(loadGuessFirst) {
+		e.cold = max(e.cold-coldLess, coldLeast)
+		return
+	}
+	e.cold = min(e.cold+coldMore, coldMost)
 }
 
 // victim returns the slot that makes room: the least used that is not in use
@@ -390,7 +470,7 @@
 	var best chestnutstream.ModelAdapter
 	found, least := false, 0.0
 	for target, s := range e.slots {
-		if s.state != slotHeld || boot-s.lastUsed < busyFor || e.wants[target] != nil {
+		if s.state != slotHeld || s.inUse(boot) || e.wants[target] != nil {
 			continue
 		}
 		if score := s.scoreAt(boot); !found || score < least || (score == least && target.Adapter < best.Adapter) {
@@ -403,7 +483,7 @@
 // Reported takes a report.
 func (e *Engine) Reported(boot time.Duration, r chestnutstream.BackendReport) []Action {
 	e.calling, e.failures = false, 0
-	e.lookAt = boot + unloadLook
+	e.lookAt = boot + reportLag
 	e.Running, e.Queued = r.Running, r.Queued
 	if e.synced && r.OrderCount < e.count {
 		return nil // older than the newest order
@@ -459,7 +539,7 @@
 func (e *Engine) slot(boot time.Duration, t chestnutstream.ModelAdapter) *slot {
 	s := e.slots[t]
 	if s == nil {
-		s = &slot{state: slotHeld, since: boot, lastUsed: boot, users: map[string]time.Duration{}, askPause: askAgain}
+		s = &slot{state: slotHeld, since: boot, lastUsed: boot, users: map[string]use{}, askPause: askAgain}
 		e.slots[t] = s
 	}
 	return s
@@ -470,8 +550,8 @@
 	delete(e.slots, target)
 	e.remember(boot, target)
 	var to []string
-	for name, at := range s.users {
-		if boot-at < tellDrop {
+	for name, u := range s.users {
+		if boot-u.at < tellDrop {
 			to = append(to, name)
 		}
 	}
@@ -513,13 +593,12 @@
 	e.calling = false
 	switch a {
 	case chestnutstream.OrderUnderWay, chestnutstream.OrderHolds:
-		e.failures = 0
+		e.failures, e.resends = 0, 0
 	case chestnutstream.OrderConflict:
-		if s := e.slots[o.Target]; s != nil && s.state == slotLoading && o.Kind == chestnutstream.OrderLoad {
-			e.lookLater(boot, s)
-			return nil
-		}
-		e.doubt(boot + reportLag)
+		e.conflict(boot, o)
+		return nil
+	case chestnutstream.OrderUnknown:
+		e.unanswered(boot, o)
 		return nil
 	default:
 		e.doubt(boot + max(reportLag, e.pause()))
@@ -536,9 +615,40 @@
 	return nil
 }
 
+// conflict goes on after an order was refused for another one under way, or for
+// another number of orders. The engine takes none while it waits for the runs
+// of an adapter that is to go or to be replaced.
+func (e *Engine) conflict(boot time.Duration, o chestnutstream.BackendOrder) {
+	e.resends = 0
+	if s := e.slots[o.Target]; s != nil && s.state == slotLoading && o.Kind == chestnutstream.OrderLoad {
+		e.lookLater(boot, s)
+		return
+	}
+	for _, s := range e.slots {
+		if (s.state == slotUnloading || s.replaces) && boot-s.since < blockedMost {
+			e.blocked = boot + blockedLook
+			return
+		}
+	}
+	e.doubt(boot + reportLag)
+}
+
+// unanswered sends an order again that brought no answer. It carries the number
+// of orders of before it, so it is accepted once at most, and the first, should
+// it be carried out late, is refused then.
+func (e *Engine) unanswered(boot time.Duration, o chestnutstream.BackendOrder) {
+	e.resends++
+	if e.resends > resendsMost || o.Target.Adapter == "" {
+		e.resends = 0
+		e.doubt(boot + max(reportLag, e.pause()))
+		return
+	}
+	e.again = &o
+}
+
 // doubt makes the state of the engine unknown until it is read.
 func (e *Engine) doubt(lookAt time.Duration) {
-	e.synced, e.lookAt = false, lookAt
+	e.synced, e.lookAt, e.again = false, lookAt, nil
 }
 
 func (e *Engine) lookLater(boot time.Duration, s *slot) {
@@ -558,22 +668,32 @@
 }
 
 func (e *Engine) orderedUnload(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) []Action {
-	e.count++
 	s := e.slots[o.Target]
 	if s == nil {
+		e.count++
 		return nil
 	}
+	if s.state != slotUnloading {
+		e.count++
+	}
 	if a == chestnutstream.OrderHolds {
 		return e.dropped(boot, o.Target, s)
 	}
-	s.state, s.since, s.askAt = slotUnloading, boot, boot+unloadLook
+	if s.state != slotUnloading {
+		s.state, s.since = slotUnloading, boot
+	}
+	s.askAt = boot + blockedLook
 	return nil
 }
 
 func (e *Engine) orderedLoad(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) {
+	_, had := e.slots[o.Target]
 	s := e.slot(boot, o.Target)
 	if a == chestnutstream.OrderHolds {
-		s.state, s.version = slotHeld, o.Version
+		if s.state == slotLoading {
+			e.loaded(s, boot-s.since)
+		}
+		s.state, s.version, s.replaces = slotHeld, o.Version, false
 		s.lastUsed = boot
 		return
 	}
@@ -582,11 +702,13 @@
 		return
 	}
 	e.count++
-	guess := loadGuessFirst
-	if _, ok := e.past[o.Target]; ok {
-		guess = loadGuessAgain
+	_, lately := e.past[o.Target]
+	s.cold = had || !lately
+	guess := loadGuessAgain
+	if s.cold {
+		guess = loadGuessFirst
 	}
-	s.state, s.version, s.since, s.askAt, s.askPause = slotLoading, o.Version, boot, boot+guess, askAgain
+	s.state, s.version, s.since, s.askAt, s.askPause, s.replaces = slotLoading, o.Version, boot, boot+guess, askAgain, had
 }
 
 // NextAt returns when Step may have something to do by itself; ok is false when
@@ -601,16 +723,16 @@
 		earliest(e.lookAt)
 	}
 	for _, s := range e.slots {
-		switch s.state {
-		case slotLoading:
-			earliest(s.askAt)
-		case slotUnloading:
-			earliest(max(s.askAt, e.lookAt))
+		if s.state != slotHeld {
+			earliest(max(s.askAt, e.blocked))
 		}
 	}
+	if len(e.wants) > 0 && boot < e.blocked {
+		earliest(e.blocked)
+	}
 	for _, w := range e.wants {
 		// Past that, a want waits for a slot that falls idle.
-		earliest(max(w.since+refuseAfter, boot+waitLook))
+		earliest(max(w.since+unknownAfter, boot+waitLook))
 	}
 	if e.synced && len(e.models) == 0 && e.modelWant == "" {
 		earliest(e.modelAt)
