Lost orders are missed after 80 ms; refused connections cost no budget

Reads of the store: servers each 1.05 s (was 0.6), leases each 3.5 s (2.5); bound for a leaving server 2 s.

--- a/edge/control.go
+++ b/edge/control.go
@@ -17,7 +17,7 @@
 const (
 	controlLeast  = 2 * time.Millisecond   // between two looks
 	controlMost   = 250 * time.Millisecond // leases and lapsed entries are looked at so often
-	orderTimeout  = 300 * time.Millisecond // an engine answers within milliseconds
+	orderTimeout  = 80 * time.Millisecond  // an engine answers within milliseconds, and an order that was lost holds up all later ones
 	usedPause     = 60 * time.Millisecond  // between words to owners about the use of their adapters
 	reportTimeout = 700 * time.Millisecond
 )
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -18,14 +18,14 @@
 // Times of the reading of the store. Calls to it are priced and its rates are
 // shared by all instances.
 const (
-	operatorWait = 10 * time.Second       // a feed of the operator's table answers at once when there is news
-	serversPause = 600 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
+	operatorWait = 10 * time.Second        // a feed of the operator's table answers at once when there is news
+	serversPause = 1050 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
 	serversWait  = 2 * time.Second
-	leasesPause  = 2500 * time.Millisecond // between reads of the leases
+	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
 	leasesWait   = time.Second
 	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
 	feedRetryMax = 900 * time.Millisecond
-	startSpread  = 150 * time.Millisecond // over which instances that start together spread their first reads
+	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
 )
 
 // feed follows one table.
--- a/edge/node.go
+++ b/edge/node.go
@@ -117,6 +117,22 @@
 // Routes implements ingress.Dispatcher.
 func (n *Node) Routes() *chestnutstream.RouteTable { return n.table.Load() }
 
+// AwaitRoutes implements ingress.Dispatcher. Servers are known soon after: they
+// are waited for, too.
+func (n *Node) AwaitRoutes(ctx context.Context) *chestnutstream.RouteTable {
+	for !n.Ready() {
+		select {
+		case <-ctx.Done():
+			return n.table.Load()
+		case <-time.After(readyLook):
+		}
+	}
+	return n.table.Load()
+}
+
+// readyLook is the pause between looks for the first configuration.
+const readyLook = 10 * time.Millisecond
+
 // Leaving implements ingress.Dispatcher.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -47,7 +47,7 @@
 		return Placed{}, fmt.Errorf("place: %w", err)
 	}
 	x.stall += p.Stall
-	if x.sends > 0 && !x.server.dispatcher.Again(x.service) {
+	if x.arrivals > 0 && !x.server.dispatcher.Again(x.service) {
 		x.server.dispatcher.Done(p)
 		return Placed{}, &NoPlaceError{Reason: "retry budget spent: " + x.reason, RetryAfter: retrySoon}
 	}
@@ -99,6 +99,7 @@
 	if !handed {
 		return false
 	}
+	x.arrivals++
 	x.mayRun = true
 	if x.mayRepeat() {
 		return false
@@ -126,6 +127,7 @@
 
 // check looks at the beginning of an answer and relays it, if it is one.
 func (x *exchange) check(p Placed, a *sent, took time.Duration) bool {
+	x.arrivals++
 	h := a.resp.Header
 	r := Result{Took: took, Outcome: fleet.Answered}
 	if l, ok := platform.ReadServerLoad(h); ok {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -64,6 +64,8 @@
 type Dispatcher interface {
 	// Routes returns the configuration in force, or nil.
 	Routes() *chestnutstream.RouteTable
+	// AwaitRoutes waits for a configuration; it returns nil when ctx ends first.
+	AwaitRoutes(ctx context.Context) *chestnutstream.RouteTable
 	// Place returns a server for a request, waiting for its adapter if need be.
 	// It fails with a *NoPlaceError, or when ctx ends.
 	Place(ctx context.Context, p Placement) (Placed, error)
@@ -114,6 +116,7 @@
 	deadline time.Time // of the answer; zero: none
 	mayRun   bool      // it may have run, or may still run
 	sends    int
+	arrivals int      // sends that a connection was had for
 	servers  []string // to which it was sent
 	avoid    map[string]bool
 	stall    time.Duration
@@ -134,6 +137,7 @@
 // Waits that are told to callers.
 const (
 	retrySoon      = 150 * time.Millisecond // nothing is known but that it may pass
+	startWait      = 400 * time.Millisecond // for a configuration, after a start
 	retryNoConfig  = 400 * time.Millisecond
 	deadlineMargin = 4 * time.Millisecond // before the route's time-out, so that the answer arrives in time
 )
@@ -160,6 +164,12 @@
 // receive finds the route and reads the request whole.
 func (x *exchange) receive() bool {
 	x.table = x.server.dispatcher.Routes()
+	if x.table == nil {
+		// Just started: the configuration is a call of the store away.
+		ctx, cancel := context.WithTimeout(x.r.Context(), startWait)
+		x.table = x.server.dispatcher.AwaitRoutes(ctx)
+		cancel()
+	}
 	if x.table == nil {
 		x.refuse(retryNoConfig, "no configuration yet")
 		return false
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -62,7 +62,7 @@
 // outages of the store: while it is away nobody can take over.
 func DefaultSettings(turn time.Duration) Settings {
 	return Settings{
-		Duration: 10 * time.Second, Renewal: 2500 * time.Millisecond, Safety: 400 * time.Millisecond,
+		Duration: 10 * time.Second, Renewal: 3000 * time.Millisecond, Safety: 400 * time.Millisecond,
 		Turn: turn + 500*time.Millisecond, Settle: 1200 * time.Millisecond,
 	}
 }
