Owners: no takeover where a lease row is unknown; engines dealt out evenly

Now a transaction that ends a lease whose row is not known demands that there is none; engines without owner are dealt out in order to the instance of their zone with the fewest; the leases are read often just after the start. A server that refuses connections is tried once per pause.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -25,6 +25,8 @@
 	leasesWait   = time.Second
 	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
 	feedRetryMax = 900 * time.Millisecond
+	leasesEarly  = 400 * time.Millisecond // and just after a start, until all that started together are known
+	leasesSoon   = 4 * time.Second
 	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
 )
 
@@ -32,6 +34,7 @@
 type feed struct {
 	table  string
 	pause  time.Duration
+	early  time.Duration // the pause just after the start; 0: the same
 	wait   time.Duration
 	listed func(rows []chestnutstream.TableRow)
 	fed    func(rows []chestnutstream.TableRow)
@@ -46,7 +49,7 @@
 			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false) },
 		},
 		{
-			table: lease.Table, pause: leasesPause, wait: leasesWait,
+			table: lease.Table, pause: leasesPause, early: leasesEarly, wait: leasesWait,
 			listed: func(rows []chestnutstream.TableRow) { n.leaseRows(rows, true) },
 			fed:    func(rows []chestnutstream.TableRow) { n.leaseRows(rows, false) },
 		},
@@ -56,6 +59,7 @@
 // follow reads a table whole, then its changes, until the node stops.
 func (n *Node) follow(f feed) {
 	n.sleep(rand.N(startSpread))
+	began := n.now()
 	version, known := uint64(0), false
 	failures := 0
 	for n.ctx.Err() == nil {
@@ -89,6 +93,10 @@
 			known = true
 		}
 		n.poke()
+		if f.early > 0 && n.now().Sub(began) < leasesSoon {
+			n.sleep(f.early)
+			continue
+		}
 		n.sleep(f.pause)
 	}
 }
--- a/fleet/judge.go
+++ b/fleet/judge.go
@@ -59,8 +59,7 @@
 	}
 	j.refused++
 	if j.refused >= unreachedTwice {
-		pause := min(firstPause<<min(j.refused-unreachedTwice, 6), longestPause)
-		j.pausedTo = now.Add(pause)
+		j.pausedTo = now.Add(j.pause())
 	}
 }
 
@@ -80,14 +79,26 @@
 	return j.share / (1 + 2*float64(now.Sub(j.at))/float64(failureFade))
 }
 
+// reachable reports whether a connection may be tried now: always while the
+// last ones came about, and one after each pause while they did not.
+func (j *judge) reachable(now time.Time) bool { return !now.Before(j.pausedTo) }
+
 // open reports whether the server may get a request now: always while it is
 // good, and one trial after a pause while it is not.
 func (j *judge) open(now time.Time) bool {
-	if now.Before(j.pausedTo) {
-		return false
-	}
-	return j.failing(now) < badShare || now.Sub(j.trialAt) >= trialPause
+	return j.reachable(now) && (j.failing(now) < badShare || now.Sub(j.trialAt) >= trialPause)
 }
 
 // chosen notes that the server gets a request.
-func (j *judge) chosen(now time.Time) { j.trialAt = now }
+func (j *judge) chosen(now time.Time) {
+	j.trialAt = now
+	if j.refused >= unreachedTwice {
+		j.pausedTo = now.Add(j.pause())
+	}
+}
+
+// pause returns how long a server is left alone after a connection to it failed
+// again.
+func (j *judge) pause() time.Duration {
+	return min(firstPause<<min(j.refused-unreachedTwice, 6), longestPause)
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -373,18 +373,15 @@
 		return Action{}, false
 	}
 	var a Action
-	revoked := map[string]bool{}
-	for _, s := range servers {
-		if boot < b.retryAt[s.ID] || !b.wanted(boot, s) {
+	ended := map[string]bool{}
+	for _, s := range b.wanted(boot, servers) {
+		if boot < b.retryAt[s.ID] {
 			continue
 		}
 		o := b.owners[s.ID]
-		if old := b.holders[o.name]; old != nil && o.name != b.self.Name && !revoked[o.name] {
-			// The old holder's next renewal fails with this.
-			row := chestnutstream.TableRow{Table: Table, Key: instanceKey(o.name)}
-			a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: row.Key, Version: old.version})
-			a.Transaction.Removes = append(a.Transaction.Removes, row)
-			revoked[o.name] = true
+		if o.name != "" && o.name != b.self.Name && !ended[o.name] {
+			b.endLease(&a.Transaction, o.name)
+			ended[o.name] = true
 		}
 		value, _ := json.Marshal(wireOwner{Name: b.self.Name, Run: b.self.Run})
 		a.Servers = append(a.Servers, s.ID)
@@ -402,43 +399,93 @@
 	return a, true
 }
 
-// wanted reports whether this instance should acquire a server now.
-func (b *Book) wanted(boot time.Duration, s Server) bool {
-	o, owned := b.owners[s.ID]
-	if o.name == b.self.Name {
-		return o.run != b.self.Run
+// endLease adds the end of a dead holder's lease to a transaction: its next
+// renewal fails with that. Where no lease row is known, there must be none when
+// the transaction is applied.
+func (b *Book) endLease(t *chestnutstream.RowTransaction, name string) {
+	version := uint64(0)
+	if h := b.holders[name]; h != nil {
+		version = h.version
+		t.Removes = append(t.Removes, chestnutstream.TableRow{Table: Table, Key: instanceKey(name)})
 	}
-	if boot-b.readAt < b.cfg.Settle {
-		return false
+	t.Checks = append(t.Checks, chestnutstream.RowCheck{Table: Table, Key: instanceKey(name), Version: version})
+}
+
+// wanted returns the servers that this instance should acquire now. Servers
+// without a living owner are dealt out in order of ID, each to the instance of
+// its availability zone that owns the fewest, so that all instances which have
+// read the same rows choose the same.
+func (b *Book) wanted(boot time.Duration, servers []Server) []Server {
+	var mine, free []Server
+	counts := map[string]int{}
+	for _, s := range servers {
+		o, owned := b.owners[s.ID]
+		switch {
+		case o.name == b.self.Name && o.run != b.self.Run:
+			mine = append(mine, s)
+		case !owned || b.ended(boot, o):
+			free = append(free, s)
+			continue
+		}
+		counts[o.name]++
 	}
-	if owned {
-		if h := b.holders[o.name]; h != nil && !b.dead(boot, h) {
-			return false
+	if b.fedAt-b.readAt < b.cfg.Settle {
+		return mine // others that started at the same moment may not be known yet
+	}
+	sort.Slice(free, func(i, j int) bool { return free[i].ID < free[j].ID })
+	for _, s := range free {
+		name := b.elected(boot, s, counts)
+		counts[name]++
+		if name == b.self.Name {
+			mine = append(mine, s)
 		}
-		// A removed lease row means that the lease was ended by a takeover of
-		// another server of that holder, after the same wait.
 	}
-	return b.elected(boot, s) == b.self.Name
+	return mine
 }
 
-// elected returns the instance that all choose for a server: one of its own
-// availability zone if any is alive there.
-func (b *Book) elected(boot time.Duration, s Server) string {
-	best, bestRank, bestNear := "", uint64(0), false
-	consider := func(name, zone string) {
-		near := zone == s.Zone
-		rank := xxhash.Sum64String(name + "\x00" + s.ID)
-		if best == "" || (near && !bestNear) || (near == bestNear && rank > bestRank) {
-			best, bestRank, bestNear = name, rank, near
+// ended reports whether an owner's lease has ended, or may be ended now.
+func (b *Book) ended(boot time.Duration, o owner) bool {
+	if o.name == b.self.Name {
+		return false
+	}
+	h := b.holders[o.name]
+	return h == nil || b.dead(boot, h)
+}
+
+// elected returns the instance that all choose for a server.
+func (b *Book) elected(boot time.Duration, s Server, counts map[string]int) string {
+	best := candidate{}
+	consider := func(h *Holder) {
+		c := candidate{name: h.Name, near: h.Zone == s.Zone, owned: counts[h.Name], rank: xxhash.Sum64String(h.Name + "\x00" + s.ID)}
+		if best.name == "" || c.before(best) {
+			best = c
 		}
 	}
-	consider(b.self.Name, b.self.Zone)
+	consider(&b.self)
 	for _, h := range b.holders {
 		if h.Name != b.self.Name && b.alive(boot, h) {
-			consider(h.Name, h.Zone)
+			consider(h)
 		}
 	}
-	return best
+	return best.name
+}
+
+// candidate is an instance that may own a server.
+type candidate struct {
+	name  string
+	near  bool // of the server's availability zone
+	owned int
+	rank  uint64
+}
+
+func (c candidate) before(o candidate) bool {
+	if c.near != o.near {
+		return c.near
+	}
+	if c.owned != o.owned {
+		return c.owned < o.owned
+	}
+	return c.rank > o.rank
 }
 
 // Acquired notes that an acquisition took effect with a version.
