--- a/loader/loader.go
+++ b/loader/loader.go
@@ -129,12 +129,12 @@
 	Running, Queued int // as of the newest report
 }
 
-// NewEngine returns the loader of an engine of which nothing is known. Its
-// state is read before the first order; notBefore is the earliest moment at
-// which the orders of an earlier holder have all arrived.
-func NewEngine(server chestnutstream.Backend, kind chestnutstream.EngineKind, notBefore time.Duration) *Engine {
+// NewEngine returns the loader of an engine of which nothing is known. An earlier
+// process of this instance may have given orders up to now, so its state is read
+// when reports show that.
+func NewEngine(server chestnutstream.Backend, kind chestnutstream.EngineKind, boot time.Duration) *Engine {
 	return &Engine{
-		Server: server, kind: kind, lookAt: notBefore,
+		Server: server, kind: kind, lookAt: boot + reportLag,
 		models: map[string]int{}, slots: map[chestnutstream.ModelAdapter]*slot{},
 		cold: coldFirst, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
 	}
