One client of the platform's store, which the stand-in speaks too

Cause: the product kept rows in a format of its own, beside the platform's published calls, and platform/ held claims and the lease, which decide. Now platform.Store speaks the published calls for both, with the key-value view (Transact, Get, Scan) and the list of instances as rows; the stand-in answers the same calls; claims and the lease stand in package table, and caller no longer imports platform. Claim keys over the platform's 200 bytes are hashed.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/chestnutstream/chestnutstream"
-	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/table"
 )
 
 // claimWait bounds the time that a claim may take: a caller whose order cannot
@@ -30,8 +30,8 @@
 	}
 	ctx, cancel := context.WithTimeout(x.Ctx, claimWait)
 	defer cancel()
-	row := platform.ClaimKey(x.Caller, x.Service.Name, key)
-	verdict, ticket, found, err := f.server.parts.Claims.Claim(ctx, row, x.Attempt, platform.HashRequest(x.R.Method, x.ServicePath, x.Body))
+	row := table.ClaimKey(x.Caller, x.Service.Name, key)
+	verdict, ticket, found, err := f.server.parts.Claims.Claim(ctx, row, x.Attempt, table.HashRequest(x.R.Method, x.ServicePath, x.Body))
 	if err != nil {
 		x.note(f.server, "claim", err.Error())
 		x.refuse(http.StatusServiceUnavailable, &RefusedError{Code: "not-claimed", Reason: "the order could not be claimed, so it was not sent", RetryAfter: retryPause})
@@ -39,14 +39,14 @@
 	}
 	x.note(f.server, "claim", string(verdict))
 	switch verdict {
-	case platform.ClaimGranted:
+	case table.ClaimGranted:
 		x.Claim = &ticket
 		next()
-	case platform.ClaimReplay:
+	case table.ClaimReplay:
 		f.replay(x, found)
-	case platform.ClaimMismatch:
+	case table.ClaimMismatch:
 		x.refuse(http.StatusUnprocessableEntity, &RefusedError{Code: "idempotency-key-reused", Reason: "the key was used for another request; this one was not sent"})
-	case platform.ClaimUnknown:
+	case table.ClaimUnknown:
 		x.Outcome = chestnutstream.Unknown
 		x.W.Header().Set("Retry-After", "1")
 		x.fail(http.StatusConflict, "order-unknown", "this order was sent before and its outcome is not recorded; it is not sent again")
@@ -54,7 +54,7 @@
 }
 
 // replay gives the recorded answer of an order that ran before.
-func (f *claim) replay(x *Exchange, found platform.Claim) {
+func (f *claim) replay(x *Exchange, found table.Claim) {
 	x.Outcome = chestnutstream.Ran
 	x.W.Header().Set("Chestnutstream-Replayed", "true")
 	if found.Truncated {
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -35,7 +35,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
-	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/table"
 )
 
 // Settings of the callers' side.
@@ -66,9 +66,9 @@
 
 // Claimer keeps the claims of keyed orders.
 type Claimer interface {
-	Claim(ctx context.Context, key, attempt, requestHash string) (platform.ClaimVerdict, platform.ClaimTicket, platform.Claim, error)
-	Settle(t platform.ClaimTicket, answer chestnutstream.ServiceAnswer)
-	Release(t platform.ClaimTicket)
+	Claim(ctx context.Context, key, attempt, requestHash string) (table.ClaimVerdict, table.ClaimTicket, table.Claim, error)
+	Settle(t table.ClaimTicket, answer chestnutstream.ServiceAnswer)
+	Release(t table.ClaimTicket)
 }
 
 // Parts are what the pipeline works with.
@@ -117,7 +117,7 @@
 	Service     chestnutstream.ServiceSettings
 	ServicePath string
 	Idempotent  bool
-	Claim       *platform.ClaimTicket
+	Claim       *table.ClaimTicket
 }
 
 // Filter is a step of a pipeline. It answers the exchange, or calls next.
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -11,7 +11,7 @@
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/caller"
 	"github.com/chestnutstream/chestnutstream/engine"
-	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/table"
 )
 
 // ownerPrefix is where the ownership rows of a zone stand.
@@ -212,11 +212,11 @@
 }
 
 func (n *Node) readLease(instance string) (engine.LeaseRow, error) {
-	row, err := n.platform.Get(n.ctx, platform.LeaseKey(instance))
+	row, err := n.platform.Get(n.ctx, table.LeaseKey(instance))
 	if err != nil {
 		return engine.LeaseRow{}, fmt.Errorf("read lease of %s: %w", instance, err)
 	}
-	incarnation, err := platform.LeaseIncarnation(row)
+	incarnation, err := table.LeaseIncarnation(row)
 	if err != nil {
 		return engine.LeaseRow{}, fmt.Errorf("read lease of %s: %w", instance, err)
 	}
@@ -236,11 +236,11 @@
 	key := ownerPrefix(n.self.Zone) + a.Server
 	checks := []chestnutstream.Check{
 		{Key: key, Version: a.RowVersion},
-		{Key: platform.LeaseKey(n.self.Name), Version: a.MyLease},
+		{Key: table.LeaseKey(n.self.Name), Version: a.MyLease},
 	}
 	writes := []chestnutstream.Write{{Key: key, Value: value}}
 	if a.OldOwner != "" {
-		old := platform.LeaseKey(a.OldOwner)
+		old := table.LeaseKey(a.OldOwner)
 		checks = append(checks, chestnutstream.Check{Key: old, Version: a.OldLease})
 		writes = append(writes, chestnutstream.Write{Key: old, Delete: true})
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -35,6 +35,7 @@
 	"github.com/chestnutstream/chestnutstream/peer"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/service"
+	"github.com/chestnutstream/chestnutstream/table"
 )
 
 // Periods of the node's work.
@@ -61,11 +62,11 @@
 	metrics *metrics.Set
 	notes   *notes
 
-	platform *platform.Client
+	platform *platform.Store
 	engines  *engine.Client
 	services *service.Client
-	lease    *platform.Lease
-	claims   *platform.Claims
+	lease    *table.Lease
+	claims   *table.Claims
 	store    *operator.Store
 	mesh     *peer.Mesh
 	pool     *pool
@@ -110,7 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, self: self, run: run, log: cfg.Log, metrics: metrics.NewSet(), notes: newNotes(),
-		platform: platform.NewClient(cfg.Platform, cfg.Zone, platformTimeout, cfg.Dial),
+		platform: platform.NewStore(cfg.Platform, platformTimeout, cfg.Dial).From(cfg.Zone),
 		engines:  engine.NewClient(cfg.Dial), services: service.NewClient(cfg.Dial),
 		ctx: ctx, cancel: cancel,
 		members: newMembers(self), adoption: operator.NewAdoption(),
@@ -118,12 +119,12 @@
 		told: map[string]uint64{}, probes: map[string]peer.ServiceState{},
 	}
 	now := cfg.Timer.Now
-	n.lease = platform.NewLease(n.platform, now, cfg.Name, incarnation)
-	n.claims = platform.NewClaims(n.platform, now)
+	n.lease = table.NewLease(n.platform, now, cfg.Name, incarnation)
+	n.claims = table.NewClaims(n.platform, now)
 	n.store = operator.NewStore(n.platform, n.platform, now)
 	n.pool = newPool(now)
 	loads, places := policies(cfg)
-	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(platform.LeaseDuration), cfg.Name, incarnation, now())
+	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(table.LeaseDuration), cfg.Name, incarnation, now())
 	n.scheduler = engine.NewScheduler(cfg.Name, cfg.Scheduler, loads)
 	n.placement = engine.NewPlacement(cfg.Zone, cfg.Placement, places)
 	n.permits = engine.NewPermits(engine.PermitSettings{LoadsInFlight: 16, Zones: 4, FullSpeed: fullSpeedLoad, Unheard: cfg.Scheduler.PromiseValidity})
@@ -147,7 +148,7 @@
 	n.stops = append(n.stops,
 		t.Subscribe(decisionPeriod, n.tick),
 		t.Subscribe(ownershipPeriod, n.ownershipTick),
-		t.Subscribe(platform.LeaseRenewal, func(time.Time) { n.renewLease() }),
+		t.Subscribe(table.LeaseRenewal, func(time.Time) { n.renewLease() }),
 		t.Subscribe(jitter(headPeriod), func(time.Time) { n.readHead() }),
 		t.Subscribe(jitter(listPeriod), func(time.Time) { n.readList() }),
 		t.Subscribe(probePeriod, n.probeServices),
--- a/load/deployment.go
+++ b/load/deployment.go
@@ -281,7 +281,7 @@
 // putConfiguration commits the document, section by section; servers come after
 // the services that they name.
 func (d *Deployment) putConfiguration(ctx context.Context) error {
-	c := platform.NewClient(d.PlatformListener.Address, "", 2*time.Second, nil)
+	c := platform.NewStore(d.PlatformListener.Address, 2*time.Second, nil)
 	d.Store = operator.NewStore(c, c, time.Now)
 	sections := d.Sections()
 	order := []string{"services"}
--- a/standin/http.go
+++ b/standin/http.go
@@ -180,11 +180,15 @@
 
 // Announce puts an instance on the list of the platform at address.
 func Announce(ctx context.Context, address string, row InstanceRow) error {
-	body, err := json.Marshal(row)
+	value, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode instance: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/instances", bytes.NewReader(body))
+	body, err := json.Marshal(StoreTransaction{Writes: []StoreRow{{Table: tableInstances, Key: row.Name, Value: value}}})
+	if err != nil {
+		return fmt.Errorf("encode transaction: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/rows-tx", bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("announce %s: %w", row.Name, err)
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,7 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -60,27 +63,6 @@
 	MaxOfListRows int `json:"list-rows"`
 }
 
-// TableRow is a row in the table service's protocol.
-type TableRow struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version uint64 `json:"version"`
-}
-
-// TransactRequest is a transaction: all checks hold and all changes are made,
-// or nothing is.
-type TransactRequest struct {
-	Checks  []TableRow `json:"checks"`
-	Puts    []TableRow `json:"puts"`
-	Deletes []string   `json:"deletes"`
-}
-
-// TransactAnswer names the new versions, or the keys whose checks failed.
-type TransactAnswer struct {
-	Versions  map[string]uint64 `json:"versions,omitempty"`
-	Conflicts []string          `json:"conflicts,omitempty"`
-}
-
 // InstanceRow is a row of the platform's list of instances.
 type InstanceRow struct {
 	Name    string `json:"name"`
@@ -106,12 +88,10 @@
 	loads  *rate.Limiter
 	writes *rate.Limiter
 	reads  *rate.Limiter
+	store  *Store
 
 	mu        sync.Mutex
 	faults    PlatformFaults
-	rows      map[string]TableRow
-	next      uint64
-	objects   map[string][]byte
 	instances map[string]*listedInstance
 	inFlight  int
 	counts    PlatformCounts
@@ -125,18 +105,13 @@
 		loads:     rate.NewLimiter(rate.Limit(cfg.LoadsPerSecond), max(cfg.LoadBurst, 1)),
 		writes:    rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), int(cfg.WritesPerSecond)+1),
 		reads:     rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), int(cfg.ReadsPerSecond)+1),
-		rows:      map[string]TableRow{},
-		objects:   map[string][]byte{},
+		store:     NewStore(),
 		instances: map[string]*listedInstance{},
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
-	r := mux.NewRouter()
+	r := mux.NewRouter().UseEncodedPath()
 	r.Use(p.faulty)
-	r.HandleFunc("/table/transact", p.transact).Methods(http.MethodPost)
-	r.HandleFunc("/table/rows", p.getRows).Methods(http.MethodGet)
-	r.HandleFunc("/objects/{key:.+}", p.object).Methods(http.MethodGet, http.MethodPut)
-	r.HandleFunc("/instances", p.list).Methods(http.MethodGet)
-	r.HandleFunc("/instances", p.register).Methods(http.MethodPut)
+	p.store.route(r, p.write, p.read)
 	r.HandleFunc("/weights/{name}", p.weights).Methods(http.MethodGet)
 	r.HandleFunc("/faults", p.setFaults).Methods(http.MethodPut)
 	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Counts()) })
@@ -184,8 +159,9 @@
 		if zone != "" && f.CutZones != "" && strings.Contains(","+f.CutZones+",", ","+zone+",") {
 			panic(http.ErrAbortHandler)
 		}
-		store := strings.HasPrefix(r.URL.Path, "/table/") || strings.HasPrefix(r.URL.Path, "/objects/")
-		if store && f.StoreDown || f.ListDown && strings.HasPrefix(r.URL.Path, "/instances") {
+		list := r.URL.Query().Get("table") == tableInstances
+		store := !list && (strings.HasPrefix(r.URL.Path, "/rows-") || strings.HasPrefix(r.URL.Path, "/blob-"))
+		if store && f.StoreDown || list && f.ListDown {
 			panic(http.ErrAbortHandler)
 		}
 		if store && f.StoreDelayMS > 0 {
@@ -195,100 +171,113 @@
 	})
 }
 
-func (p *Platform) transact(w http.ResponseWriter, r *http.Request) {
-	var t TransactRequest
-	if !readJSON(w, r, &t) {
-		return
-	}
-	if p.writes.Wait(r.Context()) != nil {
-		return
-	}
-	answer, lost := p.apply(t)
-	if lost {
-		panic(http.ErrAbortHandler)
-	}
-	if len(answer.Conflicts) > 0 {
-		writeJSON(w, http.StatusConflict, answer)
-		return
-	}
-	writeJSON(w, http.StatusOK, answer)
+// write limits, counts and, by a fault, loses the answers of transactions. Those
+// of the list of instances go to the list.
+func (p *Platform) write(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.writes.Wait(r.Context()) != nil {
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if p.registered(body) {
+			writeJSON(w, http.StatusOK, StoreAnswer{})
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		answer := &bufferedAnswer{header: w.Header(), status: http.StatusOK}
+		next.ServeHTTP(answer, r)
+		if p.counted(answer.status) {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(answer.status)
+		_, _ = w.Write(answer.body.Bytes())
+	})
 }
 
-func (p *Platform) apply(t TransactRequest) (answer TransactAnswer, lost bool) {
+// counted counts a transaction and reports whether its answer is lost.
+func (p *Platform) counted(status int) (lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Writes++
-	for _, c := range t.Checks {
-		if p.rows[c.Key].Version != c.Version {
-			answer.Conflicts = append(answer.Conflicts, c.Key)
-		}
-	}
-	if len(answer.Conflicts) > 0 {
+	if status != http.StatusOK {
 		p.counts.Conflicts++
-		return answer, false
-	}
-	answer.Versions = map[string]uint64{}
-	for _, row := range t.Puts {
-		p.next++
-		row.Version = p.next
-		p.rows[row.Key] = row
-		answer.Versions[row.Key] = row.Version
-	}
-	for _, key := range t.Deletes {
-		delete(p.rows, key)
+		return false
 	}
 	lost = p.faults.LostAnswers > 0 && p.rng.Float64() < p.faults.LostAnswers
 	if lost {
 		p.counts.LostAnswers++
 	}
-	return answer, lost
+	return lost
 }
 
-func (p *Platform) getRows(w http.ResponseWriter, r *http.Request) {
-	if p.reads.Wait(r.Context()) != nil {
-		return
+// registered takes a transaction that writes to the list of instances.
+func (p *Platform) registered(body []byte) bool {
+	var t StoreTransaction
+	if err := json.Unmarshal(body, &t); err != nil || len(t.Writes) != 1 || t.Writes[0].Table != tableInstances {
+		return false
 	}
-	q := r.URL.Query()
-	p.mu.Lock()
-	p.counts.Reads++
-	rows := []TableRow{}
-	if key := q.Get("key"); key != "" {
-		if row, ok := p.rows[key]; ok {
-			rows = append(rows, row)
-		}
-	} else {
-		for _, row := range p.rows {
-			if strings.HasPrefix(row.Key, q.Get("prefix")) {
-				rows = append(rows, row)
-			}
-		}
+	var row InstanceRow
+	if err := json.Unmarshal(t.Writes[0].Value, &row); err != nil {
+		return false
 	}
-	p.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	writeJSON(w, http.StatusOK, rows)
+	p.Register(row)
+	return true
 }
 
-func (p *Platform) object(w http.ResponseWriter, r *http.Request) {
-	key := mux.Vars(r)["key"]
-	if r.Method == http.MethodPut {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+// read limits and counts reads. Those of the list of instances show the list,
+// lagging.
+func (p *Platform) read(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.reads.Wait(r.Context()) != nil {
 			return
 		}
 		p.mu.Lock()
-		p.objects[key] = body
+		p.counts.Reads++
 		p.mu.Unlock()
-		return
-	}
-	p.mu.Lock()
-	body, ok := p.objects[key]
-	p.mu.Unlock()
-	if !ok {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
+		if r.URL.Query().Get("table") != tableInstances {
+			next.ServeHTTP(w, r)
+			return
+		}
+		a := StoreAnswer{Rows: []StoreRow{}}
+		for _, row := range p.List() {
+			value, err := json.Marshal(row)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			a.Rows = append(a.Rows, StoreRow{Table: tableInstances, Key: row.Name, Value: value})
+		}
+		writeJSON(w, http.StatusOK, a)
+	})
+}
+
+// tableInstances is the table whose rows are the list of instances.
+const tableInstances = "instances"
+
+// bufferedAnswer holds an answer back until it is known whether it is lost.
+type bufferedAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *bufferedAnswer) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *bufferedAnswer) WriteHeader(status int) { b.status = status }
+
+// Write implements http.ResponseWriter.
+func (b *bufferedAnswer) Write(p []byte) (int, error) {
+	n, err := b.body.Write(p)
+	if err != nil {
+		return n, fmt.Errorf("buffer answer: %w", err)
 	}
-	_, _ = w.Write(body)
+	return n, nil
 }
 
 // List returns the list as the platform shows it now, lagging.
@@ -312,10 +301,6 @@
 	return rows
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, p.List())
-}
-
 // Register adds or changes a row of the list; it shows after the lag. A new
 // instance shows at once.
 func (p *Platform) Register(row InstanceRow) {
@@ -333,13 +318,6 @@
 	p.instances[row.Name] = &listedInstance{row: row, visible: time.Now().Add(p.cfg.ListLag), before: &before}
 }
 
-func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
-	var row InstanceRow
-	if readJSON(w, r, &row) {
-		p.Register(row)
-	}
-}
-
 // WatchInstances probes the listed instances by GET /healthz until ctx ends,
 // as the platform does for its list and its balancer. Three missed probes take
 // an instance off the list.
--- a/platform/claims.go
+++ b/table/claims.go
@@ -1,7 +1,16 @@
-package platform
+// Package table holds what an instance decides over the platform's table service:
+// the claims of keyed orders (claims.go), so that each runs at most once over all
+// instances, and the lease of an instance (lease.go).
+//
+// # Usage
+//
+//	c := table.NewClaims(store, timer.Now)
+//	verdict, ticket, claim, err := c.Claim(ctx, key, attempt, hash)
+package table
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -27,6 +36,7 @@
 	ClaimRetention     = 24 * time.Hour
 	ClaimPrefix        = "claims/"
 	claimPartitions    = 256
+	claimNameBytes     = 160 // of a key beyond its prefix; the platform takes 200 bytes in all, longer names are hashed
 	sweepDeletesAtOnce = 200
 )
 
@@ -89,7 +99,11 @@
 // ClaimKey returns the row for a caller's key at a service.
 func ClaimKey(caller, service, key string) string {
 	name := url.QueryEscape(caller) + "/" + url.QueryEscape(service) + "/" + url.QueryEscape(key)
-	return fmt.Sprintf("%s%02x/%s", ClaimPrefix, xxhash.Sum64String(name)%claimPartitions, name)
+	partition := xxhash.Sum64String(name) % claimPartitions
+	if len(name) > claimNameBytes {
+		name = fmt.Sprintf("%x", sha256.Sum256([]byte(name)))
+	}
+	return fmt.Sprintf("%s%02x/%s", ClaimPrefix, partition, name)
 }
 
 // ClaimTicket is an attempt that was granted.
--- a/platform/main_test.go
+++ b/table/main_test.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"flag"
