Tests of the routed interface

Found: a caller that sends a body over the limit lost the answer 413 to a reset; the excess is read now, up to the limit once more.

--- /dev/null
+++ b/ingress/fake_test.go
@@ -0,0 +1,193 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/timer"
+)
+
+// backend is a backend server that answers each request with bytes that a test
+// chooses, and keeps what it was sent.
+type backend struct {
+	id string
+	l  net.Listener
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	gone     chan struct{} // receives when a connection ended while its request was worked on
+}
+
+// behaviour answers one request on a connection; it returns false to end the
+// connection.
+type behaviour func(conn net.Conn, r *http.Request, id string) bool
+
+func newBackend(t *testing.T, id string, b behaviour) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &backend{id: id, l: l, gone: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, b)
+		}
+	}()
+	return s
+}
+
+func (s *backend) serve(conn net.Conn, b behaviour) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, r)
+		s.bodies = append(s.bodies, string(body))
+		s.mu.Unlock()
+		if !b(conn, r, s.id) {
+			return
+		}
+	}
+}
+
+func (s *backend) seen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+// say writes an answer that is right in all respects.
+func say(conn net.Conn, r *http.Request, status, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\nContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("X-Chestnutstream-Request-Id"), len(body), body)
+	return err == nil
+}
+
+func ok(conn net.Conn, r *http.Request, id string) bool { return say(conn, r, "200 OK", "from "+id) }
+
+// events writes the events of a stream from one to before another, in chunks.
+func events(conn net.Conn, from, to int) {
+	for i := from; i < to; i++ {
+		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(e), e)
+	}
+}
+
+func streamHead(conn net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		r.Header.Get("X-Chestnutstream-Request-Id"))
+}
+
+// desk is a Dispatcher over a list of backends, which it offers in order.
+type desk struct {
+	mu       sync.Mutex
+	table    *chestnutstream.RouteTable
+	backends []*backend
+	again    bool
+	results  []Result
+	open     int
+}
+
+func (d *desk) Routes() *chestnutstream.RouteTable { return d.table }
+
+func (d *desk) AwaitRoutes(context.Context) *chestnutstream.RouteTable { return d.table }
+
+func (d *desk) Place(_ context.Context, p Placement) (Placed, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.backends {
+		if !p.Avoid[b.id] {
+			d.open++
+			return Placed{Server: chestnutstream.Backend{ID: b.id, Address: b.l.Addr().String()}}, nil
+		}
+	}
+	return Placed{}, &NoPlaceError{Reason: "no server left", RetryAfter: 250 * time.Millisecond}
+}
+
+func (d *desk) Answered(_ Placed, _ chestnutstream.ModelAdapter, r Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.results = append(d.results, r)
+}
+
+func (d *desk) Done(Placed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+}
+
+func (d *desk) Again(string) bool { return d.again }
+func (d *desk) Earn(string)       {}
+func (d *desk) Leaving() bool     { return false }
+
+// front is an ingress server before backends, with a route of each kind.
+type front struct {
+	*httptest.Server
+	desk *desk
+}
+
+func newFront(t *testing.T, backends ...*backend) *front {
+	routes := []*chestnutstream.Route{
+		{Name: "look", Host: "h.example", Prefix: "/look/", Kind: chestnutstream.RouteIdempotent, MaxServers: 2, Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond},
+		{Name: "order", Host: "h.example", Prefix: "/order/", Kind: chestnutstream.RouteNonIdempotent, MaxServers: 1, Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond},
+		{Name: "ask", Host: "h.example", Prefix: "/ask/", Kind: chestnutstream.RouteStreaming, Resumable: true, MaxServers: 3, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond},
+		{Name: "once", Host: "h.example", Prefix: "/once/", Kind: chestnutstream.RouteStreaming, MaxServers: 1, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond},
+	}
+	for _, r := range routes {
+		r.Targets = []chestnutstream.RouteTarget{{Service: "s", Weight: 1}}
+	}
+	d := &desk{again: true, backends: backends, table: chestnutstream.NewRouteTable(1, routes, []*chestnutstream.BackendService{{Name: "s"}}, chestnutstream.ClientLimits{BodyBytes: 1 << 20})}
+	s := NewServer(Settings{Timer: timer.NewSystem(), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewSet()}, d)
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return &front{Server: srv, desk: d}
+}
+
+// ask sends a request and returns what came back. An answer that broke off has
+// an error.
+func (f *front) ask(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, f.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Chestnutstream-Request-Id", "r-1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	tr := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, err = io.Copy(&b, resp.Body)
+	return resp, b.String(), err
+}
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -18,6 +18,10 @@
 		limit = bodyMost
 	}
 	if r.ContentLength > limit {
+		// Many callers read no answer before they have sent their body.
+		if _, err := io.CopyN(io.Discard, r.Body, limit+1); err != nil {
+			return nil, 0, fmt.Errorf("read body: %w", err)
+		}
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body of %d bytes, at most %d are taken", r.ContentLength, limit)
 	}
 	if r.ContentLength == 0 {
