--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -36,21 +36,21 @@
 	pause  time.Duration
 	early  time.Duration // the pause just after the start; 0: the same
 	wait   time.Duration
-	listed func(rows []chestnutstream.TableRow)
+	listed func(rows []chestnutstream.TableRow, version uint64)
 	fed    func(rows []chestnutstream.TableRow)
 }
 
 func (n *Node) feeds() []feed {
 	return []feed{
-		{table: platform.TableOperator, wait: operatorWait, listed: n.operatorRows, fed: n.operatorRows},
+		{table: platform.TableOperator, wait: operatorWait, listed: func(rows []chestnutstream.TableRow, _ uint64) { n.operatorRows(rows) }, fed: n.operatorRows},
 		{
 			table: platform.TableServers, pause: serversPause, wait: serversWait,
-			listed: func(rows []chestnutstream.TableRow) { n.serverRows(rows, true) },
-			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false) },
+			listed: func(rows []chestnutstream.TableRow, version uint64) { n.serverRows(rows, true, version) },
+			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false, 0) },
 		},
 		{
 			table: lease.Table, pause: leasesPause, early: leasesEarly, wait: leasesWait,
-			listed: func(rows []chestnutstream.TableRow) { n.leaseRows(rows, true) },
+			listed: func(rows []chestnutstream.TableRow, _ uint64) { n.leaseRows(rows, true) },
 			fed:    func(rows []chestnutstream.TableRow) { n.leaseRows(rows, false) },
 		},
 	}
@@ -89,7 +89,7 @@
 		if known {
 			f.fed(rows)
 		} else {
-			f.listed(rows)
+			f.listed(rows, version)
 			known = true
 		}
 		n.poke()
@@ -209,7 +209,7 @@
 }
 
 // serverRows takes entries of the servers.
-func (n *Node) serverRows(rows []chestnutstream.TableRow, whole bool) {
+func (n *Node) serverRows(rows []chestnutstream.TableRow, whole bool, version uint64) {
 	entries := make([]fleet.Entry, 0, len(rows))
 	for _, r := range rows {
 		e := fleet.Entry{Key: r.Key, Row: r.Version, Removed: r.Removed}
@@ -222,7 +222,7 @@
 	now := n.now()
 	var changes []fleet.Change
 	if whole {
-		changes = n.fleet.Listed(now, entries)
+		changes = n.fleet.Listed(now, version, entries)
 	} else {
 		changes = n.fleet.Fed(now, entries)
 	}
@@ -276,6 +276,9 @@
 		err = n.book.Fed(boot, rows)
 	}
 	members := n.book.Holders(boot)
+	for _, b := range n.budgets {
+		b.Among(n.book.Instances(boot))
+	}
 	n.mu.Unlock()
 	if err != nil {
 		n.log.WithError(err).Warn("lease row")
--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -5,32 +5,39 @@
 // Budget is this instance's part of the sends beyond the first that all
 // instances together may make to a service. Each earns a share in proportion to
 // its own requests; of the fixed part it takes so little that the sum holds
-// when instances come and go unseen.
+// while half as many instances again are not known yet.
 type Budget struct {
-	Share  float64       // of its own requests
-	Extra  float64       // this instance's fixed part in Window
-	Window time.Duration // over which the fixed part is given
+	share  float64 // of its own requests
+	extra  float64 // fixed, of all instances, in window
+	window time.Duration
+	mine   float64 // this instance's fixed part in window
 	tokens float64
 	at     time.Time
 }
 
 // Figures of the budget.
 const (
-	budgetShareUsed = 0.7 // of the share that is allowed: requests and repeats fall into different windows
-	budgetExtraUsed = 0.6 // of the fixed part, over all instances
-	// budgetHoard is how many seconds' worth of the fixed part may be saved up.
-	budgetHoard = 1.0
+	budgetShareUsed = 0.7  // of the share that is allowed: requests and repeats fall into different windows
+	budgetExtraUsed = 0.48 // of the fixed part, over all instances
+	budgetHoard     = 0.25 // of a window's fixed part may be saved up
+	budgetEarned    = 5    // requests' shares that may be saved up
 )
 
-// NewBudget returns the budget of one of so many instances.
+// NewBudget returns the budget of one of so many instances, from the share of
+// requests and the fixed part in a window that all have together.
 func NewBudget(share, extra float64, window time.Duration, instances int) *Budget {
-	return &Budget{Share: share * budgetShareUsed, Extra: extra * budgetExtraUsed / float64(max(instances, 1)), Window: window}
+	b := &Budget{share: share * budgetShareUsed, extra: extra * budgetExtraUsed, window: window}
+	b.Among(instances)
+	return b
 }
 
+// Among tells how many instances share the budget.
+func (b *Budget) Among(instances int) { b.mine = b.extra / float64(max(instances, 1)) }
+
 // Earn notes a request of this instance.
 func (b *Budget) Earn(now time.Time) {
 	b.refill(now)
-	b.tokens = min(b.tokens+b.Share, b.most())
+	b.tokens = min(b.tokens+b.share, b.most())
 }
 
 // Take reports whether one more send is allowed, and counts it.
@@ -43,17 +50,16 @@
 	return true
 }
 
-// most is how much may be saved: the fixed part of one window and a share of
-// what was earned lately.
-func (b *Budget) most() float64 { return max(b.Extra*budgetHoard, 1) + 10*b.Share }
+// most is how much may be saved up.
+func (b *Budget) most() float64 { return max(b.mine*budgetHoard, 1) + budgetEarned*b.share }
 
 func (b *Budget) refill(now time.Time) {
 	if b.at.IsZero() {
 		b.at, b.tokens = now, b.most()
 		return
 	}
-	if b.Window > 0 {
-		b.tokens = min(b.tokens+b.Extra*float64(now.Sub(b.at))/float64(b.Window), b.most())
+	if b.window > 0 {
+		b.tokens = min(b.tokens+b.mine*float64(now.Sub(b.at))/float64(b.window), b.most())
 	}
 	b.at = now
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -45,8 +45,9 @@
 	}
 }
 
-// Listed takes the whole list of servers. What is not on it has left.
-func (f *Fleet) Listed(now time.Time, entries []Entry) []Change {
+// Listed takes the whole list of servers as of a version of the store. What is
+// not on it has left.
+func (f *Fleet) Listed(now time.Time, version uint64, entries []Entry) []Change {
 	var changes []Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -54,7 +55,7 @@
 	}
 	for _, s := range f.Servers() {
 		if !listed[s.ID] {
-			changes = append(changes, f.lost(now, s, 0)...)
+			changes = append(changes, f.lost(now, s, version)...)
 		}
 	}
 	return append(changes, f.Fed(now, entries)...)
@@ -74,6 +75,9 @@
 
 func (f *Fleet) entry(now time.Time, e Entry) []Change {
 	s := f.servers[e.Key]
+	if s == nil && e.Row <= f.gone[e.Key] {
+		return nil // read before the server was found gone
+	}
 	switch {
 	case s != nil && e.Row < s.Row:
 		return nil // an older read
@@ -138,17 +142,29 @@
 		s.Missing = f.storeBack
 		return []Change{{Server: s.ID, What: "missing", Row: row}}
 	}
-	delete(f.servers, s.ID)
+	f.drop(s)
 	f.index()
 	return []Change{{Server: s.ID, What: "gone", Row: row}}
 }
 
+// goneKept bounds how many servers are remembered that have gone.
+const goneKept = 4096
+
+// drop forgets a server but for the row at which it was found gone.
+func (f *Fleet) drop(s *Server) {
+	delete(f.servers, s.ID)
+	if len(f.gone) >= goneKept {
+		clear(f.gone)
+	}
+	f.gone[s.ID] = s.Row
+}
+
 // Tick drops servers whose entries did not come back.
 func (f *Fleet) Tick(now time.Time) []Change {
 	var changes []Change
 	for _, s := range f.servers {
 		if !s.Missing.IsZero() && now.Sub(s.Missing) > comeBack {
-			delete(f.servers, s.ID)
+			f.drop(s)
 			changes = append(changes, Change{Server: s.ID, What: "gone", Row: s.Row})
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -69,6 +69,7 @@
 	zone     string
 	rand     *rand.Rand
 	servers  map[string]*Server
+	gone     map[string]uint64    // rows at which servers were found gone
 	services map[string][]*Server // in order of ID
 	versions map[chestnutstream.ModelAdapter]int
 
@@ -79,7 +80,7 @@
 // New returns an empty fleet as seen from an availability zone.
 func New(zone string, r *rand.Rand) *Fleet {
 	return &Fleet{
-		zone: zone, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
+		zone: zone, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{},
 	}
 }
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,362 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// TestMain fixes rapid's seed, so that a run in CI repeats; -rapid.seed sets
+// another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+const testService = "s"
+
+func newFleet() *Fleet { return New("z1", rand.New(rand.NewPCG(1, 2))) }
+
+// entry is a row of a ready server.
+func entry(id string, row uint64, changes ...func(*chestnutstream.Backend)) Entry {
+	b := chestnutstream.Backend{
+		ID: id, Born: 1, Service: testService, Address: id + ":1", Zone: "z1", Slots: 8, State: chestnutstream.BackendReady,
+		Models: []chestnutstream.HeldModel{{Name: "m", Version: 1}},
+	}
+	for _, c := range changes {
+		c(&b)
+	}
+	return Entry{Key: id, Row: row, Backend: b}
+}
+
+func draining(b *chestnutstream.Backend) { b.State = chestnutstream.BackendDraining }
+
+func usable(f *Fleet) []string {
+	var ids []string
+	for _, s := range f.Service(testService) {
+		if s.Usable() {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+func TestLeavingServersGetNothing(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("a", 1), entry("b", 2), entry("c", 3)})
+	f.Fed(start, []Entry{entry("a", 4, draining), {Key: "b", Row: 5, Removed: true}})
+	assert.DeepEqual(t, usable(f), []string{"c"})
+	f.Fed(start, []Entry{entry("a", 6)})
+	assert.DeepEqual(t, usable(f), []string{"c"}) // what drains does not come back
+	f.Fed(start, []Entry{entry("a", 7, func(b *chestnutstream.Backend) { b.Born = 2 })})
+	assert.DeepEqual(t, usable(f), []string{"a", "c"}) // but its next start does
+}
+
+func TestLapsedEntries(t *testing.T) {
+	tests := []struct {
+		name   string
+		away   bool          // the store was away before
+		after  time.Duration // the store's return, when the entry is found missing
+		look   time.Duration // after the return
+		usable bool
+	}{
+		{"removed while the store serves", false, 0, 0, false},
+		{"missing in the first read after an outage", true, 0, 2 * time.Second, true},
+		{"still missing when it should be back", true, 0, 2500 * time.Millisecond, false},
+		{"removed a while after the outage", true, 1500 * time.Millisecond, 1500 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet()
+			f.Listed(start, 0, []Entry{entry("a", 1)})
+			if tt.away {
+				f.StoreFailed()
+			}
+			f.StoreAnswered(start)
+			f.Fed(start.Add(tt.after), []Entry{{Key: "a", Row: 2, Removed: true}})
+			f.Tick(start.Add(tt.look))
+			assert.Equal(t, len(usable(f)) == 1, tt.usable)
+		})
+	}
+}
+
+func TestEntryThatComesBackStays(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("a", 1)})
+	f.StoreFailed()
+	f.StoreAnswered(start)
+	f.Listed(start, 0, nil)
+	changes := f.Fed(start.Add(time.Second), []Entry{entry("a", 3)})
+	assert.Equal(t, changes[0].What, "back")
+	assert.Equal(t, len(f.Tick(start.Add(time.Minute))), 0)
+	assert.DeepEqual(t, usable(f), []string{"a"})
+}
+
+func TestStrangeEntriesNameNoServer(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("a", 1)})
+	changes := f.Fed(start, []Entry{{Key: "x", Row: 2, Err: errors.New("no JSON")}, {Key: "a", Row: 3, Err: errors.New("no JSON")}})
+	assert.Equal(t, len(changes), 2)
+	assert.DeepEqual(t, usable(f), []string{"a"}) // the others hold
+}
+
+func TestAddressThatIsAnothersIsLeft(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("a", 1), entry("b", 2)})
+	f.Misplaced("a")
+	assert.DeepEqual(t, usable(f), []string{"b"})
+	f.Fed(start, []Entry{entry("a", 3, func(b *chestnutstream.Backend) { b.Address = "new:1"; b.Born = 2 })})
+	assert.DeepEqual(t, usable(f), []string{"a", "b"})
+}
+
+// Whatever is read late, twice, out of order or not at all: a server that has
+// left in the newest entry read is not usable, and versions never fall.
+func TestListIsNeverOlderThanWhatWasRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		now := start
+		truth := map[string]Entry{}
+		newest := map[string]uint64{}
+		borns := map[string]int64{}
+		var written []Entry
+		row := uint64(0)
+		ids := rapid.SampledFrom([]string{"a", "b", "c"})
+		for range rapid.IntRange(1, 60).Draw(t, "moves") {
+			id := ids.Draw(t, "id")
+			switch rapid.SampledFrom([]string{"write", "write", "remove", "drain", "read", "read", "old", "all", "outage", "tick"}).Draw(t, "move") {
+			case "write":
+				row++
+				born := max(int64(rapid.IntRange(1, 3).Draw(t, "born")), borns[id]) // a later start is born later
+				borns[id] = born
+				truth[id] = entry(id, row, func(b *chestnutstream.Backend) { b.Born = born })
+				written = append(written, truth[id])
+			case "drain":
+				if e, ok := truth[id]; ok {
+					row++
+					e.Row, e.Backend.State = row, chestnutstream.BackendDraining
+					borns[id] = e.Backend.Born + 1 // what drains ends; the next start is another
+					truth[id] = e
+					written = append(written, e)
+				}
+			case "remove":
+				if _, ok := truth[id]; ok {
+					row++
+					delete(truth, id)
+					written = append(written, Entry{Key: id, Row: row, Removed: true})
+				}
+			case "read":
+				f.Fed(now, written)
+			case "old":
+				if len(written) > 0 {
+					f.Fed(now, written[:rapid.IntRange(0, len(written)).Draw(t, "n")])
+				}
+			case "all":
+				var all []Entry
+				for _, e := range truth {
+					all = append(all, e)
+				}
+				f.Listed(now, row, all)
+			case "outage":
+				f.StoreFailed()
+				f.StoreAnswered(now)
+			case "tick":
+				now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+				f.Tick(now)
+			}
+			for _, s := range f.Servers() {
+				if s.Row < newest[s.ID] {
+					t.Fatalf("%s fell from row %d to %d", s.ID, newest[s.ID], s.Row)
+				}
+				newest[s.ID] = s.Row
+			}
+		}
+		// Once all is read, and nothing is in doubt any more, the list is the truth.
+		now = now.Add(time.Minute)
+		f.Fed(now, written)
+		var all []Entry
+		for _, e := range truth {
+			all = append(all, e)
+		}
+		f.Listed(now, row, all)
+		f.Tick(now)
+		for _, id := range []string{"a", "b", "c"} {
+			e, there := truth[id]
+			want := there && e.Backend.State == chestnutstream.BackendReady
+			s := f.Server(id)
+			if got := s != nil && s.Usable(); got != want {
+				t.Fatalf("%s: usable %t, want %t", id, got, want)
+			}
+		}
+	})
+}
+
+func anyLoadable(*Server) bool { return true }
+
+func engines(n int) *Fleet {
+	f := newFleet()
+	var list []Entry
+	for i := range n {
+		list = append(list, entry(fmt.Sprintf("e%d", i), uint64(i+1), func(b *chestnutstream.Backend) { b.Slots = 64 }))
+	}
+	f.Listed(start, 0, list)
+	return f
+}
+
+// An adapter lives at the same engine for all instances, and mostly stays there
+// when another engine goes.
+func TestAdaptersHaveAHome(t *testing.T) {
+	f, g := engines(9), engines(9)
+	g.Fed(start, []Entry{{Key: "e4", Row: 100, Removed: true}})
+	moved := 0
+	for i := range 300 {
+		target := chestnutstream.ModelAdapter{Model: "m", Adapter: fmt.Sprintf("a%d", i)}
+		a := f.PickEngine(start, testService, target, 1, nil, anyLoadable).Server.ID
+		b := g.PickEngine(start, testService, target, 1, nil, anyLoadable).Server.ID
+		if a != "e4" {
+			assert.Equal(t, a, b)
+		} else {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 15 && moved < 60, "%d of 300 lived at one of nine", moved)
+}
+
+// The load that this answers: one adapter gets a fifth of all requests. Without
+// copies its engine would take a fifth of the load of nine.
+func TestHotAdapterIsCopiedBeforeItsEngineQueues(t *testing.T) {
+	f := engines(9)
+	hot := chestnutstream.ModelAdapter{Model: "m", Adapter: "hot"}
+	copies := map[string]bool{}
+	for i := range 180 {
+		target := hot
+		if i%5 != 0 {
+			target = chestnutstream.ModelAdapter{Model: "m", Adapter: fmt.Sprintf("a%d", i)}
+		}
+		c := f.PickEngine(start, testService, target, 1, nil, anyLoadable)
+		f.Sent(c.Server.ID)
+		f.Held(start, c.Server.ID, target, 1)
+		if c.Copy != nil {
+			f.Held(start, c.Copy.ID, target, 1)
+		}
+		if target == hot {
+			copies[c.Server.ID] = true
+		}
+	}
+	most := 0
+	for _, s := range f.Servers() {
+		most = max(most, s.InFlight)
+	}
+	assert.Assert(t, most <= 40, "an engine has %d of 180 requests; even is 20, the hot adapter alone is 36", most)
+	assert.Assert(t, len(copies) >= 2)
+}
+
+func TestEnginesWithoutTheModelGetNoLoads(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{
+		entry("empty", 1, func(b *chestnutstream.Backend) { b.Models = nil }),
+		entry("full", 2),
+	})
+	for i := range 20 {
+		c := f.PickEngine(start, testService, chestnutstream.ModelAdapter{Model: "m", Adapter: fmt.Sprint(i)}, 1, nil, anyLoadable)
+		assert.Equal(t, c.Server.ID, "full")
+	}
+}
+
+// A failing server gets trials only, an unreachable one a single one per pause,
+// and when all are unreachable the request is refused at once.
+func TestFailingServersGetLittle(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("bad", 1), entry("good", 2)})
+	now := start
+	for range 8 {
+		f.Outcome(now, "bad", Failed, 0)
+	}
+	counts := map[string]int{}
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		s := f.PickPlain(now, testService, nil)
+		counts[s.ID]++
+		if s.ID == "bad" {
+			f.Outcome(now, "bad", Failed, 0)
+		}
+	}
+	assert.Assert(t, counts["bad"] <= 10, "%d of 200 to a server that fails all", counts["bad"])
+	for range 3 {
+		f.Outcome(now, "bad", Unreachable, 0)
+		f.Outcome(now, "good", Unreachable, 0)
+	}
+	assert.Assert(t, f.PickPlain(now, testService, nil) == nil)
+	now = now.Add(longestPause)
+	assert.Assert(t, f.PickPlain(now, testService, nil) != nil, "a trial after the pause")
+	assert.Assert(t, f.PickPlain(now, testService, nil) != nil, "the other's trial")
+	assert.Assert(t, f.PickPlain(now, testService, nil) == nil, "one trial each")
+	f.Outcome(now, "good", Answered, time.Millisecond)
+	assert.Equal(t, f.PickPlain(now, testService, nil).ID, "good")
+}
+
+func TestOwnZoneFirstUntilItQueues(t *testing.T) {
+	f := newFleet()
+	f.Listed(start, 0, []Entry{entry("near", 1), entry("far", 2, func(b *chestnutstream.Backend) { b.Zone = "z2" })})
+	var order []string
+	for range 4 {
+		s := f.PickPlain(start, testService, nil)
+		f.Sent(s.ID)
+		order = append(order, s.ID)
+	}
+	assert.DeepEqual(t, order, []string{"near", "far", "near", "far"})
+}
+
+// The sum of what all instances send again stays within the budget in any
+// window, also while instances come that are not known yet.
+func TestBudgetHoldsOverAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, extra, window = 0.2, 58.0, 10 * time.Second
+		const step, steps, perWindow = 100 * time.Millisecond, 400, 100
+		known := rapid.IntRange(2, 12).Draw(t, "known")
+		instances := known + rapid.IntRange(0, known/2).Draw(t, "unknown")
+		var budgets []*Budget
+		for range instances {
+			budgets = append(budgets, NewBudget(share, extra, window, known))
+		}
+		var firsts, agains [steps + 1]int // sums up to a step
+		rate := rapid.IntRange(0, 30).Draw(t, "requests a step")
+		from := rapid.IntRange(0, steps/2).Draw(t, "failures from")
+		now := start
+		for s := range steps {
+			now = now.Add(step)
+			firsts[s+1], agains[s+1] = firsts[s], agains[s]
+			for i, b := range budgets {
+				for range rate/instances + i%2 {
+					b.Earn(now)
+					firsts[s+1]++
+				}
+				for s >= from && b.Take(now) {
+					agains[s+1]++
+				}
+			}
+		}
+		for end := perWindow; end <= steps; end++ {
+			in := func(sums [steps + 1]int, end int) int { return sums[end] - sums[max(end-perWindow, 0)] }
+			own := max(in(firsts, end), in(firsts, max(end-perWindow, 0)), in(firsts, max(end-perWindow/2, 0)))
+			if n := in(agains, end); float64(n) > share*float64(own)+extra {
+				t.Fatalf("%d sends beyond the first for %d requests (%d instances, %d known)", n, own, instances, known)
+			}
+		}
+	})
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -235,8 +235,18 @@
 	return out
 }
 
+// unsettled is how many instances are assumed just after a start, while those
+// that started together are not known yet.
+const unsettled = 24
+
 // Instances returns how many instances hold a lease, this one included.
-func (b *Book) Instances(boot time.Duration) int { return len(b.Holders(boot)) + 1 }
+func (b *Book) Instances(boot time.Duration) int {
+	n := len(b.Holders(boot)) + 1
+	if !b.read || b.fedAt-b.readAt < b.cfg.Settle {
+		return max(n, unsettled)
+	}
+	return n
+}
 
 func (b *Book) alive(boot time.Duration, h *Holder) bool { return boot-h.seen < b.cfg.Duration }
 
