--- a/edge/control.go
+++ b/edge/control.go
@@ -230,7 +230,7 @@
 func (n *Node) tell(server string, a loader.Action) {
 	g := instance.Got{
 		Server: server, Target: a.Target, Version: a.Version, Held: a.Kind == loader.TellHeld,
-		RetryAfterMS: a.RetryAfter.Milliseconds(), Dropped: a.Kind == loader.TellGone,
+		RetryAfterMS: a.RetryAfter.Milliseconds(), Dropped: a.Kind == loader.TellGone, Reason: a.Why,
 	}
 	for _, to := range a.To {
 		if to == n.cfg.Instance {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -121,7 +121,7 @@
 		n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 		return
 	}
-	g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, RetryAfterMS: notOwnerPause.Milliseconds()}
+	g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, RetryAfterMS: notOwnerPause.Milliseconds(), Reason: "not its owner"}
 	n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 }
 
@@ -142,7 +142,7 @@
 	case g.Dropped:
 		n.fleet.NotHeld(g.Server, g.Target)
 	default:
-		n.endWait(holdKey{g.Server, g.Target}, waitResult{retryAfter: time.Duration(g.RetryAfterMS) * time.Millisecond, reason: "its owner has no room"})
+		n.endWait(holdKey{g.Server, g.Target}, waitResult{retryAfter: time.Duration(g.RetryAfterMS) * time.Millisecond, reason: g.Reason})
 	}
 }
 
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -48,6 +48,7 @@
 	RetryAfterMS int64
 	Dropped      bool
 	Pending      bool
+	Reason       string
 }
 
 type wireRow struct {
@@ -71,7 +72,7 @@
 	for _, x := range b.Got {
 		w.Got = append(w.Got, wireGot{
 			Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version,
-			Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending,
+			Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending, Reason: x.Reason,
 		})
 	}
 	for _, x := range b.Used {
@@ -100,7 +101,7 @@
 		b.Wants = append(b.Wants, Want{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
 	}
 	for _, x := range w.Got {
-		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending})
+		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending, Reason: x.Reason})
 	}
 	for _, x := range w.Used {
 		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Version, InProgress: x.Count})
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -62,9 +62,10 @@
 	Target       chestnutstream.ModelAdapter
 	Version      int
 	Held         bool
-	Pending      bool  // it is waited for: another word follows
-	RetryAfterMS int64 // when it is not held
-	Dropped      bool  // nobody asked: it has been unloaded
+	Pending      bool   // it is waited for: another word follows
+	RetryAfterMS int64  // when it is not held
+	Reason       string // why it is not held
+	Dropped      bool   // nobody asked: it has been unloaded
 }
 
 // Use tells the owner of a server how the sender uses an adapter there.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -18,7 +18,7 @@
 var sample = Bundle{
 	From: Member{Name: "edge-a-1", Address: "10.0.0.1:1", Zone: "a"}, Run: 9, HasOwned: true, Owned: []string{"i-1"}, Leaving: true,
 	Wants:  []Want{{Server: "i-1", Target: chestnutstream.ModelAdapter{Model: "m", Adapter: "a1"}, Version: 2, Waiting: 3}},
-	Got:    []Got{{Server: "i-1", Target: chestnutstream.ModelAdapter{Model: "m", Adapter: "a1"}, Version: 2, Held: true, Pending: true, RetryAfterMS: 5, Dropped: true}},
+	Got:    []Got{{Server: "i-1", Target: chestnutstream.ModelAdapter{Model: "m", Adapter: "a1"}, Version: 2, Held: true, Pending: true, RetryAfterMS: 5, Dropped: true, Reason: "why"}},
 	Used:   []Use{{Server: "i-1", Target: chestnutstream.ModelAdapter{Model: "m"}, Begun: 4, InProgress: 5}},
 	Config: []byte("{}"), ConfigRow: 8, AskConfig: true, HaveConfig: 7,
 	Servers: []ServerRow{{Key: "i-1", Value: []byte("{}"), Row: 3}}, Versions: []ServerRow{{Key: "version/m.a", Value: []byte("x"), Row: 4}},
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -48,7 +48,7 @@
 	tellDrop       = 25 * time.Second       // instances that used an adapter so lately are told that it is gone
 	pastMost       = 100                    // adapters that an engine keeps nearby after they were unloaded
 	refuseAfter    = 700 * time.Millisecond // a want without a free slot is answered after this: a copy elsewhere costs a load from the store
-	unknownAfter   = 100 * time.Millisecond // and one at an engine whose state is not known, or that has no model
+	noModelAfter   = 100 * time.Millisecond // and one at an engine that has no model: others have
 	waitLook       = 50 * time.Millisecond  // between looks for room
 	refuseFor      = 300 * time.Millisecond // and should not come back before this
 	failPause      = 300 * time.Millisecond // after a failed call to the engine; doubles
@@ -259,9 +259,9 @@
 		limit, why := refuseAfter, "all slots in use"
 		switch {
 		case !e.synced:
-			limit, why = unknownAfter, "state of the engine not known"
+			why = "state of the engine not known"
 		case !e.hasModel(target.Model):
-			limit, why = unknownAfter, "base model not loaded"
+			limit, why = noModelAfter, "base model not loaded"
 		case e.room(boot):
 			continue // its turn comes
 		}
@@ -732,7 +732,7 @@
 	}
 	for _, w := range e.wants {
 		// Past that, a want waits for a slot that falls idle.
-		earliest(max(w.since+unknownAfter, boot+waitLook))
+		earliest(max(w.since+noModelAfter, boot+waitLook))
 	}
 	if e.synced && len(e.models) == 0 && e.modelWant == "" {
 		earliest(e.modelAt)
