--- a/edge/control.go
+++ b/edge/control.go
@@ -17,7 +17,7 @@
 const (
 	controlLeast  = 2 * time.Millisecond   // between two looks
 	controlMost   = 250 * time.Millisecond // leases and lapsed entries are looked at so often
-	orderTimeout  = 80 * time.Millisecond  // an engine answers within milliseconds, and an order that was lost holds up all later ones
+	orderTimeout  = 45 * time.Millisecond  // an engine answers within milliseconds, and an order that was lost holds up all later ones
 	usedPause     = 60 * time.Millisecond  // between words to owners about the use of their adapters
 	reportTimeout = 700 * time.Millisecond
 )
@@ -194,29 +194,42 @@
 	e := n.loaders[id]
 	fence, until, ok := n.book.Fence(boot, id)
 	if !ok {
-		e.ReportFailed(boot)
+		n.ended(e, boot, a, chestnutstream.OrderRejected)
 		return
 	}
 	o := a.Order
 	o.Holder, o.Fence, o.NotAfter = n.cfg.Instance, fence, until
-	go n.sendOrder(id, e.Server, o, a.Why)
+	a.Order = o
+	go n.sendOrder(id, e.Server, a)
 }
 
-func (n *Node) sendOrder(id string, server chestnutstream.Backend, o chestnutstream.BackendOrder, why string) {
+// ended hands the answer to an order or a look to its loader. Callers hold mu.
+func (n *Node) ended(e *loader.Engine, boot time.Duration, a loader.Action, answer chestnutstream.OrderAnswer) {
+	told := []loader.Action(nil)
+	if a.Look {
+		told = e.Looked(boot, a.Order, answer)
+	} else {
+		told = e.Ordered(boot, a.Order, answer)
+	}
+	for _, t := range told {
+		n.tell(e.Server.ID, t)
+	}
+}
+
+func (n *Node) sendOrder(id string, server chestnutstream.Backend, a loader.Action) {
+	o := a.Order
 	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
 	defer cancel()
 	answer, err := n.backends.Order(ctx, server, o)
 	n.mu.Lock()
 	if e := n.loaders[id]; e != nil && e.Server.Born == server.Born {
-		for _, a := range e.Ordered(n.boot(), o, answer) {
-			n.tell(id, a)
-		}
+		n.ended(e, n.boot(), a, answer)
 	}
 	n.mu.Unlock()
 	n.metrics.GetOrCreateCounter(`chestnutstream_orders_total{answer="` + string(answer) + `"}`).Inc()
 	l := n.log.WithFields(log.Fields{
 		"server": id, "order": o.Kind, "target": o.Target.String(), "version": o.Version, "orders": o.OrderCount,
-		"fence": o.Fence, "answer": answer, "why": why,
+		"fence": o.Fence, "answer": answer, "why": a.Why,
 	})
 	if err != nil {
 		l.WithError(err).Warn("order")
--- a/edge/place.go
+++ b/edge/place.go
@@ -19,6 +19,7 @@
 	loadSilence  = 3 * time.Second        // and how long it may wait
 	placesMost   = 6                      // engines that are tried for one placement
 	noServer     = 300 * time.Millisecond // told to callers when no server is known: entries come about once a second
+	ownerPause   = time.Second            // after an owner was silent, until it is asked again
 	copyPause    = 500 * time.Millisecond // between wants of one copy
 )
 
@@ -133,7 +134,9 @@
 }
 
 // loadable reports whether loads can be asked for at a server. Callers hold mu.
-func (n *Node) loadable(s *fleet.Server) bool { return n.ownerOf(s.ID) != "" }
+func (n *Node) loadable(s *fleet.Server) bool {
+	return s.TakesLoads(n.now()) && n.ownerOf(s.ID) != ""
+}
 
 // want asks for an adapter on a server and returns where its end is told.
 // Callers hold mu.
@@ -201,7 +204,7 @@
 		w := n.waits[k]
 		pending := w != nil && w.pending
 		if !pending || limit == loadSilence {
-			n.endWait(k, waitResult{retryAfter: noServer, reason: "its owner is silent"})
+			n.endWait(k, waitResult{retryAfter: ownerPause, reason: "its owner is silent"})
 		}
 		n.mu.Unlock()
 	}
@@ -215,6 +218,9 @@
 		return
 	}
 	delete(n.waits, k)
+	if !r.held {
+		n.fleet.NoLoads(k.server, n.now().Add(r.retryAfter))
+	}
 	for _, ch := range w.waiters {
 		ch <- r
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,7 +21,7 @@
 	judge    judge
 	load     loadSeen
 	holds    map[chestnutstream.ModelAdapter]holding
-	Owner    string // instance that may give it orders; empty: not known
+	noLoads  time.Time // until when its owner is not asked for loads
 	hash     uint64
 }
 
@@ -72,6 +72,7 @@
 	gone     map[string]uint64    // rows at which servers were found gone
 	services map[string][]*Server // in order of ID
 	versions map[chestnutstream.ModelAdapter]int
+	zones    map[string]*judge // of connections to the servers of an availability zone
 
 	storeAway bool      // the newest read of the list failed
 	storeBack time.Time // when a read succeeded after failures
@@ -81,7 +82,7 @@
 func New(zone string, r *rand.Rand) *Fleet {
 	return &Fleet{
 		zone: zone, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
-		versions: map[chestnutstream.ModelAdapter]int{},
+		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*judge{},
 	}
 }
 
@@ -141,11 +142,48 @@
 
 // Outcome notes what became of a request at a server.
 func (f *Fleet) Outcome(now time.Time, id string, o Outcome, took time.Duration) {
-	if s := f.servers[id]; s != nil {
-		s.judge.note(now, o, took)
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	s.judge.note(now, o, took)
+	z := f.zones[s.Zone]
+	if z == nil {
+		z = &judge{patience: zoneUnreached}
+		f.zones[s.Zone] = z
+	}
+	if o == Answered || o == Unreachable {
+		z.note(now, o, took)
+	}
+}
+
+// reachable reports whether a connection to a server may be tried now. When
+// connections to several servers of an availability zone fail in a row, the zone
+// is cut off as far as this instance can tell, and its servers are tried one at
+// a time.
+func (f *Fleet) reachable(now time.Time, s *Server) bool {
+	z := f.zones[s.Zone]
+	return s.judge.reachable(now) && (z == nil || z.reachable(now))
+}
+
+// chosen notes that a server gets a request.
+func (f *Fleet) chosen(now time.Time, s *Server) {
+	s.judge.chosen(now)
+	if z := f.zones[s.Zone]; z != nil {
+		z.chosen(now)
+	}
+}
+
+// NoLoads notes that a server's owner cannot load anything for a while.
+func (f *Fleet) NoLoads(id string, until time.Time) {
+	if s := f.servers[id]; s != nil && until.After(s.noLoads) {
+		s.noLoads = until
 	}
 }
 
+// TakesLoads reports whether a server's owner may be asked for loads.
+func (s *Server) TakesLoads(now time.Time) bool { return !now.Before(s.noLoads) }
+
 // Misplaced notes that another server answered at the address of this one. It
 // gets nothing more until its entry changes.
 func (f *Fleet) Misplaced(id string) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -36,7 +36,7 @@
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for i := range list {
 			s := list[(start+i)%len(list)]
-			if !s.Usable() || avoid[s.ID] || !s.judge.reachable(now) || (pass == 0 && !s.judge.open(now)) {
+			if !s.Usable() || avoid[s.ID] || !f.reachable(now, s) || (pass == 0 && !s.judge.open(now)) {
 				continue
 			}
 			if cost := f.plainCost(now, s); best == nil || cost < bestCost {
@@ -45,7 +45,7 @@
 		}
 	}
 	if best != nil {
-		best.judge.chosen(now)
+		f.chosen(now, best)
 	}
 	return best
 }
@@ -123,7 +123,7 @@
 }
 
 func (f *Fleet) chose(now time.Time, c Choice) Choice {
-	c.Server.judge.chosen(now)
+	f.chosen(now, c.Server)
 	return c
 }
 
@@ -142,7 +142,7 @@
 	list := make([]ranked, 0, len(f.services[service]))
 	total := 0.0
 	for _, s := range f.services[service] {
-		if !s.Usable() || avoid[s.ID] || !s.judge.reachable(now) || (!closed && !s.judge.open(now)) {
+		if !s.Usable() || avoid[s.ID] || !f.reachable(now, s) || (!closed && !s.judge.open(now)) {
 			continue
 		}
 		list = append(list, ranked{s, mix(h, s.hash)})
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -44,7 +44,7 @@
 	scoreHalf      = 8 * time.Second        // half-life of an adapter's use count
 	busyFor        = 150 * time.Millisecond // after its last use a slot counts as in use: instances tell of uses with a delay
 	useForgotten   = 15 * time.Second       // a use that was told goes on for no longer: its instance may be gone
-	resendsMost    = 3                      // of an order without an answer
+	resendsMost    = 6                      // of an order without an answer
 	tellDrop       = 25 * time.Second       // instances that used an adapter so lately are told that it is gone
 	pastMost       = 100                    // adapters that an engine keeps nearby after they were unloaded
 	refuseAfter    = 700 * time.Millisecond // a want without a free slot is answered after this: a copy elsewhere costs a load from the store
@@ -112,7 +112,8 @@
 	synced   bool
 	lookAt   time.Duration // earliest next report
 	count    int           // orders that the engine accepted
-	calling  bool
+	calling  bool          // an order or a report is under way
+	looking  bool          // a look at a load is under way, beside it
 	failures int
 	resends  int
 	again    *chestnutstream.BackendOrder // an order without an answer, to be sent again
@@ -157,6 +158,7 @@
 type Action struct {
 	Kind       ActionKind
 	Order      chestnutstream.BackendOrder
+	Look       bool     // the order was given before, and its answer is taken by Looked
 	To         []string // instances that are told
 	Target     chestnutstream.ModelAdapter
 	Version    int
@@ -222,12 +224,17 @@
 // Step returns what is to be done now.
 func (e *Engine) Step(boot time.Duration) []Action {
 	actions := e.tellHeld()
-	if e.calling {
-		return append(actions, e.tellRetry(boot)...)
+	if !e.looking && e.synced && boot >= e.blocked {
+		if a, ok := e.nextLook(boot); ok {
+			e.looking = true
+			actions = append(actions, a)
+		}
 	}
-	if a, ok := e.next(boot); ok {
-		e.calling = true
-		actions = append(actions, a)
+	if !e.calling {
+		if a, ok := e.next(boot); ok {
+			e.calling = true
+			actions = append(actions, a)
+		}
 	}
 	return append(actions, e.tellRetry(boot)...)
 }
@@ -258,6 +265,8 @@
 		}
 		limit, why := refuseAfter, "all slots in use"
 		switch {
+		case !e.synced && e.failures > 0:
+			limit, why = 0, "the engine does not answer"
 		case !e.synced:
 			why = "state of the engine not known"
 		case !e.hasModel(target.Model):
@@ -307,7 +316,7 @@
 	if e.modelWant != "" || boot < e.blocked {
 		return Action{}, false
 	}
-	if a, ok := e.nextLook(boot); ok {
+	if a, ok := e.nextReport(boot); ok {
 		return a, true
 	}
 	return e.nextLoad(boot)
@@ -354,8 +363,32 @@
 	return best
 }
 
-// nextLook looks at a load or unload that should be complete.
+// nextLook looks whether a load or unload is complete that should be, by the
+// same order once more: the engine takes none twice. A look that is lost, as
+// orders may be, holds no order up.
 func (e *Engine) nextLook(boot time.Duration) (Action, bool) {
+	due, s := e.due(boot)
+	if s == nil || boot-s.since > loadLost {
+		return Action{}, false
+	}
+	if s.state == slotUnloading {
+		return Action{Kind: GiveOrder, Look: true, Why: "is it gone", Order: e.unloadOrder(due)}, true
+	}
+	return Action{Kind: GiveOrder, Look: true, Why: "is it loaded", Order: e.loadOrder(due, s.version)}, true
+}
+
+// nextReport reads the state when a load or unload takes far too long.
+func (e *Engine) nextReport(boot time.Duration) (Action, bool) {
+	for _, s := range e.slots {
+		if s.state != slotHeld && boot-s.since > loadLost && boot >= e.lookAt {
+			return Action{Kind: ReadReport, Why: string(s.state) + " takes long"}, true
+		}
+	}
+	return Action{}, false
+}
+
+// due returns the slot that is to be looked at next.
+func (e *Engine) due(boot time.Duration) (chestnutstream.ModelAdapter, *slot) {
 	var due chestnutstream.ModelAdapter
 	var found *slot
 	for target, s := range e.slots {
@@ -363,19 +396,7 @@
 			due, found = target, s
 		}
 	}
-	if found == nil {
-		return Action{}, false
-	}
-	if boot-found.since > loadLost {
-		if boot < e.lookAt {
-			return Action{}, false
-		}
-		return Action{Kind: ReadReport, Why: string(found.state) + " takes long"}, true
-	}
-	if found.state == slotUnloading {
-		return Action{Kind: GiveOrder, Why: "is it gone", Order: e.unloadOrder(due)}, true
-	}
-	return Action{Kind: GiveOrder, Why: "is it loaded", Order: e.loadOrder(due, found.version)}, true
+	return due, found
 }
 
 func (e *Engine) loadOrder(target chestnutstream.ModelAdapter, version int) chestnutstream.BackendOrder {
@@ -588,6 +609,29 @@
 	return min(failPause<<min(e.failures-1, 4), failPauseMost)
 }
 
+// Looked takes the answer to a look. One that brought nothing, or met another
+// number of orders, is repeated later.
+func (e *Engine) Looked(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) []Action {
+	e.looking = false
+	s := e.slots[o.Target]
+	if s == nil || s.state == slotHeld {
+		return nil
+	}
+	switch {
+	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderUnload && s.state == slotUnloading:
+		return e.dropped(boot, o.Target, s)
+	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderLoad && s.state == slotLoading && s.version == o.Version:
+		e.loaded(s, boot-s.since)
+		s.state, s.replaces, s.lastUsed = slotHeld, false, boot
+		return nil
+	case a == chestnutstream.OrderMisplaced || a == chestnutstream.OrderFenced || a == chestnutstream.OrderRejected:
+		e.doubt(boot + reportLag)
+		return nil
+	}
+	e.lookLater(boot, s)
+	return nil
+}
+
 // Ordered takes the answer to an order.
 func (e *Engine) Ordered(boot time.Duration, o chestnutstream.BackendOrder, a chestnutstream.OrderAnswer) []Action {
 	e.calling = false
@@ -620,10 +664,6 @@
 // of an adapter that is to go or to be replaced.
 func (e *Engine) conflict(boot time.Duration, o chestnutstream.BackendOrder) {
 	e.resends = 0
-	if s := e.slots[o.Target]; s != nil && s.state == slotLoading && o.Kind == chestnutstream.OrderLoad {
-		e.lookLater(boot, s)
-		return
-	}
 	for _, s := range e.slots {
 		if (s.state == slotUnloading || s.replaces) && boot-s.since < blockedMost {
 			e.blocked = boot + blockedLook
@@ -673,16 +713,11 @@
 		e.count++
 		return nil
 	}
-	if s.state != slotUnloading {
-		e.count++
-	}
+	e.count++
 	if a == chestnutstream.OrderHolds {
 		return e.dropped(boot, o.Target, s)
 	}
-	if s.state != slotUnloading {
-		s.state, s.since = slotUnloading, boot
-	}
-	s.askAt = boot + blockedLook
+	s.state, s.since, s.askAt, s.askPause = slotUnloading, boot, boot+blockedLook, blockedLook
 	return nil
 }
 
@@ -690,17 +725,10 @@
 	_, had := e.slots[o.Target]
 	s := e.slot(boot, o.Target)
 	if a == chestnutstream.OrderHolds {
-		if s.state == slotLoading {
-			e.loaded(s, boot-s.since)
-		}
 		s.state, s.version, s.replaces = slotHeld, o.Version, false
 		s.lastUsed = boot
 		return
 	}
-	if s.state == slotLoading {
-		e.lookLater(boot, s)
-		return
-	}
 	e.count++
 	_, lately := e.past[o.Target]
 	s.cold = had || !lately
