--- a/edge/peers.go
+++ b/edge/peers.go
@@ -117,10 +117,16 @@
 func (n *Node) wanted(boot time.Duration, from string, w instance.Want) {
 	if e := n.loaders[w.Server]; e != nil {
 		e.Want(boot, from, w.Target, w.Version, w.Waiting)
+		if w.Waiting <= 0 {
+			return
+		}
 		g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, Pending: true}
 		n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 		return
 	}
+	if w.Waiting <= 0 {
+		return
+	}
 	g := instance.Got{Server: w.Server, Target: w.Target, Version: w.Version, RetryAfterMS: notOwnerPause.Milliseconds(), Reason: "not its owner"}
 	n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 }
--- a/edge/place.go
+++ b/edge/place.go
@@ -17,7 +17,8 @@
 const (
 	ownerSilence = 350 * time.Millisecond // an owner answers a want at once, if only that it waits; after that another engine is tried
 	loadSilence  = 3 * time.Second        // and how long it may wait
-	placesMost   = 6                      // engines that are tried for one placement
+	lookAgain    = 100 * time.Millisecond // between looks for an engine while none has room
+	leastRetry   = 125 * time.Millisecond // told to callers, however soon there may be room
 	noServer     = 300 * time.Millisecond // told to callers when no server is known: entries come about once a second
 	ownerPause   = time.Second            // after an owner was silent, until it is asked again
 	copyPause    = 500 * time.Millisecond // between wants of one copy
@@ -27,6 +28,7 @@
 type wait struct {
 	owner   string
 	asked   time.Time
+	version int
 	pending bool // the owner has said that it waits
 	waiters []chan waitResult
 }
@@ -58,55 +60,79 @@
 }
 
 // placeEngine finds an engine that holds the request's adapter, or has it
-// loaded on one.
+// loaded on one. While no engine has room it waits and looks again, as long as a
+// place is of use.
 func (n *Node) placeEngine(ctx context.Context, p ingress.Placement) (ingress.Placed, error) {
 	began := n.now()
-	avoid := make(map[string]bool, len(p.Avoid)+2)
-	for id := range p.Avoid {
-		avoid[id] = true
+	if !p.Until.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, p.Until)
+		defer cancel()
 	}
+	avoid := map[string]bool{}
 	last := waitResult{retryAfter: noServer, reason: "no engine may take work"}
-	for try := 0; try < placesMost; try++ {
+	for ctx.Err() == nil {
+		for id := range p.Avoid {
+			avoid[id] = true
+		}
 		n.mu.Lock()
 		version := n.fleet.Version(p.Target)
 		c := n.fleet.PickEngine(n.now(), p.Service, p.Target, version, avoid, n.loadable)
-		if c.Server == nil {
-			n.mu.Unlock()
-			break
-		}
 		if c.Copy != nil {
 			n.wantCopy(c.Copy.ID, p.Target, version)
 		}
-		if c.Held {
+		if c.Server != nil && c.Held {
 			placed := n.placed(c.Server, p.Target, version, n.now().Sub(began))
 			n.mu.Unlock()
 			return placed, nil
 		}
+		if c.Server == nil {
+			n.mu.Unlock()
+			if p.Until.IsZero() || n.now().Add(lookAgain).After(p.Until) {
+				break
+			}
+			clear(avoid)
+			n.pauseFor(ctx, lookAgain)
+			continue
+		}
 		ch := n.want(c.Server.ID, p.Target, version)
 		n.mu.Unlock()
-		result, err := n.await(ctx, c.Server.ID, p.Target, ch)
-		if err != nil {
-			return ingress.Placed{}, err
-		}
+		last = n.await(ctx, c.Server.ID, p.Target, ch)
 		n.log.WithFields(log.Fields{
 			"request-id": p.RequestID, "server": c.Server.ID, "target": p.Target.String(), "version": version,
-			"held": result.held, "reason": result.reason, "ms": n.now().Sub(began).Milliseconds(),
+			"held": last.held, "reason": last.reason, "ms": n.now().Sub(began).Milliseconds(),
 		}).Info("adapter wanted")
-		if !result.held {
-			avoid[c.Server.ID] = true
-			last = result
-			continue
-		}
-		n.mu.Lock()
-		if s := n.fleet.Server(c.Server.ID); s != nil && s.Usable() {
-			placed := n.placed(s, p.Target, version, n.now().Sub(began))
-			n.mu.Unlock()
+		if placed, ok := n.usable(c.Server.ID, p.Target, version, last, began); ok {
 			return placed, nil
 		}
-		n.mu.Unlock()
 		avoid[c.Server.ID] = true
 	}
-	return ingress.Placed{}, &ingress.NoPlaceError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, copyPause/4)}
+	return ingress.Placed{}, &ingress.NoPlaceError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, leastRetry)}
+}
+
+// usable places a request on the server that it waited for, if that may still
+// get work.
+func (n *Node) usable(id string, target chestnutstream.ModelAdapter, version int, r waitResult, began time.Time) (ingress.Placed, bool) {
+	if !r.held {
+		return ingress.Placed{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.fleet.Server(id)
+	if s == nil || !s.Usable() {
+		return ingress.Placed{}, false
+	}
+	return n.placed(s, target, version, n.now().Sub(began)), true
+}
+
+// pauseFor waits, but not beyond the end of a context.
+func (n *Node) pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
 }
 
 // placed notes that a request goes to a server. Callers hold mu.
@@ -160,17 +186,49 @@
 	if now.Sub(w.asked) < copyPause {
 		return
 	}
-	w.asked, w.pending = now, false
+	w.asked, w.pending, w.version = now, false, version
 	w.owner = n.ownerOf(k.server)
-	msg := instance.Want{Server: k.server, Target: k.target, Version: version, Waiting: len(w.waiters)}
-	if w.owner == n.cfg.Instance {
-		w.pending = true
-		n.loaders[k.server].Want(n.boot(), n.cfg.Instance, k.target, version, len(w.waiters))
-		n.poke()
+	if w.owner == "" || !n.sendWant(k, w, max(len(w.waiters), 1)) {
+		n.endWait(k, waitResult{retryAfter: noServer, reason: "its owner is not reachable"})
+	}
+}
+
+// sendWant tells the owner of a server how many requests wait for an adapter
+// there. It reports false when the owner cannot be reached. Callers hold mu.
+func (n *Node) sendWant(k holdKey, w *wait, waiting int) bool {
+	if w.owner != n.cfg.Instance {
+		msg := instance.Want{Server: k.server, Target: k.target, Version: w.version, Waiting: waiting}
+		return n.mesh.Send(w.owner, func(b *instance.Bundle) { b.Wants = append(b.Wants, msg) })
+	}
+	e := n.loaders[k.server]
+	if e == nil {
+		return false
+	}
+	w.pending = true
+	e.Want(n.boot(), n.cfg.Instance, k.target, w.version, waiting)
+	n.poke()
+	return true
+}
+
+// leaveWait takes a request whose caller has gone, or whose time is up, out of
+// those that wait for a load. With the last one the want is taken back, so that
+// no load is spent on it.
+func (n *Node) leaveWait(k holdKey, ch chan waitResult) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := n.waits[k]
+	if w == nil {
 		return
 	}
-	if w.owner == "" || !n.mesh.Send(w.owner, func(b *instance.Bundle) { b.Wants = append(b.Wants, msg) }) {
-		n.endWait(k, waitResult{retryAfter: noServer, reason: "its owner is not reachable"})
+	for i, c := range w.waiters {
+		if c == ch {
+			w.waiters = append(w.waiters[:i], w.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(w.waiters) == 0 {
+		delete(n.waits, k)
+		n.sendWant(k, w, 0)
 	}
 }
 
@@ -187,28 +245,29 @@
 }
 
 // await waits for the end of a load that this instance asked for.
-func (n *Node) await(ctx context.Context, server string, target chestnutstream.ModelAdapter, ch chan waitResult) (waitResult, error) {
+func (n *Node) await(ctx context.Context, server string, target chestnutstream.ModelAdapter, ch chan waitResult) waitResult {
 	k := holdKey{server, target}
+	silent := waitResult{retryAfter: ownerPause, reason: "its owner is silent"}
 	for _, limit := range []time.Duration{ownerSilence, loadSilence} {
 		t := time.NewTimer(limit)
 		select {
 		case r := <-ch:
 			t.Stop()
-			return r, nil
+			return r
 		case <-ctx.Done():
 			t.Stop()
-			return waitResult{}, fmt.Errorf("wait for %s on %s: %w", target, server, ctx.Err())
+			n.leaveWait(k, ch)
+			return waitResult{retryAfter: noServer, reason: "its load did not come in time"}
 		case <-t.C:
 		}
 		n.mu.Lock()
 		w := n.waits[k]
-		pending := w != nil && w.pending
-		if !pending || limit == loadSilence {
-			n.endWait(k, waitResult{retryAfter: ownerPause, reason: "its owner is silent"})
+		if w == nil || !w.pending || limit == loadSilence {
+			n.endWait(k, silent)
 		}
 		n.mu.Unlock()
 	}
-	return waitResult{retryAfter: noServer, reason: "its owner is silent"}, nil
+	return silent
 }
 
 // endWait tells those who wait for a load how it ended. Callers hold mu.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -98,7 +98,6 @@
 		return []Change{c}
 	case s == nil:
 		f.servers[e.Key] = newServer(e.Backend, e.Row)
-		f.holdsListed(now, f.servers[e.Key])
 		return []Change{{Server: e.Key, What: "new", Row: e.Row}}
 	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
 		if e.Backend.Born < s.Born {
@@ -107,7 +106,6 @@
 		fresh := newServer(e.Backend, e.Row)
 		fresh.InFlight = s.InFlight
 		f.servers[e.Key] = fresh
-		f.holdsListed(now, fresh)
 		return []Change{{Server: e.Key, What: "restarted", Row: e.Row}}
 	}
 	return f.updated(s, e)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -185,12 +185,3 @@
 		delete(s.holds, target)
 	}
 }
-
-// holdsListed takes what a server's first entry says that it holds.
-func (f *Fleet) holdsListed(now time.Time, s *Server) {
-	for _, m := range s.Models {
-		for _, a := range m.Adapters {
-			s.holds[chestnutstream.ModelAdapter{Model: m.Name, Adapter: a.Name}] = holding{version: a.Version, seen: now}
-		}
-	}
-}
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/platform"
 )
@@ -42,7 +43,7 @@
 	if x.sends >= sendsMost {
 		return Placed{}, &NoPlaceError{Reason: fmt.Sprintf("not taken by %d servers: %s", x.sends, x.reason), RetryAfter: retrySoon}
 	}
-	p, err := x.server.dispatcher.Place(x.ctx, Placement{RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Avoid: x.avoid, Resumes: x.stream != nil})
+	p, err := x.server.dispatcher.Place(x.ctx, Placement{RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Avoid: x.avoid, Until: x.placeUntil()})
 	if err != nil {
 		return Placed{}, fmt.Errorf("place: %w", err)
 	}
@@ -54,6 +55,29 @@
 	return p, nil
 }
 
+// Callers abandon a stream whose first event does not come: after the longest of
+// these, by the platform's pages.
+const (
+	abandonLeast   = 2 * time.Second
+	abandonTargets = 4                      // latency targets
+	abandonGaps    = 8                      // longest pauses between events
+	firstEventTime = 250 * time.Millisecond // what an engine takes to the first event, when it is busy
+)
+
+// placeUntil returns until when a place for the request is of use. After that it
+// is refused, as long as it can be told when to come back.
+func (x *exchange) placeUntil() time.Time {
+	if x.route.Kind != chestnutstream.RouteStreaming {
+		return x.deadline
+	}
+	abandoned := max(abandonLeast, abandonTargets*x.route.TargetLatency, abandonGaps*x.route.TargetGap)
+	until := x.began.Add(abandoned - firstEventTime)
+	if !x.deadline.IsZero() && x.deadline.Before(until) {
+		return x.deadline.Add(-firstEventTime)
+	}
+	return until
+}
+
 // attempt sends the request to one server. It returns true when the caller has
 // been answered.
 func (x *exchange) attempt(p Placed) bool {
@@ -76,7 +100,7 @@
 		return 0
 	}
 	share := patienceAnswers
-	if x.route.Kind == "streaming" {
+	if x.route.Kind == chestnutstream.RouteStreaming {
 		share = patienceStreams
 	}
 	return max(time.Duration(share*float64(x.route.TargetLatency)), patienceLeast)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -30,7 +30,7 @@
 	Service   string
 	Target    chestnutstream.ModelAdapter // of an engine
 	Avoid     map[string]bool
-	Resumes   bool
+	Until     time.Time // a place after this is of no use; zero: the end of the context
 }
 
 // Placed is a backend server that a request may be sent to. Every Placed ends
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -53,7 +53,7 @@
 	Server  string
 	Target  chestnutstream.ModelAdapter
 	Version int
-	Waiting int // requests
+	Waiting int // requests; 0 takes the want back
 }
 
 // Got answers a Want: the adapter is there, or cannot be there for a while.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -87,11 +87,41 @@
 // want is an adapter that instances wait for.
 type want struct {
 	version int
-	askers  map[string]bool
-	waiting int
+	askers  map[string]int // requests that wait, by instance
 	since   time.Duration
 }
 
+// waiting returns how many requests wait.
+func (w *want) waiting() int {
+	n := 0
+	for _, count := range w.askers {
+		n += count
+	}
+	return n
+}
+
+// freshFor is how long a want can wait and still be met within its requests'
+// latency target of half a second, with the time that a load takes.
+const freshFor = 180 * time.Millisecond
+
+// before reports whether a want is met before another one: more waiting requests
+// first, then those that can still be in time, the oldest of these first. Of
+// what is late already the youngest goes first: under more wants than loads, in
+// order of age all would be late, and their callers gone.
+func (w *want) before(o *want, boot time.Duration) bool {
+	if a, b := w.waiting(), o.waiting(); a != b {
+		return a > b
+	}
+	a, b := boot-w.since < freshFor, boot-o.since < freshFor
+	if a != b {
+		return a
+	}
+	if a {
+		return w.since < o.since
+	}
+	return w.since > o.since
+}
+
 // Figures of the number of adapters that are on their way from the weight store
 // at once. The store slows all loads beyond a number over all engines, so what
 // waits here instead of there keeps its place for the more wanted ones.
@@ -166,16 +196,26 @@
 	Why        string
 }
 
-// Want notes that an instance waits for an adapter.
+// Want notes how many requests of an instance wait for an adapter. With none
+// left the instance no longer wants it: its callers have gone.
 func (e *Engine) Want(boot time.Duration, from string, target chestnutstream.ModelAdapter, version, waiting int) {
 	w := e.wants[target]
+	if waiting <= 0 {
+		if w == nil {
+			return
+		}
+		delete(w.askers, from)
+		if len(w.askers) == 0 {
+			delete(e.wants, target)
+		}
+		return
+	}
 	if w == nil {
-		w = &want{askers: map[string]bool{}, since: boot}
+		w = &want{askers: map[string]int{}, since: boot}
 		e.wants[target] = w
 	}
 	w.version = max(w.version, version)
-	w.askers[from] = true
-	w.waiting += max(waiting, 1)
+	w.askers[from] = waiting
 }
 
 // Used notes how many requests an instance has begun for an adapter on the
@@ -247,7 +287,7 @@
 			version := w.version
 			if s := e.slots[target]; s != nil {
 				version = s.version
-				s.touch(s.lastUsed, float64(w.waiting))
+				s.touch(s.lastUsed, float64(w.waiting()))
 			}
 			actions = append(actions, Action{Kind: TellHeld, To: names(w.askers), Target: target, Version: version})
 			delete(e.wants, target)
@@ -353,7 +393,7 @@
 		n := 0
 		for target, w := range e.wants {
 			if target.Model == m.Name {
-				n += w.waiting
+				n += w.waiting()
 			}
 		}
 		if n > waiting {
@@ -409,7 +449,7 @@
 
 // nextLoad gives the next load order, or makes room for it.
 func (e *Engine) nextLoad(boot time.Duration) (Action, bool) {
-	target, w := e.first()
+	target, w := e.first(boot)
 	if w == nil {
 		return Action{}, false
 	}
@@ -427,9 +467,8 @@
 	return Action{Kind: GiveOrder, Why: "room for " + target.String(), Order: e.unloadOrder(victim)}, true
 }
 
-// first returns the want that is served next: more waiting requests first, then
-// the older.
-func (e *Engine) first() (chestnutstream.ModelAdapter, *want) {
+// first returns the want that is met next.
+func (e *Engine) first(boot time.Duration) (chestnutstream.ModelAdapter, *want) {
 	var best chestnutstream.ModelAdapter
 	var found *want
 	cold, all := e.inTransit()
@@ -446,7 +485,7 @@
 		if !e.hasModel(target.Model) {
 			continue
 		}
-		if found == nil || w.waiting > found.waiting || (w.waiting == found.waiting && w.since < found.since) {
+		if found == nil || w.before(found, boot) {
 			best, found = target, w
 		}
 	}
@@ -768,7 +807,7 @@
 	return at, ok
 }
 
-func names(set map[string]bool) []string {
+func names(set map[string]int) []string {
 	out := make([]string, 0, len(set))
 	for name := range set {
 		out = append(out, name)
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -284,3 +284,44 @@
 	assert.Equal(t, p.w.broken, "")
 	assert.Equal(t, len(p.w.held), 8)
 }
+
+// The load that this answers: more wants than the engine can load. In order of
+// age every one would be late; so as many as the engine can load are in time.
+func TestMoreWantsThanLoadsServesFreshOnesInTime(t *testing.T) {
+	p := newPlay(16)
+	p.run(reportLag + 50*time.Millisecond)
+	inTime, late, wanted := 0, 0, map[string]time.Duration{}
+	for i := range 240 { // 6 s, 40 a second; two at once take 250 ms each: 8 a second
+		name := fmt.Sprintf("a%d", i)
+		wanted[name] = p.w.now
+		p.e.Want(p.w.now, "n", adapter(name), 1, 1)
+		p.run(25 * time.Millisecond)
+		for n, at := range wanted {
+			switch {
+			case p.told[n] == string(TellHeld) && p.w.now-at <= 500*time.Millisecond:
+				inTime++
+				delete(wanted, n)
+			case p.told[n] == string(TellHeld):
+				late++
+				delete(wanted, n)
+			case p.w.now-at > 3*time.Second:
+				p.e.Want(p.w.now, "n", adapter(n), 1, 0) // its caller has gone
+				delete(wanted, n)
+			}
+		}
+	}
+	t.Logf("%d in time, %d late", inTime, late)
+	assert.Assert(t, inTime >= 40, "%d in time, %d late", inTime, late)
+	assert.Assert(t, p.w.loads <= inTime+late+4, "loads for callers that had gone")
+}
+
+func TestWantIsTakenBack(t *testing.T) {
+	p := newPlay(2)
+	p.run(reportLag + 50*time.Millisecond)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 2)
+	p.e.Want(p.w.now, "o", adapter("a1"), 1, 1)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 0)
+	p.e.Want(p.w.now, "o", adapter("a1"), 1, 0)
+	p.run(400 * time.Millisecond)
+	assert.Equal(t, p.w.loads, 0)
+}
