--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -98,6 +98,7 @@
 		return []Change{c}
 	case s == nil:
 		f.servers[e.Key] = newServer(e.Backend, e.Row)
+		f.holdsListed(now, f.servers[e.Key])
 		return []Change{{Server: e.Key, What: "new", Row: e.Row}}
 	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
 		if e.Backend.Born < s.Born {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -19,6 +19,8 @@
 	// trustHolding is how long an engine is believed to hold an adapter after an
 	// answer or its owner said so.
 	trustHolding = 20 * time.Second
+	// trustListed is the same for what a server's entry lists.
+	trustListed = 2500 * time.Millisecond
 	// fullShare is the load at which an engine's batch counts as full.
 	fullShare = 0.95
 )
@@ -185,3 +187,14 @@
 		delete(s.holds, target)
 	}
 }
+
+// holdsListed takes what a server's first entry says that it holds. Engines do
+// not write their entries when adapters come and go, so it is believed for a
+// short while only: until the engines' owners have been heard after a start.
+func (f *Fleet) holdsListed(now time.Time, s *Server) {
+	for _, m := range s.Models {
+		for _, a := range m.Adapters {
+			s.holds[chestnutstream.ModelAdapter{Model: m.Name, Adapter: a.Name}] = holding{version: a.Version, seen: now.Add(trustListed - trustHolding)}
+		}
+	}
+}
