Few instances of a zone read the store's servers and leases and tell the others

One reader for each eight instances of a zone now reads and tells; who is told nothing for 0.35 s over the pause reads for itself.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,6 +131,7 @@
 	n.mu.Lock()
 	n.book.Leave()
 	n.mu.Unlock()
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.Leaving = true })
 	end := began.Add(n.cfg.Grace - drainMargin)
 	for n.now().Sub(began) < drainNotice && n.now().Before(end) {
 		n.sleep(drainLook)
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -33,6 +33,7 @@
 // feed follows one table.
 type feed struct {
 	table  string
+	shared bool // few instances of a zone read it and tell the others
 	pause  time.Duration
 	early  time.Duration // the pause just after the start; 0: the same
 	wait   time.Duration
@@ -44,12 +45,12 @@
 	return []feed{
 		{table: platform.TableOperator, wait: operatorWait, listed: func(rows []chestnutstream.TableRow, _ uint64) { n.operatorRows(rows) }, fed: n.operatorRows},
 		{
-			table: platform.TableServers, pause: serversPause, wait: serversWait,
+			table: platform.TableServers, shared: true, pause: serversPause, wait: serversWait,
 			listed: func(rows []chestnutstream.TableRow, version uint64) { n.serverRows(rows, true, version) },
 			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false, 0) },
 		},
 		{
-			table: lease.Table, pause: leasesPause, early: leasesEarly, wait: leasesWait,
+			table: lease.Table, shared: true, pause: leasesPause, early: leasesEarly, wait: leasesWait,
 			listed: func(rows []chestnutstream.TableRow, _ uint64) { n.leaseRows(rows, true) },
 			fed:    func(rows []chestnutstream.TableRow) { n.leaseRows(rows, false) },
 		},
@@ -65,6 +66,13 @@
 	for n.ctx.Err() == nil {
 		var rows []chestnutstream.TableRow
 		var err error
+		if known && f.shared && n.now().Sub(began) > leasesSoon {
+			if told, ok := n.told(f, version); ok {
+				version = told
+				continue
+			}
+		}
+		after := version
 		if !known {
 			rows, version, err = n.readTable(f.table)
 		} else {
@@ -88,6 +96,7 @@
 		n.storeAnswered(f.table)
 		if known {
 			f.fed(rows)
+			n.tellZone(f, after, version, rows)
 		} else {
 			f.listed(rows, version)
 			known = true
--- a/edge/node.go
+++ b/edge/node.go
@@ -39,6 +39,7 @@
 	store    *platform.Store
 	backends *platform.Backends
 	mesh     *instance.Mesh
+	heard    map[string]chan instance.Fed // by table: what other instances have read
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -76,8 +77,10 @@
 
 // peer is another instance as its own word has it.
 type peer struct {
-	run   uint64
-	owned map[string]bool
+	member  instance.Member
+	leaving bool
+	run     uint64
+	owned   map[string]bool
 }
 
 // rows are the newest rows of the platform's store, kept as they were read for
@@ -108,6 +111,10 @@
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, budgets: map[string]*fleet.Budget{},
 	}
+	n.heard = map[string]chan instance.Fed{}
+	for _, f := range n.feeds() {
+		n.heard[f.table] = make(chan instance.Fed, heardMost)
+	}
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	n.book = lease.NewBook(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Run: run}, lease.DefaultSettings(cfg.OrderTurn))
 	n.mesh = instance.NewMesh(instance.Settings{Self: self, Run: run, Timer: t, Log: logger}, n)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -41,7 +41,11 @@
 		n.peers[from.Name] = p
 	}
 	if b.Run != 0 {
-		p.run = b.Run
+		p.member, p.run, p.leaving = from, b.Run, false
+	}
+	p.leaving = p.leaving || b.Leaving
+	for _, f := range b.Fed {
+		n.hearFed(f)
 	}
 	if b.HasOwned {
 		p.owned = make(map[string]bool, len(b.Owned))
--- /dev/null
+++ b/edge/readers.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/instance"
+)
+
+// Reading of the store for a whole availability zone: calls to it are priced,
+// and every instance reading for itself would grow with their number times that
+// of the servers.
+const (
+	readersShare = 8                      // instances that one reader tells
+	toldSlack    = 350 * time.Millisecond // beyond the pause, until an instance that was told nothing reads itself
+	heardMost    = 8                      // words of other instances that wait
+)
+
+// zoneReaders returns the instances that read a table for this zone, and all
+// that are in touch, both in the order that every instance of the zone finds.
+func (n *Node) zoneReaders(table string) (readers, all []string) {
+	n.mu.Lock()
+	if !n.leaving.Load() {
+		all = append(all, n.cfg.Instance)
+	}
+	for name, p := range n.peers {
+		if p.member.Zone == n.cfg.Zone && !p.leaving {
+			all = append(all, name)
+		}
+	}
+	n.mu.Unlock()
+	all = slices.DeleteFunc(all, func(name string) bool { return name != n.cfg.Instance && !n.mesh.Linked(name) })
+	rank := func(name string) uint64 { return xxhash.Sum64String(table + "\x00" + name) }
+	sort.Slice(all, func(i, j int) bool { return rank(all[i]) < rank(all[j]) })
+	return all[:(len(all)+readersShare-1)/readersShare], all
+}
+
+// told waits for a reader's word on a table, unless this instance is a reader
+// itself. It returns the version up to which the table is known now. When
+// readers are silent the instance reads for itself.
+func (n *Node) told(f feed, version uint64) (uint64, bool) {
+	readers, _ := n.zoneReaders(f.table)
+	if slices.Contains(readers, n.cfg.Instance) || len(readers) == 0 {
+		return version, false
+	}
+	silent := time.NewTimer(f.pause + toldSlack)
+	defer silent.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return version, false
+		case <-silent.C:
+			return version, false
+		case fed := <-n.heard[f.table]:
+			if fed.After > version {
+				return version, false // something between was missed
+			}
+			if fed.To < version {
+				continue
+			}
+			f.fed(fed.Rows)
+			n.poke()
+			return max(version, fed.To), true
+		}
+	}
+}
+
+// tellZone tells what this instance has read to its part of the zone.
+func (n *Node) tellZone(f feed, after, to uint64, rows []chestnutstream.TableRow) {
+	if !f.shared {
+		return
+	}
+	readers, all := n.zoneReaders(f.table)
+	mine := slices.Index(readers, n.cfg.Instance)
+	if mine < 0 {
+		return
+	}
+	fed := instance.Fed{Table: f.table, After: after, To: to, Rows: rows}
+	for i, name := range all[len(readers):] {
+		if i%len(readers) == mine {
+			n.mesh.Send(name, func(b *instance.Bundle) { b.Fed = append(b.Fed, fed) })
+		}
+	}
+}
+
+// hearFed keeps a reader's word for the loop that follows the table. One that
+// does not fit is dropped: the loop reads for itself then.
+func (n *Node) hearFed(f instance.Fed) {
+	select {
+	case n.heard[f.Table] <- f:
+	default:
+	}
+}
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -9,22 +9,22 @@
 )
 
 type wireBundle struct {
-	Name       string    `cbor:"1,keyasint,omitempty"`
-	Address    string    `cbor:"2,keyasint,omitempty"`
-	Zone       string    `cbor:"3,keyasint,omitempty"`
-	Run        uint64    `cbor:"4,keyasint,omitempty"`
-	HasOwned   bool      `cbor:"5,keyasint,omitempty"`
-	Owned      []string  `cbor:"6,keyasint,omitempty"`
-	Leaving    bool      `cbor:"7,keyasint,omitempty"`
-	Wants      []wireAsk `cbor:"8,keyasint,omitempty"`
-	Got        []wireGot `cbor:"9,keyasint,omitempty"`
-	Used       []wireAsk `cbor:"10,keyasint,omitempty"`
-	AskConfig  bool      `cbor:"11,keyasint,omitempty"`
-	Config     []byte    `cbor:"12,keyasint,omitempty"`
-	ConfigRow  uint64    `cbor:"13,keyasint,omitempty"`
-	Servers    []wireRow `cbor:"14,keyasint,omitempty"`
-	Versions   []wireRow `cbor:"15,keyasint,omitempty"`
-	HaveConfig uint64    `cbor:"16,keyasint,omitempty"`
+	Name      string    `cbor:"1,keyasint,omitempty"`
+	Address   string    `cbor:"2,keyasint,omitempty"`
+	Zone      string    `cbor:"3,keyasint,omitempty"`
+	Run       uint64    `cbor:"4,keyasint,omitempty"`
+	HasOwned  bool      `cbor:"5,keyasint,omitempty"`
+	Owned     []string  `cbor:"6,keyasint,omitempty"`
+	Leaving   bool      `cbor:"7,keyasint,omitempty"`
+	Wants     []wireAsk `cbor:"8,keyasint,omitempty"`
+	Got       []wireGot `cbor:"9,keyasint,omitempty"`
+	Used      []wireAsk `cbor:"10,keyasint,omitempty"`
+	AskConfig bool      `cbor:"11,keyasint,omitempty"`
+	Config    []byte    `cbor:"12,keyasint,omitempty"`
+	ConfigRow uint64    `cbor:"13,keyasint,omitempty"`
+	Servers   []wireRow `cbor:"14,keyasint,omitempty"`
+	Versions  []wireRow `cbor:"15,keyasint,omitempty"`
+	Fed       []wireFed `cbor:"16,keyasint,omitempty"`
 }
 
 // wireAsk is a Want (version, requests that wait) or a Use (requests begun,
@@ -51,6 +51,22 @@
 	Reason       string
 }
 
+type wireFed struct {
+	_     struct{} `cbor:",toarray"`
+	Table string
+	After uint64
+	To    uint64
+	Rows  []wireChange
+}
+
+type wireChange struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Value   []byte
+	Row     uint64
+	Removed bool
+}
+
 type wireRow struct {
 	_     struct{} `cbor:",toarray"`
 	Key   string
@@ -63,7 +79,7 @@
 	w := wireBundle{
 		Name: b.From.Name, Address: b.From.Address, Zone: b.From.Zone, Run: b.Run,
 		HasOwned: b.HasOwned, Owned: b.Owned, Leaving: b.Leaving, AskConfig: b.AskConfig,
-		Config: b.Config, ConfigRow: b.ConfigRow, HaveConfig: b.HaveConfig,
+		Config: b.Config, ConfigRow: b.ConfigRow,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
 	}
 	for _, x := range b.Wants {
@@ -78,6 +94,13 @@
 	for _, x := range b.Used {
 		w.Used = append(w.Used, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Begun, Count: x.InProgress})
 	}
+	for _, f := range b.Fed {
+		x := wireFed{Table: f.Table, After: f.After, To: f.To}
+		for _, r := range f.Rows {
+			x.Rows = append(x.Rows, wireChange{Key: r.Key, Value: r.Value, Row: r.Version, Removed: r.Removed})
+		}
+		w.Fed = append(w.Fed, x)
+	}
 	frame, err := cbor.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode bundle: %w", err)
@@ -94,7 +117,7 @@
 	b := Bundle{
 		From: Member{Name: w.Name, Address: w.Address, Zone: w.Zone}, Run: w.Run,
 		HasOwned: w.HasOwned, Owned: w.Owned, Leaving: w.Leaving, AskConfig: w.AskConfig,
-		Config: w.Config, ConfigRow: w.ConfigRow, HaveConfig: w.HaveConfig,
+		Config: w.Config, ConfigRow: w.ConfigRow,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
 	}
 	for _, x := range w.Wants {
@@ -106,6 +129,13 @@
 	for _, x := range w.Used {
 		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Version, InProgress: x.Count})
 	}
+	for _, x := range w.Fed {
+		f := Fed{Table: x.Table, After: x.After, To: x.To}
+		for _, r := range x.Rows {
+			f.Rows = append(f.Rows, chestnutstream.TableRow{Table: x.Table, Key: r.Key, Value: r.Value, Version: r.Row, Removed: r.Removed})
+		}
+		b.Fed = append(b.Fed, f)
+	}
 	return b, nil
 }
 
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -32,20 +32,20 @@
 
 // Bundle is what one frame carries.
 type Bundle struct {
-	From       Member // in the first frame of a connection
-	Run        uint64 // of the sender's process, in the first frame
-	HasOwned   bool
-	Owned      []string // servers to which the sender may give orders
-	Leaving    bool
-	Wants      []Want
-	Got        []Got
-	Used       []Use
-	AskConfig  bool // the sender has no configuration and cannot read one
-	Config     []byte
-	ConfigRow  uint64
-	Servers    []ServerRow
-	Versions   []ServerRow // declarations of adapter versions, as rows
-	HaveConfig uint64      // version of the row that the sender has in force
+	From      Member // in the first frame of a connection
+	Run       uint64 // of the sender's process, in the first frame
+	HasOwned  bool
+	Owned     []string // servers to which the sender may give orders
+	Leaving   bool
+	Wants     []Want
+	Got       []Got
+	Used      []Use
+	AskConfig bool // the sender has no configuration and cannot read one
+	Config    []byte
+	ConfigRow uint64
+	Servers   []ServerRow
+	Versions  []ServerRow // declarations of adapter versions, as rows
+	Fed       []Fed       // changes that the sender has read for its availability zone
 }
 
 // Want asks the owner of a server to load an adapter there.
@@ -76,6 +76,15 @@
 	InProgress int // requests
 }
 
+// Fed is what the sender has read of a table's feed: all changes after one
+// version, up to another.
+type Fed struct {
+	Table string
+	After uint64
+	To    uint64
+	Rows  []chestnutstream.TableRow
+}
+
 // ServerRow is a row of the platform's store, passed on as it was read.
 type ServerRow struct {
 	Key   string
@@ -84,5 +93,5 @@
 }
 
 func (b *Bundle) empty() bool {
-	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil
+	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0
 }
