--- /dev/null
+++ b/edge/readers_test.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/standin"
+)
+
+// One instance of three reads the servers for its zone; a change reaches all, also
+// when the reader has just gone without a word.
+func TestReaderTellsItsZone(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
+	s.owned(1, all...)
+	time.Sleep(leasesSoon) // until then each reads for itself
+	before := make([]int64, len(all))
+	for i, in := range all {
+		before[i], _ = in.Node().store.Operations()
+	}
+	time.Sleep(4 * time.Second)
+	total := int64(0)
+	for i, in := range all {
+		reads, _ := in.Node().store.Operations()
+		total += reads - before[i]
+	}
+	// One reader for each table: 4 reads of servers, 1 to 2 of leases; each for
+	// itself would be 15 and more.
+	assert.Assert(t, total <= 10, "%d reads in 4 s by three instances", total)
+
+	var reader *running
+	for _, in := range all {
+		readers, known := in.Node().zoneReaders("servers")
+		assert.Equal(t, len(known), 3)
+		if readers[0] == in.cfg.Instance {
+			reader = in
+		}
+	}
+	reader.Close()
+	s.backends[1].Drain()
+	drained := time.Now()
+	for _, in := range all {
+		if in == reader {
+			continue
+		}
+		eventually(t, "the draining server is known", func() bool {
+			n := in.Node()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			server := n.fleet.Server("i-desk-0")
+			return server != nil && !server.Usable()
+		})
+	}
+	assert.Assert(t, time.Since(drained) < 2*time.Second, "after %v", time.Since(drained))
+}
+
+// Reads that a reader tells with a gap before them are not taken.
+func TestGapInWhatIsToldIsReadAgain(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	a, b := s.instance("edge-a"), s.instance("edge-b")
+	s.owned(1, a, b)
+	s.store.Forget()
+	s.backend(standin.BackendSettings{ID: "i-desk-9", Service: "desk", Slots: 6, Work: time.Millisecond})
+	for _, in := range []*running{a, b} {
+		eventually(t, "the new server is known", func() bool {
+			n := in.Node()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.fleet.Server("i-desk-9") != nil
+		})
+	}
+	assert.NilError(t, a.Drain(context.Background()))
+}
