--- a/edge/control.go
+++ b/edge/control.go
@@ -63,6 +63,7 @@
 		}
 	}
 	n.tellUsed(now)
+	n.tellLoads(boot, now)
 	var tells []given
 	for _, c := range calls {
 		switch c.a.Kind {
--- a/edge/node.go
+++ b/edge/node.go
@@ -57,7 +57,8 @@
 	peers      map[string]*peer
 	waits      map[holdKey]*wait
 	uses       map[holdKey]*adapterUse
-	changed    map[holdKey]bool // uses that their owners have not been told
+	loads      map[string]toldLoad // of the own engines
+	changed    map[holdKey]bool    // uses that their owners have not been told
 	toldAt     time.Time
 	budgets    map[string]*fleet.Budget
 	storeState dependency
@@ -109,7 +110,7 @@
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
 		fleet:   fleet.New(cfg.Zone, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, budgets: map[string]*fleet.Budget{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, budgets: map[string]*fleet.Budget{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	for _, f := range n.feeds() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -19,6 +19,9 @@
 		b.Owned = append(b.Owned, id)
 	}
 	b.Used = n.allUses(to.Name)
+	for id, told := range n.loads {
+		b.Loads = append(b.Loads, instance.Load{Server: id, Requests: told.requests})
+	}
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
 }
@@ -26,6 +29,11 @@
 // Unlinked implements instance.Handler.
 func (n *Node) Unlinked(to instance.Member, err error) {
 	n.mu.Lock()
+	if p := n.peers[to.Name]; p != nil {
+		for id := range p.owned {
+			n.fleet.AllHave(id, 0)
+		}
+	}
 	delete(n.peers, to.Name)
 	n.failWaitsOf(to.Name, "owner not reachable")
 	n.mu.Unlock()
@@ -47,6 +55,9 @@
 	for _, f := range b.Fed {
 		n.hearFed(f)
 	}
+	for _, l := range b.Loads {
+		n.fleet.AllHave(l.Server, l.Requests)
+	}
 	if b.HasOwned {
 		p.owned = make(map[string]bool, len(b.Owned))
 		for _, id := range b.Owned {
@@ -205,6 +216,44 @@
 	}
 }
 
+// Telling of loads: when a load has moved by this share of the engine's slots,
+// and not more often than this.
+const (
+	loadMoved = 0.12
+	loadPause = 150 * time.Millisecond
+)
+
+// toldLoad is what was last told of an engine's load.
+type toldLoad struct {
+	requests int
+	at       time.Time
+}
+
+// tellLoads tells all instances how many requests there are at the engines that
+// this one owns, where that has moved. Each instance sees only its own requests
+// and the answers to them. Callers hold mu.
+func (n *Node) tellLoads(boot time.Duration, now time.Time) {
+	var moved []instance.Load
+	for id, e := range n.loaders {
+		load, told := e.InProgress(boot), n.loads[id]
+		least := max(int(loadMoved*float64(e.Server.Slots)), 1)
+		if now.Sub(told.at) < loadPause || (load-told.requests < least && told.requests-load < least) {
+			continue
+		}
+		n.loads[id] = toldLoad{load, now}
+		n.fleet.AllHave(id, load)
+		moved = append(moved, instance.Load{Server: id, Requests: load})
+	}
+	for id := range n.loads {
+		if n.loaders[id] == nil {
+			delete(n.loads, id)
+		}
+	}
+	if len(moved) > 0 {
+		n.mesh.Broadcast(func(b *instance.Bundle) { b.Loads = append(b.Loads, moved...) })
+	}
+}
+
 // allUses returns what this instance uses of a peer's engines. Callers hold mu.
 func (n *Node) allUses(owner string) []instance.Use {
 	var out []instance.Use
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	InFlight int // requests of this instance
 	judge    judge
 	load     loadSeen
+	allHave  int // requests of all instances there, by its owner's newest word
 	holds    map[chestnutstream.ModelAdapter]holding
 	noLoads  time.Time // until when its owner is not asked for loads
 	hash     uint64
@@ -46,14 +47,24 @@
 const loadFade = 2 * time.Second
 
 // Load estimates the requests that the server runs and has waiting: the newest
-// told figure plus what this instance has sent since, less what ended.
+// figure that an answer told, plus what this instance has sent since, less what
+// ended; or what its owner has told, if that is more.
 func (s *Server) Load(now time.Time) float64 {
+	told := max(float64(s.allHave), float64(s.InFlight))
 	age := now.Sub(s.load.at)
 	if s.load.at.IsZero() || age > loadFade {
-		return float64(s.InFlight)
+		return told
 	}
 	others := max(s.load.total-s.load.inFlight, 0)
-	return float64(s.InFlight) + float64(others)*(1-float64(age)/float64(loadFade))
+	return max(float64(s.InFlight)+float64(others)*(1-float64(age)/float64(loadFade)), told)
+}
+
+// AllHave takes the word of a server's owner on how many requests all instances
+// have there.
+func (f *Fleet) AllHave(id string, requests int) {
+	if s := f.servers[id]; s != nil {
+		s.allHave = requests
+	}
 }
 
 // Waiting returns how many requests waited at the server by its newest word.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -12,10 +12,12 @@
 	// otherZone is what a server of another zone costs, in requests: bytes
 	// between zones are priced, a queue costs more.
 	otherZone = 0.7
-	// hotFactor and hotSlack bound the load of an adapter's first server against
-	// the mean of its service, before requests go on to its next server.
+	// An adapter's first server is hot, and requests go on to its next one, over
+	// hotFactor times the mean load of the service and some slots more: a share
+	// of its batch, and not more than hotSlack.
 	hotFactor = 1.3
 	hotSlack  = 6.0
+	hotShare  = 0.2
 	// trustHolding is how long an engine is believed to hold an adapter after an
 	// answer or its owner said so.
 	trustHolding = 20 * time.Second
@@ -81,11 +83,11 @@
 	if len(order) == 0 {
 		order, mean = f.engines(now, service, target, avoid, true)
 	}
-	bound := mean*hotFactor + hotSlack
+	bound := mean * hotFactor
 	var cold, leastHeld, copyTo *Server
 	for _, s := range order {
 		held := f.Holds(now, s, target, version)
-		hot := s.Load(now) > bound || f.full(now, s)
+		hot := s.Load(now) > bound+min(hotSlack, hotShare*float64(s.Slots)) || f.full(now, s)
 		switch {
 		case held && !hot:
 			return f.chose(now, Choice{Server: s, Held: true, Copy: copyTo})
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -9,22 +9,23 @@
 )
 
 type wireBundle struct {
-	Name      string    `cbor:"1,keyasint,omitempty"`
-	Address   string    `cbor:"2,keyasint,omitempty"`
-	Zone      string    `cbor:"3,keyasint,omitempty"`
-	Run       uint64    `cbor:"4,keyasint,omitempty"`
-	HasOwned  bool      `cbor:"5,keyasint,omitempty"`
-	Owned     []string  `cbor:"6,keyasint,omitempty"`
-	Leaving   bool      `cbor:"7,keyasint,omitempty"`
-	Wants     []wireAsk `cbor:"8,keyasint,omitempty"`
-	Got       []wireGot `cbor:"9,keyasint,omitempty"`
-	Used      []wireAsk `cbor:"10,keyasint,omitempty"`
-	AskConfig bool      `cbor:"11,keyasint,omitempty"`
-	Config    []byte    `cbor:"12,keyasint,omitempty"`
-	ConfigRow uint64    `cbor:"13,keyasint,omitempty"`
-	Servers   []wireRow `cbor:"14,keyasint,omitempty"`
-	Versions  []wireRow `cbor:"15,keyasint,omitempty"`
-	Fed       []wireFed `cbor:"16,keyasint,omitempty"`
+	Name      string     `cbor:"1,keyasint,omitempty"`
+	Address   string     `cbor:"2,keyasint,omitempty"`
+	Zone      string     `cbor:"3,keyasint,omitempty"`
+	Run       uint64     `cbor:"4,keyasint,omitempty"`
+	HasOwned  bool       `cbor:"5,keyasint,omitempty"`
+	Owned     []string   `cbor:"6,keyasint,omitempty"`
+	Leaving   bool       `cbor:"7,keyasint,omitempty"`
+	Wants     []wireAsk  `cbor:"8,keyasint,omitempty"`
+	Got       []wireGot  `cbor:"9,keyasint,omitempty"`
+	Used      []wireAsk  `cbor:"10,keyasint,omitempty"`
+	AskConfig bool       `cbor:"11,keyasint,omitempty"`
+	Config    []byte     `cbor:"12,keyasint,omitempty"`
+	ConfigRow uint64     `cbor:"13,keyasint,omitempty"`
+	Servers   []wireRow  `cbor:"14,keyasint,omitempty"`
+	Versions  []wireRow  `cbor:"15,keyasint,omitempty"`
+	Fed       []wireFed  `cbor:"16,keyasint,omitempty"`
+	Loads     []wireLoad `cbor:"17,keyasint,omitempty"`
 }
 
 // wireAsk is a Want (version, requests that wait) or a Use (requests begun,
@@ -51,6 +52,12 @@
 	Reason       string
 }
 
+type wireLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Server   string
+	Requests int
+}
+
 type wireFed struct {
 	_     struct{} `cbor:",toarray"`
 	Table string
@@ -101,6 +108,9 @@
 		}
 		w.Fed = append(w.Fed, x)
 	}
+	for _, l := range b.Loads {
+		w.Loads = append(w.Loads, wireLoad{Server: l.Server, Requests: l.Requests})
+	}
 	frame, err := cbor.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode bundle: %w", err)
@@ -129,6 +139,9 @@
 	for _, x := range w.Used {
 		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Version, InProgress: x.Count})
 	}
+	for _, x := range w.Loads {
+		b.Loads = append(b.Loads, Load{Server: x.Server, Requests: x.Requests})
+	}
 	for _, x := range w.Fed {
 		f := Fed{Table: x.Table, After: x.After, To: x.To}
 		for _, r := range x.Rows {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -45,6 +45,7 @@
 	ConfigRow uint64
 	Servers   []ServerRow
 	Versions  []ServerRow // declarations of adapter versions, as rows
+	Loads     []Load      // of engines that the sender owns
 	Fed       []Fed       // changes that the sender has read for its availability zone
 }
 
@@ -76,6 +77,12 @@
 	InProgress int // requests
 }
 
+// Load is how many requests all instances have at an engine.
+type Load struct {
+	Server   string
+	Requests int
+}
+
 // Fed is what the sender has read of a table's feed: all changes after one
 // version, up to another.
 type Fed struct {
@@ -93,5 +100,5 @@
 }
 
 func (b *Bundle) empty() bool {
-	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0
+	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0 && len(b.Loads) == 0
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -156,6 +156,7 @@
 	wants     map[chestnutstream.ModelAdapter]*want
 	past      map[chestnutstream.ModelAdapter]time.Duration
 	cold      float64 // how many may be on their way from the weight store
+	uses      map[useKey]use
 
 	Running, Queued int // as of the newest report
 }
@@ -167,7 +168,7 @@
 	return &Engine{
 		Server: server, kind: kind, lookAt: boot + reportLag,
 		models: map[string]int{}, slots: map[chestnutstream.ModelAdapter]*slot{},
-		cold: coldFirst, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
+		cold: coldFirst, uses: map[useKey]use{}, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
 	}
 }
 
@@ -218,9 +219,34 @@
 	w.askers[from] = waiting
 }
 
+// useKey is an instance's use of a model or adapter.
+type useKey struct {
+	from   string
+	target chestnutstream.ModelAdapter
+}
+
+// InProgress returns how many requests all instances have at the engine, by
+// their own word.
+func (e *Engine) InProgress(boot time.Duration) int {
+	n := 0
+	for k, u := range e.uses {
+		if boot-u.at > useForgotten {
+			delete(e.uses, k)
+			continue
+		}
+		n += u.requests
+	}
+	return n
+}
+
 // Used notes how many requests an instance has begun for an adapter on the
 // engine since it last told, and how many are in progress.
 func (e *Engine) Used(boot time.Duration, from string, target chestnutstream.ModelAdapter, begun, inProgress int) {
+	k := useKey{from, target}
+	delete(e.uses, k)
+	if inProgress > 0 {
+		e.uses[k] = use{at: boot, requests: inProgress}
+	}
 	s := e.slots[target]
 	if s == nil {
 		return
