Soak: real processes under random faults, checked from outside

chestnutstream soak starts instances as processes before stand-ins, with proxies on their paths to the store and to servers, and injects pauses, kills, restarts, outages, lost and late answers, silence, one-way cuts, resets, configurations, versions and drains by seed. It checks answers (whole, right adapter and version, signed), orders and single streams run once, not-run promises, turns and numbers of holders, slots, drains, configurations that fall back, service after the last fault, and that each failure has a log line.

--- a/cmd/chestnutstream/main.go
+++ b/cmd/chestnutstream/main.go
@@ -34,7 +34,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	for _, c := range []subcommands.Command{&entryCommand{}, &edgeCommand{}, &standinCommand{}, &demoCommand{}, &loadCommand{}} {
+	for _, c := range []subcommands.Command{&entryCommand{}, &edgeCommand{}, &standinCommand{}, &demoCommand{}, &loadCommand{}, &soakCommand{}} {
 		subcommands.Register(c, "running")
 	}
 	for _, c := range []subcommands.Command{&configCommand{}, &dumpCommand{}, &explainCommand{}, &tokenCommand{}} {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -45,7 +45,10 @@
 	FenceFell   bool           // an order came with a lower number than one before
 	OverSlots   bool           // it was ordered to hold more adapters than it has slots
 	UnloadInUse int            // orders to unload an adapter in use
+	Unloads     int
 	Orders      int
+	ShortTurn   time.Duration // the shortest time between orders of two holders; 0: one holder only
+	LateArrival time.Duration // of the latest request after the server began to drain
 }
 
 type backendAdapter struct {
@@ -73,6 +76,9 @@
 	past     map[string]bool
 	orders   int // accepted
 	fence    uint64
+	orderAt  time.Time // of the newest order
+	drainAt  time.Time
+	going    string // an adapter in use that is to be unloaded
 	running  int
 	served   int
 	asked    int
@@ -162,6 +168,17 @@
 	b.state = "draining"
 	b.mu.Unlock()
 	b.Beat()
+	b.mu.Lock()
+	b.drainAt = time.Now()
+	b.mu.Unlock()
+}
+
+// gone drops an adapter whose unload waited for its runs. Callers hold mu.
+func (b *Backend) gone() {
+	if a := b.adapters[b.going]; b.going != "" && a.uses == 0 {
+		delete(b.adapters, b.going)
+		b.past[b.going], b.going = true, ""
+	}
 }
 
 // held returns what the engine holds. Callers hold mu.
@@ -219,8 +236,12 @@
 	b.counts.FenceFell = b.counts.FenceFell || o.FencingToken < b.fence
 	b.fence = max(b.fence, o.FencingToken)
 	if n := len(b.counts.Holders); n == 0 || b.counts.Holders[n-1] != o.Holder {
+		if turn := time.Since(b.orderAt); n > 0 && (b.counts.ShortTurn == 0 || turn < b.counts.ShortTurn) {
+			b.counts.ShortTurn = turn
+		}
 		b.counts.Holders = append(b.counts.Holders, o.Holder)
 	}
+	b.orderAt = time.Now()
 	w.WriteHeader(b.carryOut(o))
 }
 
@@ -246,13 +267,22 @@
 	if o.Operation == "unload" && a == nil {
 		return http.StatusOK
 	}
+	if b.going != "" {
+		if o.Operation == "unload" && o.Adapter == b.going {
+			return http.StatusAccepted
+		}
+		return http.StatusConflict
+	}
 	if b.model != o.Model || now.Before(b.modelAt) || o.ExpectedRev == nil || *o.ExpectedRev != b.orders {
 		return http.StatusConflict
 	}
 	b.orders++
 	if o.Operation == "unload" {
+		b.counts.Unloads++
 		if a.uses > 0 {
 			b.counts.UnloadInUse++
+			b.going = o.Adapter
+			return http.StatusAccepted
 		}
 		delete(b.adapters, o.Adapter)
 		b.past[o.Adapter] = true
@@ -272,6 +302,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Arrivals++
+	if !b.drainAt.IsZero() {
+		b.counts.LateArrival = time.Since(b.drainAt)
+	}
 	model, name, _ := strings.Cut(r.Header.Get("X-Chestnutstream-Model"), "/")
 	if b.cfg.AdapterSlots > 0 && len(b.held()) == 0 {
 		return nil, http.StatusMisdirectedRequest, false
@@ -284,7 +317,7 @@
 		if v := r.Header.Get("X-Chestnutstream-Expect-Version"); v != "" && v != strconv.Itoa(a.version) {
 			return nil, http.StatusMisdirectedRequest, false
 		}
-		if time.Now().Before(a.ready) {
+		if time.Now().Before(a.ready) || name == b.going {
 			return nil, http.StatusServiceUnavailable, false
 		}
 		adapter = a
@@ -319,11 +352,15 @@
 		if adapter != nil {
 			adapter.uses--
 		}
+		b.gone()
 		b.mu.Unlock()
 	}()
 	h.Set("X-Chestnutstream-Request-Id", r.Header.Get("X-Chestnutstream-Request-Id"))
 	h.Set("X-Chestnutstream-Server-Signature", b.cfg.ID+"."+r.Header.Get("X-Chestnutstream-Request-Id"))
 	h.Set("X-Chestnutstream-Server-Load", fmt.Sprintf("%d,0,%d", running, b.cfg.Slots))
+	if adapter != nil {
+		h.Set("X-Chestnutstream-Weight-Versions", strconv.Itoa(adapter.version))
+	}
 	if f.Hang {
 		<-r.Context().Done()
 		return
