Feeds end when the store is lost or regained; readers tell changes of the operator's table

Ruled out: the connection (it stood, so keep-alives were answered); the reading of the servers (regained at 15.5 s). Feeds under way end with each loss and return of the store, wait 6 s at most (10), and rows of the operator's table are told in the zone and taken at once.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -34,9 +34,10 @@
 
 // gate is the store's door; while it is shut every call is answered 503.
 type gate struct {
-	mu   sync.Mutex
-	shut bool
-	next http.Handler
+	mu      sync.Mutex
+	shut    bool
+	swallow bool // calls are taken and never answered
+	next    http.Handler
 }
 
 func (g *gate) set(shut bool) {
@@ -47,8 +48,12 @@
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.mu.Lock()
-	shut := g.shut
+	shut, swallow := g.shut, g.swallow
 	g.mu.Unlock()
+	if swallow {
+		<-r.Context().Done()
+		return
+	}
 	if shut {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -440,3 +445,29 @@
 	t.Model, t.Adapter, _ = strings.Cut(s, "/")
 	return t
 }
+
+// A feed that the store took while it was silent is never answered. A change made
+// after the store's return is in force all the same.
+func TestChangeAfterASilentStore(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	in := s.instance("edge-a")
+	eventually(t, "ready", in.Node().Ready)
+	swallow := func(on bool) {
+		s.gate.mu.Lock()
+		defer s.gate.mu.Unlock()
+		s.gate.swallow = on
+	}
+	swallow(true)
+	s.store.Put("op", "other", []byte("{}")) // ends the feed that waits; the next one is swallowed
+	time.Sleep(4 * time.Second)
+	swallow(false)
+	time.Sleep(3 * time.Second) // until the store counts as stable
+	s.configure(`{"name":"new","host":"h.example","prefix":"/new/","type":"idempotent","maxAttempts":1,"timeoutMs":2000,"service":"desk"}`)
+	changed := time.Now()
+	eventually(t, "the new route is in force", func() bool {
+		status, _, err := ask(in, "GET", "/new/1", "")
+		return err == nil && status == 200
+	})
+	assert.Assert(t, time.Since(changed) < 2*time.Second, "after %v", time.Since(changed))
+}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -18,9 +18,9 @@
 // Times of the reading of the store. Calls to it are priced and its rates are
 // shared by all instances.
 const (
-	operatorWait = 10 * time.Second        // a feed of the operator's table answers at once when there is news
+	operatorWait = 6 * time.Second         // a feed of the operator's table answers at once when there is news
 	serversPause = 1050 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
-	serversWait  = 2 * time.Second
+	serversWait  = time.Second
 	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
 	leasesWait   = time.Second
 	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
@@ -87,6 +87,9 @@
 				known = false
 				continue
 			}
+			if errors.Is(err, context.Canceled) {
+				continue // the store was lost or regained meanwhile
+			}
 			n.storeFailed(f.table, err)
 			n.sleep(min(feedRetry<<min(failures, 4), feedRetryMax))
 			failures++
@@ -116,13 +119,40 @@
 
 // readFeed reads the changes of a table; on failure the version stays.
 func (n *Node) readFeed(f feed, after uint64) ([]chestnutstream.TableRow, uint64, error) {
-	rows, version, err := n.store.Feed(n.ctx, f.table, after, f.wait)
+	ctx, done := n.pollContext()
+	defer done()
+	rows, version, err := n.store.Feed(ctx, f.table, after, f.wait)
 	if err != nil {
 		return nil, after, err
 	}
 	return rows, max(version, after), nil
 }
 
+// pollContext returns the context of a feed. It ends when the store is lost or
+// regained: the store answers no call that it took while it was away, and a
+// feed would wait for that, deaf to changes.
+func (n *Node) pollContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(n.ctx)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	id := n.nextPoll
+	n.nextPoll++
+	n.polls[id] = cancel
+	return ctx, func() {
+		cancel()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.polls, id)
+	}
+}
+
+// endPolls ends the feeds that are under way. Callers hold mu.
+func (n *Node) endPolls() {
+	for _, cancel := range n.polls {
+		cancel()
+	}
+}
+
 func (n *Node) sleep(d time.Duration) {
 	if d <= 0 {
 		return
@@ -145,9 +175,10 @@
 	first := !n.storeState.down
 	if first {
 		n.storeState = dependency{down: true, since: now}
+		n.endPolls()
 	}
 	n.mu.Unlock()
-	if first && !errors.Is(err, context.Canceled) {
+	if first {
 		n.log.WithError(err).WithField("table", table).Warn("store lost")
 	}
 }
@@ -157,6 +188,9 @@
 	n.mu.Lock()
 	was := n.storeState
 	n.storeState = dependency{}
+	if was.down {
+		n.endPolls()
+	}
 	if table == platform.TableServers {
 		n.fleet.StoreAnswered(n.now())
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -61,6 +61,8 @@
 	changed    map[holdKey]bool    // uses that their owners have not been told
 	toldAt     time.Time
 	budgets    map[string]*fleet.Budget
+	polls      map[int]context.CancelFunc // of feeds under way
+	nextPoll   int
 	storeState dependency
 }
 
@@ -110,7 +112,7 @@
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
 		fleet:   fleet.New(cfg.Zone, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, budgets: map[string]*fleet.Budget{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	for _, f := range n.feeds() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -52,9 +52,6 @@
 		p.member, p.run, p.leaving = from, b.Run, false
 	}
 	p.leaving = p.leaving || b.Leaving
-	for _, f := range b.Fed {
-		n.hearFed(f)
-	}
 	for _, l := range b.Loads {
 		n.fleet.AllHave(l.Server, l.Requests)
 	}
@@ -82,6 +79,9 @@
 		told = n.rows.bundle()
 	}
 	n.mu.Unlock()
+	for _, f := range b.Fed {
+		n.hearFed(f)
+	}
 	if ask {
 		n.mesh.Send(from.Name, func(out *instance.Bundle) {
 			out.Config, out.ConfigRow, out.Servers, out.Versions = told.Config, told.ConfigRow, told.Servers, told.Versions
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // Reading of the store for a whole availability zone: calls to it are priced,
@@ -71,7 +72,7 @@
 
 // tellZone tells what this instance has read to its part of the zone.
 func (n *Node) tellZone(f feed, after, to uint64, rows []chestnutstream.TableRow) {
-	if !f.shared {
+	if len(rows) == 0 && !f.shared {
 		return
 	}
 	readers, all := n.zoneReaders(f.table)
@@ -88,8 +89,14 @@
 }
 
 // hearFed keeps a reader's word for the loop that follows the table. One that
-// does not fit is dropped: the loop reads for itself then.
+// does not fit is dropped: the loop reads for itself then. Changes of the
+// operator's table, which each instance reads itself, are taken at once: its own
+// read may be lost.
 func (n *Node) hearFed(f instance.Fed) {
+	if f.Table == platform.TableOperator {
+		n.operatorRows(f.Rows)
+		return
+	}
 	select {
 	case n.heard[f.Table] <- f:
 	default:
