Soak finds planted faults

Seven small mutants of an instance, each with one fault, run in place of the program: orders sent twice, not-run said of what ran, slots overrun, orders of three holders in turn, a leaving server used, streams cut short, failures without a log line. Each is found.

--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,229 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"gotest.tools/v3/assert"
+)
+
+// mutantVariable makes this test program run as an instance with a planted fault.
+const mutantVariable = "SOAK_MUTANT"
+
+func TestMain(m *testing.M) {
+	if kind := os.Getenv(mutantVariable); kind != "" {
+		runMutant(kind)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A short run of the real program, with a fixed seed.
+func TestRealProgramKeepsItsPromises(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "chestnutstream")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/chestnutstream/chestnutstream/cmd/chestnutstream").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	r, err := Run(context.Background(), Settings{Program: program, Arguments: []string{"edge"}, Seed: 20261204, Duration: 8 * time.Second})
+	assert.NilError(t, err)
+	assert.Assert(t, len(r.Broken) == 0, "logs in %s: %s", r.Folder, strings.Join(r.Broken, "\n"))
+	assert.Assert(t, r.Answered > r.Requests/2, "%+v", r)
+}
+
+// The checks must find each planted fault.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	tests := []struct{ mutant, want string }{
+		{"retries-orders", " ran 2 times"},
+		{"says-not-run", "said that it has not run, and it ran"},
+		{"loads-without-asking", "more adapters than it has slots"},
+		{"trusts-its-lease", "got orders of two holders within"},
+		{"sends-to-leaving", "after it began to drain"},
+		{"cuts-streams", "not the whole answer"},
+		{"logs-nothing", "no log line tells why"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.mutant, func(t *testing.T) {
+			t.Parallel()
+			t.Logf("planted: %s", tt.mutant)
+			program := mutantProgram(t, tt.mutant)
+			s, r := calmRun(t, program)
+			stop := r.startClients(1)
+			if tt.mutant == "sends-to-leaving" {
+				r.drainDesk()
+			}
+			time.Sleep(3 * time.Second)
+			stop()
+			r.checkEnd()
+			s.close()
+			assert.Assert(t, strings.Contains(strings.Join(r.broken, "\n"), tt.want), "found %q", r.broken)
+		})
+	}
+}
+
+// calmRun starts a deployment without faults.
+func calmRun(t *testing.T, program string) (*site, *run) {
+	s, err := newSite(Settings{Program: program, Seed: 1, Folder: t.TempDir()}, rand.New(rand.NewPCG(1, 2)))
+	assert.NilError(t, err)
+	r := &run{site: s, rng: rand.New(rand.NewPCG(1, 1)), faults: map[string]int{}}
+	time.Sleep(500 * time.Millisecond)
+	return s, r
+}
+
+// mutantProgram is a script that runs this test program as a mutant.
+func mutantProgram(t *testing.T, kind string) string {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "mutant")
+	assert.NilError(t, os.WriteFile(path, []byte("#!/bin/sh\nexec env "+mutantVariable+"="+kind+" "+self+"\n"), 0o700))
+	return path
+}
+
+// mutant is a simple instance with one fault. It reads its settings and the list
+// of servers, and sends each request to any server of the service.
+type mutant struct {
+	kind  string
+	store string
+	mu    sync.Mutex
+	count map[string]int // orders accepted, by server
+}
+
+func runMutant(kind string) {
+	var cfg struct {
+		NodeName string `yaml:"nodeName"`
+		Listen   struct {
+			Frontend string `yaml:"frontend"`
+		} `yaml:"listen"`
+		Platform struct {
+			Address string `yaml:"address"`
+		} `yaml:"platform"`
+	}
+	b, err := os.ReadFile(os.Getenv("CHESTNUTSTREAM_CONFIG"))
+	if err == nil {
+		err = yaml.Unmarshal(b, &cfg)
+	}
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	m := &mutant{kind: kind, store: cfg.Platform.Address, count: map[string]int{}}
+	if kind == "trusts-its-lease" || kind == "loads-without-asking" {
+		go m.orders(cfg.NodeName)
+	}
+	fmt.Println(http.ListenAndServe(cfg.Listen.Frontend, m))
+}
+
+type mutantServer struct {
+	id      string
+	Service string `json:"service"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+func (m *mutant) servers(service string) []mutantServer {
+	resp, err := http.Get("http://" + m.store + "/rows-get?table=servers")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var a struct {
+		Rows []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"rows"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return nil
+	}
+	var out []mutantServer
+	for _, r := range a.Rows {
+		s := mutantServer{id: r.Key}
+		if json.Unmarshal(r.Value, &s) == nil && s.Service == service && (s.State == "ready" || m.kind == "sends-to-leaving") {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// orders gives orders to every engine, as if it were the owner of all.
+func (m *mutant) orders(name string) {
+	for n := 0; ; n++ {
+		for _, s := range m.servers("assistant") {
+			adapter := fmt.Sprintf("a%d", n%adapters)
+			if m.kind == "trusts-its-lease" {
+				adapter = "a1"
+			}
+			body := fmt.Sprintf(`{"operation":"load","model":"m","adapter":%q,"expectedRev":%d,"holder":%q,"fencingToken":%d}`, adapter, m.count[s.id], name, n+1)
+			resp, err := http.Post("http://"+s.Address+"/order", "application/json", strings.NewReader(body))
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusAccepted {
+				m.count[s.id]++
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (m *mutant) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service := "desk"
+	if strings.HasPrefix(r.URL.Path, "/ask") || strings.HasPrefix(r.URL.Path, "/once") {
+		service = "assistant"
+	}
+	body, _ := io.ReadAll(r.Body)
+	if m.kind == "logs-nothing" {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	list := m.servers(service)
+	if len(list) == 0 {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	s := list[rand.IntN(len(list))]
+	sends := 1
+	if m.kind == "retries-orders" {
+		sends = 2
+	}
+	for i := range sends {
+		req, _ := http.NewRequest(r.Method, "http://"+s.Address+r.RequestURI, bytes.NewReader(body))
+		req.Host, req.Header = r.Host, r.Header.Clone()
+		if service == "assistant" {
+			req.Header.Set("X-Chestnutstream-Model", "m") // none of its adapters is loaded
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		answer, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if i+1 < sends {
+			continue
+		}
+		if m.kind == "says-not-run" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if m.kind == "cuts-streams" && service == "assistant" {
+			answer = answer[:len(answer)/2]
+		}
+		w.Header().Set("X-Chestnutstream-Server-Signature", resp.Header.Get("X-Chestnutstream-Server-Signature"))
+		w.WriteHeader(resp.StatusCode)
+		_, _ = w.Write(answer)
+	}
+}
