--- a/cmd/chestnutstream/edge.go
+++ b/cmd/chestnutstream/edge.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/google/subcommands"
@@ -60,11 +62,19 @@
 	defer signal.Stop(hup)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	for ctx.Err() == nil {
+	look := time.NewTicker(settingsLook)
+	defer look.Stop()
+	for known := c.stamp(); ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
 		case <-hup:
+			known = c.stamp()
 			c.reload(in, logger)
+		case <-look.C:
+			if now := c.stamp(); now != known {
+				known = now
+				c.reload(in, logger)
+			}
 		}
 	}
 	logger.Info("stopping")
@@ -76,6 +86,19 @@
 	return subcommands.ExitSuccess
 }
 
+// settingsLook is the time between looks at the settings file, which the platform
+// may change without a signal.
+const settingsLook = 2 * time.Second
+
+// stamp tells whether the settings file has changed.
+func (c *edgeCommand) stamp() string {
+	info, err := os.Stat(c.path)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%d %v", info.Size(), info.ModTime())
+}
+
 func (c *edgeCommand) reload(in *edge.Instance, logger log.Interface) {
 	cfg, err := platform.ReadSettings(c.path)
 	if err != nil {
