--- a/engine/dispatch.go
+++ b/engine/dispatch.go
@@ -39,11 +39,11 @@
 
 // dispatch sends what can be sent, queue by queue in order of urgency, and
 // renews what each queue wants.
-func (p *Placement) dispatch(now time.Time) []any {
+func (p *Placement) dispatch(now time.Time) []Action {
 	if len(p.queues) == 0 {
 		return nil
 	}
-	var actions []any
+	var actions []Action
 	r := &round{p: p, now: now}
 	for _, q := range p.byUrgency(now) {
 		actions = append(actions, p.dispatchQueue(now, q, r)...)
@@ -123,8 +123,8 @@
 	wantPerQueue = time.Millisecond
 )
 
-func (p *Placement) dispatchQueue(now time.Time, q *queue, r *round) []any {
-	var actions []any
+func (p *Placement) dispatchQueue(now time.Time, q *queue, r *round) []Action {
+	var actions []Action
 	if q.wantedAt.IsZero() {
 		actions = append(actions, p.renewWants(now, q, r)...)
 	}
@@ -163,8 +163,8 @@
 
 // renewWants looks at what a queue wants loaded, and gives it up when no server
 // is in sight.
-func (p *Placement) renewWants(now time.Time, q *queue, r *round) []any {
-	var actions []any
+func (p *Placement) renewWants(now time.Time, q *queue, r *round) []Action {
+	var actions []Action
 	r.withAdapter(q, func(loads []chestnutstream.ServerLoad) {
 		before := q.wanted
 		p.setWanted(q, p.policy.Want(p.view(now, q), loads))
--- a/engine/loading.go
+++ b/engine/loading.go
@@ -90,13 +90,13 @@
 	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(halfLife))
 }
 
-func (s *Scheduler) loadDone(now time.Time, srv *ownedServer, sl *ownedSlot, err error) []any {
+func (s *Scheduler) loadDone(now time.Time, srv *ownedServer, sl *ownedSlot, err error) []Action {
 	av := sl.slot.AdapterVersion
 	delete(srv.tickets, av)
 	if err == nil {
 		sl.slot.State, sl.since, sl.loadedAt, sl.lastUsed = chestnutstream.SlotReady, now, now, now
 		delete(s.backoffs, av)
-		return []any{Noted{srv.name, "load", fmt.Sprintf("%s is ready", sl.slot.Name)}}
+		return []Action{Noted{srv.name, "load", fmt.Sprintf("%s is ready", sl.slot.Name)}}
 	}
 	if errors.Is(err, chestnutstream.ErrLoadFailed) {
 		s.backOff(now, av)
@@ -104,7 +104,7 @@
 	// Whether the engine has it is seen by the next status; until then the slot
 	// counts as taken.
 	sl.since = now
-	return []any{ReadStatus{srv.name}, Noted{srv.name, "load", err.Error()}}
+	return []Action{ReadStatus{srv.name}, Noted{srv.name, "load", err.Error()}}
 }
 
 func (s *Scheduler) backOff(now time.Time, av chestnutstream.AdapterVersion) {
@@ -120,8 +120,8 @@
 
 // schedule asks for permits for the candidates of each server, and loads where
 // a permit and a free slot are at hand.
-func (s *Scheduler) schedule(now time.Time) []any {
-	var actions []any
+func (s *Scheduler) schedule(now time.Time) []Action {
+	var actions []Action
 	wants := s.wantsByServer(now)
 	for _, srv := range s.sorted() {
 		actions = append(actions, s.scheduleServer(now, srv, wants[srv.name])...)
@@ -168,7 +168,7 @@
 	return out
 }
 
-func (s *Scheduler) scheduleServer(now time.Time, srv *ownedServer, wants map[chestnutstream.AdapterVersion]*chestnutstream.LoadCandidate) []any {
+func (s *Scheduler) scheduleServer(now time.Time, srv *ownedServer, wants map[chestnutstream.AdapterVersion]*chestnutstream.LoadCandidate) []Action {
 	mayLoad := srv.reachable && !srv.status.Leaving && now.Before(srv.holding.NotAfter) && srv.status.SlotLimit > 0
 	for av, t := range srv.tickets {
 		if !t.loading && (!mayLoad || wants[av] == nil) {
@@ -178,7 +178,7 @@
 	if !mayLoad {
 		return nil
 	}
-	var actions []any
+	var actions []Action
 	for _, c := range s.candidates(now, srv, wants) {
 		t := srv.tickets[c.AdapterVersion]
 		if t == nil {
@@ -249,7 +249,7 @@
 	return i >= 0 && len(slots) > waiting-free-retiring
 }
 
-func (s *Scheduler) useGrant(now time.Time, srv *ownedServer, c chestnutstream.LoadCandidate, t *ticket) []any {
+func (s *Scheduler) useGrant(now time.Time, srv *ownedServer, c chestnutstream.LoadCandidate, t *ticket) []Action {
 	free, retiring := srv.freeSlots()
 	if free > 0 {
 		t.loading = true
@@ -265,10 +265,10 @@
 		return nil
 	}
 	s.retire(now, srv, slots[i], draining)
-	return []any{Noted{srv.name, "retire", fmt.Sprintf("%s makes room for %s", slots[i].slot.Name, c.AdapterVersion)}}
+	return []Action{Noted{srv.name, "retire", fmt.Sprintf("%s makes room for %s", slots[i].slot.Name, c.AdapterVersion)}}
 }
 
-func (s *Scheduler) load(now time.Time, srv *ownedServer, av chestnutstream.AdapterVersion) []any {
+func (s *Scheduler) load(now time.Time, srv *ownedServer, av chestnutstream.AdapterVersion) []Action {
 	s.serial++
 	name := chestnutstream.NewLoadName(av, fmt.Sprintf("%s.%x.%d", s.self, srv.holding.Fence, s.serial))
 	srv.slots[name] = &ownedSlot{
@@ -276,7 +276,7 @@
 		since: now, ordered: true,
 	}
 	s.touch(srv)
-	return []any{
+	return []Action{
 		LoadOrder{Server: srv.name, Name: name, Fence: srv.holding.Fence, NotAfter: srv.holding.NotAfter},
 		Noted{srv.name, "load", string(name)},
 	}
--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -195,7 +195,7 @@
 }
 
 // Step takes an event and returns the actions that it leads to.
-func (o *Ownership) Step(now time.Time, event any) []any {
+func (o *Ownership) Step(now time.Time, event any) []Action {
 	switch e := event.(type) {
 	case ZoneServers:
 		o.setServers(e.Servers)
@@ -327,7 +327,7 @@
 	return (seen>>fenceBits+1)<<fenceBits | tag
 }
 
-func (o *Ownership) fenceSeen(now time.Time, e FenceSeen) []any {
+func (o *Ownership) fenceSeen(now time.Time, e FenceSeen) []Action {
 	s := o.servers[e.Server]
 	if s == nil || !s.settings.ChecksFences {
 		return nil
@@ -346,7 +346,7 @@
 	case now.After(s.notBefore):
 		// The engine restarted empty and forgot the number: raise it again.
 		s.notBefore = now.Add(o.cfg.RetryAfter)
-		return []any{RaiseFence{Server: e.Server, Fence: s.fence}}
+		return []Action{RaiseFence{Server: e.Server, Fence: s.fence}}
 	}
 	return nil
 }
@@ -389,12 +389,12 @@
 	s.notBefore = now.Add(o.cfg.Settle)
 }
 
-func (o *Ownership) tick(now time.Time, alive []string) []any {
+func (o *Ownership) tick(now time.Time, alive []string) []Action {
 	o.noteAlive(now, alive)
 	if now.Sub(o.startedAt) < o.cfg.RetryAfter {
 		return nil // first hear who is there
 	}
-	var actions []any
+	var actions []Action
 	var needRows []string
 	for _, name := range o.names() {
 		s := o.servers[name]
@@ -479,18 +479,18 @@
 	return held > (len(o.servers)+len(o.alive)-1)/max(1, len(o.alive))
 }
 
-func (o *Ownership) yield(now time.Time, name string, s *ownedBy) []any {
+func (o *Ownership) yield(now time.Time, name string, s *ownedBy) []Action {
 	if s.settings.ChecksFences || s.released || now.Before(s.notBefore) || !o.wantsToYield(now, name) {
 		return nil
 	}
 	s.released = true
-	return []any{ReleaseRow{Server: name, Fence: s.fence, RowVersion: s.rowVersion}}
+	return []Action{ReleaseRow{Server: name, Fence: s.fence, RowVersion: s.rowVersion}}
 }
 
 // ownersRead watches the rows of the servers that this instance should own and
 // takes over those whose lease has stood still for long enough.
-func (o *Ownership) ownersRead(now time.Time, e OwnersRead) []any {
-	var actions []any
+func (o *Ownership) ownersRead(now time.Time, e OwnersRead) []Action {
+	var actions []Action
 	for _, name := range o.names() {
 		s := o.servers[name]
 		if s.settings.ChecksFences || s.held || now.Before(s.notBefore) || o.draining || o.target(name) != o.self {
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -197,7 +197,7 @@
 }
 
 // Step takes an event and returns the actions that it leads to.
-func (p *Placement) Step(now time.Time, event any) []any {
+func (p *Placement) Step(now time.Time, event any) []Action {
 	switch e := event.(type) {
 	case Servers:
 		p.setServers(e)
--- a/engine/placement_test.go
+++ b/engine/placement_test.go
@@ -161,12 +161,12 @@
 		Slots: []chestnutstream.Slot{{Name: name, AdapterVersion: avOf(0), State: chestnutstream.SlotReady}},
 	}}
 	p.Step(now, report)
-	submit := func(id string, urgency int) []any {
+	submit := func(id string, urgency int) []Action {
 		return p.Step(now, Submit{Pending{ID: id, AdapterVersion: avOf(0), BaseModel: "base", Urgency: urgency, Deadline: now.Add(time.Hour)}})
 	}
 	running := []string{}
 	patientAt := -1
-	note := func(actions []any) {
+	note := func(actions []Action) {
 		for _, a := range actions {
 			if d, ok := a.(Dispatch); ok {
 				running = append(running, d.ID)
@@ -192,11 +192,11 @@
 
 	full := NewPlacement("z", DefaultPlacementSettings(), DefaultPlacement{})
 	full.Step(now, PlacementTick{Limits: QueueLimits{PerAdapter: 9, Total: 2}})
-	ask := func(id string, urgency int) []any {
+	ask := func(id string, urgency int) []Action {
 		return full.Step(now, Submit{Pending{ID: id, AdapterVersion: avOf(1), BaseModel: "base", Urgency: urgency, Deadline: now.Add(time.Hour)}})
 	}
 	assert.Equal(t, len(ask("a", 10)), 0)
 	assert.Equal(t, len(ask("b", 50)), 0)
-	assert.DeepEqual(t, ask("c", 90), []any{Refuse{ID: "a", Code: "shed", RetryAfter: time.Second}})
-	assert.DeepEqual(t, ask("d", 20), []any{Refuse{ID: "d", Code: "queue-full", RetryAfter: time.Second}})
+	assert.DeepEqual(t, ask("c", 90), []Action{Refuse{ID: "a", Code: "shed", RetryAfter: time.Second}})
+	assert.DeepEqual(t, ask("d", 20), []Action{Refuse{ID: "d", Code: "queue-full", RetryAfter: time.Second}})
 }
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -26,22 +26,22 @@
 	arrived time.Time // when its adapter was first seen loaded for it
 }
 
-func (p *Placement) submit(now time.Time, r Pending) []any {
+func (p *Placement) submit(now time.Time, r Pending) []Action {
 	key := p.policy.QueueKey(r.ID, r.AdapterVersion)
-	var actions []any
+	var actions []Action
 	if !now.Before(r.Deadline) {
-		return []any{Refuse{ID: r.ID, Code: "deadline"}}
+		return []Action{Refuse{ID: r.ID, Code: "deadline"}}
 	}
 	if q := p.queues[key]; q != nil && len(q.entries) >= p.limits.PerAdapter {
-		return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+		return []Action{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
 	}
 	if limit := p.limits.PerClass[r.Class]; limit > 0 && p.byClass[r.Class] >= limit {
-		return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+		return []Action{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
 	}
 	if p.waiting >= p.limits.Total {
 		victim := p.leastUrgent(now)
 		if victim == nil || p.effective(now, victim) >= r.Urgency {
-			return []any{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
+			return []Action{Refuse{ID: r.ID, Code: "queue-full", RetryAfter: p.retryAfter(now)}}
 		}
 		p.withdraw(victim.ID)
 		actions = append(actions, Refuse{ID: victim.ID, Code: "shed", RetryAfter: p.retryAfter(now), Stall: victim.stall(now)})
@@ -137,8 +137,8 @@
 	}
 }
 
-func (p *Placement) expire(now time.Time) []any {
-	var actions []any
+func (p *Placement) expire(now time.Time) []Action {
+	var actions []Action
 	for _, key := range append([]string(nil), p.order...) {
 		q := p.queues[key]
 		for i := 0; i < len(q.entries); {
@@ -192,7 +192,7 @@
 
 // giveUp refuses the requests of a queue for whose adapter no server has been
 // in sight for a while, so that their callers can ask elsewhere in time.
-func (p *Placement) giveUp(now time.Time, q *queue, loads []chestnutstream.ServerLoad) []any {
+func (p *Placement) giveUp(now time.Time, q *queue, loads []chestnutstream.ServerLoad) []Action {
 	for _, l := range loads {
 		if l.Usable || l.Loadable {
 			q.noHope = time.Time{}
@@ -205,7 +205,7 @@
 	if now.Sub(q.noHope) < p.cfg.NoServerAfter {
 		return nil
 	}
-	var actions []any
+	var actions []Action
 	for len(q.entries) > 0 {
 		e := q.entries[0]
 		actions = append(actions, Refuse{ID: e.ID, Code: "no-server", RetryAfter: minRetryAfter, Stall: e.stall(now)})
--- a/engine/retire.go
+++ b/engine/retire.go
@@ -29,8 +29,8 @@
 // advanceRetiring looks which retiring slots no instance uses any more, asks
 // for the status read that an unload needs, and gives up on slots that stay in
 // use.
-func (s *Scheduler) advanceRetiring(now time.Time, instances []string) []any {
-	var actions []any
+func (s *Scheduler) advanceRetiring(now time.Time, instances []string) []Action {
+	var actions []Action
 	for _, srv := range s.sorted() {
 		ask := false
 		for _, sl := range srv.sortedSlots() {
@@ -84,7 +84,7 @@
 }
 
 // unloadClear gives the unload orders that a fresh status allows.
-func (s *Scheduler) unloadClear(now time.Time, srv *ownedServer) []any {
+func (s *Scheduler) unloadClear(now time.Time, srv *ownedServer) []Action {
 	if !now.Before(srv.holding.NotAfter) {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	for _, es := range srv.status.Slots {
 		requests[es.Name] = len(es.Requests)
 	}
-	var actions []any
+	var actions []Action
 	for _, sl := range srv.sortedSlots() {
 		name := sl.slot.Name
 		ready := sl.slot.State == chestnutstream.SlotRetiring && !sl.ordered && !sl.clearAt.IsZero() && !srv.statusSent.Before(sl.clearAt)
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -163,7 +163,7 @@
 }
 
 // Step takes an event and returns the actions that it leads to.
-func (s *Scheduler) Step(now time.Time, event any) []any {
+func (s *Scheduler) Step(now time.Time, event any) []Action {
 	switch e := event.(type) {
 	case PeerHeard:
 		s.peerHeard(now, e)
@@ -313,7 +313,7 @@
 	}
 }
 
-func (s *Scheduler) tick(now time.Time, e Tick) []any {
+func (s *Scheduler) tick(now time.Time, e Tick) []Action {
 	s.measures = e.Measures
 	held := map[string]bool{}
 	for _, h := range e.Holdings {
@@ -341,8 +341,8 @@
 	return append(actions, s.schedule(now)...)
 }
 
-func (s *Scheduler) readStatuses(now time.Time) []any {
-	var actions []any
+func (s *Scheduler) readStatuses(now time.Time) []Action {
+	var actions []Action
 	for _, srv := range s.sorted() {
 		if now.Sub(srv.readAt) < s.cfg.StatusPeriod {
 			continue
@@ -366,7 +366,7 @@
 // server is reported as unreachable.
 const unreachableAfter = 2
 
-func (s *Scheduler) statusRead(now time.Time, e StatusRead) []any {
+func (s *Scheduler) statusRead(now time.Time, e StatusRead) []Action {
 	srv := s.servers[e.Server]
 	if srv == nil {
 		return nil
@@ -376,14 +376,14 @@
 		if srv.failures >= unreachableAfter && srv.reachable {
 			srv.reachable = false
 			s.touch(srv)
-			return []any{Noted{srv.name, "status", "unreachable: " + e.Err.Error()}}
+			return []Action{Noted{srv.name, "status", "unreachable: " + e.Err.Error()}}
 		}
 		return nil
 	}
 	if e.SentAt.Before(srv.statusSent) {
 		return nil
 	}
-	var actions []any
+	var actions []Action
 	changed := !srv.reachable || srv.status.Leaving != e.Status.Leaving ||
 		srv.status.BatchLimit != e.Status.BatchLimit || srv.status.SlotLimit != e.Status.SlotLimit
 	if srv.status.Epoch != "" && srv.status.Epoch != e.Status.Epoch {
@@ -454,7 +454,7 @@
 	}
 }
 
-func (s *Scheduler) orderDone(now time.Time, e OrderDone) []any {
+func (s *Scheduler) orderDone(now time.Time, e OrderDone) []Action {
 	srv := s.servers[e.Server]
 	if srv == nil {
 		return nil
@@ -468,7 +468,7 @@
 	if e.Unload {
 		if e.Err != nil {
 			sl.since, sl.clearAt = now, time.Time{}
-			return []any{ReadStatus{srv.name}, Noted{srv.name, "unload", e.Err.Error()}}
+			return []Action{ReadStatus{srv.name}, Noted{srv.name, "unload", e.Err.Error()}}
 		}
 		delete(srv.slots, e.Name)
 		return s.schedule(now)
--- a/engine/world_test.go
+++ b/engine/world_test.go
@@ -340,7 +340,7 @@
 	in.do(in.scheduler.Step(w.now, PeerHeard{Peer: m.from, Applied: applied, Uses: m.uses, Wants: m.wants, Quarantine: m.quarantine}))
 }
 
-func (in *worldInstance) do(actions []any) {
+func (in *worldInstance) do(actions []Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Dispatch:
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -25,7 +25,7 @@
 
 // do carries the actions of the decision parts out. Their results come back as
 // events. Callers do not hold mu.
-func (n *Node) do(actions []any) {
+func (n *Node) do(actions []engine.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case engine.Noted:
@@ -55,7 +55,7 @@
 }
 
 // step hands an event to a part and carries out what follows.
-func (n *Node) step(part func(now time.Time) []any) {
+func (n *Node) step(part func(now time.Time) []engine.Action) {
 	n.mu.Lock()
 	now := n.cfg.Timer.Now()
 	actions := part(now)
@@ -94,9 +94,9 @@
 	go func() {
 		sent := n.cfg.Timer.Now()
 		status, err := n.engines.Status(n.ctx, address)
-		n.step(func(now time.Time) []any {
+		n.step(func(now time.Time) []engine.Action {
 			delete(n.reading, server)
-			var actions []any
+			var actions []engine.Action
 			if err == nil {
 				actions = n.ownership.Step(now, engine.FenceSeen{Server: server, Fence: status.Fence, SentAt: sent})
 			}
@@ -148,8 +148,8 @@
 }
 
 func (n *Node) orderDone(server string, name chestnutstream.LoadName, fence uint64, unload bool, err error) {
-	n.step(func(now time.Time) []any {
-		var actions []any
+	n.step(func(now time.Time) []engine.Action {
+		var actions []engine.Action
 		if errors.Is(err, chestnutstream.ErrFenced) {
 			actions = n.ownership.Step(now, engine.Acquired{Server: server, Fence: fence, Err: err})
 		}
@@ -169,7 +169,7 @@
 		detail = err.Error()
 	}
 	n.note(chestnutstream.Decision{At: n.cfg.Timer.Now(), Subject: server, Step: "acquire", Detail: detail})
-	n.step(func(now time.Time) []any {
+	n.step(func(now time.Time) []engine.Action {
 		return n.ownership.Step(now, engine.Acquired{Server: server, Fence: fence, RowVersion: row, SentAt: sent, Err: err})
 	})
 }
@@ -208,7 +208,7 @@
 		}
 		read.Leases[w.Owner] = lease
 	}
-	n.step(func(now time.Time) []any { return n.ownership.Step(now, read) })
+	n.step(func(now time.Time) []engine.Action { return n.ownership.Step(now, read) })
 }
 
 func (n *Node) readLease(instance string) (engine.LeaseRow, error) {
@@ -259,13 +259,15 @@
 		err = nil // it is not ours any more
 	}
 	n.note(chestnutstream.Decision{At: n.cfg.Timer.Now(), Subject: a.Server, Step: "release", Detail: fmt.Sprintf("fencing number %d: %s", a.Fence, result(err))})
-	n.step(func(now time.Time) []any { return n.ownership.Step(now, engine.Released{Server: a.Server, Err: err}) })
+	n.step(func(now time.Time) []engine.Action {
+		return n.ownership.Step(now, engine.Released{Server: a.Server, Err: err})
+	})
 }
 
 // Place implements caller.Placer.
 func (n *Node) Place(ctx context.Context, p engine.Pending) (engine.Dispatch, error) {
 	ch := make(chan placed, 1)
-	n.step(func(now time.Time) []any {
+	n.step(func(now time.Time) []engine.Action {
 		n.waiters[p.ID] = ch
 		return n.placement.Step(now, engine.Submit{Request: p})
 	})
@@ -274,7 +276,7 @@
 		return n.placedResult(r)
 	case <-ctx.Done():
 	}
-	n.step(func(now time.Time) []any { return n.placement.Step(now, engine.Withdraw{ID: p.ID}) })
+	n.step(func(now time.Time) []engine.Action { return n.placement.Step(now, engine.Withdraw{ID: p.ID}) })
 	n.mu.Lock()
 	delete(n.waiters, p.ID)
 	n.mu.Unlock()
@@ -319,7 +321,7 @@
 
 // Finish implements caller.Placer.
 func (n *Node) Finish(id string, failure engine.Failure) {
-	n.step(func(now time.Time) []any {
+	n.step(func(now time.Time) []engine.Action {
 		return n.placement.Step(now, engine.Finished{ID: id, Failure: failure})
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,7 +181,7 @@
 	n.draining.Store(true)
 	n.log.Info("leaving: no new requests are taken")
 	in.register(chestnutstream.Leaving)
-	n.step(func(now time.Time) []any { return n.ownership.Step(now, engine.Drain{}) })
+	n.step(func(now time.Time) []engine.Action { return n.ownership.Step(now, engine.Drain{}) })
 	n.mesh.NotifyAll()
 	handOver, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -15,7 +15,7 @@
 func (n *Node) BuildState(name string, after uint64) peer.State {
 	n.mu.Lock()
 	now := n.cfg.Timer.Now()
-	var actions []any
+	var actions []engine.Action
 	if now.Sub(n.decidedAt) >= idlePeriod {
 		actions = n.decide(now)
 	}
@@ -78,10 +78,10 @@
 	return len(s.Reports) > 0 || len(s.Wants) > 0 || len(s.Asks) > 0 || len(s.Granted) > 0 || s.Leaving || s.Gone || n.scheduler.Busy()
 }
 
-func (n *Node) takeState(now time.Time, h peer.Heard) []any {
+func (n *Node) takeState(now time.Time, h peer.Heard) []engine.Action {
 	p := n.members.heard(h)
 	name, s := h.From.Name, h.State
-	var actions []any
+	var actions []engine.Action
 	for _, r := range s.Reports {
 		actions = append(actions, n.placement.Step(now, engine.Reported{Owner: name, Fence: r.Fence, Report: r.Report})...)
 		n.ownership.Step(now, engine.PeerOwns{Peer: name, Server: r.Report.Server, Fence: r.Fence, Yielding: r.Yielding})
--- a/entry/node.go
+++ b/entry/node.go
@@ -192,7 +192,7 @@
 }
 
 // decide lets all parts decide with what is known now. Callers hold mu.
-func (n *Node) decide(now time.Time) []any {
+func (n *Node) decide(now time.Time) []engine.Action {
 	cfg := n.config.Load()
 	if cfg == nil {
 		return nil
@@ -220,8 +220,8 @@
 
 // syncSelf is the exchange of the instance with itself: its own reports go to
 // its placement, its own uses and wants to its scheduler. Callers hold mu.
-func (n *Node) syncSelf(now time.Time) []any {
-	var actions []any
+func (n *Node) syncSelf(now time.Time) []engine.Action {
+	var actions []engine.Action
 	if v := n.scheduler.Version(); v != n.applied {
 		for _, r := range n.scheduler.Reports(n.applied) {
 			actions = append(actions, n.placement.Step(now, engine.Reported{Owner: n.self.Name, Fence: r.Fence, Report: r.Report})...)
@@ -252,7 +252,7 @@
 
 // grantPermits takes the instance's own asks when it is the lead. Callers hold
 // mu.
-func (n *Node) grantPermits(now time.Time) []any {
+func (n *Node) grantPermits(now time.Time) []engine.Action {
 	if n.lead(now) != n.self.Name {
 		return nil
 	}
