--- a/cmd/chestnutstream/soak.go
+++ b/cmd/chestnutstream/soak.go
@@ -28,6 +28,7 @@
 func (*soakCommand) Synopsis() string {
 	return "run instances under random faults and check the promises"
 }
+
 func (*soakCommand) Usage() string {
 	return `soak [-seed N] [-seeds K] [-duration T] [-json]
   Runs instances as processes on loopback before stand-ins, injects faults that
--- a/engine/client.go
+++ b/engine/client.go
@@ -11,13 +11,12 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/tcp"
 )
 
 var (
@@ -27,14 +26,14 @@
 
 // Limits of the client.
 const (
-	dialTimeout      = time.Second            // a new connection on one network
-	statusTimeout    = time.Second            // a status read
-	orderTimeout     = 30 * time.Second       // an order, a load included
-	unackedTimeoutMS = 2000                   // the kernel gives up unacknowledged order bytes after this
-	headerTimeout    = time.Second            // an engine answers a generation with headers at once
-	maxAnswerBytes   = 4 << 20                // a status or error answer
-	resumePause      = 50 * time.Millisecond  // between attempts to resume a stream
-	cancelTimeout    = 500 * time.Millisecond // a cancel is a courtesy
+	dialTimeout    = time.Second            // a new connection on one network
+	statusTimeout  = time.Second            // a status read
+	orderTimeout   = 30 * time.Second       // an order, a load included
+	unackedTimeout = 2 * time.Second        // the kernel gives up unacknowledged order bytes after this
+	headerTimeout  = time.Second            // an engine answers a generation with headers at once
+	maxAnswerBytes = 4 << 20                // a status or error answer
+	resumePause    = 50 * time.Millisecond  // between attempts to resume a stream
+	cancelTimeout  = 500 * time.Millisecond // a cancel is a courtesy
 )
 
 // Client speaks to model engines over HTTP. Orders use a fresh connection each,
@@ -55,7 +54,7 @@
 	orderDial := dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: limitUnacked}).DialContext
+		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: tcp.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	return &Client{
 		dial:   dial,
@@ -66,17 +65,6 @@
 	}
 }
 
-// limitUnacked bounds the time that bytes of an order can stay under way.
-func limitUnacked(_, _ string, c syscall.RawConn) error {
-	var err error
-	if cerr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedTimeoutMS)
-	}); cerr != nil {
-		return fmt.Errorf("control socket: %w", cerr)
-	}
-	return err
-}
-
 type wireStatus struct {
 	Epoch      string `json:"epoch"`
 	Fence      uint64 `json:"fence"`
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,19 +12,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run in CI repeats; -rapid.seed sets
-// another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
 
 var start = time.Unix(1_800_000_000, 0)
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/tcp"
 )
 
 // Connections to backend servers.
@@ -30,46 +30,15 @@
 )
 
 func newTransport(idle time.Duration) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.LimitUnacked(unackedMost)}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, fmt.Errorf("dial: %w", err)
-			}
-			if err := limitUnacked(conn); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-			return conn, nil
-		},
+		DialContext:  d.DialContext,
 		MaxIdleConns: 0, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idle,
 		DisableCompression: true, MaxResponseHeaderBytes: headerMost,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 	}
 }
 
-func limitUnacked(conn net.Conn) error {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("raw connection: %w", err)
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
-	}); err != nil {
-		return fmt.Errorf("control connection: %w", err)
-	}
-	if failed != nil {
-		return fmt.Errorf("set user timeout: %w", failed)
-	}
-	return nil
-}
-
 // sent is an attempt at one backend server whose answer has begun.
 type sent struct {
 	resp   *http.Response
--- a/lease/main_test.go
+++ b/lease/main_test.go
@@ -1,19 +1,10 @@
 package lease
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/chestnutstream/chestnutstream/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run in CI repeats; -rapid.seed sets
-// another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,19 +10,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run in CI repeats; -rapid.seed sets
-// another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
 
 func adapter(name string) chestnutstream.ModelAdapter {
 	return chestnutstream.ModelAdapter{Model: testModel, Adapter: name}
