--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -102,7 +102,7 @@
 
 // A second answer on a kept connection belongs to no request.
 func TestExtraAnswerIsNoAnswer(t *testing.T) {
-	b := newBackend(t, "i-1", func(c net.Conn, r *http.Request, id string) bool {
+	b := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
 		say(c, r, "200 OK", "answer to "+r.Header.Get("X-Chestnutstream-Request-Id"))
 		time.Sleep(5 * time.Millisecond)
 		return say(c, r, "200 OK", "extra of "+r.Header.Get("X-Chestnutstream-Request-Id"))
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -255,13 +255,13 @@
 		return false
 	}
 	holder := w.books[i].self.Name
-	last, any := w.orders[server]
+	last, before := w.orders[server]
 	switch {
-	case any && last.holder != holder && last.fence == fence:
+	case before && last.holder != holder && last.fence == fence:
 		w.broken = fmt.Sprintf("%s: %s and %s order with number %d", server, last.holder, holder, fence)
-	case any && fence < last.fence:
+	case before && fence < last.fence:
 		w.broken = fmt.Sprintf("%s: number %d of %s after %d of %s", server, fence, holder, last.fence, last.holder)
-	case any && last.holder != holder && w.now-last.at < turnBound+orderFlight:
+	case before && last.holder != holder && w.now-last.at < turnBound+orderFlight:
 		w.broken = fmt.Sprintf("%s: %s orders %v after %s", server, holder, w.now-last.at, last.holder)
 	}
 	w.orders[server] = order{holder, fence, w.now}
--- a/loader/answers.go
+++ b/loader/answers.go
@@ -145,7 +145,7 @@
 	case chestnutstream.OrderUnderWay, chestnutstream.OrderHolds:
 		e.failures, e.resends = 0, 0
 	case chestnutstream.OrderConflict:
-		e.conflict(boot, o)
+		e.conflict(boot)
 		return nil
 	case chestnutstream.OrderUnknown:
 		e.unanswered(boot, o)
@@ -168,7 +168,7 @@
 // conflict goes on after an order was refused for another one under way, or for
 // another number of orders. The engine takes none while it waits for the runs
 // of an adapter that is to go or to be replaced.
-func (e *Engine) conflict(boot time.Duration, o chestnutstream.BackendOrder) {
+func (e *Engine) conflict(boot time.Duration) {
 	e.resends = 0
 	for _, s := range e.slots {
 		if (s.state == slotUnloading || s.replaces) && boot-s.since < blockedMost {
