--- a/chestnutstream.go
+++ b/chestnutstream.go
@@ -14,7 +14,8 @@
 //	caller    the HTTP pipeline that callers meet; pipeline.go is the heart
 //	engine    model engines: placement, load scheduling, streams
 //	service   plain services: idempotent and non-idempotent calls
-//	platform  the platform's table service, object store and instance list
+//	platform  the platform's vocabulary: settings file, headers, store calls, server calls
+//	table     what is decided over its table service: claims, the instance's lease
 //	peer      the other entry instances: state exchange over WebSocket and CBOR
 //	operator  the configuration document and the operators' HTTP interface
 //	timer     the timer service that parts subscribe to
@@ -22,6 +23,18 @@
 //	standin   stand-ins for platform, engines and services
 //	load      the load and experiment tool
 //
+// On the users' platform (docs/design/platform.md) one instance is:
+//
+//	ingress   the routed HTTP interface; run.go is the heart
+//	fleet     the backend servers: list, judgement by outcomes, placement, retry budget
+//	lease     which instance gives orders to which engine
+//	loader    the orders to one engine; loader.go is the heart
+//	instance  the other instances, over WebSocket and CBOR
+//	oncall    log lines on standard output, bounded
+//	edge      one instance put together
+//	soak      real processes under random faults
+//	tcp, testseed  small helpers
+//
 // # Usage
 //
 //	go run ./cmd/chestnutstream demo
