--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -18,15 +18,15 @@
 // Times of the reading of the store. Calls to it are priced and its rates are
 // shared by all instances.
 const (
-	operatorWait = 6 * time.Second         // a feed of the operator's table answers at once when there is news
+	operatorWait = 15 * time.Second        // a feed of the operator's table answers at once when there is news
 	serversPause = 1050 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
 	serversWait  = time.Second
 	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
 	leasesWait   = time.Second
 	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
 	feedRetryMax = 900 * time.Millisecond
-	leasesEarly  = 400 * time.Millisecond // and just after a start, until all that started together are known
-	leasesSoon   = 4 * time.Second
+	leasesEarly  = 700 * time.Millisecond // and just after a start, until all that started together are known
+	leasesSoon   = 2500 * time.Millisecond
 	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
 )
 
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -16,7 +16,7 @@
 // and every instance reading for itself would grow with their number times that
 // of the servers.
 const (
-	readersShare = 8                      // instances that one reader tells
+	readersShare = 12                     // instances that one reader tells
 	toldSlack    = 350 * time.Millisecond // beyond the pause, until an instance that was told nothing reads itself
 	heardMost    = 8                      // words of other instances that wait
 )
