--- a/edge/node.go
+++ b/edge/node.go
@@ -45,9 +45,8 @@
 	cancel context.CancelFunc
 	wake   chan struct{}
 
-	table    atomic.Pointer[chestnutstream.RouteTable]
-	leaving  atomic.Bool
-	inFlight atomic.Int64
+	table   atomic.Pointer[chestnutstream.RouteTable]
+	leaving atomic.Bool
 
 	mu         sync.Mutex
 	rows       rows
--- a/edge/place.go
+++ b/edge/place.go
@@ -311,7 +311,7 @@
 	now := n.now()
 	n.fleet.Outcome(now, p.Server.ID, r.Outcome, r.Took)
 	if r.Load != nil {
-		n.fleet.LoadTold(now, p.Server.ID, r.Load.Running, r.Load.Waiting, r.Load.Slots)
+		n.fleet.LoadTold(now, p.Server.ID, r.Load.Running, r.Load.Waiting)
 	}
 	switch {
 	case r.Foreign:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,8 +37,6 @@
 type loadSeen struct {
 	at       time.Time
 	total    int // running and waiting
-	waiting  int
-	slots    int
 	inFlight int
 }
 
@@ -67,14 +65,6 @@
 	}
 }
 
-// Waiting returns how many requests waited at the server by its newest word.
-func (s *Server) Waiting(now time.Time) int {
-	if s.load.at.IsZero() || now.Sub(s.load.at) > loadFade {
-		return 0
-	}
-	return s.load.waiting
-}
-
 // Fleet is all backend servers by ID.
 type Fleet struct {
 	zone     string
@@ -145,9 +135,9 @@
 }
 
 // LoadTold takes the load that a server's answer tells.
-func (f *Fleet) LoadTold(now time.Time, id string, running, waiting, slots int) {
+func (f *Fleet) LoadTold(now time.Time, id string, running, waiting int) {
 	if s := f.servers[id]; s != nil {
-		s.load = loadSeen{at: now, total: running + waiting, waiting: waiting, slots: slots, inFlight: s.InFlight}
+		s.load = loadSeen{at: now, total: running + waiting, inFlight: s.InFlight}
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -89,7 +89,6 @@
 	fresh      *http.Transport // for what may run once: no connection that idled for long
 	kept       *http.Transport
 	inProgress atomic.Int64
-	latency    map[string]*metrics.Histogram
 }
 
 // NewServer returns a handler.
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -111,16 +111,6 @@
 	go m.run(ctx, l)
 }
 
-// Remove ends the connection to a peer.
-func (m *Mesh) Remove(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if l := m.links[name]; l != nil {
-		l.cancel()
-		delete(m.links, name)
-	}
-}
-
 // Peers returns the names of the peers whose connection is up.
 func (m *Mesh) Peers() []string {
 	m.mu.Lock()
