--- a/soak/check.go
+++ b/soak/check.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // result is what a caller saw of one request.
@@ -83,11 +85,11 @@
 	}
 	req.GetBody = nil
 	req.Host = "h.example"
-	req.Header.Set("X-Chestnutstream-Request-Id", id)
-	req.Header.Set("X-Chestnutstream-Deadline-Ms", "4000")
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, "4000")
 	if res.route == "ask" || res.route == "once" {
 		res.adapter = fmt.Sprintf("a%d", min(rng.IntN(adapters), rng.IntN(adapters)))
-		req.Header.Set("X-Chestnutstream-Model", "m/"+res.adapter)
+		req.Header.Set(platform.HeaderModel, "m/"+res.adapter)
 		r.mu.Lock()
 		if at := r.since[res.adapter]; !at.IsZero() && time.Since(at) > versionMax && r.calm() {
 			res.beyond = r.versions[res.adapter]
@@ -102,8 +104,8 @@
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	res.status, res.body, res.err = resp.StatusCode, string(b), err
-	res.signed = resp.Header.Get("X-Chestnutstream-Server-Signature") != ""
-	res.version, _ = strconv.Atoi(resp.Header.Get("X-Chestnutstream-Weight-Versions"))
+	res.signed = resp.Header.Get(platform.HeaderSignature) != ""
+	res.version, _ = strconv.Atoi(resp.Header.Get(platform.HeaderWeights))
 	return res
 }
 
