A long answer of the second server is passed on whole

Cause, found by reading: relayBetter, which asks a second server after the first failed a repeatable request, read its answer by a limit of its own, one byte short of relayWhole's. An answer over 256 KiB was cut there and sent with the cut length, so it looked complete. Ruled out: relayWhole, which reads one byte more and passes the rest on. Both use readWhole now; the check for id and signature, which also stood twice, is isAnswer. The new test failed first: 262,144 bytes of 263,744.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -354,3 +354,16 @@
 		})
 	}
 }
+
+// A better answer that is longer than what is read whole arrives whole, too.
+func TestLongAnswerOfTheSecondServerIsWhole(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", wholeMost/16+100)
+	failing := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+		return say(c, r, "500 Internal Server Error", "failed")
+	})
+	better := newBackend(t, "i-2", func(c net.Conn, r *http.Request, _ string) bool { return say(c, r, "200 OK", long) })
+	f := newFront(t, failing, better)
+	_, body, err := f.ask(t, "GET", "/look/1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), len(long))
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -33,7 +33,7 @@
 // relayWhole reads an answer whole, so that one that breaks off can be asked for
 // again, or told truthfully.
 func (x *exchange) relayWhole(p Placed, a *sent) bool {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, wholeMost+1))
+	body, err := readWhole(a.resp)
 	if err != nil {
 		x.reason = fmt.Sprintf("%s: answer broke off: %v", p.Server.ID, err)
 		x.server.dispatcher.Answered(p, x.header.Target, Result{Outcome: fleet.Failed})
@@ -56,6 +56,16 @@
 	return true
 }
 
+// readWhole reads an answer up to wholeMost, and one byte more of a longer one,
+// whose rest stays to be read.
+func readWhole(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeMost+1))
+	if err != nil {
+		return body, fmt.Errorf("read answer: %w", err)
+	}
+	return body, nil
+}
+
 // relayBetter asks another server after one has failed a repeatable request,
 // and passes the first answer on when that brings nothing.
 func (x *exchange) relayBetter(p Placed, a *sent, body []byte) bool {
@@ -81,9 +91,8 @@
 		return true
 	}
 	defer b.close()
-	better, err := io.ReadAll(io.LimitReader(b.resp.Body, wholeMost))
-	ok := err == nil && b.resp.StatusCode < http.StatusInternalServerError && b.resp.Header.Get(platform.HeaderRequestID) == x.header.ID &&
-		b.resp.Header.Get(platform.HeaderSignature) != "" && !platform.NotExecuted(b.resp.StatusCode, b.resp.Header)
+	better, err := readWhole(b.resp)
+	ok := err == nil && b.resp.StatusCode < http.StatusInternalServerError && x.isAnswer(b.resp) && !platform.NotExecuted(b.resp.StatusCode, b.resp.Header)
 	if !ok {
 		r.Outcome = fleet.Failed
 		x.server.dispatcher.Answered(next, x.header.Target, r)
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -168,11 +168,11 @@
 		x.server.dispatcher.Answered(p, x.header.Target, r)
 		return x.refusedBy(p, a, r)
 	}
-	if id := h.Get(platform.HeaderRequestID); id != x.header.ID || h.Get(platform.HeaderSignature) == "" {
+	if !x.isAnswer(a.resp) {
 		r.Outcome = fleet.Failed
 		x.server.dispatcher.Answered(p, x.header.Target, r)
 		x.mayRun, x.avoid[p.Server.ID] = true, true
-		x.reason = fmt.Sprintf("%s: answer %d is of request %q, signed %t", p.Server.ID, status, id, h.Get(platform.HeaderSignature) != "")
+		x.reason = fmt.Sprintf("%s: answer %d is of request %q, signed %t", p.Server.ID, status, h.Get(platform.HeaderRequestID), h.Get(platform.HeaderSignature) != "")
 		if x.mayRepeat() {
 			return false
 		}
@@ -191,6 +191,12 @@
 	return x.relay(p, a)
 }
 
+// isAnswer reports whether an answer belongs to this request and bears a server's
+// signature.
+func (x *exchange) isAnswer(resp *http.Response) bool {
+	return resp.Header.Get(platform.HeaderRequestID) == x.header.ID && resp.Header.Get(platform.HeaderSignature) != ""
+}
+
 // refusedBy goes on after a server said that it did not run the request.
 func (x *exchange) refusedBy(p Placed, a *sent, r Result) bool {
 	x.reason = fmt.Sprintf("%s refused: %d", p.Server.ID, a.resp.StatusCode)
