--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -74,7 +74,7 @@
 		}
 		after := version
 		if !known {
-			rows, version, err = n.readTable(f.table)
+			rows, version, err = n.store.Rows(n.ctx, f.table)
 		} else {
 			rows, version, err = n.readFeed(f, version)
 		}
@@ -113,10 +113,6 @@
 	}
 }
 
-func (n *Node) readTable(table string) ([]chestnutstream.TableRow, uint64, error) {
-	return n.store.Rows(n.ctx, table)
-}
-
 // readFeed reads the changes of a table; on failure the version stays.
 func (n *Node) readFeed(f feed, after uint64) ([]chestnutstream.TableRow, uint64, error) {
 	ctx, done := n.pollContext()
@@ -153,14 +149,17 @@
 	}
 }
 
-func (n *Node) sleep(d time.Duration) {
+func (n *Node) sleep(d time.Duration) { pause(n.ctx, d) }
+
+// pause waits, but not beyond the end of a context.
+func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-n.ctx.Done():
+	case <-ctx.Done():
 	case <-t.C:
 	}
 }
--- a/edge/place.go
+++ b/edge/place.go
@@ -92,7 +92,7 @@
 				break
 			}
 			clear(avoid)
-			n.pauseFor(ctx, lookAgain)
+			pause(ctx, lookAgain)
 			continue
 		}
 		ch := n.want(c.Server.ID, p.Target, version)
@@ -125,16 +125,6 @@
 	return n.placed(s, target, version, n.now().Sub(began)), true
 }
 
-// pauseFor waits, but not beyond the end of a context.
-func (n *Node) pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // placed notes that a request goes to a server. Callers hold mu.
 func (n *Node) placed(s *fleet.Server, target chestnutstream.ModelAdapter, version int, stall time.Duration) ingress.Placed {
 	n.fleet.Sent(s.ID)
