Leases last longer among many instances; crowded engines compared by what they read

And among holders that all have more than their share, the least loaded by requests could be the one with 25,000 tokens to read.

Ruled out: renewals in groups by one instance for others (25 calls fewer, not 17, but three more failures to think of); readers of the operator's table (a change has to be in force within two seconds when a reader has just died).

From 24 instances on a lease grows with their number up to 15 s, is renewed each 8 s in place of 3, and says in its row how long it lasts; takers go by that. What is left of it when the store goes away is as before (7 s). The model check plays longer leases too, and finds a taker that goes by its own idea of their length.

--- a/fleet/place.go
+++ b/fleet/place.go
@@ -12,6 +12,8 @@
 	// otherZone is what a server of another zone costs, in requests: bytes
 	// between zones are priced, a queue costs more.
 	otherZone = 0.7
+	// otherRegion is the same for one of another region, some 20 ms away.
+	otherRegion = 12.0
 	// An adapter's first server is hot, and requests go on to its next one, over
 	// hotFactor times the mean load of the service and some slots more: a share
 	// of its batch, and not more than hotSlack.
@@ -23,6 +25,8 @@
 	trustHolding = 20 * time.Second
 	// trustListed is the same for what a server's entry lists.
 	trustListed = 2500 * time.Millisecond
+	// crowdedWait is the time of reading that counts as much as a full batch.
+	crowdedWait = 500 * time.Millisecond
 	// fullShare is the load at which an engine's batch counts as full.
 	fullShare = 0.95
 )
@@ -59,7 +63,10 @@
 	if slots := float64(max(s.Slots, 1)); cost > slots {
 		cost += 2 * (cost - slots)
 	}
-	if s.Zone != f.zone {
+	switch {
+	case !f.near(s.Zone):
+		cost += otherRegion
+	case s.Zone != f.zone:
 		cost += otherZone
 	}
 	return cost * (1 + 4*s.judge.failing(now))
@@ -97,7 +104,7 @@
 			if slowHeld == nil || wait < slowHeld.ReadWait(now) {
 				slowHeld = s
 			}
-		case held && (leastHeld == nil || s.Load(now) < leastHeld.Load(now)):
+		case held && (leastHeld == nil || s.crowding(now) < leastHeld.crowding(now)):
 			leastHeld = s
 		case !held && !hot && wait <= adapterLoad+limit && cold == nil && s.hasModel(r.Target.Model) && loadable(s):
 			cold = s
@@ -126,6 +133,12 @@
 	return Choice{}
 }
 
+// crowding compares engines that all have more than their share: requests in
+// parts of a batch, and prompts to read in parts of crowdedWait.
+func (s *Server) crowding(now time.Time) float64 {
+	return s.Load(now)/float64(max(s.Slots, 1)) + float64(s.ReadWait(now))/float64(crowdedWait)
+}
+
 // hasModel reports whether the engine's newest entry lists a base model.
 func (s *Server) hasModel(name string) bool {
 	for _, m := range s.Models {
@@ -146,7 +159,7 @@
 }
 
 // engines returns the engines that may take a request, in the request's order,
-// and the mean of their loads.
+// and the mean of their loads: those of the region, or all while it has none.
 func (f *Fleet) engines(now time.Time, r Request, avoid map[string]bool, closed bool) ([]*Server, float64) {
 	type ranked struct {
 		s    *Server
@@ -154,11 +167,17 @@
 	}
 	h := r.rank()
 	list := make([]ranked, 0, len(f.services[r.Service]))
-	total := 0.0
+	total, near := 0.0, false
 	for _, s := range f.services[r.Service] {
 		if !s.Usable() || avoid[s.ID] || !f.reachable(now, s) || (!closed && !s.judge.open(now)) {
 			continue
 		}
+		if !near && f.near(s.Zone) {
+			near, total, list = true, 0, list[:0]
+		}
+		if near && !f.near(s.Zone) {
+			continue
+		}
 		list = append(list, ranked{s, mix(h, s.hash)})
 		total += s.Load(now)
 	}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -19,6 +19,7 @@
 	var actions []Action
 	if !b.renewing && boot >= b.renewAt {
 		b.renewing = true
+		b.lasts = max(b.lasts, b.enough(boot))
 		actions = append(actions, Action{Transaction: b.renewal()})
 	}
 	if a, ok := b.acquisition(boot, servers); ok {
@@ -27,10 +28,20 @@
 	return actions
 }
 
+// enough returns how long the lease should last among as many instances as are
+// known.
+func (b *Book) enough(boot time.Duration) time.Duration {
+	if b.cfg.Crowd <= 0 {
+		return b.cfg.Duration
+	}
+	n := len(b.Holders(boot)) + 1
+	return min(b.cfg.Duration*time.Duration(max(n, b.cfg.Crowd))/time.Duration(b.cfg.Crowd), max(b.cfg.Longest, b.cfg.Duration))
+}
+
 // renewal writes the own lease row, on condition that it is as last seen: the
 // own one, or that of this instance's earlier process.
 func (b *Book) renewal() chestnutstream.RowTransaction {
-	value, _ := json.Marshal(wireHolder{Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run})
+	value, _ := json.Marshal(wireHolder{Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run, LastsMS: b.lasts.Milliseconds()})
 	key := instanceKey(b.self.Name)
 	version := b.version
 	if h := b.holders[b.self.Name]; version == 0 && h != nil {
@@ -45,10 +56,10 @@
 // Renewed notes that the renewal which was sent at a moment took effect.
 func (b *Book) Renewed(boot, sent time.Duration, version uint64) {
 	b.renewing = false
-	b.renewAt = sent + b.cfg.Renewal
+	b.renewAt = sent + b.cfg.Renewal + b.lasts - b.cfg.Duration
 	b.version = version
-	b.validTo = max(b.validTo, sent+b.cfg.Duration-b.cfg.Safety)
-	b.holders[b.self.Name] = &Holder{Name: b.self.Name, Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run, version: version, seen: boot}
+	b.validTo = max(b.validTo, sent+b.lasts-b.cfg.Safety)
+	b.holders[b.self.Name] = &Holder{Name: b.self.Name, Zone: b.self.Zone, Address: b.self.Address, Run: b.self.Run, version: version, lasts: b.lasts, seen: boot}
 }
 
 // renewRetry is how long after a failed renewal the next one is sent.
@@ -76,7 +87,7 @@
 			return false
 		}
 		b.forgetOwn()
-		b.holders[b.self.Name] = &Holder{Name: b.self.Name, version: r.Version, seen: boot}
+		b.holders[b.self.Name] = &Holder{Name: b.self.Name, version: r.Version, lasts: b.lasts, seen: boot}
 		return true
 	}
 	lost = b.version != 0
@@ -181,11 +192,12 @@
 	return h == nil || b.dead(boot, h)
 }
 
-// elected returns the instance that all choose for a server.
+// elected returns the instance that all of the server's region choose for it: one
+// of its availability zone, else one of its region, else any.
 func (b *Book) elected(boot time.Duration, s Server, counts map[string]int) string {
 	best := candidate{}
 	consider := func(h *Holder) {
-		c := candidate{name: h.Name, near: h.Zone == s.Zone, owned: counts[h.Name], rank: xxhash.Sum64String(h.Name + "\x00" + s.ID)}
+		c := candidate{name: h.Name, zone: h.Zone == s.Zone, region: b.cfg.Regions[h.Zone] == b.cfg.Regions[s.Zone], owned: counts[h.Name], rank: xxhash.Sum64String(h.Name + "\x00" + s.ID)}
 		if best.name == "" || c.before(best) {
 			best = c
 		}
@@ -201,15 +213,19 @@
 
 // candidate is an instance that may own a server.
 type candidate struct {
-	name  string
-	near  bool // of the server's availability zone
-	owned int
-	rank  uint64
+	name   string
+	zone   bool // of the server's availability zone
+	region bool // of its region
+	owned  int
+	rank   uint64
 }
 
 func (c candidate) before(o candidate) bool {
-	if c.near != o.near {
-		return c.near
+	if c.zone != o.zone {
+		return c.zone
+	}
+	if c.region != o.region {
+		return c.region
 	}
 	if c.owned != o.owned {
 		return c.owned < o.owned
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,9 +14,9 @@
 // # Invariants
 //
 // All times are on the boot clock, which counts while the machine is suspended.
-// A lease holds for Duration from before its renewal was sent. Another instance
-// ends it only after it has itself seen the same version of the row for
-// Duration and for Turn beyond, and in a transaction that checks that version
+// A lease holds from before its renewal was sent for as long as the row says.
+// Another instance ends it only after it has itself seen the same version of the
+// row for that time and for Turn beyond, and in a transaction that checks that version
 // and removes the row; so the next renewal fails. Turn covers the orders that
 // the old holder sent last.
 //
@@ -48,19 +48,24 @@
 
 // Settings are the times of leases.
 type Settings struct {
-	Duration time.Duration // from before a renewal is sent
-	Renewal  time.Duration // between renewals
+	Duration time.Duration // from before a renewal is sent, among few instances
+	Longest  time.Duration // the same among many
+	Crowd    int           // instances up to which Duration is enough; beyond, it grows with their number
+	Renewal  time.Duration // between renewals of a lease of Duration; a longer one is renewed as much later
 	Safety   time.Duration // taken off the holder's end, for clock rates that differ
 	Turn     time.Duration // between the last order of one holder and the first of the next
+	Regions  map[string]string // by availability zone; nil: there is one
 	Settle   time.Duration // after the first read, before engines are acquired: others start at the same moment
 }
 
 // DefaultSettings returns times for engines that do not check fencing numbers,
 // where turn is how long two holders must not take turns. A lease outlasts most
-// outages of the store: while it is away nobody can take over.
+// outages of the store: while it is away nobody can take over. Among many
+// instances renewals would be most of all calls to the store, and a single
+// instance owns few engines: leases are longer there and renewed less often.
 func DefaultSettings(turn time.Duration) Settings {
 	return Settings{
-		Duration: 10 * time.Second, Renewal: 3000 * time.Millisecond, Safety: 400 * time.Millisecond,
+		Duration: 10 * time.Second, Longest: 15 * time.Second, Crowd: 24, Renewal: 3000 * time.Millisecond, Safety: 400 * time.Millisecond,
 		Turn: turn + 500*time.Millisecond, Settle: 1200 * time.Millisecond,
 	}
 }
@@ -78,6 +83,7 @@
 	Address string // of the instances' protocol
 	Run     uint64
 	version uint64
+	lasts   time.Duration // the lease, from before the renewal that wrote this version
 	seen    time.Duration // when this version was first seen, on the boot clock
 }
 
@@ -99,6 +105,7 @@
 	fedAt   time.Duration // when it was last read
 
 	version   uint64        // of the own row; 0: not held by this process
+	lasts     time.Duration // the own lease; only rises, so that no renewal shortens one that still holds
 	validTo   time.Duration // end of the own lease, safety taken off
 	renewAt   time.Duration
 	renewing  bool
@@ -109,7 +116,7 @@
 
 // NewBook returns the book of an instance that holds nothing yet.
 func NewBook(self Holder, cfg Settings) *Book {
-	return &Book{cfg: cfg, self: self, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, retryAt: map[string]time.Duration{}}
+	return &Book{cfg: cfg, self: self, lasts: cfg.Duration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, retryAt: map[string]time.Duration{}}
 }
 
 // Action is what the book wants done.
@@ -122,6 +129,7 @@
 	Zone    string `json:"z"`
 	Address string `json:"a"`
 	Run     uint64 `json:"r"`
+	LastsMS int64  `json:"d,omitempty"` // 0: the default
 }
 
 type wireOwner struct {
@@ -200,7 +208,8 @@
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return fmt.Errorf("decode lease of %s: %w", name, err)
 	}
-	b.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Run: w.Run, version: r.Version, seen: boot}
+	lasts := max(time.Duration(w.LastsMS)*time.Millisecond, b.cfg.Duration)
+	b.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Run: w.Run, version: r.Version, lasts: lasts, seen: boot}
 	return nil
 }
 
@@ -246,12 +255,13 @@
 	return n
 }
 
-func (b *Book) alive(boot time.Duration, h *Holder) bool { return boot-h.seen < b.cfg.Duration }
+func (b *Book) alive(boot time.Duration, h *Holder) bool { return boot-h.seen < h.lasts }
 
 // dead reports whether a holder's lease may be ended: the same version was seen
-// for the lease's whole duration, and its last orders have arrived.
+// for as long as the lease lasts by the holder's own word, and its last orders
+// have arrived.
 func (b *Book) dead(boot time.Duration, h *Holder) bool {
-	return boot-h.seen > b.cfg.Duration+b.cfg.Turn
+	return boot-h.seen > h.lasts+b.cfg.Turn
 }
 
 // Owner returns the instance that owns a server, or "".
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -200,3 +200,40 @@
 	assert.NilError(t, b.Listed(0, []chestnutstream.TableRow{{Table: Table, Key: "other", Value: []byte("{"), Version: 4}}))
 	assert.Equal(t, fmt.Sprint(b.Holders(0)), "[]")
 }
+
+// Renewals of many instances would be most of all calls to the store: their
+// leases last longer and are renewed less often, and as much of a lease is left
+// when the store goes away just before a renewal.
+func TestLeasesLastLongerAmongMany(t *testing.T) {
+	tests := []struct {
+		instances int
+		lasts     time.Duration
+		renewal   time.Duration
+	}{
+		{1, 10 * time.Second, 3 * time.Second},
+		{9, 10 * time.Second, 3 * time.Second},
+		{24, 10 * time.Second, 3 * time.Second},
+		{30, 12500 * time.Millisecond, 5500 * time.Millisecond},
+		{83, 15 * time.Second, 8 * time.Second},
+		{420, 15 * time.Second, 8 * time.Second},
+	}
+	for _, tt := range tests {
+		cfg := DefaultSettings(turnBound)
+		b := NewBook(Holder{Name: "a", Zone: "z"}, cfg)
+		boot := time.Minute
+		var rows []chestnutstream.TableRow
+		for i := range tt.instances - 1 {
+			rows = append(rows, chestnutstream.TableRow{Table: Table, Key: instanceKey(fmt.Sprintf("n%d", i)), Value: []byte(`{"z":"z"}`), Version: uint64(i + 1)})
+		}
+		assert.NilError(t, b.Listed(boot, rows))
+		actions := b.Step(boot, nil)
+		assert.Equal(t, len(actions), 1)
+		b.Renewed(boot, boot, 1000)
+		assert.Equal(t, b.validTo, boot+tt.lasts-cfg.Safety)
+		assert.Equal(t, b.renewAt, boot+tt.renewal)
+		// With all others gone again, it stays as long as it was told.
+		assert.NilError(t, b.Listed(b.renewAt, nil))
+		b.Step(b.renewAt, nil)
+		assert.Equal(t, b.lasts, tt.lasts)
+	}
+}
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -93,10 +93,10 @@
 		fmt.Fprint(&s, c.from, c.sent, c.answer, c.a.Servers, c.a.Transaction.Checks)
 	}
 	for _, b := range w.books {
-		fmt.Fprint(&s, "|", b.version, b.validTo, b.renewAt, b.renewing, b.fedAt, b.owners, b.acquiring, b.retryAt, b.self.Run)
+		fmt.Fprint(&s, "|", b.version, b.lasts, b.validTo, b.renewAt, b.renewing, b.fedAt, b.owners, b.acquiring, b.retryAt, b.self.Run)
 		names := make([]string, 0, len(b.holders))
 		for name, h := range b.holders {
-			names = append(names, fmt.Sprint(name, h.version, h.seen))
+			names = append(names, fmt.Sprint(name, h.version, h.lasts, h.seen))
 		}
 		sort.Strings(names)
 		fmt.Fprint(&s, names)
@@ -189,18 +189,22 @@
 func TestAllInterleavingsKeepOneHolder(t *testing.T) {
 	tests := []struct {
 		name       string
+		kind       mutant
 		contenders int
 		depth      int
 		prefix     []string
 	}{
-		{"from the start", 2, 5, nil},
-		{"three contenders", 3, 4, nil},
-		{"the holder stands still", 2, 5, takeover(noMutant, "pauses or wakes", 3)},
-		{"the holder is cut off", 2, 5, takeover(noMutant, "is cut off or linked", 2)},
-		{"the taker does not read", 2, 5, blind(noMutant)},
+		{"from the start", noMutant, 2, 5, nil},
+		{"three contenders", noMutant, 3, 4, nil},
+		{"the holder stands still", noMutant, 2, 5, takeover(noMutant, "pauses or wakes", 3)},
+		{"the holder is cut off", noMutant, 2, 5, takeover(noMutant, "is cut off or linked", 2)},
+		{"the taker does not read", noMutant, 2, 5, blind(noMutant)},
+		{"longer leases", crowded, 2, 5, nil},
+		{"longer leases, the holder stands still", crowded, 2, 5, takeover(crowded, "pauses or wakes", 4)},
+		{"longer leases, the holder is cut off", crowded, 2, 5, takeover(crowded, "is cut off or linked", 3)},
 	}
 	for _, tt := range tests {
-		broken, states := explore(noMutant, tt.contenders, tt.depth, tt.prefix...)
+		broken, states := explore(tt.kind, tt.contenders, tt.depth, tt.prefix...)
 		t.Logf("%s: %d states", tt.name, states)
 		assert.Assert(t, broken == nil, "%s: %s", tt.name, strings.Join(broken, ", "))
 		assert.Assert(t, states > 1000)
@@ -216,6 +220,7 @@
 		{steadyClock, takeover(steadyClock, "pauses or wakes", 3)},
 		{noLeaseCheck, blind(noLeaseCheck)},
 		{noTurn, takeover(noTurn, "is cut off or linked", 2)},
+		{ownLength, takeover(ownLength, "is cut off or linked", 3)},
 	}
 	for _, tt := range tests {
 		broken, states := explore(tt.mutant, 2, 7, tt.prefix...)
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -42,6 +42,8 @@
 	steadyClock  mutant = "steady clock"   // a lease is checked on a clock that stands still while suspended
 	noTurn       mutant = "no turn"        // a taker does not wait for the last holder's orders
 	noLeaseCheck mutant = "no lease check" // a taker does not end the last holder's lease
+	ownLength    mutant = "own length"     // a taker goes by its own idea of how long the holder's lease lasts
+	crowded      mutant = "crowded"        // no guard is out: leases are longer than they begin
 )
 
 type call struct {
@@ -63,6 +65,9 @@
 	if m == noTurn {
 		cfg.Turn = 0
 	}
+	if m == crowded || m == ownLength {
+		cfg.Crowd = 1
+	}
 	for i := range contenders {
 		name := string(rune('a' + i))
 		w.books = append(w.books, NewBook(Holder{Name: name, Zone: "z", Address: name, Run: uint64(i+1) << 16}, cfg))
@@ -125,6 +130,11 @@
 	if err := w.books[i].Listed(w.boot(i), rows); err != nil {
 		w.broken = err.Error()
 	}
+	if w.mutant == ownLength {
+		for _, h := range w.books[i].holders {
+			h.lasts = w.books[i].cfg.Duration
+		}
+	}
 }
 
 // step lets a contender send what it wants to the store.
