Words stay within a region

The settings tell each availability zone's region.

Weighed: links to the owners of the engines only (a want, a use and a load have other partners, and the readers a third); a relay for each region (one more hop for wants). Chosen: all of a region; only instances of a region without engines exchange words with all, as the owners that they need are elsewhere.

Tested with four instances in three regions, one without engines.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -96,7 +96,10 @@
 
 func (s *site) backend(cfg standin.BackendSettings) *standin.Backend {
 	l := listen(s.t)
-	cfg.Address, cfg.Zone = l.Addr().String(), "zone-a"
+	cfg.Address = l.Addr().String()
+	if cfg.Zone == "" {
+		cfg.Zone = "zone-a"
+	}
 	b := standin.NewBackend(cfg, s.store)
 	serve(s.t, l, b)
 	b.Beat()
@@ -129,6 +132,11 @@
 }
 
 func (s *site) instance(name string, seeds ...string) *running {
+	return s.instanceAt("zone-a", nil, name, seeds...)
+}
+
+// instanceAt starts an instance in an availability zone; regions are by zone.
+func (s *site) instanceAt(zone string, regions map[string]string, name string, seeds ...string) *running {
 	gateListener := listen(s.t)
 	serve(s.t, gateListener, s.gate)
 	address := func() string {
@@ -137,7 +145,7 @@
 		return l.Addr().String()
 	}
 	cfg := platform.Settings{
-		Instance: name, Zone: "zone-a", CallerAddress: address(), ReadinessAddress: address(), PeerAddress: address(), MetricsAddress: address(),
+		Instance: name, Zone: zone, Regions: regions, CallerAddress: address(), ReadinessAddress: address(), PeerAddress: address(), MetricsAddress: address(),
 		Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, OrderTurn: 3 * time.Second,
 		RetryShare: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -317,7 +317,7 @@
 	} else {
 		err = n.book.Fed(boot, rows)
 	}
-	members := n.book.Holders(boot)
+	near, far := n.neighbours(boot)
 	for _, b := range n.budgets {
 		b.Among(n.book.Instances(boot))
 	}
@@ -325,7 +325,32 @@
 	if err != nil {
 		n.log.WithError(err).Warn("lease row")
 	}
-	for _, h := range members {
+	if len(far) > 0 {
+		n.mesh.Drop(far)
+	}
+	for _, h := range near {
 		n.mesh.Add(instance.Member{Name: h.Name, Address: h.Address, Zone: h.Zone})
 	}
 }
+
+// neighbours returns the instances that this one exchanges words with, and the
+// addresses of the others: words stay within a region, so that they do not grow
+// with the whole deployment. Only the instances of a region without engines
+// exchange words with all: theirs are elsewhere. Callers hold mu.
+func (n *Node) neighbours(boot time.Duration) (near []lease.Holder, far map[string]bool) {
+	engines := map[string]bool{} // regions that have any
+	for _, s := range n.fleet.Servers() {
+		if n.engineKind(s.Service) != nil {
+			engines[n.cfg.Regions[s.Zone]] = true
+		}
+	}
+	far = map[string]bool{}
+	for _, h := range n.book.Holders(boot) {
+		if n.cfg.Near(h.Zone) || !engines[n.cfg.Regions[n.cfg.Zone]] || !engines[n.cfg.Regions[h.Zone]] {
+			near = append(near, h)
+		} else {
+			far[h.Address] = true
+		}
+	}
+	return near, far
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -109,7 +109,7 @@
 		store: platform.NewStore(cfg.Store, storeTimeout, nil), backends: platform.NewBackends(boot),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
-		fleet:   fleet.New(cfg.Zone, rand.New(rand.NewPCG(run, 1))),
+		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
 	}
@@ -118,7 +118,9 @@
 		n.heard[f.table] = make(chan instance.Fed, heardMost)
 	}
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
-	n.book = lease.NewBook(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Run: run}, lease.DefaultSettings(cfg.OrderTurn))
+	leases := lease.DefaultSettings(cfg.OrderTurn)
+	leases.Regions = cfg.Regions
+	n.book = lease.NewBook(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Run: run}, leases)
 	n.mesh = instance.NewMesh(instance.Settings{Self: self, Run: run, Timer: t, Log: logger}, n)
 	return n
 }
--- /dev/null
+++ b/edge/region_test.go
@@ -0,0 +1,48 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/standin"
+)
+
+// Instances exchange words within their region, also with a seed that is of
+// another one. A region without engines uses those of others, and has to reach
+// their owners.
+func TestWordsStayInTheRegion(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3) // its servers are in zone-a
+	s.backend(standin.BackendSettings{
+		ID: "i-engine-north", Service: "assistant", Slots: 16, AdapterSlots: 3, Model: "m", Zone: "zone-n",
+		Work: 5 * time.Millisecond, Events: 5, LoadTime: 100 * time.Millisecond, ModelTime: 300 * time.Millisecond,
+	})
+	regions := map[string]string{"zone-a": "east", "zone-b": "east", "zone-n": "north", "zone-w": "west"}
+	a := s.instanceAt("zone-a", regions, "edge-a")
+	b := s.instanceAt("zone-b", regions, "edge-b", a.cfg.PeerAddress)
+	north := s.instanceAt("zone-n", regions, "edge-north", a.cfg.PeerAddress)
+	west := s.instanceAt("zone-w", regions, "edge-west", a.cfg.PeerAddress)
+	linked := func(from, to *running) bool { return from.Node().mesh.Linked(to.cfg.Instance) }
+	eventually(t, "links are as they should be", func() bool {
+		return linked(a, b) && linked(b, a) && linked(west, a) && linked(a, west) && linked(west, north) && linked(north, west) &&
+			!linked(a, north) && !linked(north, a) && !linked(north, b)
+	})
+	owner := func(in *running, server string) string {
+		n := in.Node()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.book.Owner(server)
+	}
+	eventually(t, "each region owns its engines", func() bool {
+		return owner(north, "i-engine-north") == "edge-north" && owner(a, "i-engine-0") == "edge-a"
+	})
+	s.owned(1, a, b, north)
+	s.owned(2, west)
+	for _, in := range []*running{a, b, north, west} {
+		status, body, err := ask(in, "POST", "/ask/1", "m/a1")
+		assert.Assert(t, err == nil && status == 200 && body == whole("m/a1"), "%s: %d %v %q", in.cfg.Instance, status, err, body)
+	}
+	s.judge()
+}
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	f := fleet.New("zone-a", rand.New(rand.NewPCG(1, 2)))
+//	f := fleet.New("zone-a", nil, rand.New(rand.NewPCG(1, 2)))
 //	f.Listed(now, rows, decode)
 //	s := f.PickPlain(now, "order-desk", nil)
 //	f.Sent(now, s.ID)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,7 @@
 // Fleet is all backend servers by ID.
 type Fleet struct {
 	zone     string
+	near     func(zone string) bool // whether an availability zone is in the region
 	rand     *rand.Rand
 	servers  map[string]*Server
 	gone     map[string]uint64    // rows at which servers were found gone
@@ -84,10 +85,14 @@
 	storeBack time.Time // when a read succeeded after failures
 }
 
-// New returns an empty fleet as seen from an availability zone.
-func New(zone string, r *rand.Rand) *Fleet {
+// New returns an empty fleet as seen from an availability zone. near says which
+// ones are in its region; nil: all are.
+func New(zone string, near func(zone string) bool, r *rand.Rand) *Fleet {
+	if near == nil {
+		near = func(string) bool { return true }
+	}
 	return &Fleet{
-		zone: zone, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
+		zone: zone, near: near, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*judge{}, readers: map[string]*reader{},
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -21,7 +21,7 @@
 
 const testService = "s"
 
-func newFleet() *Fleet { return New("z1", rand.New(rand.NewPCG(1, 2))) }
+func newFleet() *Fleet { return New("z1", nil, rand.New(rand.NewPCG(1, 2))) }
 
 // entry is a row of a ready server.
 func entry(id string, row uint64, changes ...func(*chestnutstream.Backend)) Entry {
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -111,6 +111,18 @@
 	go m.run(ctx, l)
 }
 
+// Drop ends the connections that this instance dialled to some addresses.
+func (m *Mesh) Drop(addresses map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, l := range m.links {
+		if addresses[l.member.Address] {
+			l.cancel()
+			delete(m.links, name)
+		}
+	}
+}
+
 // Peers returns the names of the peers whose connection is up.
 func (m *Mesh) Peers() []string {
 	m.mu.Lock()
