--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 )
 
@@ -91,13 +89,6 @@
 	breakable bool
 }
 
-// CacheEvent tells that a prompt prefix entered or left the prefix cache.
-type CacheEvent struct {
-	Seq    int    `json:"seq"`
-	Prefix string `json:"prefix"`
-	Cached bool   `json:"cached"`
-}
-
 // Engine is a stand-in of a model engine with continuous batching.
 type Engine struct {
 	cfg    EngineSettings
@@ -389,135 +380,3 @@
 	}
 	e.running, e.waiting = keep(e.running), keep(e.waiting)
 }
-
-func (e *Engine) kv(w http.ResponseWriter, r *http.Request) {
-	prefix := mux.Vars(r)["prefix"]
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.Method == http.MethodPut {
-		e.touchPrefix(prefix)
-		return
-	}
-	for _, p := range e.prefixes {
-		if p == prefix {
-			writeJSON(w, http.StatusOK, map[string]string{"prefix": prefix})
-			return
-		}
-	}
-	http.Error(w, "not cached", http.StatusNotFound)
-}
-
-// touchPrefix moves a prefix to the end of the cache and reports whether it
-// was there. Every seventh cache event is lost. Callers hold mu.
-func (e *Engine) touchPrefix(prefix string) bool {
-	hit := false
-	for i, p := range e.prefixes {
-		if p == prefix {
-			e.prefixes = append(e.prefixes[:i], e.prefixes[i+1:]...)
-			hit = true
-			break
-		}
-	}
-	e.prefixes = append(e.prefixes, prefix)
-	if !hit {
-		e.noteCache(prefix, true)
-	}
-	if len(e.prefixes) > e.cfg.PrefixLimit {
-		e.noteCache(e.prefixes[0], false)
-		e.prefixes = e.prefixes[1:]
-	}
-	return hit
-}
-
-func (e *Engine) noteCache(prefix string, cached bool) {
-	e.eventSeq++
-	if e.eventSeq%7 != 0 {
-		e.events = append(e.events, CacheEvent{Seq: e.eventSeq, Prefix: prefix, Cached: cached})
-	}
-	if len(e.events) > 1024 {
-		e.events = e.events[512:]
-	}
-}
-
-func (e *Engine) cacheEvents(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	n := max(0, len(e.events)-8) // the newest events come late
-	events := append([]CacheEvent{}, e.events[:n]...)
-	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, events)
-}
-
-// prefixOf returns the cache key of a prompt's first half.
-func prefixOf(slot, prompt string) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String(slot+"\x00"+prompt[:len(prompt)/2]))
-}
-
-// Step loop: one token for each running request, then the queue fills what is
-// free. It runs while there is work.
-func (e *Engine) stepLoop() {
-	for {
-		e.mu.Lock()
-		e.admit()
-		if len(e.running) == 0 && len(e.waiting) == 0 {
-			e.stepping = false
-			e.mu.Unlock()
-			return
-		}
-		e.counts.Steps++
-		e.counts.BatchFilled += len(e.running)
-		e.counts.BatchPlaces += e.cfg.BatchLimit
-		d := e.cfg.Step + time.Duration(e.faults.StepDelayMS)*time.Millisecond
-		e.mu.Unlock()
-		sleep(context.Background(), d)
-		e.mu.Lock()
-		e.step()
-		e.mu.Unlock()
-	}
-}
-
-func (e *Engine) admit() {
-	for len(e.running) < e.cfg.BatchLimit && len(e.waiting) > 0 {
-		best := 0
-		for i, g := range e.waiting {
-			if g.priority > e.waiting[best].priority {
-				best = i
-			}
-		}
-		g := e.waiting[best]
-		e.waiting = append(e.waiting[:best], e.waiting[best+1:]...)
-		g.running = true
-		e.running = append(e.running, g)
-	}
-}
-
-// abandoned is how long a stream without readers is kept.
-const abandoned = 5 * time.Second
-
-func (e *Engine) step() {
-	now := time.Now()
-	for _, g := range e.running {
-		if g.prefill > 0 {
-			g.prefill--
-			continue
-		}
-		g.tokens = append(g.tokens, fmt.Sprintf("%s#%d ", g.weights, len(g.tokens)))
-		e.counts.TokensMade++
-		if len(g.tokens) >= g.limit {
-			e.counts.Finished++
-			e.end(g, false)
-			continue
-		}
-		if g.readers == 0 && now.Sub(g.lastRead) > abandoned {
-			e.counts.Cancelled++
-			e.end(g, true)
-			continue
-		}
-		wake(g)
-	}
-	e.drop(func(g *generation) bool { return g.done || g.broken })
-	for id, g := range e.gens {
-		if (g.done || g.broken) && g.readers == 0 && now.Sub(g.lastRead) > 6*abandoned {
-			delete(e.gens, id)
-		}
-	}
-}
