Instances are sent on where enough requests wait for one adapter

An engine's owner sends an instance on to the next engine when half a batch waits for the adapter that it asks for; that engine loads a copy. Nothing else goes by requests that wait.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -221,7 +221,7 @@
 
 // Telling of loads: when a load has moved by this share of the engine's slots,
 // and not more often than this; sooner when it has moved by several such steps,
-// as when many requests for one adapter begin to wait.
+// as when many requests that waited for one adapter come at once.
 const (
 	loadMoved = 0.12
 	loadPause = 150 * time.Millisecond
@@ -235,13 +235,13 @@
 	at       time.Time
 }
 
-// tellLoads tells all instances how many requests there are, or wait, at the
-// engines that this one owns, where that has moved. Each instance sees only its own requests
+// tellLoads tells all instances how many requests there are at the engines that
+// this one owns, where that has moved. Each instance sees only its own requests
 // and the answers to them. Callers hold mu.
 func (n *Node) tellLoads(boot time.Duration, now time.Time) {
 	var words []instance.Load
 	for id, e := range n.loaders {
-		load, told := e.Demand(boot), n.loads[id]
+		load, told := e.InProgress(boot), n.loads[id]
 		least := max(int(loadMoved*float64(e.Server.Slots)), 1)
 		moved, pause := max(load-told.requests, told.requests-load), loadPause
 		if moved >= loadJump*least {
--- a/edge/place.go
+++ b/edge/place.go
@@ -193,7 +193,6 @@
 		n.waits[k] = w
 	}
 	w.waiters = append(w.waiters, ch)
-	n.fleet.Waits(server, 1)
 	n.ask(k, w, version)
 	return ch
 }
@@ -247,7 +246,6 @@
 	for i, c := range w.waiters {
 		if c == ch {
 			w.waiters = append(w.waiters[:i], w.waiters[i+1:]...)
-			n.fleet.Waits(k.server, -1)
 			break
 		}
 	}
@@ -302,7 +300,6 @@
 		return
 	}
 	delete(n.waits, k)
-	n.fleet.Waits(k.server, -len(w.waiters))
 	if !r.held {
 		n.fleet.NoLoads(k.server, n.now().Add(r.retryAfter))
 	}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -105,7 +105,7 @@
 			return nil // a late entry of an earlier start
 		}
 		fresh := newServer(e.Backend, e.Row)
-		fresh.InFlight, fresh.Waiting = s.InFlight, s.Waiting
+		fresh.InFlight = s.InFlight
 		f.servers[e.Key] = fresh
 		return []Change{{Server: e.Key, What: "restarted", Row: e.Row}}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,7 +22,7 @@
 	judge     judge
 	load      loadSeen
 	readUntil time.Time // when it will have read the large prompts that it was sent
-	allHave   int       // requests of all instances there or waiting, by its owner's newest word
+	allHave   int       // requests of all instances there, by its owner's newest word
 	holds     map[chestnutstream.ModelAdapter]holding
 	noLoads   time.Time // until when its owner is not asked for loads
 	hash      uint64
@@ -48,21 +48,19 @@
 
 // Load estimates the requests that the server runs and has waiting: the newest
 // figure that an answer told, plus what this instance has sent since, less what
-// ended; or what its owner has told, if that is more. Those that wait for a load
-// there count: they come all at once when it is complete.
+// ended; or what its owner has told, if that is more.
 func (s *Server) Load(now time.Time) float64 {
-	own := float64(s.InFlight + s.Waiting)
-	told := max(float64(s.allHave), own)
+	told := max(float64(s.allHave), float64(s.InFlight))
 	age := now.Sub(s.load.at)
 	if s.load.at.IsZero() || age > loadFade {
 		return told
 	}
 	others := max(s.load.total-s.load.inFlight, 0)
-	return max(own+float64(others)*(1-float64(age)/float64(loadFade)), told)
+	return max(float64(s.InFlight)+float64(others)*(1-float64(age)/float64(loadFade)), told)
 }
 
 // AllHave takes the word of a server's owner on how many requests all instances
-// have there or waiting for a load.
+// have there.
 func (f *Fleet) AllHave(id string, requests int) {
 	if s := f.servers[id]; s != nil {
 		s.allHave = requests
@@ -144,14 +142,6 @@
 	}
 }
 
-// Waits notes that requests of this instance begin to wait for a load at a
-// server, or, with a negative number, no longer do.
-func (f *Fleet) Waits(id string, requests int) {
-	if s := f.servers[id]; s != nil {
-		s.Waiting = max(s.Waiting+requests, 0)
-	}
-}
-
 // LoadTold takes the load that a server's answer tells.
 func (f *Fleet) LoadTold(now time.Time, id string, running, waiting int) {
 	if s := f.servers[id]; s != nil {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -57,6 +57,10 @@
 	refuseFor      = 300 * time.Millisecond // and should not come back before this
 	failPause      = 300 * time.Millisecond // after a failed call to the engine; doubles
 	failPauseMost  = 2 * time.Second
+	// crowdShare is the share of the engine's batch that may wait for one adapter:
+	// they come all at once when it is there. Further instances are sent on to
+	// another engine, which loads a copy.
+	crowdShare = 0.5
 )
 
 // Engine is the loader of one engine.
@@ -79,6 +83,7 @@
 	modelAt   time.Duration
 	slots     map[chestnutstream.ModelAdapter]*slot
 	wants     map[chestnutstream.ModelAdapter]*want
+	sentOn    []Action // words to instances whose wants were not taken
 	past      map[chestnutstream.ModelAdapter]time.Duration
 	cold      float64 // how many may be on their way from the weight store
 	uses      map[useKey]use
@@ -123,7 +128,8 @@
 }
 
 // Want notes how many requests of an instance wait for an adapter. With none
-// left the instance no longer wants it: its callers have gone.
+// left the instance no longer wants it: its callers have gone. Where many wait
+// for it already, an instance that has not asked yet is sent on.
 func (e *Engine) Want(boot time.Duration, from string, target chestnutstream.ModelAdapter, version, waiting int) {
 	w := e.wants[target]
 	if waiting <= 0 {
@@ -136,6 +142,10 @@
 		}
 		return
 	}
+	if w != nil && w.askers[from] == 0 && e.crowded(w) {
+		e.sentOn = append(e.sentOn, Action{Kind: TellRetry, To: []string{from}, Target: target, Version: version, Why: "enough requests wait for it here"})
+		return
+	}
 	if w == nil {
 		w = &want{askers: map[string]int{}, since: boot}
 		e.wants[target] = w
@@ -144,19 +154,22 @@
 	w.askers[from] = waiting
 }
 
+// crowded reports whether as many requests wait for one adapter as the engine can
+// well begin at once.
+func (e *Engine) crowded(w *want) bool {
+	return e.kind.Slots > 0 && float64(w.waiting()) >= crowdShare*float64(e.kind.Slots)
+}
+
 // useKey is an instance's use of a model or adapter.
 type useKey struct {
 	from   string
 	target chestnutstream.ModelAdapter
 }
 
-// Demand returns how many requests all instances have at the engine or waiting
-// for a load there, by their own word.
-func (e *Engine) Demand(boot time.Duration) int {
+// InProgress returns how many requests all instances have at the engine, by
+// their own word.
+func (e *Engine) InProgress(boot time.Duration) int {
 	n := 0
-	for _, w := range e.wants {
-		n += w.waiting()
-	}
 	for k, u := range e.uses {
 		if boot-u.at > useForgotten {
 			delete(e.uses, k)
@@ -217,7 +230,8 @@
 
 // Step returns what is to be done now.
 func (e *Engine) Step(boot time.Duration) []Action {
-	actions := e.tellHeld()
+	actions := append(e.sentOn, e.tellHeld()...)
+	e.sentOn = nil
 	if !e.looking && e.synced && boot >= e.blocked {
 		if a, ok := e.nextLook(boot); ok {
 			e.looking = true
