Readers pass on what is new of the servers' entries

Cause: docs/CAPACITY.md: at 420 instances each hears 475 entries of 250 bytes a second, 113 KB/s; the target for all of control is 13 KB/s. Entries change all the time only because their servers write them again.

A reader tells the rows whose server, address, state, slots or models are new, and all that it read each 16 s and after an outage, in case that someone has missed a change: 7.4 KB/s. Not passed on: the adapters that an entry lists, which owners tell. An address that was found to be another server's is tried again after 1.5 s, since the entry that would clear it may say nothing new.

Ruled out: keys alone in place of entries (10 KB/s and every instance decodes them); longer pauses between reads (a leaving server has to be out of use in two seconds).

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -189,6 +189,7 @@
 	n.storeState = dependency{}
 	if was.down {
 		n.endPolls()
+		clear(n.toldEntries) // entries lapse and come back around an outage: all are told
 	}
 	if table == platform.TableServers {
 		n.fleet.StoreAnswered(n.now())
--- a/edge/node.go
+++ b/edge/node.go
@@ -48,21 +48,23 @@
 	table   atomic.Pointer[chestnutstream.RouteTable]
 	leaving atomic.Bool
 
-	mu         sync.Mutex
-	rows       rows
-	fleet      *fleet.Fleet
-	book       *lease.Book
-	loaders    map[string]*loader.Engine
-	peers      map[string]*peer
-	waits      map[holdKey]*wait
-	uses       map[holdKey]*adapterUse
-	loads      map[string]toldLoad // of the own engines
-	changed    map[holdKey]bool    // uses that their owners have not been told
-	toldAt     time.Time
-	budgets    map[string]*fleet.Budget
-	polls      map[int]context.CancelFunc // of feeds under way
-	nextPoll   int
-	storeState dependency
+	mu          sync.Mutex
+	rows        rows
+	fleet       *fleet.Fleet
+	book        *lease.Book
+	loaders     map[string]*loader.Engine
+	peers       map[string]*peer
+	waits       map[holdKey]*wait
+	uses        map[holdKey]*adapterUse
+	loads       map[string]toldLoad // of the own engines
+	changed     map[holdKey]bool    // uses that their owners have not been told
+	toldAt      time.Time
+	budgets     map[string]*fleet.Budget
+	toldEntries map[string]entry           // of servers, to the zone
+	toldWhole   time.Time                  // when all were told
+	polls       map[int]context.CancelFunc // of feeds under way
+	nextPoll    int
+	storeState  dependency
 }
 
 // holdKey names an adapter on a server.
@@ -111,7 +113,7 @@
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	for _, f := range n.feeds() {
--- a/edge/place.go
+++ b/edge/place.go
@@ -341,7 +341,7 @@
 	}
 	switch {
 	case r.Foreign:
-		n.fleet.Misplaced(p.Server.ID)
+		n.fleet.Misplaced(now, p.Server.ID)
 	case r.NotHeld:
 		n.fleet.NotHeld(p.Server.ID, target)
 	case r.Outcome == fleet.Answered && target.Model != "":
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -14,8 +15,10 @@
 
 // Reading of the store for a whole availability zone: calls to it are priced,
 // and every instance reading for itself would grow with their number times that
-// of the servers.
+// of the servers. Of the servers' entries, which all change once a second, only
+// those are passed on that say something new.
 const (
+	wholePause   = 16 * time.Second       // between words with all entries that were read, in case that an instance has missed one
 	readersShare = 12                     // instances that one reader tells
 	toldSlack    = 350 * time.Millisecond // beyond the pause, until an instance that was told nothing reads itself
 	heardMost    = 8                      // words of other instances that wait
@@ -48,6 +51,11 @@
 	if slices.Contains(readers, n.cfg.Instance) || len(readers) == 0 {
 		return version, false
 	}
+	if f.table == platform.TableServers {
+		n.mu.Lock()
+		clear(n.toldEntries) // another one tells now, and what it tells is not noted here
+		n.mu.Unlock()
+	}
 	silent := time.NewTimer(f.pause + toldSlack)
 	defer silent.Stop()
 	for {
@@ -80,6 +88,9 @@
 	if mine < 0 {
 		return
 	}
+	if f.table == platform.TableServers {
+		rows = n.newEntries(rows)
+	}
 	fed := instance.Fed{Table: f.table, After: after, To: to, Rows: rows}
 	for i, name := range all[len(readers):] {
 		if i%len(readers) == mine {
@@ -88,6 +99,52 @@
 	}
 }
 
+// entry is what is passed on of a server's entry: all but the adapters, which
+// their engine's owner tells.
+type entry struct {
+	born             int64
+	service, address string
+	zone             string
+	slots            int
+	state            chestnutstream.BackendState
+	models           string
+}
+
+func newEntry(b chestnutstream.Backend) entry {
+	e := entry{born: b.Born, service: b.Service, address: b.Address, zone: b.Zone, slots: b.Slots, state: b.State}
+	for _, m := range b.Models {
+		e.models += fmt.Sprintf("%s@%d ", m.Name, m.Version)
+	}
+	return e
+}
+
+// newEntries returns the rows that say something new of a server to those who
+// have heard what this instance has told so far, and from time to time all.
+func (n *Node) newEntries(rows []chestnutstream.TableRow) []chestnutstream.TableRow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	whole := now.Sub(n.toldWhole) >= wholePause
+	if whole {
+		n.toldWhole = now
+	}
+	var out []chestnutstream.TableRow
+	for _, r := range rows {
+		s := n.fleet.Server(r.Key)
+		if r.Removed || s == nil {
+			delete(n.toldEntries, r.Key)
+			out = append(out, r)
+			continue
+		}
+		e := newEntry(s.Backend)
+		if old, ok := n.toldEntries[r.Key]; !ok || old != e || whole {
+			n.toldEntries[r.Key] = e
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // hearFed keeps a reader's word for the loop that follows the table. One that
 // does not fit is dropped: the loop reads for itself then. Changes of the
 // operator's table, which each instance reads itself, are taken at once: its own
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
+	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // One instance of three reads the servers for its zone; a change reaches all, also
@@ -77,3 +83,40 @@
 	}
 	assert.NilError(t, a.Drain(context.Background()))
 }
+
+// A reader passes on what is new of the servers' entries: not that they were
+// written again, nor which adapters they list.
+func TestReaderTellsWhatIsNew(t *testing.T) {
+	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: memory.New()}, timer.NewSystem(), timer.Boot)
+	defer n.cancel()
+	row := func(version uint64, key, state, adapters string) chestnutstream.TableRow {
+		value := fmt.Sprintf(`{"born":1,"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"models":[{"name":"m","version":1,"adapters":[%s]}]}`, state, adapters)
+		return chestnutstream.TableRow{Table: platform.TableServers, Key: key, Value: []byte(value), Version: version}
+	}
+	told := func(rows ...chestnutstream.TableRow) string {
+		n.serverRows(rows, false, 0)
+		keys := ""
+		for _, r := range n.newEntries(rows) {
+			keys += r.Key + " "
+		}
+		return keys
+	}
+	steps := []struct {
+		name string
+		rows []chestnutstream.TableRow
+		want string
+	}{
+		{"at first all", []chestnutstream.TableRow{row(1, "a", "ready", ""), row(2, "b", "ready", "")}, "a b "},
+		{"written again", []chestnutstream.TableRow{row(3, "a", "ready", ""), row(4, "b", "ready", "")}, ""},
+		{"other adapters", []chestnutstream.TableRow{row(5, "a", "ready", `"x@1"`)}, ""},
+		{"draining", []chestnutstream.TableRow{row(6, "a", "draining", ""), row(7, "b", "ready", "")}, "a "},
+		{"gone", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "a", Version: 8, Removed: true}}, "a "},
+		{"another start", []chestnutstream.TableRow{row(9, "a", "ready", "")}, "a "},
+		{"not an entry", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 10, Value: []byte("?")}}, "c "},
+	}
+	for _, s := range steps {
+		assert.Equal(t, told(s.rows...), s.want, s.name)
+	}
+	n.toldWhole = n.now().Add(-wholePause)
+	assert.Equal(t, told(row(11, "a", "ready", ""), row(12, "b", "ready", "")), "a b ")
+}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -158,10 +158,14 @@
 	f.gone[s.ID] = s.Row
 }
 
-// Tick drops servers whose entries did not come back.
+// Tick drops servers whose entries did not come back, and lets those be tried
+// again that were found elsewhere.
 func (f *Fleet) Tick(now time.Time) []Change {
 	var changes []Change
 	for _, s := range f.servers {
+		if s.Misplace && now.Sub(s.misplacedAt) > misplacedFor {
+			s.Misplace = false
+		}
 		if !s.Missing.IsZero() && now.Sub(s.Missing) > comeBack {
 			f.drop(s)
 			changes = append(changes, Change{Server: s.ID, What: "gone", Row: s.Row})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,9 +13,10 @@
 // Server is a backend server with what this instance knows of it.
 type Server struct {
 	chestnutstream.Backend
-	Row      uint64    // version of its entry
-	Missing  time.Time // the store's return before which its entry lapsed, though it may come back; zero: it is there
-	Misplace bool      // another server answered at its address
+	Row         uint64    // version of its entry
+	Missing     time.Time // the store's return before which its entry lapsed, though it may come back; zero: it is there
+	Misplace    bool      // another server answered at its address
+	misplacedAt time.Time
 
 	InFlight  int // requests of this instance
 	Waiting   int // and those that wait for a load there
@@ -193,11 +194,15 @@
 // TakesLoads reports whether a server's owner may be asked for loads.
 func (s *Server) TakesLoads(now time.Time) bool { return !now.Before(s.noLoads) }
 
+// misplacedFor is how long a server is left alone after another one answered at
+// its address, if its entry is not renewed before.
+const misplacedFor = 1500 * time.Millisecond
+
 // Misplaced notes that another server answered at the address of this one. It
-// gets nothing more until its entry changes.
-func (f *Fleet) Misplaced(id string) {
+// gets nothing for a while, or until its entry is renewed.
+func (f *Fleet) Misplaced(now time.Time, id string) {
 	if s := f.servers[id]; s != nil {
-		s.Misplace = true
+		s.Misplace, s.misplacedAt = true, now
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -109,8 +109,12 @@
 func TestAddressThatIsAnothersIsLeft(t *testing.T) {
 	f := newFleet()
 	f.Listed(start, 0, []Entry{entry("a", 1), entry("b", 2)})
-	f.Misplaced("a")
+	f.Misplaced(start, "a")
+	f.Tick(start.Add(time.Second))
 	assert.DeepEqual(t, usable(f), []string{"b"})
+	f.Tick(start.Add(misplacedFor + time.Millisecond))
+	assert.DeepEqual(t, usable(f), []string{"a", "b"}) // one answer may have been another's
+	f.Misplaced(start, "a")
 	f.Fed(start, []Entry{entry("a", 3, func(b *chestnutstream.Backend) { b.Address = "new:1"; b.Born = 2 })})
 	assert.DeepEqual(t, usable(f), []string{"a", "b"})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -48,14 +48,14 @@
 
 // Settings are the times of leases.
 type Settings struct {
-	Duration time.Duration // from before a renewal is sent, among few instances
-	Longest  time.Duration // the same among many
-	Crowd    int           // instances up to which Duration is enough; beyond, it grows with their number
-	Renewal  time.Duration // between renewals of a lease of Duration; a longer one is renewed as much later
-	Safety   time.Duration // taken off the holder's end, for clock rates that differ
-	Turn     time.Duration // between the last order of one holder and the first of the next
+	Duration time.Duration     // from before a renewal is sent, among few instances
+	Longest  time.Duration     // the same among many
+	Crowd    int               // instances up to which Duration is enough; beyond, it grows with their number
+	Renewal  time.Duration     // between renewals of a lease of Duration; a longer one is renewed as much later
+	Safety   time.Duration     // taken off the holder's end, for clock rates that differ
+	Turn     time.Duration     // between the last order of one holder and the first of the next
 	Regions  map[string]string // by availability zone; nil: there is one
-	Settle   time.Duration // after the first read, before engines are acquired: others start at the same moment
+	Settle   time.Duration     // after the first read, before engines are acquired: others start at the same moment
 }
 
 // DefaultSettings returns times for engines that do not check fencing numbers,
