--- a/ingress/server.go
+++ b/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -144,6 +145,7 @@
 	retrySoon      = 150 * time.Millisecond // nothing is known but that it may pass
 	startWait      = 400 * time.Millisecond // for a configuration, after a start
 	retryNoConfig  = 400 * time.Millisecond
+	retrySpread    = 0.25                 // by which share they differ, so that those who were refused together do not return together
 	deadlineMargin = 4 * time.Millisecond // before the route's time-out, so that the answer arrives in time
 )
 
@@ -237,7 +239,8 @@
 
 // refuse answers that the request has not run, and when to come back.
 func (x *exchange) refuse(after time.Duration, reason string) {
-	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	spread := 1 + retrySpread*(2*rand.Float64()-1)
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(spread*after.Seconds(), 'f', 3, 64))
 	x.answer(statusNotRun, reason)
 }
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -338,3 +338,26 @@
 		assert.Equal(t, p.w.broken != "", lax, "checked: %t: %s", !lax, p.w.broken)
 	}
 }
+
+// A report is some hundred milliseconds old: one that knows nothing of the newest
+// order says nothing of its adapter, whose slot stays taken.
+func TestReportOlderThanTheNewestOrder(t *testing.T) {
+	p := newPlay(2)
+	p.run(reportLag + 50*time.Millisecond)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
+	p.run(400 * time.Millisecond)
+	assert.Equal(t, p.told["a1"], string(TellHeld))
+	old := p.w.report()
+	p.e.Want(p.w.now, "n", adapter("a2"), 1, 1)
+	p.step()
+	assert.Equal(t, p.e.count, old.OrderCount+1)
+	taken, _ := p.e.Slots()
+	assert.Equal(t, taken, 2)
+	assert.Equal(t, len(p.e.Reported(p.w.now, old)), 0)
+	taken, _ = p.e.Slots()
+	assert.Equal(t, taken, 2, "the slot of an adapter on its way")
+	assert.Equal(t, p.e.count, old.OrderCount+1)
+	p.run(400 * time.Millisecond)
+	assert.Equal(t, p.told["a2"], string(TellHeld))
+	assert.Equal(t, p.w.broken, "")
+}
