--- a/edge/readers.go
+++ b/edge/readers.go
@@ -119,7 +119,9 @@
 }
 
 // newEntries returns the rows that say something new of a server to those who
-// have heard what this instance has told so far, and from time to time all.
+// have heard what this instance has told so far, and from time to time all. Of a
+// server of which there is news all rows go: a late entry may stand behind the one
+// that brought it.
 func (n *Node) newEntries(rows []chestnutstream.TableRow) []chestnutstream.TableRow {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -128,21 +130,24 @@
 	if whole {
 		n.toldWhole = now
 	}
-	var out []chestnutstream.TableRow
+	news := map[string]bool{}
 	for _, r := range rows {
-		s := n.fleet.Server(r.Key)
-		if r.Removed || s == nil {
-			delete(n.toldEntries, r.Key)
-			out = append(out, r)
+		news[r.Key] = news[r.Key] || r.Removed || whole
+	}
+	for key := range news {
+		s := n.fleet.Server(key)
+		if s == nil {
+			delete(n.toldEntries, key)
+			news[key] = true
 			continue
 		}
 		e := newEntry(s.Backend)
-		if old, ok := n.toldEntries[r.Key]; !ok || old != e || whole {
-			n.toldEntries[r.Key] = e
-			out = append(out, r)
+		if old, ok := n.toldEntries[key]; !ok || old != e {
+			news[key] = true
 		}
+		n.toldEntries[key] = e
 	}
-	return out
+	return slices.DeleteFunc(slices.Clone(rows), func(r chestnutstream.TableRow) bool { return !news[r.Key] })
 }
 
 // hearFed keeps a reader's word for the loop that follows the table. One that
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
@@ -84,6 +86,42 @@
 	assert.NilError(t, a.Drain(context.Background()))
 }
 
+// Whatever a reader reads, late and doubled rows included: who hears only what it
+// tells believes the same of each server.
+func TestWhoIsToldBelievesTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		node := func(name string) *Node {
+			return newNode(platform.Settings{Instance: name, Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
+		}
+		reader, hears := node("a"), node("b")
+		defer reader.cancel()
+		defer hears.cancel()
+		version := uint64(0)
+		for range rapid.IntRange(1, 8).Draw(t, "reads") {
+			var rows []chestnutstream.TableRow
+			for range rapid.IntRange(0, 5).Draw(t, "rows") {
+				version++
+				r := chestnutstream.TableRow{Table: platform.TableServers, Key: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), Version: version}
+				if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+					r.Removed = true
+				} else {
+					r.Value = fmt.Appendf(nil, `{"born":%d,"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q}`,
+						rapid.IntRange(1, 2).Draw(t, "born"), rapid.SampledFrom([]string{"ready", "ready", "draining"}).Draw(t, "state"))
+				}
+				rows = append(rows, r)
+			}
+			reader.serverRows(rows, false, 0)
+			hears.serverRows(reader.newEntries(rows), false, 0)
+			for _, id := range []string{"a", "b"} {
+				x, y := reader.fleet.Server(id), hears.fleet.Server(id)
+				if (x == nil) != (y == nil) || (x != nil && (x.State != y.State || x.Born != y.Born)) {
+					t.Fatalf("%s: reader %+v, who is told %+v, after %d", id, x, y, version)
+				}
+			}
+		}
+	})
+}
+
 // A reader passes on what is new of the servers' entries: not that they were
 // written again, nor which adapters they list.
 func TestReaderTellsWhatIsNew(t *testing.T) {
@@ -110,13 +148,14 @@
 		{"written again", []chestnutstream.TableRow{row(3, "a", "ready", ""), row(4, "b", "ready", "")}, ""},
 		{"other adapters", []chestnutstream.TableRow{row(5, "a", "ready", `"x@1"`)}, ""},
 		{"draining", []chestnutstream.TableRow{row(6, "a", "draining", ""), row(7, "b", "ready", "")}, "a "},
-		{"gone", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "a", Version: 8, Removed: true}}, "a "},
-		{"another start", []chestnutstream.TableRow{row(9, "a", "ready", "")}, "a "},
-		{"not an entry", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 10, Value: []byte("?")}}, "c "},
+		{"draining in the middle of a read", []chestnutstream.TableRow{row(21, "b", "ready", ""), row(22, "b", "draining", ""), row(23, "b", "ready", "")}, "b b b "},
+		{"gone", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "a", Version: 28, Removed: true}}, "a "},
+		{"another start", []chestnutstream.TableRow{row(29, "a", "ready", "")}, "a "},
+		{"not an entry", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 30, Value: []byte("?")}}, "c "},
 	}
 	for _, s := range steps {
 		assert.Equal(t, told(s.rows...), s.want, s.name)
 	}
 	n.toldWhole = n.now().Add(-wholePause)
-	assert.Equal(t, told(row(11, "a", "ready", ""), row(12, "b", "ready", "")), "a b ")
+	assert.Equal(t, told(row(31, "a", "ready", ""), row(32, "b", "ready", "")), "a b ")
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,7 +19,6 @@
 	misplacedAt time.Time
 
 	InFlight  int // requests of this instance
-	Waiting   int // and those that wait for a load there
 	judge     judge
 	load      loadSeen
 	readUntil time.Time // when it will have read the large prompts that it was sent
