Loads of engines are told in one word, and less often among many

Ruled out: the servers' entries (told within a zone).

An instance tells the loads of all its engines in one word, when one has moved by a sixth of its slots, each 150 ms and 4 ms more for each peer; jumps after 25 ms as before.

--- a/edge/node.go
+++ b/edge/node.go
@@ -56,8 +56,9 @@
 	peers       map[string]*peer
 	waits       map[holdKey]*wait
 	uses        map[holdKey]*adapterUse
-	loads       map[string]toldLoad // of the own engines
-	changed     map[holdKey]bool    // uses that their owners have not been told
+	loads       map[string]int // requests at the own engines, as last told
+	loadsToldAt time.Time
+	changed     map[holdKey]bool // uses that their owners have not been told
 	toldAt      time.Time
 	budgets     map[string]*fleet.Budget
 	toldEntries map[string]entry           // of servers, to the zone
@@ -113,7 +114,7 @@
 		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]toldLoad{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	for _, f := range n.feeds() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,7 +20,7 @@
 	}
 	b.Used = n.allUses(to.Name)
 	for id, told := range n.loads {
-		b.Loads = append(b.Loads, instance.Load{Server: id, Requests: told.requests})
+		b.Loads = append(b.Loads, instance.Load{Server: id, Requests: told})
 	}
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
@@ -219,49 +219,49 @@
 	}
 }
 
-// Telling of loads: when a load has moved by this share of the engine's slots,
-// and not more often than this; sooner when it has moved by several such steps,
-// as when many requests that waited for one adapter come at once.
+// Telling of loads: when one has moved by this share of the engine's slots, and
+// not more often than this. Words of all instances reach each other one, so with
+// their number they come less often. A jump, as when many requests that waited
+// for one adapter come at once, is told sooner.
 const (
-	loadMoved = 0.12
-	loadPause = 150 * time.Millisecond
-	loadJump  = 3
-	jumpPause = 25 * time.Millisecond
+	loadMoved   = 0.17
+	loadPause   = 150 * time.Millisecond
+	loadPerPeer = 4 * time.Millisecond // an instance hears some 250 words a second at most
+	loadJump    = 3
+	jumpPause   = 25 * time.Millisecond
 )
 
-// toldLoad is what was last told of an engine's load.
-type toldLoad struct {
-	requests int
-	at       time.Time
-}
-
 // tellLoads tells all instances how many requests there are at the engines that
 // this one owns, where that has moved. Each instance sees only its own requests
 // and the answers to them. Callers hold mu.
 func (n *Node) tellLoads(boot time.Duration, now time.Time) {
+	pause := max(loadPause, time.Duration(len(n.peers))*loadPerPeer)
 	var words []instance.Load
 	for id, e := range n.loaders {
 		load, told := e.InProgress(boot), n.loads[id]
 		least := max(int(loadMoved*float64(e.Server.Slots)), 1)
-		moved, pause := max(load-told.requests, told.requests-load), loadPause
+		moved := max(load-told, told-load)
 		if moved >= loadJump*least {
 			pause = jumpPause
 		}
-		if moved < least || now.Sub(told.at) < pause {
-			continue
+		if moved >= least {
+			words = append(words, instance.Load{Server: id, Requests: load})
 		}
-		n.loads[id] = toldLoad{load, now}
-		n.fleet.AllHave(id, load)
-		words = append(words, instance.Load{Server: id, Requests: load})
 	}
 	for id := range n.loads {
 		if n.loaders[id] == nil {
 			delete(n.loads, id)
 		}
 	}
-	if len(words) > 0 {
-		n.mesh.Broadcast(func(b *instance.Bundle) { b.Loads = append(b.Loads, words...) })
+	if len(words) == 0 || now.Sub(n.loadsToldAt) < pause {
+		return
+	}
+	n.loadsToldAt = now
+	for _, w := range words {
+		n.loads[w.Server] = w.Requests
+		n.fleet.AllHave(w.Server, w.Requests)
 	}
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.Loads = append(b.Loads, words...) })
 }
 
 // allUses returns what this instance uses of a peer's engines. Callers hold mu.
