Feeds end when another instance reads a store that is lost here

Ruled out: the reader of the configuration (it was that instance itself).

The test failed before: 9.9 s, bound 2 s.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -127,8 +127,9 @@
 // running is an instance of a site.
 type running struct {
 	*Instance
-	cfg platform.Settings
-	log *memory.Handler
+	cfg  platform.Settings
+	log  *memory.Handler
+	gate *gate // between this instance and the store
 }
 
 func (s *site) instance(name string, seeds ...string) *running {
@@ -137,8 +138,8 @@
 
 // instanceAt starts an instance in an availability zone; regions are by zone.
 func (s *site) instanceAt(zone string, regions map[string]string, name string, seeds ...string) *running {
-	gateListener := listen(s.t)
-	serve(s.t, gateListener, s.gate)
+	gateListener, own := listen(s.t), &gate{next: s.gate}
+	serve(s.t, gateListener, own)
 	address := func() string {
 		l := listen(s.t)
 		defer l.Close()
@@ -153,7 +154,7 @@
 	in, err := Start(cfg, &log.Logger{Handler: h, Level: log.InfoLevel})
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
-	return &running{Instance: in, cfg: cfg, log: h}
+	return &running{Instance: in, cfg: cfg, log: h, gate: own}
 }
 
 func eventually(t *testing.T, what string, f func() bool) {
@@ -456,27 +457,46 @@
 }
 
 // A feed that the store took while it was silent is never answered. A change made
-// after the store's return is in force all the same.
+// after the store's return is in force all the same: on an instance that reads the
+// servers itself, and on those that are told by another.
 func TestChangeAfterASilentStore(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 1, 3)
-	in := s.instance("edge-a")
-	eventually(t, "ready", in.Node().Ready)
-	swallow := func(on bool) {
-		s.gate.mu.Lock()
-		defer s.gate.mu.Unlock()
-		s.gate.swallow = on
+	all := []*running{s.instance("edge-a"), s.instance("edge-g")}
+	s.owned(1, all...)
+	time.Sleep(leasesSoon) // until then each reads for itself
+	swallow := func(g *gate, on bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.swallow = on
+	}
+	for _, in := range all {
+		swallow(in.gate, true)
 	}
-	swallow(true)
 	s.store.Put("op", "other", []byte("{}")) // ends the feed that waits; the next one is swallowed
 	time.Sleep(4 * time.Second)
-	swallow(false)
-	time.Sleep(3 * time.Second) // until the store counts as stable
+	// The reader of the servers is answered first. From then on it tells the
+	// others, which need not read themselves.
+	readers, _ := all[0].Node().zoneReaders(platform.TableServers)
+	tellers, _ := all[0].Node().zoneReaders(platform.TableOperator)
+	assert.Assert(t, readers[0] != tellers[0], "the one that is told has to read the configuration itself")
+	for _, in := range all {
+		if readers[0] == in.cfg.Instance {
+			swallow(in.gate, false)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	for _, in := range all {
+		swallow(in.gate, false)
+	}
+	time.Sleep(2 * time.Second) // until the store counts as stable
 	s.configure(`{"name":"new","host":"h.example","prefix":"/new/","type":"idempotent","maxAttempts":1,"timeoutMs":2000,"service":"desk"}`)
 	changed := time.Now()
-	eventually(t, "the new route is in force", func() bool {
-		status, _, err := ask(in, "GET", "/new/1", "")
-		return err == nil && status == 200
-	})
-	citest.Timely(t, time.Since(changed), 2*time.Second)
+	for _, in := range all {
+		eventually(t, "the new route is in force", func() bool {
+			status, _, err := ask(in, "GET", "/new/1", "")
+			return err == nil && status == 200
+		})
+		citest.Timely(t, time.Since(changed), 2*time.Second)
+	}
 }
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -72,12 +72,24 @@
 				continue
 			}
 			f.fed(fed.Rows)
+			n.storeAnswersOthers()
 			n.poke()
 			return max(version, fed.To), true
 		}
 	}
 }
 
+// storeAnswersOthers ends the feeds under way while the store is lost here and
+// another instance reads it: they may have been taken while the store was silent,
+// and are never answered then.
+func (n *Node) storeAnswersOthers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.storeState.down {
+		n.endPolls()
+	}
+}
+
 // tellZone tells what this instance has read to its part of the zone.
 func (n *Node) tellZone(f feed, after, to uint64, rows []chestnutstream.TableRow) {
 	if len(rows) == 0 && !f.shared {
