--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -385,3 +385,25 @@
 		}
 	})
 }
+
+// Requests stay in the region while it has a server that may take them.
+func TestOtherRegionsAreForWantOfOnesOwn(t *testing.T) {
+	f := New("z1", func(zone string) bool { return zone != "far" }, rand.New(rand.NewPCG(1, 2)))
+	f.Listed(start, 0, []Entry{
+		entry("near", 1, func(b *chestnutstream.Backend) { b.Zone = "z2" }),
+		entry("far-1", 2, func(b *chestnutstream.Backend) { b.Zone = "far" }),
+		entry("far-2", 3, func(b *chestnutstream.Backend) { b.Zone = "far" }),
+	})
+	pick := func(i int) (engine, plain string) {
+		r := Request{Service: testService, Target: chestnutstream.ModelAdapter{Model: "m", Adapter: fmt.Sprint(i)}, Version: 1}
+		return f.PickEngine(start, r, nil, anyLoadable).Server.ID, f.PickPlain(start, testService, nil).ID
+	}
+	for i := range 20 {
+		engine, plain := pick(i)
+		assert.Equal(t, engine, "near")
+		assert.Equal(t, plain, "near")
+	}
+	f.Fed(start, []Entry{entry("near", 4, draining, func(b *chestnutstream.Backend) { b.Zone = "z2" })})
+	engine, plain := pick(0)
+	assert.Assert(t, engine != "near" && plain != "near")
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,3 +238,45 @@
 		assert.Equal(t, b.lasts, tt.lasts)
 	}
 }
+
+// An engine is owned in its availability zone, else in its region, else anywhere,
+// and all instances that have read the same rows choose the same one.
+func TestOwnersAreNear(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
+	holders := []Holder{{Name: "a1-1", Zone: "a1"}, {Name: "a2-1", Zone: "a2"}, {Name: "b1-1", Zone: "b1"}, {Name: "b1-2", Zone: "b1"}}
+	tests := []struct {
+		server Server
+		zones  []string // of which the owner must be one
+	}{
+		{Server{ID: "s1", Zone: "a1"}, []string{"a1"}},
+		{Server{ID: "s2", Zone: "b1"}, []string{"b1"}},
+		{Server{ID: "s3", Zone: "a3"}, []string{"a1", "a2", "b1"}}, // a zone that no settings name
+		{Server{ID: "s4", Zone: "c1"}, []string{"a1", "a2", "b1"}}, // a region without instances
+	}
+	for _, tt := range tests {
+		chosen := map[string]bool{}
+		for _, self := range holders {
+			cfg := DefaultSettings(turnBound)
+			cfg.Regions = regions
+			b := NewBook(self, cfg)
+			for i, h := range holders {
+				if h.Name != self.Name {
+					b.holders[h.Name] = &Holder{Name: h.Name, Zone: h.Zone, version: uint64(i + 1), lasts: cfg.Duration, seen: time.Minute}
+				}
+			}
+			chosen[b.elected(time.Minute, tt.server, map[string]int{})] = true
+		}
+		assert.Equal(t, len(chosen), 1, "%s: %v", tt.server.ID, chosen)
+		for _, h := range holders {
+			if chosen[h.Name] {
+				assert.Assert(t, slices.Contains(tt.zones, h.Zone), "%s is owned in %s", tt.server.ID, h.Zone)
+			}
+		}
+	}
+	// The region goes before the number that is owned.
+	cfg := DefaultSettings(turnBound)
+	cfg.Regions = regions
+	b := NewBook(holders[2], cfg)
+	b.holders["a2-1"] = &Holder{Name: "a2-1", Zone: "a2", version: 1, lasts: cfg.Duration, seen: time.Minute}
+	assert.Equal(t, b.elected(time.Minute, Server{ID: "s5", Zone: "a1"}, map[string]int{"a2-1": 9}), "a2-1")
+}
