--- a/edge/peers.go
+++ b/edge/peers.go
@@ -224,7 +224,7 @@
 // their number they come less often. A jump, as when many requests that waited
 // for one adapter come at once, is told sooner.
 const (
-	loadMoved   = 0.17
+	loadMoved   = 0.12
 	loadPause   = 150 * time.Millisecond
 	loadPerPeer = 4 * time.Millisecond // an instance hears some 250 words a second at most
 	loadJump    = 3
