Stateful test of choices; package comments as the code is

Random engines, words and outcomes: a choice may get work, holds or can load what it says, and there is one whenever the oracle finds one. fleet's usage section named functions that are gone.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -6,10 +6,15 @@
 // # Usage
 //
 //	f := fleet.New("zone-a", nil, rand.New(rand.NewPCG(1, 2)))
-//	f.Listed(now, rows, decode)
-//	s := f.PickPlain(now, "order-desk", nil)
-//	f.Sent(now, s.ID)
-//	f.Ended(now, s.ID, fleet.Outcome{...})
+//	f.Listed(now, version, entries)
+//	c := f.PickEngine(now, fleet.Request{Service: "assistant", Target: target, Version: 1}, nil, loadable)
+//	f.Sent(c.Server.ID)
+//	f.Outcome(now, c.Server.ID, fleet.Answered, took)
+//	f.Done(c.Server.ID)
+//
+// directory.go is the list, judge.go what outcomes say of a server, place.go the
+// choice, reading.go what engines still have to read, budget.go the share of
+// repeated sends.
 //
 // Nothing here knows a clock, a socket or a goroutine, and nothing is safe for
 // concurrent use: the instance guards it with its own mutex.
--- /dev/null
+++ b/fleet/place_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Whatever is known of the engines: a choice may get work, is none that is to be
+// avoided, holds the adapter if it says so, can load it if not, and there is one
+// whenever an engine could take the request.
+func TestChoicesMayBeMade(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New("z1", func(zone string) bool { return zone != "far" }, rand.New(rand.NewPCG(1, 2)))
+		n := rapid.IntRange(1, 6).Draw(t, "engines")
+		var entries []Entry
+		for i := range n {
+			entries = append(entries, entry(fmt.Sprint("e", i), uint64(i+1), func(b *chestnutstream.Backend) {
+				b.Slots = 12
+				b.Zone = rapid.SampledFrom([]string{"z1", "z2", "far"}).Draw(t, "zone")
+				if rapid.IntRange(0, 4).Draw(t, "draining") == 0 {
+					b.State = chestnutstream.BackendDraining
+				}
+				if rapid.IntRange(0, 4).Draw(t, "empty") == 0 {
+					b.Models = nil
+				}
+			}))
+		}
+		f.Listed(start, 0, entries)
+		now := start
+		ownerless := map[string]bool{}
+		loadable := func(s *Server) bool { return !ownerless[s.ID] }
+		id := func() string { return fmt.Sprint("e", rapid.IntRange(0, n-1).Draw(t, "engine")) }
+		target := func() chestnutstream.ModelAdapter {
+			return chestnutstream.ModelAdapter{Model: "m", Adapter: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "adapter")}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"held", "dropped", "sent", "told", "reading", "outcome", "owner", "misplaced", "tick", "pick", "pick"}).Draw(t, "event") {
+			case "held":
+				f.Held(now, id(), target(), 1)
+			case "dropped":
+				f.NotHeld(id(), target())
+			case "sent":
+				f.Sent(id())
+			case "told":
+				f.AllHave(id(), rapid.IntRange(0, 40).Draw(t, "requests"))
+			case "reading":
+				f.Reading(now, id(), rapid.IntRange(0, 30000).Draw(t, "tokens"))
+			case "outcome":
+				f.Outcome(now, id(), rapid.SampledFrom([]Outcome{Answered, Failed, Unreachable, Silent, Refused}).Draw(t, "outcome"), time.Millisecond)
+			case "owner":
+				e := id()
+				ownerless[e] = !ownerless[e]
+			case "misplaced":
+				f.Misplaced(now, id())
+			case "tick":
+				f.Tick(now)
+			case "pick":
+				avoid := map[string]bool{}
+				if rapid.Bool().Draw(t, "avoids") {
+					avoid[id()] = true
+				}
+				r := Request{Service: testService, Target: target(), Version: 1, Prompt: chestnutstream.Prompt{Tokens: rapid.IntRange(0, 20000).Draw(t, "prompt")}}
+				if r.Target.Adapter == "" {
+					r.Version = 0
+				}
+				possible := anyPossible(f, now, r, avoid, loadable)
+				c := f.PickEngine(now, r, avoid, loadable)
+				if (c.Server != nil) != possible {
+					t.Fatalf("chose %v, possible %t", c.Server, possible)
+				}
+				if c.Server != nil {
+					checkChoice(t, f, now, r, avoid, loadable, c)
+				}
+			}
+		}
+	})
+}
+
+// anyPossible is the oracle: an engine that may get work holds the adapter, or
+// has an owner that can load it.
+func anyPossible(f *Fleet, now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) bool {
+	near, any := false, false
+	allowed := func(s *Server) bool { return s.Usable() && !avoid[s.ID] && f.reachable(now, s) }
+	for _, open := range []bool{true, false} {
+		found := false
+		for _, s := range f.Service(r.Service) {
+			if allowed(s) && (!open || s.judge.open(now)) {
+				found = true
+				near = near || f.near(s.Zone)
+			}
+		}
+		if !found {
+			continue
+		}
+		for _, s := range f.Service(r.Service) {
+			if allowed(s) && (!open || s.judge.open(now)) && (!near || f.near(s.Zone)) {
+				any = any || f.Holds(now, s, r.Target, r.Version) || loadable(s)
+			}
+		}
+		return any
+	}
+	return false
+}
+
+func checkChoice(t *rapid.T, f *Fleet, now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool, c Choice) {
+	switch {
+	case !c.Server.Usable() || avoid[c.Server.ID]:
+		t.Fatalf("%s may not get work", c.Server.ID)
+	case c.Held && !f.Holds(now, c.Server, r.Target, r.Version):
+		t.Fatalf("%s does not hold %s", c.Server.ID, r.Target)
+	case !c.Held && !loadable(c.Server):
+		t.Fatalf("%s cannot load %s", c.Server.ID, r.Target)
+	case c.Copy != nil && (!loadable(c.Copy) || f.Holds(now, c.Copy, r.Target, r.Version)):
+		t.Fatalf("a copy of %s on %s", r.Target, c.Copy.ID)
+	}
+}
