--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -86,7 +86,7 @@
 // anyPossible is the oracle: an engine that may get work holds the adapter, or
 // has an owner that can load it.
 func anyPossible(f *Fleet, now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) bool {
-	near, any := false, false
+	near, possible := false, false
 	allowed := func(s *Server) bool { return s.Usable() && !avoid[s.ID] && f.reachable(now, s) }
 	for _, open := range []bool{true, false} {
 		found := false
@@ -101,10 +101,10 @@
 		}
 		for _, s := range f.Service(r.Service) {
 			if allowed(s) && (!open || s.judge.open(now)) && (!near || f.near(s.Zone)) {
-				any = any || f.Holds(now, s, r.Target, r.Version) || loadable(s)
+				possible = possible || f.Holds(now, s, r.Target, r.Version) || loadable(s)
 			}
 		}
-		return any
+		return possible
 	}
 	return false
 }
