One sleep that ends with a context, in the timer service

The same ten lines stood in edge, engine, table, soak and standin, and as a select in ingress. timer.Sleep serves all. Behaviour as it was: a pause of nothing returned at once in all of them.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Times of the reading of the store. Calls to it are priced and its rates are
@@ -149,20 +150,7 @@
 	}
 }
 
-func (n *Node) sleep(d time.Duration) { pause(n.ctx, d) }
-
-// pause waits, but not beyond the end of a context.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
+func (n *Node) sleep(d time.Duration) { timer.Sleep(n.ctx, d) }
 
 // storeFailed notes that the store gave no answer to a read.
 func (n *Node) storeFailed(table string, err error) {
--- a/edge/place.go
+++ b/edge/place.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Times of placing.
@@ -93,7 +94,7 @@
 				break
 			}
 			clear(avoid)
-			pause(ctx, lookAgain)
+			timer.Sleep(ctx, lookAgain)
 			continue
 		}
 		ch := n.want(c.Server.ID, p.Target, version)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // endMarker is the data of the last event of a whole stream.
@@ -131,7 +132,7 @@
 		}
 		c.dropPool(address, pool)
 		if attempt > 0 {
-			pause(ctx, resumePause<<min(attempt, 5))
+			timer.Sleep(ctx, resumePause<<min(attempt, 5))
 		}
 	}
 }
@@ -267,12 +268,3 @@
 		}
 	}()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Figures of sending again.
@@ -211,10 +212,7 @@
 		x.avoid[p.Server.ID] = true
 	}
 	if x.ctx.Err() == nil && len(x.servers) > 1 {
-		select {
-		case <-x.ctx.Done():
-		case <-time.After(pauseAfterRefuse):
-		}
+		timer.Sleep(x.ctx, pauseAfterRefuse)
 	}
 	return false
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // result is what a caller saw of one request.
@@ -145,7 +146,7 @@
 	newest := map[*program]seen{}
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
-		r.wait(ctx, 150*time.Millisecond)
+		timer.Sleep(ctx, 150*time.Millisecond)
 		for _, p := range r.programs {
 			p.mu.Lock()
 			run := p.run
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Settings of a run.
@@ -55,17 +57,17 @@
 		return Report{}, err
 	}
 	r := &run{site: s, rng: rng, faults: map[string]int{}}
-	r.wait(ctx, warmUp)
+	timer.Sleep(ctx, warmUp)
 	stopClients := r.startClients(cfg.Seed)
 	watch, stopWatch := context.WithCancel(ctx)
 	go r.watchVersions(watch)
 	end := time.Now().Add(cfg.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.fault(ctx)
-		r.wait(ctx, time.Duration(rng.Int64N(int64(pauseMost))))
+		timer.Sleep(ctx, time.Duration(rng.Int64N(int64(pauseMost))))
 	}
 	r.quiet.Wait()
-	r.wait(ctx, calmDown/2)
+	timer.Sleep(ctx, calmDown/2)
 	r.checkServedAgain()
 	stopClients()
 	stopWatch()
@@ -95,15 +97,6 @@
 	faulty  time.Time // until when a fault may still be felt
 }
 
-func (r *run) wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (r *run) breaks(format string, args ...any) {
 	r.resMu.Lock()
 	defer r.resMu.Unlock()
@@ -142,7 +135,7 @@
 		undo func()
 	}{
 		{"pause", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }},
-		{"long-pause", func() { p.signal(syscall.SIGSTOP); r.wait(ctx, 3*lasts) }, func() { p.signal(syscall.SIGCONT) }},
+		{"long-pause", func() { p.signal(syscall.SIGSTOP); timer.Sleep(ctx, 3*lasts) }, func() { p.signal(syscall.SIGCONT) }},
 		{"kill", func() { r.mustRestart(p, syscall.SIGKILL) }, nil},
 		{"terminate", func() { r.mustRestart(p, syscall.SIGTERM) }, nil},
 		{"reload", func() { p.signal(syscall.SIGHUP) }, nil},
@@ -174,7 +167,7 @@
 		defer r.quiet.Done()
 		k.do()
 		if k.undo != nil {
-			r.wait(ctx, lasts)
+			timer.Sleep(ctx, lasts)
 			k.undo()
 		}
 		switch k.name {
@@ -184,7 +177,7 @@
 		}
 	}()
 	if r.rng.IntN(2) == 0 {
-		r.wait(ctx, lasts) // alone
+		timer.Sleep(ctx, lasts) // alone
 	}
 }
 
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // BackendSettings describe a backend server in the users' platform's protocol.
@@ -366,12 +368,12 @@
 		return
 	}
 	if fails {
-		sleep(r.Context(), b.cfg.Work)
+		timer.Sleep(r.Context(), b.cfg.Work)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	if b.cfg.AdapterSlots == 0 {
-		sleep(r.Context(), b.cfg.Work)
+		timer.Sleep(r.Context(), b.cfg.Work)
 		_, _ = fmt.Fprintf(w, "%s %s by %s", r.Method, r.RequestURI, b.cfg.ID)
 		return
 	}
@@ -390,7 +392,7 @@
 		if f.BreakAt > 0 && i-from == f.BreakAt {
 			panic(http.ErrAbortHandler)
 		}
-		sleep(r.Context(), b.cfg.Work)
+		timer.Sleep(r.Context(), b.cfg.Work)
 		if r.Context().Err() != nil {
 			return
 		}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Step loop: one token for each running request, then the queue fills what is
@@ -22,7 +24,7 @@
 		e.counts.BatchPlaces += e.cfg.BatchLimit
 		d := e.cfg.Step + time.Duration(e.faults.StepDelayMS)*time.Millisecond
 		e.mu.Unlock()
-		sleep(context.Background(), d)
+		timer.Sleep(context.Background(), d)
 		e.mu.Lock()
 		e.step()
 		e.mu.Unlock()
--- a/standin/http.go
+++ b/standin/http.go
@@ -166,18 +166,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Announce puts an instance on the list of the platform at address.
 func Announce(ctx context.Context, address string, row InstanceRow) error {
 	value, err := json.Marshal(row)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -15,6 +15,8 @@
 
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
+
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // PlatformSettings are the sizes of a platform stand-in.
@@ -165,7 +167,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if store && f.StoreDelayMS > 0 {
-			sleep(r.Context(), time.Duration(f.StoreDelayMS)*time.Millisecond)
+			timer.Sleep(r.Context(), time.Duration(f.StoreDelayMS)*time.Millisecond)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -324,7 +326,7 @@
 func (p *Platform) WatchInstances(ctx context.Context, period time.Duration) {
 	client := &http.Client{Timeout: period}
 	for ctx.Err() == nil {
-		sleep(ctx, period)
+		timer.Sleep(ctx, period)
 		p.mu.Lock()
 		rows := make([]InstanceRow, 0, len(p.instances))
 		for _, in := range p.instances {
@@ -408,7 +410,7 @@
 		p.counts.OverRate++
 		p.mu.Unlock()
 	}
-	sleep(r.Context(), wait+time.Duration(slow*float64(p.cfg.LoadTime)))
+	timer.Sleep(r.Context(), wait+time.Duration(slow*float64(p.cfg.LoadTime)))
 	if fail {
 		p.mu.Lock()
 		p.counts.LoadFailures++
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // ServiceFaults are switched at run time by PUT /faults on a service.
@@ -111,7 +113,7 @@
 		http.Error(w, "refused, not run", http.StatusServiceUnavailable)
 		return false, false
 	}
-	sleep(r.Context(), time.Duration(f.DelayMS)*time.Millisecond)
+	timer.Sleep(r.Context(), time.Duration(f.DelayMS)*time.Millisecond)
 	return f.DropAfterRun, true
 }
 
--- a/table/claims.go
+++ b/table/claims.go
@@ -23,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Claim times and sizes.
@@ -163,7 +164,7 @@
 			go c.takeBack(key, attempt)
 			return "", ClaimTicket{}, Claim{}, fmt.Errorf("claim: %w: %w", chestnutstream.ErrUnavailable, err)
 		}
-		wait(ctx, claimRetryPause)
+		timer.Sleep(ctx, claimRetryPause)
 	}
 }
 
@@ -296,7 +297,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return
 		}
-		wait(ctx, settleRetryPause)
+		timer.Sleep(ctx, settleRetryPause)
 	}
 }
 
@@ -318,7 +319,7 @@
 			absent = 0
 			c.persist(ClaimTicket{Key: key, Version: row.Version}, chestnutstream.Write{Key: key, Delete: true})
 		}
-		wait(ctx, settleRetryPause)
+		timer.Sleep(ctx, settleRetryPause)
 	}
 }
 
@@ -381,12 +382,3 @@
 		Truncated: w.Truncated,
 	}, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -9,6 +9,7 @@
 package timer
 
 import (
+	"context"
 	"fmt"
 	"sort"
 	"sync"
@@ -24,6 +25,19 @@
 	_ chestnutstream.Timer = (*Manual)(nil)
 )
 
+// Sleep returns after d, or when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // System is the timer service of a running process. The zero value works.
 type System struct{}
 
