One type for rows and one decoding of the servers' entries

instance.ServerRow was chestnutstream.TableRow with fewer fields, and takeRows decoded entries beside serverRows. Frames between instances are as before.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -234,13 +234,13 @@
 	}
 	n.mu.Lock()
 	n.fleet.Declare(target, version)
-	n.rows.versions[key] = instance.ServerRow{Key: key, Value: value, Row: row}
+	n.rows.versions[key] = chestnutstream.TableRow{Key: key, Value: value, Version: row}
 	n.mu.Unlock()
 	n.log.WithFields(log.Fields{"adapter": target.String(), "version": version, "row": row}).Info("adapter version declared")
 }
 
-// serverRows takes entries of the servers.
-func (n *Node) serverRows(rows []chestnutstream.TableRow, whole bool, version uint64) {
+// serverEntries decodes rows of the servers.
+func serverEntries(rows []chestnutstream.TableRow) []fleet.Entry {
 	entries := make([]fleet.Entry, 0, len(rows))
 	for _, r := range rows {
 		e := fleet.Entry{Key: r.Key, Row: r.Version, Removed: r.Removed}
@@ -249,6 +249,12 @@
 		}
 		entries = append(entries, e)
 	}
+	return entries
+}
+
+// serverRows takes entries of the servers.
+func (n *Node) serverRows(rows []chestnutstream.TableRow, whole bool, version uint64) {
+	entries := serverEntries(rows)
 	n.mu.Lock()
 	now := n.now()
 	var changes []fleet.Change
@@ -262,7 +268,7 @@
 			delete(n.rows.servers, r.Key)
 			continue
 		}
-		n.rows.servers[r.Key] = instance.ServerRow{Key: r.Key, Value: r.Value, Row: r.Version}
+		n.rows.servers[r.Key] = r
 	}
 	changes = append(changes, n.fleet.Tick(now)...)
 	n.serversChanged(changes)
--- a/edge/node.go
+++ b/edge/node.go
@@ -93,8 +93,8 @@
 type rows struct {
 	config    []byte
 	configRow uint64
-	servers   map[string]instance.ServerRow
-	versions  map[string]instance.ServerRow
+	servers   map[string]chestnutstream.TableRow
+	versions  map[string]chestnutstream.TableRow
 }
 
 // dependency is whether something that the instance needs answers, and since
@@ -111,7 +111,7 @@
 		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), run: run,
 		store: platform.NewStore(cfg.Store, storeTimeout, nil), backends: platform.NewBackends(boot),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
-		rows:    rows{servers: map[string]instance.ServerRow{}, versions: map[string]instance.ServerRow{}},
+		rows:    rows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -5,9 +5,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
-	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // Linked implements instance.Handler.
@@ -114,20 +112,14 @@
 // away. They are never newer than the store's own.
 func (n *Node) takeRows(from string, b instance.Bundle) {
 	for _, v := range b.Versions {
-		n.declare(v.Key, v.Value, v.Row)
-	}
-	entries := make([]fleet.Entry, 0, len(b.Servers))
-	for _, s := range b.Servers {
-		e := fleet.Entry{Key: s.Key, Row: s.Row}
-		e.Backend, e.Err = platform.DecodeBackend(s.Key, s.Value)
-		entries = append(entries, e)
+		n.declare(v.Key, v.Value, v.Version)
 	}
 	n.mu.Lock()
-	changes := n.fleet.Fed(n.now(), entries)
+	changes := n.fleet.Fed(n.now(), serverEntries(b.Servers))
 	n.mu.Unlock()
 	n.logChanges(changes)
 	n.adopt(b.Config, b.ConfigRow, from)
-	n.log.WithFields(log.Fields{"peer": from, "servers": len(entries)}).Info("state taken from a peer")
+	n.log.WithFields(log.Fields{"peer": from, "servers": len(b.Servers)}).Info("state taken from a peer")
 }
 
 // wanted hands a want to the loader of an engine that this instance owns, or
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -233,8 +233,6 @@
 	return x
 }
 
-func hashOfString(s string) uint64 { return xxhash.Sum64String(s) }
-
 // hashOf returns the placement hash of a model or adapter.
 func hashOf(t chestnutstream.ModelAdapter) uint64 {
 	return mix(xxhash.Sum64String(t.Model), xxhash.Sum64String(t.Adapter))
--- a/fleet/reading.go
+++ b/fleet/reading.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
@@ -58,7 +60,7 @@
 // same beginning of the prompt meet at one.
 func (r Request) rank() uint64 {
 	if r.Target.Adapter == "" {
-		return mix(hashOf(r.Target), hashOfString(r.Prompt.Shared))
+		return mix(hashOf(r.Target), xxhash.Sum64String(r.Prompt.Shared))
 	}
 	return hashOf(r.Target)
 }
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -169,18 +169,18 @@
 	return chestnutstream.ModelAdapter{Model: model, Adapter: adapter}
 }
 
-func encodeRows(rows []ServerRow) []wireRow {
+func encodeRows(rows []chestnutstream.TableRow) []wireRow {
 	var out []wireRow
 	for _, r := range rows {
-		out = append(out, wireRow{Key: r.Key, Value: r.Value, Row: r.Row})
+		out = append(out, wireRow{Key: r.Key, Value: r.Value, Row: r.Version})
 	}
 	return out
 }
 
-func decodeRows(rows []wireRow) []ServerRow {
-	var out []ServerRow
+func decodeRows(rows []wireRow) []chestnutstream.TableRow {
+	var out []chestnutstream.TableRow
 	for _, r := range rows {
-		out = append(out, ServerRow{Key: r.Key, Value: r.Value, Row: r.Row})
+		out = append(out, chestnutstream.TableRow{Key: r.Key, Value: r.Value, Version: r.Row})
 	}
 	return out
 }
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -43,8 +43,8 @@
 	AskConfig bool // the sender has no configuration and cannot read one
 	Config    []byte
 	ConfigRow uint64
-	Servers   []ServerRow
-	Versions  []ServerRow // declarations of adapter versions, as rows
+	Servers   []chestnutstream.TableRow
+	Versions  []chestnutstream.TableRow // declarations of adapter versions, as rows
 	Loads     []Load      // of engines that the sender owns
 	Reading   []Reading   // large prompts that the sender has sent to engines
 	Fed       []Fed       // changes that the sender has read for its availability zone
@@ -99,13 +99,6 @@
 	Rows  []chestnutstream.TableRow
 }
 
-// ServerRow is a row of the platform's store, passed on as it was read.
-type ServerRow struct {
-	Key   string
-	Value []byte
-	Row   uint64
-}
-
 func (b *Bundle) empty() bool {
 	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0 && len(b.Loads) == 0 && len(b.Reading) == 0
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -24,7 +24,7 @@
 	Loads:   []Load{{Server: "i-1", Requests: 7}},
 	Reading: []Reading{{Server: "i-1", Tokens: 9000}},
 	Fed:     []Fed{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
-	Servers: []ServerRow{{Key: "i-1", Value: []byte("{}"), Row: 3}}, Versions: []ServerRow{{Key: "version/m.a", Value: []byte("x"), Row: 4}},
+	Servers: []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
 }
 
 func TestBundleSurvivesTheWire(t *testing.T) {
