--- a/instance/doc.go
+++ b/instance/doc.go
@@ -45,9 +45,9 @@
 	ConfigRow uint64
 	Servers   []chestnutstream.TableRow
 	Versions  []chestnutstream.TableRow // declarations of adapter versions, as rows
-	Loads     []Load      // of engines that the sender owns
-	Reading   []Reading   // large prompts that the sender has sent to engines
-	Fed       []Fed       // changes that the sender has read for its availability zone
+	Loads     []Load                    // of engines that the sender owns
+	Reading   []Reading                 // large prompts that the sender has sent to engines
+	Fed       []Fed                     // changes that the sender has read for its availability zone
 }
 
 // Want asks the owner of a server to load an adapter there.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/goccy/go-yaml"
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // mutantVariable makes this test program run as an instance with a planted fault.
@@ -203,7 +205,7 @@
 		req, _ := http.NewRequest(r.Method, "http://"+s.Address+r.RequestURI, bytes.NewReader(body))
 		req.Host, req.Header = r.Host, r.Header.Clone()
 		if service == "assistant" {
-			req.Header.Set("X-Chestnutstream-Model", "m") // none of its adapters is loaded
+			req.Header.Set(platform.HeaderModel, "m") // none of its adapters is loaded
 		}
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
@@ -222,7 +224,7 @@
 		if m.kind == "cuts-streams" && service == "assistant" {
 			answer = answer[:len(answer)/2]
 		}
-		w.Header().Set("X-Chestnutstream-Server-Signature", resp.Header.Get("X-Chestnutstream-Server-Signature"))
+		w.Header().Set(platform.HeaderSignature, resp.Header.Get(platform.HeaderSignature))
 		w.WriteHeader(resp.StatusCode)
 		_, _ = w.Write(answer)
 	}
