Age of each view of the store's tables, and feeds that bring rows late

Their logs show the feed of the operator's table begun anew at 8.22 s and five rows of 8.27 to 18.03 s in one answer at 23.22 s, which is the whole wait. No line or figure said so: a feed that had nothing to tell looks the same, and how old an instance's picture of a table is could not be asked.

- chestnutstream_view_age_seconds{table}, and view-ages-ms in the dump
- chestnutstream_feeds_overdue_total{table} and a warning with the version of the oldest row, for a feed that brought rows at the end of its wait only
- the stand-in store can hold feeds to the end of their wait (Deafen)

--- a/edge/dump.go
+++ b/edge/dump.go
@@ -8,13 +8,14 @@
 )
 
 type wireDump struct {
-	Instance string       `json:"instance"`
-	Zone     string       `json:"availability-zone"`
-	Config   uint64       `json:"configuration-version"`
-	Ready    bool         `json:"ready"`
-	Lease    bool         `json:"lease-valid"`
-	Peers    []string     `json:"peers"`
-	Servers  []wireServer `json:"servers"`
+	Instance string           `json:"instance"`
+	Zone     string           `json:"availability-zone"`
+	Config   uint64           `json:"configuration-version"`
+	Ready    bool             `json:"ready"`
+	Lease    bool             `json:"lease-valid"`
+	Peers    []string         `json:"peers"`
+	Views    map[string]int64 `json:"view-ages-ms"` // by table of the platform's store
+	Servers  []wireServer     `json:"servers"`
 }
 
 type wireServer struct {
@@ -38,6 +39,7 @@
 	}
 	n.mu.Lock()
 	d.Lease = n.book.Valid(n.boot())
+	d.Views = n.dumpViews()
 	for _, s := range n.fleet.Servers() {
 		d.Servers = append(d.Servers, n.dumpServer(s))
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -226,7 +226,10 @@
 	assert.NilError(t, json.Unmarshal(get("/dump"), &d))
 	assert.Equal(t, len(d.Servers), 3)
 	assert.Equal(t, d.Config, s.version)
+	age, ok := d.Views[platform.TableOperator]
+	assert.Assert(t, ok && age >= 0 && age < 15_000, "%v", d.Views)
 	assert.Assert(t, strings.Contains(string(get("/metrics")), `chestnutstream_routed_requests_total{status="200"} 1`))
+	assert.Assert(t, strings.Contains(string(get("/metrics")), `chestnutstream_view_age_seconds{table="servers"}`))
 }
 
 func adapterOf(s string) (t chestnutstream.ModelAdapter) {
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -98,6 +98,7 @@
 		}
 		failures = 0
 		n.storeAnswered(f.table)
+		n.viewed(f.table)
 		if known {
 			f.fed(rows)
 			n.tellZone(f, after, version, rows)
@@ -118,10 +119,12 @@
 func (n *Node) readFeed(f feed, after uint64) ([]chestnutstream.TableRow, uint64, error) {
 	ctx, done := n.pollContext()
 	defer done()
+	began := n.now()
 	rows, version, err := n.store.Feed(ctx, f.table, after, f.wait)
 	if err != nil {
 		return nil, after, err
 	}
+	n.feedTook(f.table, after, n.now().Sub(began), f.wait, rows)
 	return rows, max(version, after), nil
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -66,6 +66,8 @@
 	polls       map[int]context.CancelFunc // of feeds under way
 	nextPoll    int
 	storeState  dependency
+	started     time.Time
+	views       map[string]time.Time // by table: when it was last known to be current
 }
 
 // holdKey names an adapter on a server.
@@ -115,11 +117,14 @@
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
+		started: t.Now(), views: map[string]time.Time{},
 	}
 	n.heard = map[string]chan instance.Fed{}
-	for _, f := range n.feeds() {
+	feeds := n.feeds()
+	for _, f := range feeds {
 		n.heard[f.table] = make(chan instance.Fed, heardMost)
 	}
+	n.gaugeViews(feeds)
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	leases := lease.DefaultSettings(cfg.OrderTurn)
 	leases.Regions = cfg.Regions
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -72,6 +72,7 @@
 				continue
 			}
 			f.fed(fed.Rows)
+			n.viewed(f.table)
 			n.storeAnswersOthers()
 			n.poke()
 			return max(version, fed.To), true
--- a/standin/store.go
+++ b/standin/store.go
@@ -61,6 +61,7 @@
 	rows    map[storeKey]StoreRow
 	changes []storeChange
 	lost    uint64 // changes up to this version are forgotten
+	deaf    bool   // feeds that begin now hear of no change until their wait ends
 	news    chan struct{}
 	objects map[string][]byte
 }
@@ -140,6 +141,14 @@
 	s.forget(time.Now())
 }
 
+// Deafen makes feeds that begin from now on hear of no change until their wait
+// ends, as the platform's do around a loss of its history.
+func (s *Store) Deafen(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = on
+}
+
 // forget drops changes of before a moment. Callers hold mu.
 func (s *Store) forget(before time.Time) {
 	n := 0
@@ -205,8 +214,14 @@
 	ms, _ := strconv.Atoi(q.Get("waitMs"))
 	deadline := time.NewTimer(min(time.Duration(ms)*time.Millisecond, storeWaitMax))
 	defer deadline.Stop()
+	s.mu.Lock()
+	deaf := s.deaf
+	s.mu.Unlock()
 	for {
 		rows, version, news, ok := s.since(q.Get("table"), after)
+		if deaf {
+			rows, news = nil, nil
+		}
 		if !ok {
 			http.Error(w, "history lost", http.StatusGone)
 			return
@@ -218,7 +233,11 @@
 		select {
 		case <-news:
 		case <-deadline.C:
-			writeJSON(w, http.StatusOK, s.answer([]StoreRow{}, version))
+			if rows, version, _, ok = s.since(q.Get("table"), after); !ok {
+				http.Error(w, "history lost", http.StatusGone)
+				return
+			}
+			writeJSON(w, http.StatusOK, s.answer(append([]StoreRow{}, rows...), version))
 			return
 		case <-r.Context().Done():
 			return
