Failing test: changes are not in force while feeds are deaf

The store drops its history; feeds that begin just after hear of no change. Three instances of a zone: a configuration that is acknowledged 2 s later is in force on them after 12.0 s, when the feed's wait of 15 s ends; the bound is 2 s.

--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/citest"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
@@ -35,3 +37,36 @@
 		assert.Equal(t, counted, s.want, s.name)
 	}
 }
+
+// Feeds that begin just after the store has dropped its history may hear of no
+// change until their wait ends: configurations and adapter versions that come
+// after are in force in time all the same.
+func TestChangesAreInForceThoughFeedsAreDeaf(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
+	s.owned(1, all...)
+	time.Sleep(leasesSoon) // until then each reads for itself
+	s.store.Forget()
+	s.store.Deafen(true)
+	s.store.Put(platform.TableOperator, "other", []byte("{}")) // ends the feeds that wait
+	time.Sleep(time.Second)
+	s.store.Deafen(false)
+	time.Sleep(2 * time.Second) // until the store counts as stable
+	for version := 2; version <= 3; version++ {
+		s.configure(fmt.Sprintf(`{"name":"new","host":"h.example","prefix":"/new%d/","type":"idempotent","maxAttempts":1,"timeoutMs":2000,"service":"desk"}`, version))
+		s.store.Put(platform.TableOperator, "version/m.a1", fmt.Appendf(nil, `{"model":"m","adapter":"a1","version":%d}`, version))
+		changed := time.Now()
+		for _, in := range all {
+			eventually(t, "the configuration and the version are in force", func() bool {
+				n := in.Node()
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return n.table.Load().Version == s.version && n.fleet.Version(adapterOf("m/a1")) == version
+			})
+			took := time.Since(changed)
+			assert.Assert(t, took < operatorWait/2, "after %v, with the end of the feed's wait", took)
+			citest.Timely(t, took, 2*time.Second)
+		}
+	}
+}
