A feed of the operator's table may be deaf for half the bound at most

Cause: each instance learned of the operator's changes by one call, a feed that waits for 15 s, and took its silence for "nothing new". The store had dropped its history; the feeds that began just after were held to the end of their wait, though rows were written 0.05, 4.8, 4.9, 8.8 and 9.8 s after they began. The instances of a zone that read the table tell the others, but all had begun at the same moment and were deaf together. Servers and leases are read by feeds of a second, so these were never more than a second behind.

Ruled out, by the lines of the incident: a declaration that was not decoded or older than another (all five rows were taken as soon as they came); a stale list (the row after the list came first); a request that was placed before and waited (the newest was sent 7.7 s after); a lost answer (it came, at 15.0 s).

Now the zone's reader of the operator's table waits for half the platform's bound on configurations (configApplyMs; 1 s on these sites) and says after each read up to where the table is known. The others keep their own long feed beside it, which brings changes at once, as long as they hear that without a gap; else they end it and read with the short wait themselves. So a view is never older than the short wait, the readers' slack and a turn of the control loop: 1.6 s where 2 s are allowed, whatever feeds hear.

--- a/edge/control.go
+++ b/edge/control.go
@@ -46,6 +46,7 @@
 	boot, now := n.boot(), n.now()
 	changes := n.fleet.Tick(now)
 	n.serversChanged(changes)
+	n.endUntold(now)
 	leaseActions := n.book.Step(boot, n.engines())
 	n.syncLoaders(boot)
 	wait := controlMost
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -19,7 +19,7 @@
 // Times of the reading of the store. Calls to it are priced and its rates are
 // shared by all instances.
 const (
-	operatorWait = 15 * time.Second        // a feed of the operator's table answers at once when there is news
+	operatorWait = 15 * time.Second        // of a feed of the operator's table, on an instance that another one tells what it reads
 	serversPause = 1050 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
 	serversWait  = time.Second
 	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
@@ -29,22 +29,31 @@
 	leasesEarly  = 700 * time.Millisecond // and just after a start, until all that started together are known
 	leasesSoon   = 2500 * time.Millisecond
 	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
+	// readShare is the share of the platform's bound on configurations that a feed
+	// of the operator's table waits on the instance that reads for the others: the
+	// store may hold a feed to the end of its wait though there is news.
+	readShare         = 0.5
+	operatorWaitLeast = 250 * time.Millisecond // of it, however short the bound
 )
 
 // feed follows one table.
 type feed struct {
-	table  string
-	shared bool // few instances of a zone read it and tell the others
-	pause  time.Duration
-	early  time.Duration // the pause just after the start; 0: the same
-	wait   time.Duration
-	listed func(rows []chestnutstream.TableRow, version uint64)
-	fed    func(rows []chestnutstream.TableRow)
+	table    string
+	shared   bool // few instances of a zone read it and tell the others
+	pause    time.Duration
+	early    time.Duration // the pause just after the start; 0: the same
+	wait     time.Duration
+	toldWait time.Duration // the wait while a reader tells of its reads beside the own feed; 0: the same
+	listed   func(rows []chestnutstream.TableRow, version uint64)
+	fed      func(rows []chestnutstream.TableRow)
 }
 
 func (n *Node) feeds() []feed {
 	return []feed{
-		{table: platform.TableOperator, wait: operatorWait, listed: func(rows []chestnutstream.TableRow, _ uint64) { n.operatorRows(rows) }, fed: n.operatorRows},
+		{
+			table: platform.TableOperator, wait: n.operatorReadWait(), toldWait: operatorWait,
+			listed: func(rows []chestnutstream.TableRow, _ uint64) { n.operatorRows(rows) }, fed: n.operatorRows,
+		},
 		{
 			table: platform.TableServers, shared: true, pause: serversPause, wait: serversWait,
 			listed: func(rows []chestnutstream.TableRow, version uint64) { n.serverRows(rows, true, version) },
@@ -58,6 +67,13 @@
 	}
 }
 
+// operatorReadWait returns how long the reader's feed of the operator's table
+// waits.
+func (n *Node) operatorReadWait() time.Duration {
+	wait := time.Duration(readShare * float64(n.cfg.ConfigApply))
+	return min(max(wait, operatorWaitLeast), operatorWait)
+}
+
 // follow reads a table whole, then its changes, until the node stops.
 func (n *Node) follow(f feed) {
 	n.sleep(rand.N(startSpread))
@@ -98,7 +114,7 @@
 		}
 		failures = 0
 		n.storeAnswered(f.table)
-		n.viewed(f.table)
+		n.viewed(f.table, version)
 		if known {
 			f.fed(rows)
 			n.tellZone(f, after, version, rows)
@@ -117,39 +133,45 @@
 
 // readFeed reads the changes of a table; on failure the version stays.
 func (n *Node) readFeed(f feed, after uint64) ([]chestnutstream.TableRow, uint64, error) {
-	ctx, done := n.pollContext()
+	wait := n.feedWait(f)
+	ctx, done := n.pollContext(f, wait)
 	defer done()
 	began := n.now()
-	rows, version, err := n.store.Feed(ctx, f.table, after, f.wait)
+	rows, version, err := n.store.Feed(ctx, f.table, after, wait)
 	if err != nil {
 		return nil, after, err
 	}
-	n.feedTook(f.table, after, n.now().Sub(began), f.wait, rows)
+	n.feedTook(f.table, after, n.now().Sub(began), wait, rows)
 	return rows, max(version, after), nil
 }
 
+// poll is a feed under way.
+type poll struct {
+	cancel context.CancelFunc
+	told   bool          // it may wait for long, as a reader tells of its reads
+	limit  time.Duration // until which the reader's newest word counts
+}
+
 // pollContext returns the context of a feed. It ends when the store is lost or
 // regained: the store answers no call that it took while it was away, and a
 // feed would wait for that, deaf to changes.
-func (n *Node) pollContext() (context.Context, func()) {
+func (n *Node) pollContext(f feed, wait time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	id := n.nextPoll
-	n.nextPoll++
-	n.polls[id] = cancel
+	n.polls[f.table] = poll{cancel: cancel, told: wait > f.wait, limit: f.wait + toldSlack}
 	return ctx, func() {
 		cancel()
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		delete(n.polls, id)
+		delete(n.polls, f.table)
 	}
 }
 
 // endPolls ends the feeds that are under way. Callers hold mu.
 func (n *Node) endPolls() {
-	for _, cancel := range n.polls {
-		cancel()
+	for _, p := range n.polls {
+		p.cancel()
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -61,13 +61,12 @@
 	changed     map[holdKey]bool // uses that their owners have not been told
 	toldAt      time.Time
 	budgets     map[string]*fleet.Budget
-	toldEntries map[string]entry           // of servers, to the zone
-	toldWhole   time.Time                  // when all were told
-	polls       map[int]context.CancelFunc // of feeds under way
-	nextPoll    int
+	toldEntries map[string]entry // of servers, to the zone
+	toldWhole   time.Time        // when all were told
+	polls       map[string]poll  // feeds under way, by table
 	storeState  dependency
 	started     time.Time
-	views       map[string]time.Time // by table: when it was last known to be current
+	views       map[string]view // by table
 }
 
 // holdKey names an adapter on a server.
@@ -116,8 +115,8 @@
 		rows:    rows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
-		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[int]context.CancelFunc{}, budgets: map[string]*fleet.Budget{},
-		started: t.Now(), views: map[string]time.Time{},
+		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
+		started: t.Now(), views: map[string]view{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	feeds := n.feeds()
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -16,7 +16,10 @@
 // Reading of the store for a whole availability zone: calls to it are priced,
 // and every instance reading for itself would grow with their number times that
 // of the servers. Of the servers' entries, which all change once a second, only
-// those are passed on that say something new.
+// those are passed on that say something new. The operator's table each instance
+// reads itself as well, with a feed that waits for long while it hears from the
+// reader: the own feed brings a change at once, the reader's words bound how late
+// it can be.
 const (
 	wholePause   = 16 * time.Second       // between words with all entries that were read, in case that an instance has missed one
 	readersShare = 12                     // instances that one reader tells
@@ -72,7 +75,7 @@
 				continue
 			}
 			f.fed(fed.Rows)
-			n.viewed(f.table)
+			n.viewHeard(fed)
 			n.storeAnswersOthers()
 			n.poke()
 			return max(version, fed.To), true
@@ -93,9 +96,6 @@
 
 // tellZone tells what this instance has read to its part of the zone.
 func (n *Node) tellZone(f feed, after, to uint64, rows []chestnutstream.TableRow) {
-	if len(rows) == 0 && !f.shared {
-		return
-	}
 	readers, all := n.zoneReaders(f.table)
 	mine := slices.Index(readers, n.cfg.Instance)
 	if mine < 0 {
@@ -165,11 +165,11 @@
 
 // hearFed keeps a reader's word for the loop that follows the table. One that
 // does not fit is dropped: the loop reads for itself then. Changes of the
-// operator's table, which each instance reads itself, are taken at once: its own
-// read may be lost.
+// operator's table, which each instance reads itself as well, are taken at once.
 func (n *Node) hearFed(f instance.Fed) {
 	if f.Table == platform.TableOperator {
 		n.operatorRows(f.Rows)
+		n.viewHeard(f)
 		return
 	}
 	select {
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -37,8 +37,8 @@
 		reads, _ := in.Node().store.Operations()
 		total += reads - before[i]
 	}
-	// One reader for each table: 4 reads of servers, 1 to 2 of leases; each for
-	// itself would be 15 and more.
+	// One reader for each table: 4 reads of servers, 4 of the operator's table, 1
+	// to 2 of leases; each for itself would be 27 and more.
 	assert.Assert(t, total <= 10, "%d reads in 4 s by three instances", total)
 
 	var reader *running
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -143,7 +143,7 @@
 	}
 	cfg := platform.Settings{
 		Instance: name, Zone: zone, Regions: regions, CallerAddress: address(), ReadinessAddress: address(), PeerAddress: address(), MetricsAddress: address(),
-		Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, OrderTurn: 3 * time.Second,
+		Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, ConfigApply: 2 * time.Second, OrderTurn: 3 * time.Second,
 		RetryShare: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
 	h := memory.New()
