--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -114,7 +114,6 @@
 		}
 		failures = 0
 		n.storeAnswered(f.table)
-		n.viewed(f.table, version)
 		if known {
 			f.fed(rows)
 			n.tellZone(f, after, version, rows)
@@ -122,6 +121,7 @@
 			f.listed(rows, version)
 			known = true
 		}
+		n.tookRead(f.table, version)
 		n.poke()
 		if f.early > 0 && n.now().Sub(began) < leasesSoon {
 			n.sleep(f.early)
@@ -147,9 +147,9 @@
 
 // poll is a feed under way.
 type poll struct {
+	feed   feed
+	wait   time.Duration
 	cancel context.CancelFunc
-	told   bool          // it may wait for long, as a reader tells of its reads
-	limit  time.Duration // until which the reader's newest word counts
 }
 
 // pollContext returns the context of a feed. It ends when the store is lost or
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.polls[f.table] = poll{cancel: cancel, told: wait > f.wait, limit: f.wait + toldSlack}
+	n.polls[f.table] = poll{feed: f, wait: wait, cancel: cancel}
 	return ctx, func() {
 		cancel()
 		n.mu.Lock()
--- a/edge/node.go
+++ b/edge/node.go
@@ -66,7 +66,7 @@
 	polls       map[string]poll  // feeds under way, by table
 	storeState  dependency
 	started     time.Time
-	views       map[string]view // by table
+	views       map[string]*view // by table
 }
 
 // holdKey names an adapter on a server.
@@ -116,7 +116,7 @@
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
-		started: t.Now(), views: map[string]view{},
+		started: t.Now(), views: map[string]*view{},
 	}
 	n.heard = map[string]chan instance.Fed{}
 	feeds := n.feeds()
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -75,7 +75,7 @@
 				continue
 			}
 			f.fed(fed.Rows)
-			n.viewHeard(fed)
+			n.tookWord(fed)
 			n.storeAnswersOthers()
 			n.poke()
 			return max(version, fed.To), true
@@ -169,7 +169,7 @@
 func (n *Node) hearFed(f instance.Fed) {
 	if f.Table == platform.TableOperator {
 		n.operatorRows(f.Rows)
-		n.viewHeard(f)
+		n.tookWord(f)
 		return
 	}
 	select {
--- a/edge/views.go
+++ b/edge/views.go
@@ -10,67 +10,88 @@
 	"github.com/chestnutstream/chestnutstream/instance"
 )
 
-// view is what this instance knows of a table of the store.
+// view is what an instance knows of a table of the store.
 type view struct {
 	version uint64    // up to which it is known
 	read    time.Time // when it was last read here
 	heard   time.Time // when a reader last told what it read, with no gap before it
 }
 
-// viewed notes that a table was read up to a version of the store.
-func (n *Node) viewed(table string, version uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	v := n.views[table]
-	v.read, v.version = n.now(), max(v.version, version)
-	n.views[table] = v
+// tookRead notes that the table was read up to a version.
+func (v *view) tookRead(now time.Time, version uint64) {
+	v.read, v.version = now, max(v.version, version)
 }
 
-// viewHeard notes a reader's word on a table. One with a gap before it says
-// nothing of what lies between.
-func (n *Node) viewHeard(f instance.Fed) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	v := n.views[f.Table]
-	if f.After > v.version {
+// tookWord notes a reader's word on what came after one version, up to another.
+// A word with a gap before it says nothing of what lies between.
+func (v *view) tookWord(now time.Time, after, to uint64) {
+	if after > v.version {
 		return
 	}
-	v.heard, v.version = n.now(), max(v.version, f.To)
-	n.views[f.Table] = v
+	v.heard, v.version = now, max(v.version, to)
 }
 
-// viewAge returns how long ago a table was known to be current. Callers hold mu.
-func (n *Node) viewAge(table string) time.Duration {
-	at := n.started
-	for _, t := range []time.Time{n.views[table].read, n.views[table].heard} {
-		if t.After(at) {
-			at = t
-		}
+// asOf returns when the table was last known to be current.
+func (v *view) asOf() time.Time {
+	if v.heard.After(v.read) {
+		return v.heard
 	}
-	return n.now().Sub(at)
+	return v.read
+}
+
+// silent reports whether the table's reader has told nothing for longer than it
+// takes between two words.
+func (v *view) silent(now time.Time, f feed) bool {
+	return now.Sub(v.heard) > f.wait+toldSlack
 }
 
 // feedWait returns how long a feed may wait for changes. The store may hold it to
 // the end of its wait though there are some, so only an instance that hears from
 // the table's reader waits for long.
-func (n *Node) feedWait(f feed) time.Duration {
-	readers, _ := n.zoneReaders(f.table)
-	if f.toldWait == 0 || slices.Contains(readers, n.cfg.Instance) {
+func (v *view) feedWait(now time.Time, f feed, reader bool) time.Duration {
+	if f.toldWait == 0 || reader || v.silent(now, f) {
 		return f.wait
 	}
+	return f.toldWait
+}
+
+// view returns the view of a table. Callers hold mu.
+func (n *Node) view(table string) *view {
+	v := n.views[table]
+	if v == nil {
+		v = &view{read: n.started}
+		n.views[table] = v
+	}
+	return v
+}
+
+// tookRead notes that a table was read here up to a version.
+func (n *Node) tookRead(table string, version uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.now().Sub(n.views[f.table].heard) > f.wait+toldSlack {
-		return f.wait
-	}
-	return f.toldWait
+	n.view(table).tookRead(n.now(), version)
+}
+
+// tookWord notes a reader's word on a table.
+func (n *Node) tookWord(f instance.Fed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view(f.Table).tookWord(n.now(), f.After, f.To)
+}
+
+// feedWait returns how long the next feed of a table waits.
+func (n *Node) feedWait(f feed) time.Duration {
+	readers, _ := n.zoneReaders(f.table)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view(f.table).feedWait(n.now(), f, slices.Contains(readers, n.cfg.Instance))
 }
 
 // endUntold ends feeds that wait for long though their table's reader has fallen
 // silent. Callers hold mu.
 func (n *Node) endUntold(now time.Time) {
 	for table, p := range n.polls {
-		if p.told && now.Sub(n.views[table].heard) > p.limit {
+		if p.wait > p.feed.wait && n.view(table).silent(now, p.feed) {
 			p.cancel()
 		}
 	}
@@ -88,6 +109,9 @@
 	}).Warn("feed brought its rows at the end of its wait")
 }
 
+// viewAge returns how long ago a table was known to be current. Callers hold mu.
+func (n *Node) viewAge(table string) time.Duration { return n.now().Sub(n.view(table).asOf()) }
+
 // gaugeViews makes the age of each table's view a metric.
 func (n *Node) gaugeViews(feeds []feed) {
 	for _, f := range feeds {
@@ -100,7 +124,7 @@
 }
 
 // dumpViews returns the ages of the views of the store's tables, in
-// milliseconds.
+// milliseconds. Callers hold mu.
 func (n *Node) dumpViews() map[string]int64 {
 	ages := map[string]int64{}
 	for _, f := range n.feeds() {
