Edge's tests choose other ports when one is taken

A free port is found by listening and closing; another test may take it before the instance listens. The instance is started on other ports then. An earlier failure, before, was cut off by the shell and is not traced; nothing but this was seen in six runs after it.

--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -136,23 +138,34 @@
 func (s *site) instanceAt(zone string, regions map[string]string, name string, seeds ...string) *running {
 	gateListener, own := listen(s.t), &gate{next: s.gate}
 	serve(s.t, gateListener, own)
-	address := func() string {
-		l := listen(s.t)
-		defer l.Close()
-		return l.Addr().String()
-	}
 	cfg := platform.Settings{
-		Instance: name, Zone: zone, Regions: regions, CallerAddress: address(), ReadinessAddress: address(), PeerAddress: address(), MetricsAddress: address(),
-		Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, ConfigApply: 2 * time.Second, OrderTurn: 3 * time.Second,
+		Instance: name, Zone: zone, Regions: regions, Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, ConfigApply: 2 * time.Second, OrderTurn: 3 * time.Second,
 		RetryShare: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
 	h := memory.New()
-	in, err := Start(cfg, &log.Logger{Handler: h, Level: log.InfoLevel})
+	in, err := startAnywhere(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel})
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
 	return &running{Instance: in, cfg: cfg, log: h, gate: own}
 }
 
+// startAnywhere starts an instance on free ports. A port may be taken by another
+// test between its choice and its use; then others are chosen.
+func startAnywhere(t *testing.T, cfg *platform.Settings, logger log.Interface) (in *Instance, err error) {
+	address := func() string {
+		l := listen(t)
+		defer l.Close()
+		return l.Addr().String()
+	}
+	for range 10 {
+		cfg.CallerAddress, cfg.ReadinessAddress, cfg.PeerAddress, cfg.MetricsAddress = address(), address(), address(), address()
+		if in, err = Start(*cfg, logger); !errors.Is(err, syscall.EADDRINUSE) {
+			return in, err
+		}
+	}
+	return nil, err
+}
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for range 1500 {
