A request that waited for a load goes by the version declared by then

What callers would see: a request that finds its adapter being loaded waits for up to 3 s; the adapter's version was read before the wait and sent after it, so an instance that knew of version 2 after 0.1 s still had the request begin on version 1, or be answered 421 where the engine had the newer one by then.

The version is read again when the wait ends; if it has risen the request is placed anew. A server that the wait ended on gets the request only if it holds that version.

--- a/edge/place.go
+++ b/edge/place.go
@@ -107,25 +107,31 @@
 		if placed, ok := n.usable(c.Server.ID, p, version, last, began); ok {
 			return placed, nil
 		}
-		avoid[c.Server.ID] = true
+		if !last.held {
+			avoid[c.Server.ID] = true
+		}
 	}
 	return ingress.Placed{}, &ingress.NoPlaceError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, leastRetry)}
 }
 
 // usable places a request whose load is complete: on the server that it waited
 // for, or on another one that holds the adapter by now, if the first has more
-// than it can take. Callers do not hold mu.
+// than it can take. It reports false when a newer version has been declared
+// meanwhile. Callers do not hold mu.
 func (n *Node) usable(id string, p ingress.Placement, version int, r waitResult, began time.Time) (ingress.Placed, bool) {
 	if !r.held {
 		return ingress.Placed{}, false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if version != n.fleet.Version(p.Target) {
+		return ingress.Placed{}, false
+	}
 	s := n.fleet.Server(id)
 	if c := n.fleet.PickEngine(n.now(), request(p, version), p.Avoid, n.loadable); c.Server != nil && c.Held {
 		s = c.Server
 	}
-	if s == nil || !s.Usable() {
+	if s == nil || !s.Usable() || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
 		return ingress.Placed{}, false
 	}
 	return n.placed(s, p, version, n.now().Sub(began)), true
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -208,13 +208,19 @@
 }
 
 func ask(in *running, method, path, target string) (status int, body string, err error) {
+	status, body, _, err = askVersion(in, method, path, target)
+	return status, body, err
+}
+
+// askVersion is ask with the version of the adapter that answered.
+func askVersion(in *running, method, path, target string) (status int, body, version string, err error) {
 	nextID.Lock()
 	nextID.n++
 	id := fmt.Sprintf("r-%d", nextID.n)
 	nextID.Unlock()
 	req, err := http.NewRequest(method, "http://"+in.cfg.CallerAddress+path, strings.NewReader("x"))
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	req.Host = "h.example"
 	req.Header.Set(platform.HeaderRequestID, id)
@@ -224,11 +230,11 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b), err
+	return resp.StatusCode, string(b), resp.Header.Get(platform.HeaderWeights), err
 }
 
 // whole is the stream that an engine writes for a target.
