Adapter versions are heard in the words about their loads

In the incident the instances that had not heard of a1672@2 went on to ask for version 1 at engines that had version 2 since 15.6 s, by order of an instance that knew it: the logs that are kept hold 87 lines of requests refused with 421, 65 of this adapter, most of which ended in 503 "retry budget spent". The owner's word that version 2 is held, and the wants of others for it, had reached them.

An instance takes a version that another one wants or holds as declared: it was. TestVersionIsHeardInWordsAboutLoads failed before.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
 )
 
@@ -72,6 +73,9 @@
 		}
 	}
 	for _, g := range b.Got {
+		if g.Held {
+			n.heardVersion(from.Name, g.Target, g.Version)
+		}
 		n.got(g)
 	}
 	ask := b.AskConfig && n.rows.config != nil
@@ -125,6 +129,7 @@
 // wanted hands a want to the loader of an engine that this instance owns, or
 // says that it does not. Callers hold mu.
 func (n *Node) wanted(boot time.Duration, from string, w instance.Want) {
+	n.heardVersion(from, w.Target, w.Version)
 	if e := n.loaders[w.Server]; e != nil {
 		e.Want(boot, from, w.Target, w.Version, w.Waiting)
 		if w.Waiting <= 0 {
@@ -141,6 +146,17 @@
 	n.mesh.Send(from, func(b *instance.Bundle) { b.Got = append(b.Got, g) })
 }
 
+// heardVersion takes an adapter's version from a word of another instance: what
+// one wants or holds has been declared, though this one may not have read it yet.
+// Callers hold mu.
+func (n *Node) heardVersion(from string, target chestnutstream.ModelAdapter, version int) {
+	if target.Adapter == "" || version <= n.fleet.Version(target) {
+		return
+	}
+	n.fleet.Declare(target, version)
+	n.log.WithFields(log.Fields{"peer": from, "adapter": target.String(), "version": version}).Info("adapter version heard")
+}
+
 // notOwnerPause is what an instance tells that is asked for a load at an engine
 // that it does not own.
 const notOwnerPause = 300 * time.Millisecond
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -4,10 +4,14 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // A request that waits for a load is not answered by the older version when a
@@ -35,3 +39,28 @@
 	assert.Equal(t, version, "2")
 	s.judge()
 }
+
+// An instance that has not read a declaration learns of it from the words of
+// others about the adapter's loads.
+func TestVersionIsHeardInWordsAboutLoads(t *testing.T) {
+	target := adapterOf("m/a1")
+	words := []struct {
+		name  string
+		heard instance.Bundle
+		want  int
+	}{
+		{"nothing", instance.Bundle{}, 1},
+		{"a want", instance.Bundle{Wants: []instance.Want{{Server: "e", Target: target, Version: 2, Waiting: 1}}}, 2},
+		{"an older want", instance.Bundle{Wants: []instance.Want{{Server: "e", Target: target, Version: 1, Waiting: 1}}}, 2},
+		{"a newer one is held", instance.Bundle{Got: []instance.Got{{Server: "e", Target: target, Version: 4, Held: true}}}, 4},
+		{"an older one is dropped", instance.Bundle{Got: []instance.Got{{Server: "e", Target: target, Version: 3, Dropped: true}}}, 4},
+	}
+	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
+	defer n.cancel()
+	for _, w := range words {
+		n.Heard(instance.Member{Name: "b", Zone: "z"}, w.heard)
+		n.mu.Lock()
+		assert.Equal(t, n.fleet.Version(target), w.want, w.name)
+		n.mu.Unlock()
+	}
+}
