--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,33 +41,57 @@
 
 // Feeds that begin just after the store has dropped its history may hear of no
 // change until their wait ends: configurations and adapter versions that come
-// after are in force in time all the same.
+// after are in force in time all the same, also when the zone's reader has gone.
 func TestChangesAreInForceThoughFeedsAreDeaf(t *testing.T) {
-	t.Parallel()
-	s := newSite(t, 1, 3)
-	all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
-	s.owned(1, all...)
-	time.Sleep(leasesSoon) // until then each reads for itself
-	s.store.Forget()
-	s.store.Deafen(true)
-	s.store.Put(platform.TableOperator, "other", []byte("{}")) // ends the feeds that wait
-	time.Sleep(time.Second)
-	s.store.Deafen(false)
-	time.Sleep(2 * time.Second) // until the store counts as stable
-	for version := 2; version <= 3; version++ {
-		s.configure(fmt.Sprintf(`{"name":"new","host":"h.example","prefix":"/new%d/","type":"idempotent","maxAttempts":1,"timeoutMs":2000,"service":"desk"}`, version))
-		s.store.Put(platform.TableOperator, "version/m.a1", fmt.Appendf(nil, `{"model":"m","adapter":"a1","version":%d}`, version))
-		changed := time.Now()
-		for _, in := range all {
-			eventually(t, "the configuration and the version are in force", func() bool {
-				n := in.Node()
-				n.mu.Lock()
-				defer n.mu.Unlock()
-				return n.table.Load().Version == s.version && n.fleet.Version(adapterOf("m/a1")) == version
-			})
-			took := time.Since(changed)
-			assert.Assert(t, took < operatorWait/2, "after %v, with the end of the feed's wait", took)
-			citest.Timely(t, took, 2*time.Second)
-		}
+	cases := []struct {
+		name       string
+		readerGone bool
+	}{
+		{"with the reader", false},
+		{"the reader has just gone", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 3)
+			all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
+			s.owned(1, all...)
+			time.Sleep(leasesSoon) // until then each reads for itself
+			s.store.Forget()
+			s.store.Deafen(true)
+			s.store.Put(platform.TableOperator, "other", []byte("{}")) // ends the feeds that wait
+			time.Sleep(time.Second)
+			s.store.Deafen(false)
+			time.Sleep(2 * time.Second) // until the store counts as stable
+			if c.readerGone {
+				readers, _ := all[0].Node().zoneReaders(platform.TableOperator)
+				gone := slices.IndexFunc(all, func(in *running) bool { return in.cfg.Instance == readers[0] })
+				all[gone].Close()
+				all = slices.Delete(all, gone, gone+1)
+			}
+			for version := 2; version <= 3; version++ {
+				s.change(version, all...)
+			}
+		})
+	}
+}
+
+// change makes a configuration and a version of m/a1 and waits until they are in
+// force on instances.
+func (s *site) change(version int, instances ...*running) {
+	s.t.Helper()
+	s.configure(fmt.Sprintf(`{"name":"new","host":"h.example","prefix":"/new%d/","type":"idempotent","maxAttempts":1,"timeoutMs":2000,"service":"desk"}`, version))
+	s.store.Put(platform.TableOperator, "version/m.a1", fmt.Appendf(nil, `{"model":"m","adapter":"a1","version":%d}`, version))
+	changed := time.Now()
+	for _, in := range instances {
+		eventually(s.t, "the configuration and the version are in force", func() bool {
+			n := in.Node()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.table.Load().Version == s.version && n.fleet.Version(adapterOf("m/a1")) == version
+		})
+		took := time.Since(changed)
+		assert.Assert(s.t, took < operatorWait/2, "after %v, with the end of the feed's wait", took)
+		citest.Timely(s.t, took, 2*time.Second)
 	}
 }
