--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// The feed of the operator's table that a reader waits for leaves as much of the
+// bound on configurations for all that comes after it.
+func TestReadersWaitForPartOfTheBound(t *testing.T) {
+	cases := []struct{ bound, want time.Duration }{
+		{2 * time.Second, time.Second},
+		{3 * time.Second, 1500 * time.Millisecond},
+		{9 * time.Second, 4500 * time.Millisecond},
+		{time.Minute, operatorWait},
+		{100 * time.Millisecond, operatorWaitLeast},
+	}
+	for _, c := range cases {
+		n := &Node{cfg: platform.Settings{ConfigApply: c.bound}}
+		assert.Equal(t, n.operatorReadWait(), c.want, "%v", c.bound)
+	}
+}
+
 // Feeds that begin just after the store has dropped its history may hear of no
 // change until their wait ends: configurations and adapter versions that come
 // after are in force in time all the same, also when the zone's reader has gone.
