The soak makes feeds deaf, and checks that configurations are in force in time

- fault store-deaf: the store drops its history, and feeds that begin while the fault lasts are deaf.
It is counted, so that one that ends leaves another's feeds deaf.
- each configuration has a route of its own in place of that of the one before.
A sixth of the requests ask for that of one of the newest three.
A request that is sent in calm over 2 s after a configuration was acknowledged must not be answered 404 on its route while it is the newest, nor be served on the route of an older one.
Results of a process that has ended since don't count.
- these requests may run once only, like orders; a 404 that no server signed must mean that the request has not run, on every route but those that may be sent twice.

Changed: calm() took a fault for over when its drawn length was, though a long pause lasts four times that and the end of a process as long as it needs. The bounds and the time of calm that must have passed are the same.

--- a/soak/check.go
+++ b/soak/check.go
@@ -31,13 +31,15 @@
 	body    string
 	version int
 	err     error
-	beyond  int // version that was declared over versionMax before it was sent, in calm
+	beyond  int    // version that was declared over versionMax before it was sent, in calm
+	named   uint64 // configuration whose own route it asked for
+	due     uint64 // configuration that must have been in force when it was sent, in calm
 }
 
 // promises reports whether a status says that the request has not run and never
 // will.
 func promises(status int) bool {
-	return status == 408 || status == 421 || status == 429 || status == 503
+	return status == 404 || status == 408 || status == 421 || status == 429 || status == 503
 }
 
 const clients = 6
@@ -54,8 +56,11 @@
 		go func() {
 			defer wg.Done()
 			for n := 0; ctx.Err() == nil; n++ {
-				res := r.ask(client, rng, fmt.Sprintf("c%d-%d-%d", seed, c, n))
-				r.judge(res)
+				ask := r.ask
+				if rng.IntN(newsEvery) == 0 {
+					ask = r.askNews
+				}
+				r.judge(ask(client, rng, fmt.Sprintf("c%d-%d-%d", seed, c, n)))
 				time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 			}
 		}()
@@ -64,14 +69,34 @@
 }
 
 func (r *run) ask(client *http.Client, rng *rand.Rand, id string) result {
-	p := r.programs[rng.IntN(len(r.programs))]
-	p.mu.Lock()
-	res := result{id: id, program: p, run: p.run, sent: time.Now()}
-	p.mu.Unlock()
+	res := r.newResult(r.programs[rng.IntN(len(r.programs))], id)
 	res.route = []string{"order", "look", "ask", "ask", "once"}[rng.IntN(5)]
-	method := map[string]string{"look": http.MethodGet}[res.route]
-	if method == "" {
-		method = http.MethodPost
+	if res.route == "ask" || res.route == "once" {
+		res.adapter = fmt.Sprintf("a%d", min(rng.IntN(adapters), rng.IntN(adapters)))
+		r.mu.Lock()
+		if at := r.since[res.adapter]; !at.IsZero() && time.Since(at) > versionMax && r.calm() {
+			res.beyond = r.versions[res.adapter]
+		}
+		r.mu.Unlock()
+	}
+	return r.send(client, res)
+}
+
+// newResult begins a request to a program.
+func (r *run) newResult(p *program, id string) result {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return result{id: id, program: p, run: p.run, sent: time.Now()}
+}
+
+// send sends a request and reads its answer.
+func (r *run) send(client *http.Client, res result) result {
+	method, prefix := http.MethodPost, "/"+res.route+"/"
+	switch res.route {
+	case "look":
+		method = http.MethodGet
+	case "news":
+		prefix = newsPrefix(res.named)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
@@ -79,23 +104,17 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("x") // the library repeats no such request by itself
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers+"/"+res.route+"/1", body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+res.program.callers+prefix+"1", body)
 	if err != nil {
 		res.err = err
 		return res
 	}
 	req.GetBody = nil
 	req.Host = "h.example"
-	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderRequestID, res.id)
 	req.Header.Set(platform.HeaderDeadline, "4000")
-	if res.route == "ask" || res.route == "once" {
-		res.adapter = fmt.Sprintf("a%d", min(rng.IntN(adapters), rng.IntN(adapters)))
+	if res.adapter != "" {
 		req.Header.Set(platform.HeaderModel, "m/"+res.adapter)
-		r.mu.Lock()
-		if at := r.since[res.adapter]; !at.IsZero() && time.Since(at) > versionMax && r.calm() {
-			res.beyond = r.versions[res.adapter]
-		}
-		r.mu.Unlock()
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -123,6 +142,9 @@
 			r.breaks("%s: version %d of %s over %v after version %d was named", res.id, res.version, res.adapter, versionMax, res.beyond)
 		}
 	}
+	if res.named > 0 {
+		r.judgeNews(res)
+	}
 	r.resMu.Lock()
 	defer r.resMu.Unlock()
 	r.results = append(r.results, res)
@@ -223,10 +245,11 @@
 	logged := r.logged()
 	for _, res := range r.results {
 		n := ran[res.id]
+		once := res.route != "look" && res.route != "ask"
 		switch {
-		case (res.route == "order" || res.route == "once") && n > 1:
+		case once && n > 1:
 			r.breaks("%s: %s ran %d times", res.id, res.route, n)
-		case promises(res.status) && !res.signed && n > 0 && res.route != "look" && res.route != "ask":
+		case promises(res.status) && !res.signed && n > 0 && once:
 			r.breaks("%s: %d said that it has not run, and it ran", res.id, res.status)
 		case res.status >= 500 && !res.signed && !logged[res.id] && !r.killedAfter(res):
 			r.breaks("%s: answered %d, and no log line tells why", res.id, res.status)
--- a/soak/site.go
+++ b/soak/site.go
@@ -36,13 +36,14 @@
 	door  *door
 	stop  chan struct{}
 
-	mu       sync.Mutex
-	backends []*backend
-	programs []*program
-	version  uint64
-	versions map[string]int       // adapter versions declared
-	since    map[string]time.Time // when
-	nextDesk int
+	mu         sync.Mutex
+	backends   []*backend
+	programs   []*program
+	version    uint64               // of the newest configuration
+	configured []time.Time          // when configurations were acknowledged, the oldest first
+	versions   map[string]int       // adapter versions declared
+	since      map[string]time.Time // when
+	nextDesk   int
 }
 
 type backend struct {
@@ -198,19 +199,21 @@
 	return nil
 }
 
-// configure puts a configuration of the next version in force.
+// configure puts a configuration of the next version in force. It has a route of
+// its own, in place of that of the one before.
 func (s *site) configure() {
 	s.mu.Lock()
-	s.version += 2
-	v := s.version
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.version += versionStep
 	s.store.Put("op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"ask","host":"h.example","prefix":"/ask/","type":"streaming","resumable":true,"maxAttempts":2,"timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"service":"assistant"},
  {"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"service":"assistant"},
  {"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"},
- {"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"}],
+ {"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"},
+ {"name":"news","host":"h.example","prefix":%q,"type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"}],
  "services":[{"name":"assistant","healthPath":"/health","maxConnections":200,"engine":{"slots":24,"weightsMb":100,"adapterSlots":%d,"models":[{"name":"m","weightsMb":90,"loadTimeS":0.3,"adapters":%d,"adapterSizeMb":1}]}},
- {"name":"desk","healthPath":"/health","maxConnections":200}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, v, adapterSlots, adapters)))
+ {"name":"desk","healthPath":"/health","maxConnections":200}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, s.version, newsPrefix(s.version), adapterSlots, adapters)))
+	s.configured = append(s.configured, time.Now())
 }
 
 // declare names a new version of an adapter.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -95,6 +95,8 @@
 	faults  map[string]int
 	broken  []string
 	faulty  time.Time // until when a fault may still be felt
+	lasting int       // faults under way that are felt
+	deaf    int       // those that make feeds deaf
 }
 
 func (r *run) breaks(format string, args ...any) {
@@ -112,12 +114,45 @@
 	}
 }
 
+// begins notes that a fault is felt until ends is called.
+func (r *run) begins() {
+	r.resMu.Lock()
+	defer r.resMu.Unlock()
+	r.lasting++
+}
+
+// ends notes that a fault has ended.
+func (r *run) ends() {
+	r.felt(0)
+	r.resMu.Lock()
+	defer r.resMu.Unlock()
+	r.lasting--
+}
+
 // calm reports whether no fault has been felt for as long as promises with a
 // time bound need.
 func (r *run) calm() bool {
 	r.resMu.Lock()
 	defer r.resMu.Unlock()
-	return time.Since(r.faulty) > contact
+	return r.lasting == 0 && time.Since(r.faulty) > contact
+}
+
+// deafen makes the store drop its history, and feeds that begin from then on
+// deaf. Such faults may overlap.
+func (r *run) deafen() {
+	r.resMu.Lock()
+	defer r.resMu.Unlock()
+	r.deaf++
+	r.store.Deafen(true)
+	r.store.Forget()
+}
+
+// undeafen ends one such fault; feeds hear again after the last.
+func (r *run) undeafen() {
+	r.resMu.Lock()
+	defer r.resMu.Unlock()
+	r.deaf--
+	r.store.Deafen(r.deaf > 0)
 }
 
 // fault injects one fault. Those that last go on in the background, so that the
@@ -143,6 +178,7 @@
 		{"store-slow", func() { r.door.set(250*time.Millisecond, 0, 0, false) }, func() { r.door.set(0, 0, 0, false) }},
 		{"store-loses", func() { r.door.set(0, 0.3, 0.2, false) }, func() { r.door.set(0, 0, 0, false) }},
 		{"store-forgets", r.store.Forget, nil},
+		{"store-deaf", r.deafen, r.undeafen},
 		{"store-cut", func() { p.path.set(0, true, false) }, func() { p.path.set(0, false, false); p.path.reset() }},
 		{"store-one-way", func() { p.path.set(0, false, true) }, func() { p.path.set(0, false, false); p.path.reset() }},
 		{"server-silent", func() { b.proxy.set(0, true, false) }, func() { b.proxy.set(0, false, false); b.proxy.reset() }},
@@ -157,10 +193,13 @@
 	r.resMu.Lock()
 	r.faults[k.name]++
 	r.resMu.Unlock()
+	felt := true
 	switch k.name {
 	case "configuration", "version", "drain", "reload":
+		felt = false
 	default:
 		r.felt(lasts)
+		r.begins()
 	}
 	r.quiet.Add(1)
 	go func() {
@@ -170,10 +209,8 @@
 			timer.Sleep(ctx, lasts)
 			k.undo()
 		}
-		switch k.name {
-		case "configuration", "version", "drain", "reload":
-		default:
-			r.felt(0)
+		if felt {
+			r.ends()
 		}
 	}()
 	if r.rng.IntN(2) == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,15 +35,51 @@
 
 // A short run of the real program, with a fixed seed.
 func TestRealProgramKeepsItsPromises(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "chestnutstream")
-	out, err := exec.Command("go", "build", "-o", program, "github.com/chestnutstream/chestnutstream/cmd/chestnutstream").CombinedOutput()
-	assert.NilError(t, err, string(out))
-	r, err := Run(context.Background(), Settings{Program: program, Arguments: []string{"edge"}, Seed: 20261204, Duration: 8 * time.Second})
+	r, err := Run(context.Background(), Settings{Program: realProgram(t), Arguments: []string{"edge"}, Seed: 20261204, Duration: 8 * time.Second})
 	assert.NilError(t, err)
 	assert.Assert(t, len(r.Broken) == 0, "logs in %s: %s", r.Folder, strings.Join(r.Broken, "\n"))
 	assert.Assert(t, r.Answered > r.Requests/2, "%+v", r)
 }
 
+// realProgram builds the program.
+func realProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "chestnutstream")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/chestnutstream/chestnutstream/cmd/chestnutstream").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return program
+}
+
+// A configuration and a version that come after the store's feeds were deaf are
+// in force in time. The random runs meet this order of things rarely.
+func TestDeafFeedsDelayNothing(t *testing.T) {
+	s, r := calmRun(t, realProgram(t), "edge")
+	time.Sleep(warmUp)
+	stop := r.startClients(1)
+	r.begins()
+	r.deafen()
+	time.Sleep(2 * beat) // ends the feeds that wait
+	r.undeafen()
+	r.ends()
+	time.Sleep(contact)
+	r.configure()
+	r.declare("a0")
+	time.Sleep(versionMax + 2*time.Second)
+	stop()
+	r.checkEnd()
+	s.close()
+	assert.Assert(t, len(r.broken) == 0, strings.Join(r.broken, "\n"))
+	var due, beyond int
+	for _, res := range r.results {
+		if res.due == s.version {
+			due++
+		}
+		if res.beyond == s.versions["a0"] {
+			beyond++
+		}
+	}
+	assert.Assert(t, due > 0 && beyond > 0, "%d requests after the configuration, %d after the version", due, beyond)
+}
+
 // The checks must find each planted fault.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	tests := []struct{ mutant, want string }{
@@ -54,6 +90,8 @@
 		{"sends-to-leaving", "after it began to drain"},
 		{"cuts-streams", "not the whole answer"},
 		{"logs-nothing", "no log line tells why"},
+		{"keeps-old-routes", " served by configuration 2 over 2s after 4 was acknowledged"},
+		{"takes-no-new-routes", " has no route of configuration 4 over 2s after it was acknowledged"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.mutant, func(t *testing.T) {
@@ -61,6 +99,7 @@
 			t.Logf("planted: %s", tt.mutant)
 			program := mutantProgram(t, tt.mutant)
 			s, r := calmRun(t, program)
+			r.configure()
 			stop := r.startClients(1)
 			if tt.mutant == "sends-to-leaving" {
 				r.drainDesk()
@@ -75,8 +114,8 @@
 }
 
 // calmRun starts a deployment without faults.
-func calmRun(t *testing.T, program string) (*site, *run) {
-	s, err := newSite(Settings{Program: program, Seed: 1, Folder: t.TempDir()}, rand.New(rand.NewPCG(1, 2)))
+func calmRun(t *testing.T, program string, arguments ...string) (*site, *run) {
+	s, err := newSite(Settings{Program: program, Arguments: arguments, Seed: 1, Folder: t.TempDir()}, rand.New(rand.NewPCG(1, 2)))
 	assert.NilError(t, err)
 	r := &run{site: s, rng: rand.New(rand.NewPCG(1, 1)), faults: map[string]int{}}
 	time.Sleep(500 * time.Millisecond)
@@ -187,6 +226,10 @@
 		service = "assistant"
 	}
 	body, _ := io.ReadAll(r.Body)
+	if m.kind == "takes-no-new-routes" && strings.HasPrefix(r.URL.Path, "/news") {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	if m.kind == "logs-nothing" {
 		w.WriteHeader(http.StatusBadGateway)
 		return
