--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -4,22 +4,17 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/loader"
-	"github.com/chestnutstream/chestnutstream/platform"
-	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Loads are told in one word for all engines of an instance, when they have moved
 // and not too often; among many instances less often, but for jumps.
 func TestLoadsAreToldInOneWord(t *testing.T) {
-	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
-	defer n.cancel()
+	n := idleNode(t, "a")
 	target := chestnutstream.ModelAdapter{Model: "m", Adapter: "x"}
 	boot, now := time.Minute, time.Unix(1700000000, 0)
 	for _, id := range []string{"e1", "e2"} {
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -6,9 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -16,7 +13,6 @@
 	"github.com/chestnutstream/chestnutstream/citest"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
-	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // One instance of three reads the servers for its zone; a change reaches all, also
@@ -90,12 +86,7 @@
 // tells believes the same of each server.
 func TestWhoIsToldBelievesTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		node := func(name string) *Node {
-			return newNode(platform.Settings{Instance: name, Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
-		}
-		reader, hears := node("a"), node("b")
-		defer reader.cancel()
-		defer hears.cancel()
+		reader, hears := idleNode(t, "a"), idleNode(t, "b")
 		version := uint64(0)
 		for range rapid.IntRange(1, 8).Draw(t, "reads") {
 			var rows []chestnutstream.TableRow
@@ -125,8 +116,7 @@
 // A reader passes on what is new of the servers' entries: not that they were
 // written again, nor which adapters they list.
 func TestReaderTellsWhatIsNew(t *testing.T) {
-	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: memory.New()}, timer.NewSystem(), timer.Boot)
-	defer n.cancel()
+	n := idleNode(t, "a")
 	row := func(version uint64, key, state, adapters string) chestnutstream.TableRow {
 		value := fmt.Sprintf(`{"born":1,"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"models":[{"name":"m","version":1,"adapters":[%s]}]}`, state, adapters)
 		return chestnutstream.TableRow{Table: platform.TableServers, Key: key, Value: []byte(value), Version: version}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -12,12 +12,14 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // site is a small deployment on loopback in the users' platform's protocol: a
@@ -149,6 +151,13 @@
 	return &running{Instance: in, cfg: cfg, log: h, gate: own}
 }
 
+// idleNode returns a node that follows nothing and whose store is not there.
+func idleNode(t interface{ Cleanup(func()) }, name string) *Node {
+	n := newNode(platform.Settings{Instance: name, Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
+	t.Cleanup(n.cancel)
+	return n
+}
+
 // startAnywhere starts an instance on free ports. A port may be taken by another
 // test between its choice and its use; then others are chosen.
 func startAnywhere(t *testing.T, cfg *platform.Settings, logger log.Interface) (in *Instance, err error) {
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -4,14 +4,11 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
-	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // A request that waits for a load is not answered by the older version when a
@@ -55,8 +52,7 @@
 		{"a newer one is held", instance.Bundle{Got: []instance.Got{{Server: "e", Target: target, Version: 4, Held: true}}}, 4},
 		{"an older one is dropped", instance.Bundle{Got: []instance.Got{{Server: "e", Target: target, Version: 3, Dropped: true}}}, 4},
 	}
-	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
-	defer n.cancel()
+	n := idleNode(t, "a")
 	for _, w := range words {
 		n.Heard(instance.Member{Name: "b", Zone: "z"}, w.heard)
 		n.mu.Lock()
--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -6,21 +6,17 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
 	"github.com/chestnutstream/chestnutstream/platform"
-	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // A feed that the store held to the end of its wait, though there were rows, is
 // told apart from one with nothing to tell.
 func TestOverdueFeedIsReported(t *testing.T) {
-	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
-	defer n.cancel()
+	n := idleNode(t, "a")
 	row := []chestnutstream.TableRow{{Key: "config", Version: 7}}
 	steps := []struct {
 		name string
