--- a/backend.go
+++ b/backend.go
@@ -56,6 +56,7 @@
 // Prompt is what a request says of the tokens that an engine has to read.
 type Prompt struct {
 	Tokens int    // in all; 0: not said
+	Output int    // tokens that the answer has at most; 0: not said
 	Shared string // names the parts that other requests have too, in order; "": none
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -123,16 +123,16 @@
 }
 
 // Drain ends the instance after SIGTERM: it is not ready any more, takes what
-// still comes, and ends every request.
+// still comes and can end in time, and ends every request.
 func (in *Instance) Drain(ctx context.Context) error {
 	n := in.node
 	began := n.now()
-	n.leaving.Store(true)
 	n.mu.Lock()
+	end := began.Add(n.cfg.Grace - drainMargin)
+	n.leaving.Store(&leave{began: began, end: end})
 	n.book.Leave()
 	n.mu.Unlock()
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Leaving = true })
-	end := began.Add(n.cfg.Grace - drainMargin)
 	for n.now().Sub(began) < drainNotice && n.now().Before(end) {
 		n.sleep(drainLook)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -46,7 +46,7 @@
 	wake   chan struct{}
 
 	table   atomic.Pointer[chestnutstream.RouteTable]
-	leaving atomic.Bool
+	leaving atomic.Pointer[leave]
 
 	mu          sync.Mutex
 	rows        rows
@@ -151,13 +151,26 @@
 // readyLook is the pause between looks for the first configuration.
 const readyLook = 10 * time.Millisecond
 
+// leave is a planned stop under way.
+type leave struct {
+	began time.Time
+	end   time.Time // when answers in progress are cut off
+}
+
 // Leaving implements ingress.Dispatcher.
-func (n *Node) Leaving() bool { return n.leaving.Load() }
+func (n *Node) Leaving() (ingress.Leave, bool) {
+	l := n.leaving.Load()
+	if l == nil {
+		return ingress.Leave{}, false
+	}
+	now := n.now()
+	return ingress.Leave{Since: now.Sub(l.began), Left: l.end.Sub(now)}, true
+}
 
 // Ready reports whether callers should be sent here: a configuration is in
 // force, servers are known, and the instance is not leaving.
 func (n *Node) Ready() bool {
-	if n.leaving.Load() || n.table.Load() == nil {
+	if n.leaving.Load() != nil || n.table.Load() == nil {
 		return false
 	}
 	n.mu.Lock()
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -31,7 +31,7 @@
 // that are in touch, both in the order that every instance of the zone finds.
 func (n *Node) zoneReaders(table string) (readers, all []string) {
 	n.mu.Lock()
-	if !n.leaving.Load() {
+	if n.leaving.Load() == nil {
 		all = append(all, n.cfg.Instance)
 	}
 	for name, p := range n.peers {
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -114,6 +114,7 @@
 	again    bool
 	results  []Result
 	open     int
+	leave    Leave
 }
 
 func (d *desk) Routes() *chestnutstream.RouteTable { return d.table }
@@ -146,7 +147,8 @@
 
 func (d *desk) Again(string) bool { return d.again }
 func (d *desk) Earn(string)       {}
-func (d *desk) Leaving() bool     { return false }
+
+func (d *desk) Leaving() (Leave, bool) { return d.leave, d.leave != Leave{} }
 
 // front is an ingress server before backends, with a route of each kind.
 type front struct {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -84,8 +84,8 @@
 	Again(service string) bool
 	// Earn notes a request for a service.
 	Earn(service string)
-	// Leaving reports whether this instance is on its way out.
-	Leaving() bool
+	// Leaving returns the planned stop of this instance, if one is under way.
+	Leaving() (l Leave, ok bool)
 }
 
 // Server is the handler of the routed interface.
@@ -95,6 +95,7 @@
 	fresh      *http.Transport // for what may run once: no connection that idled for long
 	kept       *http.Transport
 	inProgress atomic.Int64
+	lasting    lasting
 }
 
 // NewServer returns a handler.
@@ -154,11 +155,11 @@
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	x := &exchange{server: s, w: w, r: r, began: s.cfg.Timer.Now(), header: platform.ReadRequestHeader(r.Header), avoid: map[string]bool{}}
-	if s.dispatcher.Leaving() {
+	if _, leaving := s.dispatcher.Leaving(); leaving {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.end()
-	if !x.receive() {
+	if !x.receive() || !x.admit() {
 		return
 	}
 	ctx, cancel := x.context()
@@ -212,12 +213,30 @@
 	return true
 }
 
-// context bounds the request by the caller's deadline and the route's time-out.
-func (x *exchange) context() (context.Context, context.CancelFunc) {
+// admit refuses a request whose answer the planned stop of this instance would
+// cut off.
+func (x *exchange) admit() bool {
+	leave, leaving := x.server.dispatcher.Leaving()
+	if !leaving || x.server.lasting.fits(leave, x.route.Name, x.header.Prompt, x.limit()) {
+		return true
+	}
+	x.refuse(retryElsewhere, "this instance stops before the answer would end")
+	return false
+}
+
+// limit returns the longest that the request may take: the caller's deadline or
+// the route's time-out; 0: there is none.
+func (x *exchange) limit() time.Duration {
 	limit := x.header.Deadline
 	if t := x.route.Timeout; t > 0 && (limit == 0 || t < limit) {
 		limit = t
 	}
+	return limit
+}
+
+// context bounds the request by the caller's deadline and the route's time-out.
+func (x *exchange) context() (context.Context, context.CancelFunc) {
+	limit := x.limit()
 	if limit == 0 {
 		return context.WithCancel(x.r.Context())
 	}
@@ -266,6 +285,9 @@
 		x.log()
 		panic(p)
 	}
+	if x.status > 0 && x.status < 300 {
+		x.server.lasting.note(x.route.Name, x.header.Prompt, x.server.cfg.Timer.Now().Sub(x.began))
+	}
 	x.log()
 }
 
