--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -146,9 +146,10 @@
 
 // stream is the state of a relayed stream: what has gone to the caller.
 type stream struct {
-	lastID  string // of the last whole event that was passed on
-	partial []byte // the beginning of the next
-	passed  bool   // something has gone to the caller
+	lastID  string    // of the last whole event that was passed on
+	partial []byte    // the beginning of the next
+	passed  bool      // something has gone to the caller
+	at      time.Time // when the newest whole event came
 }
 
 // lastEvent returns the id after which another server is to go on, "" for a
@@ -209,7 +210,11 @@
 	if id := lastID(whole); id != "" {
 		s.lastID = id
 	}
-	s.passed = true
+	now := x.server.cfg.Timer.Now()
+	if s.passed {
+		x.pause = max(x.pause, now.Sub(s.at))
+	}
+	s.passed, s.at = true, now
 	_, err := x.w.Write(whole)
 	s.partial = append(s.partial[:0], s.partial[end+2:]...)
 	if err != nil {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -127,6 +127,7 @@
 	avoid    map[string]bool
 	stall    time.Duration
 	first    time.Duration // until the answer that is relayed began; 0: none did
+	pause    time.Duration // longest between two events of the stream that is relayed
 	status   int
 	reason   string
 	started  bool // a byte of an answer went to the caller
@@ -305,6 +306,10 @@
 		"servers": strings.Join(x.servers, ","), "sends": x.sends, "status": x.status, "ms": took.Milliseconds(),
 		"stall-ms": x.stall.Milliseconds(), "first-ms": x.first.Milliseconds(),
 	}
+	if x.stream != nil {
+		fields["pause-ms"] = x.pause.Milliseconds()
+		set.GetOrCreateHistogram(`chestnutstream_stream_pause_seconds{route="` + route + `"}`).Update(x.pause.Seconds())
+	}
 	if x.header.Prompt.Tokens > 0 {
 		fields["prompt"] = x.header.Prompt.Tokens
 	}
