--- a/edge/control.go
+++ b/edge/control.go
@@ -243,6 +243,12 @@
 
 // tell passes on what a loader has to say. Callers hold mu.
 func (n *Node) tell(server string, a loader.Action) {
+	if state, ok := turnStates[a.Kind]; ok {
+		for _, to := range a.To {
+			n.tellTurn(to, instance.Turn{Server: server, ID: a.TurnID, State: state, WaitMS: a.RetryAfter.Milliseconds()})
+		}
+		return
+	}
 	g := instance.Got{
 		Server: server, Target: a.Target, Version: a.Version, Held: a.Kind == loader.TellHeld,
 		RetryAfterMS: a.RetryAfter.Milliseconds(), Dropped: a.Kind == loader.TellGone, Reason: a.Why,
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -310,8 +310,10 @@
 			delete(n.loaders, c.Server)
 			n.book.Forget(c.Server)
 			n.failWaits(c.Server, "server "+c.What)
+			n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == c.Server })
 		case "draining":
 			n.failWaits(c.Server, "server draining")
+			n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == c.Server })
 		}
 	}
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -65,6 +65,8 @@
 	toldWhole   time.Time        // when all were told
 	polls       map[string]poll  // feeds under way, by table
 	storeState  dependency
+	turnID      uint64               // of the newest ask for a turn
+	turnWaits   map[uint64]*turnWait // by the ask's number
 	started     time.Time
 	views       map[string]*view // by table
 }
@@ -114,7 +116,7 @@
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		rows:    rows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
-		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{},
+		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{}, turnWaits: map[uint64]*turnWait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
 		started: t.Now(), views: map[string]*view{},
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -35,6 +35,7 @@
 	}
 	delete(n.peers, to.Name)
 	n.failWaitsOf(to.Name, "owner not reachable")
+	n.endTurns(instance.TurnNow, func(w *turnWait) bool { return w.owner == to.Name })
 	n.mu.Unlock()
 	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
 }
@@ -67,6 +68,15 @@
 	for _, w := range b.Wants {
 		n.wanted(boot, from.Name, w)
 	}
+	for _, a := range b.Asks {
+		n.asked(boot, from.Name, a)
+	}
+	for _, t := range b.Turns {
+		n.turnTold(t)
+	}
+	for _, service := range b.Paced {
+		n.fleet.Pause(n.now(), service)
+	}
 	for _, u := range b.Used {
 		if e := n.loaders[u.Server]; e != nil {
 			e.Used(boot, from.Name, u.Target, u.Begun, u.InProgress)
--- a/edge/place.go
+++ b/edge/place.go
@@ -73,6 +73,7 @@
 	}
 	avoid := map[string]bool{}
 	last := waitResult{retryAfter: noServer, reason: "no engine may take work"}
+	refused := 0 // by owners of engines that read too many other prompts
 	for ctx.Err() == nil {
 		for id := range p.Avoid {
 			avoid[id] = true
@@ -84,9 +85,22 @@
 			n.wantCopy(c.Copy.ID, p.Target, version)
 		}
 		if c.Server != nil && c.Held {
-			placed := n.placed(c.Server, p, version, n.now().Sub(began))
+			id, now := c.Server.ID, n.now()
+			if !n.paced(p.Service) {
+				placed := n.placed(c.Server, p, version, now.Sub(began))
+				n.mu.Unlock()
+				return placed, nil
+			}
 			n.mu.Unlock()
-			return placed, nil
+			placed, r := n.placeInTurn(ctx, id, p, version, turnLimit(p, refused, now), began)
+			if r.held {
+				return placed, nil
+			}
+			if last = r; refused > turnLimits {
+				break
+			}
+			refused++
+			continue
 		}
 		if c.Server == nil {
 			n.mu.Unlock()
@@ -104,8 +118,12 @@
 			"request-id": p.RequestID, "server": c.Server.ID, "target": p.Target.String(), "version": version,
 			"held": last.held, "reason": last.reason, "ms": n.now().Sub(began).Milliseconds(),
 		}).Info("adapter wanted")
-		if placed, ok := n.usable(c.Server.ID, p, version, last, began); ok {
-			return placed, nil
+		if s, ok := n.usable(c.Server.ID, p, version, last); ok {
+			placed, r := n.placeInTurn(ctx, s, p, version, turnLimit(p, turnLimits, n.now()), began)
+			if r.held {
+				return placed, nil
+			}
+			last = r
 		}
 		if !last.held {
 			avoid[c.Server.ID] = true
@@ -114,27 +132,49 @@
 	return ingress.Placed{}, &ingress.NoPlaceError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, leastRetry)}
 }
 
-// usable places a request whose load is complete: on the server that it waited
-// for, or on another one that holds the adapter by now, if the first has more
-// than it can take. It reports false when a newer version has been declared
+// placeInTurn places a request on an engine that holds its adapter once its turn
+// has come, where prompts are sent by turns. A result that is not held says why
+// the engine cannot take it, and when it may.
+func (n *Node) placeInTurn(ctx context.Context, id string, p ingress.Placement, version int, limit time.Duration, began time.Time) (ingress.Placed, waitResult) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paced(p.Service) {
+		n.mu.Unlock()
+		ok, wait := n.takeTurn(ctx, id, p, limit)
+		n.mu.Lock()
+		n.fleet.Busy(n.now(), id, wait)
+		if !ok {
+			return ingress.Placed{}, waitResult{retryAfter: wait, reason: "its engine has other prompts to read"}
+		}
+	}
+	s := n.fleet.Server(id)
+	if s == nil || !s.Usable() || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
+		return ingress.Placed{}, waitResult{retryAfter: leastRetry, reason: "its engine changed while it waited"}
+	}
+	return n.placed(s, p, version, n.now().Sub(began)), waitResult{held: true}
+}
+
+// usable returns where a request whose load is complete goes: to the server that
+// it waited for, or to another one that holds the adapter by now, if the first has
+// more than it can take. It reports false when a newer version has been declared
 // meanwhile. Callers do not hold mu.
-func (n *Node) usable(id string, p ingress.Placement, version int, r waitResult, began time.Time) (ingress.Placed, bool) {
+func (n *Node) usable(id string, p ingress.Placement, version int, r waitResult) (server string, ok bool) {
 	if !r.held {
-		return ingress.Placed{}, false
+		return "", false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if version != n.fleet.Version(p.Target) {
-		return ingress.Placed{}, false
+		return "", false
 	}
 	s := n.fleet.Server(id)
 	if c := n.fleet.PickEngine(n.now(), request(p, version), p.Avoid, n.loadable); c.Server != nil && c.Held {
 		s = c.Server
 	}
 	if s == nil || !s.Usable() || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
-		return ingress.Placed{}, false
+		return "", false
 	}
-	return n.placed(s, p, version, n.now().Sub(began)), true
+	return s.ID, true
 }
 
 // request returns what placement goes by.
@@ -159,7 +199,11 @@
 		Server: s.Backend, Target: p.Target, Version: version, Stall: stall, Prompt: p.Prompt,
 		Wait: s.ReadWait(now), First: n.fleet.FirstEvent(now, s.ID, p.Prompt),
 	}
-	n.tellReading(now, s.ID, p.Prompt.Tokens)
+	if n.paced(p.Service) {
+		n.fleet.Reading(now, s.ID, p.Prompt.Tokens) // its owner knows
+	} else {
+		n.tellReading(now, s.ID, p.Prompt.Tokens)
+	}
 	return placed
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 	allHave   int       // requests of all instances there, by its owner's newest word
 	holds     map[chestnutstream.ModelAdapter]holding
 	noLoads   time.Time // until when its owner is not asked for loads
+	noTurns   time.Time // until when its owner is not asked for turns
 	hash      uint64
 }
 
@@ -77,6 +78,7 @@
 	services map[string][]*Server // in order of ID
 	versions map[chestnutstream.ModelAdapter]int
 	readers  map[string]*reader // by service
+	pauses   map[string]*pauses // by service
 	zones    map[string]*judge  // of connections to the servers of an availability zone
 
 	storeAway bool      // the newest read of the list failed
@@ -91,7 +93,7 @@
 	}
 	return &Fleet{
 		zone: zone, near: near, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
-		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*judge{}, readers: map[string]*reader{},
+		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*judge{}, readers: map[string]*reader{}, pauses: map[string]*pauses{},
 	}
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -91,7 +91,7 @@
 	if len(order) == 0 {
 		order, mean = f.engines(now, r, avoid, true)
 	}
-	bound, limit := mean*hotFactor, r.waitLimit()
+	bound, limit := mean*hotFactor, r.WaitLimit()
 	var cold, leastHeld, slowHeld, copyTo *Server
 	for _, s := range order {
 		held := f.Holds(now, s, r.Target, r.Version)
--- a/fleet/reading.go
+++ b/fleet/reading.go
@@ -46,9 +46,9 @@
 	Latency time.Duration // target of the route; 0: none
 }
 
-// waitLimit returns how long a request may wait for other prompts before another
+// WaitLimit returns how long a request may wait for other prompts before another
 // engine is looked for.
-func (r Request) waitLimit() time.Duration {
+func (r Request) WaitLimit() time.Duration {
 	if r.Latency <= 0 {
 		return waitDefault
 	}
@@ -79,6 +79,17 @@
 	return r
 }
 
+// ReadRate returns how many prompt tokens an engine of a service reads in a
+// millisecond, as far as is known.
+func (f *Fleet) ReadRate(service string) float64 { return f.reader(service).rate }
+
+// Busy takes the word that an engine reads other prompts for so long.
+func (f *Fleet) Busy(now time.Time, id string, wait time.Duration) {
+	if s := f.servers[id]; s != nil {
+		s.readUntil = now.Add(min(wait, readMost))
+	}
+}
+
 // takes returns how long an engine of the service reads a prompt.
 func (r *reader) takes(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / r.rate * float64(time.Millisecond))
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -139,6 +139,8 @@
 	d.results = append(d.results, r)
 }
 
+func (d *desk) Streamed(Placed, time.Duration) {}
+
 func (d *desk) Done(Placed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -187,6 +187,7 @@
 			}
 		}
 		if err == io.EOF {
+			x.server.dispatcher.Streamed(p, x.pause)
 			return x.streamEnded()
 		}
 		if err != nil {
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -59,7 +59,7 @@
 func (x *exchange) placement(until time.Time) Placement {
 	return Placement{
 		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Prompt: x.header.Prompt,
-		Latency: x.route.TargetLatency, Avoid: x.avoid, Until: until,
+		Latency: x.route.TargetLatency, Priority: x.route.Priority, Began: x.began, Avoid: x.avoid, Until: until,
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -32,6 +32,8 @@
 	Target    chestnutstream.ModelAdapter // of an engine
 	Prompt    chestnutstream.Prompt
 	Latency   time.Duration // target of the route; 0: none
+	Priority  int           // of the route; 0 is the most urgent
+	Began     time.Time     // when the request came
 	Avoid     map[string]bool
 	Until     time.Time // a place after this is of no use; zero: the end of the context
 }
@@ -77,6 +79,9 @@
 	Place(ctx context.Context, p Placement) (Placed, error)
 	// Answered notes the beginning of an answer, or its failure to come.
 	Answered(p Placed, target chestnutstream.ModelAdapter, r Result)
+	// Streamed notes the longest pause between the events of a stream that came
+	// whole.
+	Streamed(p Placed, pause time.Duration)
 	// Done ends the use of a server that Place began.
 	Done(p Placed)
 	// Again reports whether one more send of a request to a service is within
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -9,24 +9,27 @@
 )
 
 type wireBundle struct {
-	Name      string     `cbor:"1,keyasint,omitempty"`
-	Address   string     `cbor:"2,keyasint,omitempty"`
-	Zone      string     `cbor:"3,keyasint,omitempty"`
-	Run       uint64     `cbor:"4,keyasint,omitempty"`
-	HasOwned  bool       `cbor:"5,keyasint,omitempty"`
-	Owned     []string   `cbor:"6,keyasint,omitempty"`
-	Leaving   bool       `cbor:"7,keyasint,omitempty"`
-	Wants     []wireAsk  `cbor:"8,keyasint,omitempty"`
-	Got       []wireGot  `cbor:"9,keyasint,omitempty"`
-	Used      []wireAsk  `cbor:"10,keyasint,omitempty"`
-	AskConfig bool       `cbor:"11,keyasint,omitempty"`
-	Config    []byte     `cbor:"12,keyasint,omitempty"`
-	ConfigRow uint64     `cbor:"13,keyasint,omitempty"`
-	Servers   []wireRow  `cbor:"14,keyasint,omitempty"`
-	Versions  []wireRow  `cbor:"15,keyasint,omitempty"`
-	Fed       []wireFed  `cbor:"16,keyasint,omitempty"`
-	Loads     []wireLoad `cbor:"17,keyasint,omitempty"`
-	Reading   []wireRead `cbor:"18,keyasint,omitempty"`
+	Name      string        `cbor:"1,keyasint,omitempty"`
+	Address   string        `cbor:"2,keyasint,omitempty"`
+	Zone      string        `cbor:"3,keyasint,omitempty"`
+	Run       uint64        `cbor:"4,keyasint,omitempty"`
+	HasOwned  bool          `cbor:"5,keyasint,omitempty"`
+	Owned     []string      `cbor:"6,keyasint,omitempty"`
+	Leaving   bool          `cbor:"7,keyasint,omitempty"`
+	Wants     []wireAsk     `cbor:"8,keyasint,omitempty"`
+	Got       []wireGot     `cbor:"9,keyasint,omitempty"`
+	Used      []wireAsk     `cbor:"10,keyasint,omitempty"`
+	AskConfig bool          `cbor:"11,keyasint,omitempty"`
+	Config    []byte        `cbor:"12,keyasint,omitempty"`
+	ConfigRow uint64        `cbor:"13,keyasint,omitempty"`
+	Servers   []wireRow     `cbor:"14,keyasint,omitempty"`
+	Versions  []wireRow     `cbor:"15,keyasint,omitempty"`
+	Fed       []wireFed     `cbor:"16,keyasint,omitempty"`
+	Loads     []wireLoad    `cbor:"17,keyasint,omitempty"`
+	Reading   []wireRead    `cbor:"18,keyasint,omitempty"`
+	Asks      []wireTurnAsk `cbor:"19,keyasint,omitempty"`
+	Turns     []wireTurn    `cbor:"20,keyasint,omitempty"`
+	Paced     []string      `cbor:"21,keyasint,omitempty"`
 }
 
 // wireAsk is a Want (version, requests that wait) or a Use (requests begun,
@@ -65,6 +68,27 @@
 	Tokens int
 }
 
+type wireTurnAsk struct {
+	_        struct{} `cbor:",toarray"`
+	Server   string
+	ID       uint64
+	Model    string
+	Adapter  string
+	Tokens   int
+	Priority int
+	FreshMS  int64
+	UntilMS  int64
+	LimitMS  int64
+}
+
+type wireTurn struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	ID     uint64
+	State  string
+	WaitMS int64
+}
+
 type wireFed struct {
 	_     struct{} `cbor:",toarray"`
 	Table string
@@ -93,7 +117,7 @@
 	w := wireBundle{
 		Name: b.From.Name, Address: b.From.Address, Zone: b.From.Zone, Run: b.Run,
 		HasOwned: b.HasOwned, Owned: b.Owned, Leaving: b.Leaving, AskConfig: b.AskConfig,
-		Config: b.Config, ConfigRow: b.ConfigRow,
+		Config: b.Config, ConfigRow: b.ConfigRow, Paced: b.Paced,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
 	}
 	for _, x := range b.Wants {
@@ -121,6 +145,15 @@
 	for _, r := range b.Reading {
 		w.Reading = append(w.Reading, wireRead{Server: r.Server, Tokens: r.Tokens})
 	}
+	for _, a := range b.Asks {
+		w.Asks = append(w.Asks, wireTurnAsk{
+			Server: a.Server, ID: a.ID, Model: a.Target.Model, Adapter: a.Target.Adapter, Tokens: a.Tokens,
+			Priority: a.Priority, FreshMS: a.FreshMS, UntilMS: a.UntilMS, LimitMS: a.LimitMS,
+		})
+	}
+	for _, t := range b.Turns {
+		w.Turns = append(w.Turns, wireTurn{Server: t.Server, ID: t.ID, State: string(t.State), WaitMS: t.WaitMS})
+	}
 	frame, err := cbor.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode bundle: %w", err)
@@ -137,7 +170,7 @@
 	b := Bundle{
 		From: Member{Name: w.Name, Address: w.Address, Zone: w.Zone}, Run: w.Run,
 		HasOwned: w.HasOwned, Owned: w.Owned, Leaving: w.Leaving, AskConfig: w.AskConfig,
-		Config: w.Config, ConfigRow: w.ConfigRow,
+		Config: w.Config, ConfigRow: w.ConfigRow, Paced: w.Paced,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
 	}
 	for _, x := range w.Wants {
@@ -155,6 +188,15 @@
 	for _, x := range w.Reading {
 		b.Reading = append(b.Reading, Reading{Server: x.Server, Tokens: x.Tokens})
 	}
+	for _, x := range w.Asks {
+		b.Asks = append(b.Asks, Ask{
+			Server: x.Server, ID: x.ID, Target: target(x.Model, x.Adapter), Tokens: x.Tokens,
+			Priority: x.Priority, FreshMS: x.FreshMS, UntilMS: x.UntilMS, LimitMS: x.LimitMS,
+		})
+	}
+	for _, x := range w.Turns {
+		b.Turns = append(b.Turns, Turn{Server: x.Server, ID: x.ID, State: TurnState(x.State), WaitMS: x.WaitMS})
+	}
 	for _, x := range w.Fed {
 		f := Fed{Table: x.Table, After: x.After, To: x.To}
 		for _, r := range x.Rows {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -47,6 +47,9 @@
 	Versions  []chestnutstream.TableRow // declarations of adapter versions, as rows
 	Loads     []Load                    // of engines that the sender owns
 	Reading   []Reading                 // large prompts that the sender has sent to engines
+	Asks      []Ask                     // of prompts that the sender wants to send to the receiver's engines
+	Turns     []Turn                    // answers to asks
+	Paced     []string                  // services whose engines are sent prompts by turns
 	Fed       []Fed                     // changes that the sender has read for its availability zone
 }
 
@@ -90,6 +93,36 @@
 	Tokens int
 }
 
+// Ask asks the owner of a server when a prompt may be sent there.
+type Ask struct {
+	Server   string
+	ID       uint64 // chosen by the sender
+	Target   chestnutstream.ModelAdapter
+	Tokens   int // 0 takes the ask back
+	Priority int
+	FreshMS  int64 // for how long an answer is in time
+	UntilMS  int64 // for how long a turn is of use
+	LimitMS  int64 // the longest wait
+}
+
+// TurnState is what an owner says to an ask.
+type TurnState string
+
+// The answers to an ask. After TurnLater another one follows.
+const (
+	TurnNow   TurnState = "now"
+	TurnLater TurnState = "later"
+	TurnNever TurnState = "never" // it would wait longer than it may
+)
+
+// Turn answers an Ask.
+type Turn struct {
+	Server string
+	ID     uint64
+	State  TurnState
+	WaitMS int64 // until a turn is likely
+}
+
 // Fed is what the sender has read of a table's feed: all changes after one
 // version, up to another.
 type Fed struct {
@@ -100,5 +133,6 @@
 }
 
 func (b *Bundle) empty() bool {
-	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0 && len(b.Loads) == 0 && len(b.Reading) == 0
+	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0 && len(b.Loads) == 0 && len(b.Reading) == 0 &&
+		len(b.Asks) == 0 && len(b.Turns) == 0 && len(b.Paced) == 0
 }
--- a/loader/choose.go
+++ b/loader/choose.go
@@ -213,7 +213,7 @@
 	var best chestnutstream.ModelAdapter
 	found, least := false, 0.0
 	for target, s := range e.slots {
-		if s.state != slotHeld || s.inUse(boot) || e.wants[target] != nil {
+		if s.state != slotHeld || s.inUse(boot) || e.wants[target] != nil || e.turns.awaits(target) {
 			continue
 		}
 		if score := s.scoreAt(boot); !found || score < least || (score == least && target.Adapter < best.Adapter) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -9,9 +9,11 @@
 //	e.Ordered(boot, order, chestnutstream.OrderUnderWay)
 //	e.Reported(boot, report)
 //
+// Beside the orders it says when a prompt may be sent to the engine (AskTurn).
+//
 // loader.go is the engine's state and what is done now, choose.go what comes
 // next, answers.go what reports and answers to orders mean, slots.go the adapters
-// and those who wait for them.
+// and those who wait for them, turns.go the pace of the prompts.
 //
 // # Invariants
 //
@@ -87,6 +89,7 @@
 	past      map[chestnutstream.ModelAdapter]time.Duration
 	cold      float64 // how many may be on their way from the weight store
 	uses      map[useKey]use
+	turns     turns
 
 	Running, Queued int // as of the newest report
 }
@@ -112,6 +115,10 @@
 	TellHeld   ActionKind = "tell-held"
 	TellRetry  ActionKind = "tell-retry"
 	TellGone   ActionKind = "tell-gone"
+
+	TellTurn      ActionKind = "tell-turn"       // a prompt may be sent now
+	TellTurnLater ActionKind = "tell-turn-later" // its turn comes; RetryAfter is when that is likely
+	TellNoTurn    ActionKind = "tell-no-turn"    // it waits longer than it may
 )
 
 // Action is what the loader wants done. Orders lack holder, fencing number and
@@ -125,6 +132,7 @@
 	Version    int
 	RetryAfter time.Duration
 	Why        string
+	TurnID     uint64 // of the ask that is answered
 }
 
 // Want notes how many requests of an instance wait for an adapter. With none
@@ -244,6 +252,7 @@
 			actions = append(actions, a)
 		}
 	}
+	actions = append(actions, e.turns.grant(boot)...)
 	return append(actions, e.tellRetry(boot)...)
 }
 
@@ -317,6 +326,9 @@
 	if e.synced && len(e.models) == 0 && e.modelWant == "" {
 		earliest(e.modelAt)
 	}
+	if due, waits := e.turns.nextAt(boot); waits {
+		earliest(due)
+	}
 	return at, ok
 }
 
--- a/route.go
+++ b/route.go
@@ -115,6 +115,7 @@
 	Services map[string]*BackendService
 	Limits   ClientLimits
 	byHost   map[string][]*Route // longest prefix first
+	gaps     map[string]time.Duration
 }
 
 // NewRouteTable indexes routes by host and prefix.
@@ -123,7 +124,13 @@
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
+	t.gaps = map[string]time.Duration{}
 	for _, r := range routes {
+		for _, target := range r.Targets {
+			if gap, ok := t.gaps[target.Service]; r.TargetGap > 0 && (!ok || r.TargetGap < gap) {
+				t.gaps[target.Service] = r.TargetGap
+			}
+		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -147,6 +154,10 @@
 	return nil
 }
 
+// ShortestGap returns the shortest pause that a route to a service allows between
+// the events of its streams; 0: none says.
+func (t *RouteTable) ShortestGap(service string) time.Duration { return t.gaps[service] }
+
 // Routes returns the number of routes.
 func (t *RouteTable) Routes() int {
 	n := 0
