--- a/edge/control.go
+++ b/edge/control.go
@@ -55,9 +55,10 @@
 		a      loader.Action
 	}
 	var calls []given
-	for id, e := range n.loaders {
+	n.fetches.Count(n.loaders)
+	for _, e := range loader.ByUrgency(boot, n.loaders) {
 		for _, a := range e.Step(boot) {
-			calls = append(calls, given{id, a})
+			calls = append(calls, given{e.Server.ID, a})
 		}
 		if at, ok := e.NextAt(boot); ok {
 			wait = min(wait, at-boot)
@@ -106,7 +107,7 @@
 		if e := n.loaders[id]; e != nil && e.Server.Born == s.Born && e.Server.Address == s.Address {
 			continue
 		}
-		n.loaders[id] = loader.NewEngine(s.Backend, *kind, boot)
+		n.loaders[id] = loader.NewEngine(s.Backend, *kind, &n.fetches, boot)
 		changed = true
 	}
 	for id := range n.loaders {
--- a/edge/turns.go
+++ b/edge/turns.go
@@ -152,7 +152,7 @@
 	if t == nil {
 		return loader.Pace{}
 	}
-	return loader.Pace{Window: t.ShortestGap(service), Rate: n.fleet.ReadRate(service)}
+	return loader.Pace{Window: t.ShortestGap(service), Rate: n.fleet.ReadRate(service), Share: n.fleet.ReadShare(service)}
 }
 
 // turnStates are the words for what a loader says of a turn.
@@ -195,14 +195,14 @@
 // their routes allow, prompts for their engines are sent by turns, by all
 // instances.
 func (n *Node) Streamed(p ingress.Placed, pause time.Duration) {
+	service := p.Server.Service
 	n.mu.Lock()
 	t := n.table.Load()
-	began := t != nil && n.fleet.Streamed(n.now(), p.Server.Service, pause, t.ShortestGap(p.Server.Service))
+	began := t != nil && n.fleet.Streamed(n.now(), p.Server.ID, pause, t.ShortestGap(service))
 	n.mu.Unlock()
 	if !began {
 		return
 	}
-	service := p.Server.Service
 	n.log.WithFields(log.Fields{"service": service, "pause-ms": pause.Milliseconds()}).Info("streams pause for too long, prompts are sent by turns")
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Paced = append(b.Paced, service) })
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -177,7 +177,7 @@
 	for {
 		n, err := a.resp.Body.Read(*buf)
 		if n > 0 {
-			if werr := x.pass((*buf)[:n]); werr != nil {
+			if werr := x.pass(p, (*buf)[:n]); werr != nil {
 				x.status, x.reason = statusClientGone, "caller: "+werr.Error()
 				return true
 			}
@@ -187,7 +187,9 @@
 			}
 		}
 		if err == io.EOF {
-			x.server.dispatcher.Streamed(p, x.pause)
+			if x.pause <= x.route.TargetGap {
+				x.server.dispatcher.Streamed(p, x.pause)
+			}
 			return x.streamEnded()
 		}
 		if err != nil {
@@ -196,8 +198,18 @@
 	}
 }
 
+// paused notes a pause between two events. The first that is too long is told at
+// once: the stream may go on for seconds.
+func (x *exchange) paused(p Placed, pause time.Duration) {
+	allowed := x.route.TargetGap
+	if allowed > 0 && x.pause <= allowed && pause > allowed {
+		x.server.dispatcher.Streamed(p, pause)
+	}
+	x.pause = max(x.pause, pause)
+}
+
 // pass takes the next bytes of a stream and passes whole events on.
-func (x *exchange) pass(b []byte) error {
+func (x *exchange) pass(p Placed, b []byte) error {
 	s := x.stream
 	s.partial = append(s.partial, b...)
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
@@ -213,7 +225,7 @@
 	}
 	now := x.server.cfg.Timer.Now()
 	if s.passed {
-		x.pause = max(x.pause, now.Sub(s.at))
+		x.paused(p, now.Sub(s.at))
 	}
 	s.passed, s.at = true, now
 	_, err := x.w.Write(whole)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -79,8 +79,8 @@
 	Place(ctx context.Context, p Placement) (Placed, error)
 	// Answered notes the beginning of an answer, or its failure to come.
 	Answered(p Placed, target chestnutstream.ModelAdapter, r Result)
-	// Streamed notes the longest pause between the events of a stream that came
-	// whole.
+	// Streamed notes a pause between the events of a stream: the first
+	// that is longer than its route allows, or the longest of one that ended.
 	Streamed(p Placed, pause time.Duration)
 	// Done ends the use of a server that Place began.
 	Done(p Placed)
--- a/loader/answers.go
+++ b/loader/answers.go
@@ -127,7 +127,9 @@
 	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderUnload && s.state == slotUnloading:
 		return e.dropped(boot, o.Target, s)
 	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderLoad && s.state == slotLoading && s.version == o.Version:
-		e.loaded(s, boot-s.since)
+		if s.cold {
+			e.fetches.took(boot - s.since)
+		}
 		s.state, s.replaces, s.lastUsed = slotHeld, false, boot
 		return nil
 	case a == chestnutstream.OrderMisplaced || a == chestnutstream.OrderFenced || a == chestnutstream.OrderRejected:
--- a/loader/turns.go
+++ b/loader/turns.go
@@ -27,25 +27,30 @@
 
 // Figures of the pace.
 const (
-	// paceShare is the share of the longest allowed pause that reading may fill.
-	paceShare = 0.8
 	// firstSlack is what an answer takes beside the reading of its own prompt, when
 	// it is judged whether it can still be in time.
 	firstSlack = 50 * time.Millisecond
+	// largestNeed is the share of the budget that has to be free for the largest
+	// prompts.
+	largestNeed = 0.5
+	// rankStep is the time by which an ask goes before one that is less urgent by
+	// one: more, and the less urgent would starve.
+	rankStep = 150 * time.Millisecond
 )
 
 // Pace is how fast an engine may be sent prompts.
 type Pace struct {
 	Window time.Duration // the longest pause that its streams may make; 0: prompts are not held
 	Rate   float64       // prompt tokens that it reads in a millisecond
+	Share  float64       // of the window that reading may fill
 }
 
 // budget returns how many tokens may be sent in a window.
-func (p Pace) budget() int { return int(paceShare * p.Rate * float64(p.Window.Milliseconds())) }
+func (p Pace) budget() int { return int(p.Share * p.Rate * float64(p.Window.Milliseconds())) }
 
 // takes returns how long a prompt holds up those behind it.
 func (p Pace) takes(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / max(paceShare*p.Rate, 1) * float64(time.Millisecond))
+	return time.Duration(float64(tokens) / max(p.Share*p.Rate, 1) * float64(time.Millisecond))
 }
 
 // turns are the prompts that an engine was sent lately and those that wait.
@@ -131,7 +136,7 @@
 		}
 		t.queue = append(t.queue[:i], t.queue[i+1:]...)
 		actions = append(actions, turnAction(TellTurn, a, t.pace.takes(t.inWindow())))
-		t.sent = append(t.sent, sentPrompt{boot, a.Tokens})
+		t.sent = append(t.sent, sentPrompt{boot, min(a.Tokens, t.pace.budget())})
 	}
 	return actions
 }
@@ -151,14 +156,19 @@
 	return n
 }
 
-// fits reports whether a prompt may be sent now. One that is larger than the
-// whole budget goes when nothing else is read.
+// fits reports whether a prompt may be sent now.
 func (t *turns) fits(tokens int) bool {
-	return t.pace.Window <= 0 || len(t.sent) == 0 || t.inWindow()+tokens <= t.pace.budget()
+	return t.pace.Window <= 0 || len(t.sent) == 0 || t.inWindow()+t.needs(tokens) <= t.pace.budget()
+}
+
+// needs returns what of the budget has to be free for a prompt. Streams pause for
+// a large one whenever it is read, so it does not wait for a window of its own.
+func (t *turns) needs(tokens int) int {
+	return min(tokens, int(largestNeed*float64(t.pace.budget())))
 }
 
 // first returns the ask that is next: those that can still be in time before the
-// others, then the more urgent, then the older.
+// others, then by when they have to be answered and how urgent they are.
 func (t *turns) first(boot time.Duration) int {
 	best := 0
 	for i := range t.queue {
@@ -174,7 +184,8 @@
 	if x, y := t.fresh(boot, a), t.fresh(boot, earlier); x != y {
 		return x
 	}
-	return a.Priority < earlier.Priority
+	rank := func(a Ask) time.Duration { return a.Fresh + time.Duration(a.Priority)*rankStep }
+	return rank(a) < rank(earlier)
 }
 
 // fresh reports whether the answer to an ask that is granted now comes in time.
@@ -188,7 +199,7 @@
 	if len(t.queue) == 0 && t.fits(a.Tokens) {
 		return 0
 	}
-	ahead := t.inWindow() + a.Tokens - t.pace.budget()
+	ahead := t.inWindow() + t.needs(a.Tokens) - t.pace.budget()
 	for _, q := range t.queue {
 		if !t.before(boot, a, q) {
 			ahead += q.Tokens
@@ -202,7 +213,7 @@
 	if len(t.queue) == 0 {
 		return 0, false
 	}
-	need := t.inWindow() + t.queue[t.first(boot)].Tokens - t.pace.budget()
+	need := t.inWindow() + t.needs(t.queue[t.first(boot)].Tokens) - t.pace.budget()
 	for _, s := range t.sent {
 		at, need = s.at+t.pace.Window, need-s.tokens
 		if need <= 0 {
