--- a/edge/control.go
+++ b/edge/control.go
@@ -55,10 +55,9 @@
 		a      loader.Action
 	}
 	var calls []given
-	n.fetches.Count(n.loaders)
-	for _, e := range loader.ByUrgency(boot, n.loaders) {
+	for id, e := range n.loaders {
 		for _, a := range e.Step(boot) {
-			calls = append(calls, given{e.Server.ID, a})
+			calls = append(calls, given{id, a})
 		}
 		if at, ok := e.NextAt(boot); ok {
 			wait = min(wait, at-boot)
@@ -107,12 +106,13 @@
 		if e := n.loaders[id]; e != nil && e.Server.Born == s.Born && e.Server.Address == s.Address {
 			continue
 		}
-		n.loaders[id] = loader.NewEngine(s.Backend, *kind, &n.fetches, boot)
+		n.endLoader(id)
+		n.loaders[id] = loader.NewEngine(s.Backend, *kind, boot)
 		changed = true
 	}
 	for id := range n.loaders {
 		if !mine[id] {
-			delete(n.loaders, id)
+			n.endLoader(id)
 			changed = true
 		}
 	}
@@ -126,6 +126,18 @@
 	}
 }
 
+// endLoader forgets the loader of an engine. Callers hold mu.
+func (n *Node) endLoader(id string) {
+	e := n.loaders[id]
+	if e == nil {
+		return
+	}
+	delete(n.loaders, id)
+	for _, a := range e.EndTurns() {
+		n.tell(id, a)
+	}
+}
+
 // applyLease sends a renewal or an acquisition to the store.
 func (n *Node) applyLease(a lease.Action) {
 	sent := n.boot()
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -307,7 +307,7 @@
 	for _, c := range changes {
 		switch c.What {
 		case "gone", "restarted":
-			delete(n.loaders, c.Server)
+			n.endLoader(c.Server)
 			n.book.Forget(c.Server)
 			n.failWaits(c.Server, "server "+c.What)
 			n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == c.Server })
--- a/edge/node.go
+++ b/edge/node.go
@@ -53,7 +53,6 @@
 	fleet       *fleet.Fleet
 	book        *lease.Book
 	loaders     map[string]*loader.Engine
-	fetches     loader.Fetches
 	peers       map[string]*peer
 	waits       map[holdKey]*wait
 	uses        map[holdKey]*adapterUse
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -141,7 +141,7 @@
 func (n *Node) wanted(boot time.Duration, from string, w instance.Want) {
 	n.heardVersion(from, w.Target, w.Version)
 	if e := n.loaders[w.Server]; e != nil {
-		e.Want(boot, from, w.Target, w.Version, w.Waiting, time.Duration(w.FreshMS)*time.Millisecond)
+		e.Want(boot, from, w.Target, w.Version, w.Waiting)
 		if w.Waiting <= 0 {
 			return
 		}
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -18,7 +18,7 @@
 	target := chestnutstream.ModelAdapter{Model: "m", Adapter: "x"}
 	boot, now := time.Minute, time.Unix(1700000000, 0)
 	for _, id := range []string{"e1", "e2"} {
-		n.loaders[id] = loader.NewEngine(chestnutstream.Backend{ID: id, Slots: 20}, chestnutstream.EngineKind{Slots: 20}, &loader.Fetches{}, boot)
+		n.loaders[id] = loader.NewEngine(chestnutstream.Backend{ID: id, Slots: 20}, chestnutstream.EngineKind{Slots: 20}, boot)
 	}
 	use := func(requests int) {
 		for _, e := range n.loaders {
--- a/edge/place.go
+++ b/edge/place.go
@@ -27,14 +27,12 @@
 
 // wait is a load that requests of this instance wait for.
 type wait struct {
-	began      time.Time
-	owner      string
-	asked      time.Time
-	version    int
-	freshUntil time.Time // until when an answer to some request is in time
-	told       int       // requests that the owner was told of
-	pending    bool      // the owner has said that it waits
-	waiters    []chan waitResult
+	owner   string
+	asked   time.Time
+	version int
+	told    int  // requests that the owner was told of
+	pending bool // the owner has said that it waits
+	waiters []chan waitResult
 }
 
 // waitResult is the end of a wait.
@@ -113,7 +111,7 @@
 			timer.Sleep(ctx, lookAgain)
 			continue
 		}
-		ch := n.want(c.Server.ID, p, version)
+		ch := n.want(c.Server.ID, p.Target, version)
 		n.mu.Unlock()
 		last = n.await(ctx, c.Server.ID, p.Target, ch)
 		n.log.WithFields(log.Fields{
@@ -237,18 +235,15 @@
 
 // want asks for an adapter on a server and returns where its end is told.
 // Callers hold mu.
-func (n *Node) want(server string, p ingress.Placement, version int) chan waitResult {
-	k := holdKey{server, p.Target}
+func (n *Node) want(server string, target chestnutstream.ModelAdapter, version int) chan waitResult {
+	k := holdKey{server, target}
 	ch := make(chan waitResult, 1)
 	w := n.waits[k]
 	if w == nil {
-		w = &wait{began: n.now()}
+		w = &wait{}
 		n.waits[k] = w
 	}
 	w.waiters = append(w.waiters, ch)
-	if fresh := p.Began.Add(p.Latency); fresh.After(w.freshUntil) {
-		w.freshUntil = fresh
-	}
 	n.ask(k, w, version)
 	return ch
 }
@@ -276,7 +271,7 @@
 // there. It reports false when the owner cannot be reached. Callers hold mu.
 func (n *Node) sendWant(k holdKey, w *wait, waiting int) bool {
 	if w.owner != n.cfg.Instance {
-		msg := instance.Want{Server: k.server, Target: k.target, Version: w.version, Waiting: waiting, FreshMS: w.freshUntil.Sub(n.now()).Milliseconds()}
+		msg := instance.Want{Server: k.server, Target: k.target, Version: w.version, Waiting: waiting}
 		return n.mesh.Send(w.owner, func(b *instance.Bundle) { b.Wants = append(b.Wants, msg) })
 	}
 	e := n.loaders[k.server]
@@ -284,7 +279,7 @@
 		return false
 	}
 	w.pending = true
-	e.Want(n.boot(), n.cfg.Instance, k.target, w.version, waiting, w.freshUntil.Sub(n.now()))
+	e.Want(n.boot(), n.cfg.Instance, k.target, w.version, waiting)
 	n.poke()
 	return true
 }
@@ -356,9 +351,6 @@
 		return
 	}
 	delete(n.waits, k)
-	if s := n.fleet.Server(k.server); r.held && s != nil && len(w.waiters) > 0 {
-		n.fleet.LoadTook(s.Service, n.now().Sub(w.began))
-	}
 	if !r.held {
 		n.fleet.NoLoads(k.server, n.now().Add(r.retryAfter))
 	}
--- a/fleet/pauses.go
+++ b/fleet/pauses.go
@@ -10,12 +10,13 @@
 	pauseFault    = 2                // times the allowed pause: more is a fault's and not the reading's
 	pacedFor      = 60 * time.Second // from then on prompts are sent by turns for so long
 	// The share of the allowed pause that reading may fill falls with each stream
-	// that pauses for too long, and rises with the others: some three in a hundred
-	// pause for too long then.
+	// that pauses for too long, and rises with the others: one in eleven pauses for
+	// too long then. With one in thirty, engines that are asked for more than they
+	// can read serve less.
 	shareFirst = 0.8
-	shareLeast = 0.5
-	shareMost  = 0.85
-	shareLess  = 0.012
+	shareLeast = 0.6
+	shareMost  = 0.9
+	shareLess  = 0.004
 	shareMore  = 0.0004
 )
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -91,13 +91,11 @@
 	if len(order) == 0 {
 		order, mean = f.engines(now, r, avoid, true)
 	}
-	bound, limit, load := mean*hotFactor, r.WaitLimit(), f.reader(r.Service).load
-	paced := f.Paced(now, r.Service)
+	bound, limit := mean*hotFactor, r.WaitLimit()
 	var cold, leastHeld, slowHeld, copyTo *Server
 	for _, s := range order {
 		held := f.Holds(now, s, r.Target, r.Version)
-		// Where prompts are sent by turns, the wait for one tells all that there is.
-		hot := f.full(now, s) || (!paced && s.Load(now) > bound+min(hotSlack, hotShare*float64(s.Slots)))
+		hot := s.Load(now) > bound+min(hotSlack, hotShare*float64(s.Slots)) || f.full(now, s)
 		wait := s.ReadWait(now)
 		switch {
 		case held && !hot && wait <= limit:
@@ -108,7 +106,7 @@
 			}
 		case held && (leastHeld == nil || s.crowding(now) < leastHeld.crowding(now)):
 			leastHeld = s
-		case !held && !hot && wait <= load+limit && cold == nil && s.hasModel(r.Target.Model) && loadable(s):
+		case !held && !hot && wait <= adapterLoad+limit && cold == nil && s.hasModel(r.Target.Model) && loadable(s):
 			cold = s
 			if leastHeld != nil {
 				copyTo = s // its first servers are hot: one more copy
@@ -116,7 +114,7 @@
 		}
 	}
 	switch {
-	case slowHeld != nil && cold != nil && slowHeld.ReadWait(now) > load+limit:
+	case slowHeld != nil && cold != nil && slowHeld.ReadWait(now) > adapterLoad+limit:
 		return f.chose(now, Choice{Server: cold})
 	case slowHeld != nil:
 		return f.chose(now, Choice{Server: slowHeld, Held: true})
--- a/fleet/reading.go
+++ b/fleet/reading.go
@@ -30,10 +30,8 @@
 	waitShare = 0.25
 	// waitDefault is that time where the route names no latency target.
 	waitDefault = 150 * time.Millisecond
-	// adapterLoad is what an adapter takes to come from the weight store when
-	// nothing else does, and the least that a load is waited for.
+	// adapterLoad is what an adapter takes to come from the weight store.
 	adapterLoad = 300 * time.Millisecond
-	loadWeight  = 0.1 // of one load in the moving wait
 	// readMost bounds the time that an engine is believed to read: words about
 	// prompts are not taken back when a request is refused or its engine restarts.
 	readMost = 5 * time.Second
@@ -69,26 +67,18 @@
 
 // reader is how fast the engines of a service read prompts.
 type reader struct {
-	rate float64       // tokens a millisecond, moving
-	load time.Duration // that an adapter's load is waited for, moving
+	rate float64 // tokens a millisecond, moving
 }
 
 func (f *Fleet) reader(service string) *reader {
 	r := f.readers[service]
 	if r == nil {
-		r = &reader{rate: readRateFirst, load: adapterLoad}
+		r = &reader{rate: readRateFirst}
 		f.readers[service] = r
 	}
 	return r
 }
 
-// LoadTook takes how long a load of an adapter was waited for. The weight store
-// slows all loads when there are many: a copy elsewhere is worth less then.
-func (f *Fleet) LoadTook(service string, took time.Duration) {
-	r := f.reader(service)
-	r.load = max(r.load+time.Duration(loadWeight*float64(took-r.load)), adapterLoad)
-}
-
 // ReadRate returns how many prompt tokens an engine of a service reads in a
 // millisecond, as far as is known.
 func (f *Fleet) ReadRate(service string) float64 { return f.reader(service).rate }
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -16,9 +16,9 @@
 	HasOwned  bool          `cbor:"5,keyasint,omitempty"`
 	Owned     []string      `cbor:"6,keyasint,omitempty"`
 	Leaving   bool          `cbor:"7,keyasint,omitempty"`
-	Wants     []wireWant    `cbor:"8,keyasint,omitempty"`
+	Wants     []wireAsk     `cbor:"8,keyasint,omitempty"`
 	Got       []wireGot     `cbor:"9,keyasint,omitempty"`
-	Used      []wireUse     `cbor:"10,keyasint,omitempty"`
+	Used      []wireAsk     `cbor:"10,keyasint,omitempty"`
 	AskConfig bool          `cbor:"11,keyasint,omitempty"`
 	Config    []byte        `cbor:"12,keyasint,omitempty"`
 	ConfigRow uint64        `cbor:"13,keyasint,omitempty"`
@@ -32,23 +32,15 @@
 	Paced     []string      `cbor:"21,keyasint,omitempty"`
 }
 
-type wireWant struct {
+// wireAsk is a Want (version, requests that wait) or a Use (requests begun,
+// requests in progress).
+type wireAsk struct {
 	_       struct{} `cbor:",toarray"`
 	Server  string
 	Model   string
 	Adapter string
-	Version int
-	Waiting int
-	FreshMS int64
-}
-
-type wireUse struct {
-	_          struct{} `cbor:",toarray"`
-	Server     string
-	Model      string
-	Adapter    string
-	Begun      int
-	InProgress int
+	Version int // or requests begun
+	Count   int
 }
 
 type wireGot struct {
@@ -129,7 +121,7 @@
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
 	}
 	for _, x := range b.Wants {
-		w.Wants = append(w.Wants, wireWant{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Waiting: x.Waiting, FreshMS: x.FreshMS})
+		w.Wants = append(w.Wants, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Count: x.Waiting})
 	}
 	for _, x := range b.Got {
 		w.Got = append(w.Got, wireGot{
@@ -138,7 +130,7 @@
 		})
 	}
 	for _, x := range b.Used {
-		w.Used = append(w.Used, wireUse{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Begun: x.Begun, InProgress: x.InProgress})
+		w.Used = append(w.Used, wireAsk{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Begun, Count: x.InProgress})
 	}
 	for _, f := range b.Fed {
 		x := wireFed{Table: f.Table, After: f.After, To: f.To}
@@ -182,13 +174,13 @@
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
 	}
 	for _, x := range w.Wants {
-		b.Wants = append(b.Wants, Want{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Waiting: x.Waiting, FreshMS: x.FreshMS})
+		b.Wants = append(b.Wants, Want{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
 	}
 	for _, x := range w.Got {
 		b.Got = append(b.Got, Got{Server: x.Server, Target: target(x.Model, x.Adapter), Version: x.Version, Held: x.Held, RetryAfterMS: x.RetryAfterMS, Dropped: x.Dropped, Pending: x.Pending, Reason: x.Reason})
 	}
 	for _, x := range w.Used {
-		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Begun, InProgress: x.InProgress})
+		b.Used = append(b.Used, Use{Server: x.Server, Target: target(x.Model, x.Adapter), Begun: x.Version, InProgress: x.Count})
 	}
 	for _, x := range w.Loads {
 		b.Loads = append(b.Loads, Load{Server: x.Server, Requests: x.Requests})
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -58,8 +58,7 @@
 	Server  string
 	Target  chestnutstream.ModelAdapter
 	Version int
-	Waiting int   // requests; 0 takes the want back
-	FreshMS int64 // for how long an answer to some of them is in time; 0: not said
+	Waiting int // requests; 0 takes the want back
 }
 
 // Got answers a Want: the adapter is there, or cannot be there for a while.
--- a/loader/answers.go
+++ b/loader/answers.go
@@ -127,9 +127,7 @@
 	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderUnload && s.state == slotUnloading:
 		return e.dropped(boot, o.Target, s)
 	case a == chestnutstream.OrderHolds && o.Kind == chestnutstream.OrderLoad && s.state == slotLoading && s.version == o.Version:
-		if s.cold {
-			e.fetches.took(boot - s.since)
-		}
+		e.loaded(s, boot-s.since)
 		s.state, s.replaces, s.lastUsed = slotHeld, false, boot
 		return nil
 	case a == chestnutstream.OrderMisplaced || a == chestnutstream.OrderFenced || a == chestnutstream.OrderRejected:
--- a/loader/choose.go
+++ b/loader/choose.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"sort"
 	"time"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -142,9 +141,6 @@
 		if s != nil {
 			why = "newer version wanted"
 		}
-		if e.isCold(target) {
-			e.fetches.began()
-		}
 		return Action{Kind: GiveOrder, Why: why, Order: e.loadOrder(target, w.version)}, true
 	}
 	victim, ok := e.victim(boot)
@@ -163,7 +159,7 @@
 		return best, nil
 	}
 	for target, w := range e.wants {
-		if e.isCold(target) && (float64(cold) >= fetchesMost || !e.fetches.may()) {
+		if e.isCold(target) && float64(cold) >= e.cold {
 			continue
 		}
 		if s := e.slots[target]; s != nil && s.state != slotHeld {
@@ -199,6 +195,18 @@
 	return !lately || e.slots[target] != nil
 }
 
+// loaded adapts the number of loads from the weight store to how long one took.
+func (e *Engine) loaded(s *slot, took time.Duration) {
+	if !s.cold {
+		return
+	}
+	if float64(took) > slowed*float64(loadGuessFirst) {
+		e.cold = max(e.cold-coldLess, coldLeast)
+		return
+	}
+	e.cold = min(e.cold+coldMore, coldMost)
+}
+
 // victim returns the slot that makes room: the least used that is not in use
 // and that nobody waits for.
 func (e *Engine) victim(boot time.Duration) (chestnutstream.ModelAdapter, bool) {
@@ -214,39 +222,3 @@
 	}
 	return best, found
 }
-
-// ByUrgency returns the engines of an owner in the order in which they begin
-// their next loads: the most urgent want first.
-func ByUrgency(boot time.Duration, engines map[string]*Engine) []*Engine {
-	type urgent struct {
-		e *Engine
-		w *want
-	}
-	list := make([]urgent, 0, len(engines))
-	for _, e := range engines {
-		var best *want
-		for target, w := range e.wants {
-			if s := e.slots[target]; (s == nil || s.state == slotHeld) && (best == nil || w.before(best, boot)) {
-				best = w
-			}
-		}
-		list = append(list, urgent{e, best})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		switch {
-		case a.w == nil || b.w == nil:
-			return a.w != nil && b.w == nil
-		case a.w.before(b.w, boot):
-			return true
-		case b.w.before(a.w, boot):
-			return false
-		}
-		return a.e.Server.ID < b.e.Server.ID
-	})
-	out := make([]*Engine, len(list))
-	for i, u := range list {
-		out[i] = u.e
-	}
-	return out
-}
--- a/loader/crowd_test.go
+++ b/loader/crowd_test.go
@@ -52,7 +52,7 @@
 			c := fleets[from].PickEngine(start, fleet.Request{Service: "s", Target: target, Version: 1}, avoid, func(*fleet.Server) bool { return true })
 			assert.Assert(t, c.Server != nil, "sent on by every engine")
 			e := plays[c.Server.ID].e
-			e.Want(plays[c.Server.ID].w.now, fmt.Sprint("n", from), target, 1, 1+e.askedBy(target, fmt.Sprint("n", from)), 0)
+			e.Want(plays[c.Server.ID].w.now, fmt.Sprint("n", from), target, 1, 1+e.askedBy(target, fmt.Sprint("n", from)))
 			if len(e.sentOn) == 0 {
 				waiting[c.Server.ID]++
 				break
@@ -94,11 +94,10 @@
 	p := newPlay(2)
 	p.e.kind.Slots = 10
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 4, 0)
-	p.e.Want(p.w.now, "o", adapter("a1"), 1, 1, 0)
-	p.e.Want(p.w.now, "late", adapter("a1"), 1, 1, 0)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 9, 0)
-	p.e.fetches.Count(map[string]*Engine{"i-1": p.e})
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 4)
+	p.e.Want(p.w.now, "o", adapter("a1"), 1, 1)
+	p.e.Want(p.w.now, "late", adapter("a1"), 1, 1)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 9)
 	actions := p.e.Step(p.w.now)
 	assert.Equal(t, actions[0].Kind, TellRetry)
 	assert.DeepEqual(t, actions[0].To, []string{"late"})
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -3,9 +3,8 @@
 //
 // # Usage
 //
-//	e := loader.NewEngine(server, kind, &fetches, boot)
-//	e.Want(boot, "edge-b-2", target, version, 1, 500*time.Millisecond)
-//	fetches.Count(engines)
+//	e := loader.NewEngine(server, kind, boot)
+//	e.Want(boot, "edge-b-2", target, version, 1)
 //	for _, a := range e.Step(boot) { ... } // Report, Order, Tell
 //	e.Ordered(boot, order, chestnutstream.OrderUnderWay)
 //	e.Reported(boot, report)
@@ -14,8 +13,7 @@
 //
 // loader.go is the engine's state and what is done now, choose.go what comes
 // next, answers.go what reports and answers to orders mean, slots.go the adapters
-// and those who wait for them, fetches.go how many come from the weight
-// store at once, turns.go the pace of the prompts.
+// and those who wait for them, turns.go the pace of the prompts.
 //
 // # Invariants
 //
@@ -89,7 +87,7 @@
 	wants     map[chestnutstream.ModelAdapter]*want
 	sentOn    []Action // words to instances whose wants were not taken
 	past      map[chestnutstream.ModelAdapter]time.Duration
-	fetches   *Fetches // of all engines of the owner
+	cold      float64 // how many may be on their way from the weight store
 	uses      map[useKey]use
 	turns     turns
 
@@ -98,12 +96,12 @@
 
 // NewEngine returns the loader of an engine of which nothing is known. An earlier
 // process of this instance may have given orders up to now, so its state is read
-// when reports show that. fetches is shared by all engines of the owner.
-func NewEngine(server chestnutstream.Backend, kind chestnutstream.EngineKind, fetches *Fetches, boot time.Duration) *Engine {
+// when reports show that.
+func NewEngine(server chestnutstream.Backend, kind chestnutstream.EngineKind, boot time.Duration) *Engine {
 	return &Engine{
 		Server: server, kind: kind, lookAt: boot + reportLag,
 		models: map[string]int{}, slots: map[chestnutstream.ModelAdapter]*slot{},
-		fetches: fetches, uses: map[useKey]use{}, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
+		cold: coldFirst, uses: map[useKey]use{}, wants: map[chestnutstream.ModelAdapter]*want{}, past: map[chestnutstream.ModelAdapter]time.Duration{},
 	}
 }
 
@@ -138,10 +136,9 @@
 }
 
 // Want notes how many requests of an instance wait for an adapter. With none
-// left the instance no longer wants it: its callers have gone. fresh is for how
-// long an answer to some of them is in time; 0: not said. Where many wait for it
-// already, an instance that has not asked yet is sent on.
-func (e *Engine) Want(boot time.Duration, from string, target chestnutstream.ModelAdapter, version, waiting int, fresh time.Duration) {
+// left the instance no longer wants it: its callers have gone. Where many wait
+// for it already, an instance that has not asked yet is sent on.
+func (e *Engine) Want(boot time.Duration, from string, target chestnutstream.ModelAdapter, version, waiting int) {
 	w := e.wants[target]
 	if waiting <= 0 {
 		if w == nil {
@@ -161,10 +158,6 @@
 		w = &want{askers: map[string]int{}, since: boot}
 		e.wants[target] = w
 	}
-	if fresh <= 0 {
-		fresh = freshFor + loadGuessFirst
-	}
-	w.fresh = max(w.fresh, boot+fresh-loadGuessFirst)
 	w.version = max(w.version, version)
 	w.askers[from] = waiting
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -38,14 +38,13 @@
 func newPlay(slots int) *play {
 	w := newEngineWorld(slots)
 	return &play{
-		w: w, e: NewEngine(chestnutstream.Backend{ID: "i-1"}, testKind(slots), &Fetches{}, w.now),
+		w: w, e: NewEngine(chestnutstream.Backend{ID: "i-1"}, testKind(slots), w.now),
 		fate: func() string { return "answered" }, told: map[string]string{},
 	}
 }
 
 // step asks the loader once and carries out what it wants.
 func (p *play) step() {
-	p.e.fetches.Count(map[string]*Engine{"i-1": p.e})
 	for _, a := range p.e.Step(p.w.now) {
 		switch a.Kind {
 		case ReadReport:
@@ -96,7 +95,7 @@
 func TestWantedAdapterIsLoadedAndTold(t *testing.T) {
 	p := newPlay(4)
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(300 * time.Millisecond)
 	assert.Equal(t, p.told["a1"], string(TellHeld))
 	assert.Equal(t, p.w.loads, 1)
@@ -106,14 +105,14 @@
 	p := newPlay(3)
 	p.run(reportLag + 50*time.Millisecond)
 	for i, name := range []string{"a1", "a2", "a3"} {
-		p.e.Want(p.w.now, "n", adapter(name), 1, 1, 0)
+		p.e.Want(p.w.now, "n", adapter(name), 1, 1)
 		p.run(400 * time.Millisecond)
 		p.e.Used(p.w.now, "n", adapter(name), 10*(i+1), 0)
 	}
 	p.e.Used(p.w.now, "n", adapter("a1"), 1, 1) // in use, though the least used
 	p.w.held["a1"].uses = 1
 	p.run(200 * time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a4"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a4"), 1, 1)
 	p.run(400 * time.Millisecond)
 	assert.Equal(t, p.told["a4"], string(TellHeld))
 	assert.Equal(t, p.told["a2"], string(TellGone))
@@ -123,10 +122,10 @@
 func TestNoRoomIsToldAfterAWhile(t *testing.T) {
 	p := newPlay(1)
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(300 * time.Millisecond)
 	p.e.Used(p.w.now, "n", adapter("a1"), 1, 1)
-	p.e.Want(p.w.now, "n", adapter("a2"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a2"), 1, 1)
 	p.run(refuseAfter - 100*time.Millisecond)
 	assert.Equal(t, p.told["a2"], "")
 	p.run(300 * time.Millisecond)
@@ -136,9 +135,9 @@
 func TestNewerVersionReplaces(t *testing.T) {
 	p := newPlay(2)
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(300 * time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 2, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 2, 1)
 	p.run(100 * time.Millisecond)
 	assert.Assert(t, !p.e.Holds(adapter("a1"), 2), "its weights are on their way")
 	p.run(300 * time.Millisecond)
@@ -149,12 +148,12 @@
 func TestRestartedEngineGetsItsModel(t *testing.T) {
 	p := newPlay(2)
 	p.w.restart()
-	p.e = NewEngine(chestnutstream.Backend{ID: "i-1", Born: 2}, testKind(2), &Fetches{}, p.w.now)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e = NewEngine(chestnutstream.Backend{ID: "i-1", Born: 2}, testKind(2), p.w.now)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(reportLag + 200*time.Millisecond)
 	assert.Equal(t, p.told["a1"], string(TellRetry), "nobody waits for a base model")
 	p.run(2 * time.Second)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(300 * time.Millisecond)
 	assert.Equal(t, p.told["a1"], string(TellHeld))
 }
@@ -163,12 +162,12 @@
 	p := newPlay(2)
 	p.run(reportLag + 50*time.Millisecond)
 	for _, name := range []string{"a1", "a2"} {
-		p.e.Want(p.w.now, "n", adapter(name), 1, 1, 0)
+		p.e.Want(p.w.now, "n", adapter(name), 1, 1)
 		p.run(400 * time.Millisecond)
 	}
 	// The engine runs requests of which the loader has not heard.
 	p.w.held["a1"].uses, p.w.held["a2"].uses = 1, 1
-	p.e.Want(p.w.now, "n", adapter("a3"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a3"), 1, 1)
 	p.run(200 * time.Millisecond)
 	p.w.held["a1"].uses = 0
 	p.w.held["a2"].uses = 0
@@ -187,7 +186,7 @@
 		}
 		return f
 	}
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(600 * time.Millisecond)
 	assert.Equal(t, p.told["a1"], string(TellHeld))
 	p.run(3 * time.Second) // the first order is carried out now
@@ -209,7 +208,7 @@
 			name := rapid.SampledFrom(names).Draw(t, "adapter")
 			switch rapid.SampledFrom([]string{"want", "want", "run", "run", "use", "end", "restart", "owner"}).Draw(t, "move") {
 			case "want":
-				p.e.Want(p.w.now, "n", adapter(name), rapid.IntRange(1, 3).Draw(t, "version"), 1, 0)
+				p.e.Want(p.w.now, "n", adapter(name), rapid.IntRange(1, 3).Draw(t, "version"), 1)
 			case "run":
 				p.run(time.Duration(rapid.IntRange(1, 50).Draw(t, "hundredths")) * 10 * time.Millisecond)
 			case "use":
@@ -227,12 +226,12 @@
 			case "restart":
 				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
 					p.w.restart()
-					p.e = NewEngine(chestnutstream.Backend{ID: "i-1", Born: int64(p.w.now)}, testKind(slots), &Fetches{}, p.w.now)
+					p.e = NewEngine(chestnutstream.Backend{ID: "i-1", Born: int64(p.w.now)}, testKind(slots), p.w.now)
 				}
 			case "owner":
 				// Another instance takes over; orders of the last one may be late.
 				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
-					p.e = NewEngine(chestnutstream.Backend{ID: "i-1"}, testKind(slots), &Fetches{}, p.w.now)
+					p.e = NewEngine(chestnutstream.Backend{ID: "i-1"}, testKind(slots), p.w.now)
 				}
 			}
 			if p.w.broken != "" {
@@ -250,7 +249,7 @@
 		// What is told to come back comes back, as instances do.
 		for end := p.w.now + 3*time.Second; p.w.now < end && p.told["a9"] != string(TellHeld); {
 			p.told["a9"] = ""
-			p.e.Want(p.w.now, "n", adapter("a9"), 1, 1, 0)
+			p.e.Want(p.w.now, "n", adapter("a9"), 1, 1)
 			for p.told["a9"] == "" && p.w.now < end {
 				p.run(50 * time.Millisecond)
 			}
@@ -269,7 +268,7 @@
 	for i := range 8 {
 		target := adapter(fmt.Sprintf("a%d", i))
 		p.e.remember(p.w.now, target)
-		p.e.Want(p.w.now, "n", target, 1, 1, 0)
+		p.e.Want(p.w.now, "n", target, 1, 1)
 	}
 	p.run(2 * time.Second)
 	assert.Equal(t, p.w.broken, "")
@@ -285,7 +284,7 @@
 	for i := range 240 { // 6 s, 40 a second; two at once take 250 ms each: 8 a second
 		name := fmt.Sprintf("a%d", i)
 		wanted[name] = p.w.now
-		p.e.Want(p.w.now, "n", adapter(name), 1, 1, 0)
+		p.e.Want(p.w.now, "n", adapter(name), 1, 1)
 		p.run(25 * time.Millisecond)
 		for n, at := range wanted {
 			switch {
@@ -296,7 +295,7 @@
 				late++
 				delete(wanted, n)
 			case p.w.now-at > 3*time.Second:
-				p.e.Want(p.w.now, "n", adapter(n), 1, 0, 0) // its caller has gone
+				p.e.Want(p.w.now, "n", adapter(n), 1, 0) // its caller has gone
 				delete(wanted, n)
 			}
 		}
@@ -309,10 +308,10 @@
 func TestWantIsTakenBack(t *testing.T) {
 	p := newPlay(2)
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 2, 0)
-	p.e.Want(p.w.now, "o", adapter("a1"), 1, 1, 0)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 0, 0)
-	p.e.Want(p.w.now, "o", adapter("a1"), 1, 0, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 2)
+	p.e.Want(p.w.now, "o", adapter("a1"), 1, 1)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 0)
+	p.e.Want(p.w.now, "o", adapter("a1"), 1, 0)
 	p.run(400 * time.Millisecond)
 	assert.Equal(t, p.w.loads, 0)
 }
@@ -332,9 +331,9 @@
 			}
 			return "answered"
 		}
-		p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+		p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 		p.run(600 * time.Millisecond)
-		p.e.Want(p.w.now, "n", adapter("a2"), 1, 1, 0)
+		p.e.Want(p.w.now, "n", adapter("a2"), 1, 1)
 		p.run(3 * time.Second)
 		assert.Equal(t, p.w.broken != "", lax, "checked: %t: %s", !lax, p.w.broken)
 	}
@@ -345,11 +344,11 @@
 func TestReportOlderThanTheNewestOrder(t *testing.T) {
 	p := newPlay(2)
 	p.run(reportLag + 50*time.Millisecond)
-	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a1"), 1, 1)
 	p.run(400 * time.Millisecond)
 	assert.Equal(t, p.told["a1"], string(TellHeld))
 	old := p.w.report()
-	p.e.Want(p.w.now, "n", adapter("a2"), 1, 1, 0)
+	p.e.Want(p.w.now, "n", adapter("a2"), 1, 1)
 	p.step()
 	assert.Equal(t, p.e.count, old.OrderCount+1)
 	taken, _ := p.e.Slots()
--- a/loader/slots.go
+++ b/loader/slots.go
@@ -38,7 +38,6 @@
 	version int
 	askers  map[string]int // requests that wait, by instance
 	since   time.Duration
-	fresh   time.Duration // until when a load that begins is of use in time to some of them
 }
 
 // waiting returns how many requests wait.
@@ -50,8 +49,8 @@
 	return n
 }
 
-// freshFor is how long a want can wait and still be met in time, where those who
-// want it do not say.
+// freshFor is how long a want can wait and still be met within its requests'
+// latency target of half a second, with the time that a load takes.
 const freshFor = 180 * time.Millisecond
 
 // before reports whether a want is met before another one: more waiting requests
@@ -62,7 +61,7 @@
 	if a, b := w.waiting(), o.waiting(); a != b {
 		return a > b
 	}
-	a, b := boot < w.fresh, boot < o.fresh
+	a, b := boot-w.since < freshFor, boot-o.since < freshFor
 	if a != b {
 		return a
 	}
@@ -71,3 +70,15 @@
 	}
 	return w.since > o.since
 }
+
+// Figures of the number of adapters that are on their way from the weight store
+// at once. The store slows all loads beyond a number over all engines, so what
+// waits here instead of there keeps its place for the more wanted ones.
+const (
+	coldFirst = 2.0
+	coldLeast = 1.0
+	coldMost  = float64(transitMost) - 1 // one place is left for what the engine had lately
+	coldMore  = 0.1                      // after a load at full speed
+	coldLess  = 0.4                      // after a slowed one
+	slowed    = 1.35                     // times the usual
+)
--- a/loader/turns.go
+++ b/loader/turns.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// EndTurns answers all asks that wait with a turn: the engine's owner gives none
+// any more.
+func (e *Engine) EndTurns() []Action {
+	var actions []Action
+	for _, a := range e.turns.queue {
+		actions = append(actions, turnAction(TellTurn, a, 0))
+	}
+	e.turns.queue = nil
+	return actions
+}
+
 // TurnsWaiting returns how many asks wait for their turn.
 func (e *Engine) TurnsWaiting() int { return len(e.turns.queue) }
 
@@ -162,9 +173,14 @@
 }
 
 // needs returns what of the budget has to be free for a prompt. Streams pause for
-// a large one whenever it is read, so it does not wait for a window of its own.
+// one over the budget whenever it is read, so it does not wait for a window of its
+// own.
 func (t *turns) needs(tokens int) int {
-	return min(tokens, int(largestNeed*float64(t.pace.budget())))
+	budget := t.pace.budget()
+	if tokens > budget {
+		return int(largestNeed * float64(budget))
+	}
+	return tokens
 }
 
 // first returns the ask that is next: those that can still be in time before the
