--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -20,13 +20,14 @@
 // shared by all instances.
 const (
 	operatorWait = 15 * time.Second        // of a feed of the operator's table, on an instance that another one tells what it reads
-	serversPause = 1050 * time.Millisecond // between reads of the servers: their entries change all the time, and a leaving one must be out of use within two seconds
+	serversPause = 1050 * time.Millisecond // between reads of the servers, at least: their entries change all the time
+	serversShare = 0.525                   // of the platform's bound on leaving servers, the same where that is longer
 	serversWait  = time.Second
 	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
 	leasesWait   = time.Second
 	feedRetry    = 150 * time.Millisecond // after a failed read; doubles
 	feedRetryMax = 900 * time.Millisecond
-	leasesEarly  = 700 * time.Millisecond // and just after a start, until all that started together are known
+	leasesEarly  = 1200 * time.Millisecond // and just after a start, until all that started together are known
 	leasesSoon   = 2500 * time.Millisecond
 	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
 	// readShare is the share of the platform's bound on configurations that a feed
@@ -55,7 +56,7 @@
 			listed: func(rows []chestnutstream.TableRow, _ uint64) { n.operatorRows(rows) }, fed: n.operatorRows,
 		},
 		{
-			table: platform.TableServers, shared: true, pause: serversPause, wait: serversWait,
+			table: platform.TableServers, shared: true, pause: n.serversPause(), wait: serversWait,
 			listed: func(rows []chestnutstream.TableRow, version uint64) { n.serverRows(rows, true, version) },
 			fed:    func(rows []chestnutstream.TableRow) { n.serverRows(rows, false, 0) },
 		},
@@ -67,6 +68,30 @@
 	}
 }
 
+// serversPause returns the time between reads of the servers.
+func (n *Node) serversPause() time.Duration {
+	return max(serversPause, time.Duration(serversShare*float64(n.cfg.Drain)))
+}
+
+// silence returns the time without a reader's word after which an instance reads a
+// table itself.
+func (f feed) silence() time.Duration {
+	if f.pause > 0 {
+		return f.pause + toldSlack
+	}
+	return f.wait + toldSlack
+}
+
+// hears reports whether this instance leaves the reading of a table to others and
+// waits for their words.
+func (n *Node) hears(f feed) bool {
+	if f.shared {
+		return true
+	}
+	_, all := n.zoneReaders(f.table)
+	return len(all) >= ownFeeds
+}
+
 // operatorReadWait returns how long the reader's feed of the operator's table
 // waits.
 func (n *Node) operatorReadWait() time.Duration {
@@ -83,7 +108,7 @@
 	for n.ctx.Err() == nil {
 		var rows []chestnutstream.TableRow
 		var err error
-		if known && f.shared && n.now().Sub(began) > leasesSoon {
+		if known && n.now().Sub(began) > leasesSoon && n.hears(f) {
 			if told, ok := n.told(f, version); ok {
 				version = told
 				continue
@@ -127,8 +152,19 @@
 			n.sleep(f.early)
 			continue
 		}
-		n.sleep(f.pause)
+		n.sleep(n.pauseAfter(f))
+	}
+}
+
+// pauseAfter returns the pause after a read. Soon after the store was lost the
+// servers' entries come and go, and they are read more often.
+func (n *Node) pauseAfter(f feed) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if f.table == platform.TableServers && n.fleet.Unsettled(n.now()) {
+		return serversPause
 	}
+	return f.pause
 }
 
 // readFeed reads the changes of a table; on failure the version stays.
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -17,14 +17,17 @@
 // and every instance reading for itself would grow with their number times that
 // of the servers. Of the servers' entries, which all change once a second, only
 // those are passed on that say something new. The operator's table each instance
-// reads itself as well, with a feed that waits for long while it hears from the
-// reader: the own feed brings a change at once, the reader's words bound how late
-// it can be.
+// of a small zone reads itself as well, with a feed that waits for long while it
+// hears from the reader: the own feed brings a change at once, the reader's words
+// bound how late it can be. In larger zones there is no such feed.
 const (
-	wholePause   = 16 * time.Second       // between words with all entries that were read, in case that an instance has missed one
-	readersShare = 12                     // instances that one reader tells
-	toldSlack    = 350 * time.Millisecond // beyond the pause, until an instance that was told nothing reads itself
-	heardMost    = 8                      // words of other instances that wait
+	wholePause   = 16 * time.Second // between words with all entries that were read, in case that an instance has missed one
+	readersShare = 40               // instances that one reader tells
+	// ownFeeds is the number of instances of a zone from which on only its readers
+	// follow the operator's table: each change would end the feeds of all.
+	ownFeeds  = 6
+	toldSlack = 350 * time.Millisecond // beyond the pause, until an instance that was told nothing reads itself
+	heardMost = 8                      // words of other instances that wait
 )
 
 // zoneReaders returns the instances that read a table for this zone, and all
@@ -59,7 +62,7 @@
 		clear(n.toldEntries) // another one tells now, and what it tells is not noted here
 		n.mu.Unlock()
 	}
-	silent := time.NewTimer(f.pause + toldSlack)
+	silent := time.NewTimer(f.silence())
 	defer silent.Stop()
 	for {
 		select {
@@ -165,12 +168,11 @@
 
 // hearFed keeps a reader's word for the loop that follows the table. One that
 // does not fit is dropped: the loop reads for itself then. Changes of the
-// operator's table, which each instance reads itself as well, are taken at once.
+// operator's table are taken at once: small zones read it themselves as well.
 func (n *Node) hearFed(f instance.Fed) {
 	if f.Table == platform.TableOperator {
 		n.operatorRows(f.Rows)
 		n.tookWord(f)
-		return
 	}
 	select {
 	case n.heard[f.Table] <- f:
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -15,32 +15,51 @@
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
-// One instance of three reads the servers for its zone; a change reaches all, also
-// when the reader has just gone without a word.
+// One instance reads the servers for its zone; a change reaches all, also when the
+// reader has just gone without a word. In a large zone one reads the operator's
+// table as well: calls do not grow with the instances, and a change of that table
+// ends the feed of one.
 func TestReaderTellsItsZone(t *testing.T) {
-	t.Parallel()
+	for _, instances := range []int{3, ownFeeds + 1} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			t.Parallel()
+			readerTellsItsZone(t, instances)
+		})
+	}
+}
+
+func readerTellsItsZone(t *testing.T, instances int) {
 	s := newSite(t, 1, 3)
-	all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
+	all := s.instances(instances)
 	s.owned(1, all...)
 	time.Sleep(leasesSoon) // until then each reads for itself
 	before := make([]int64, len(all))
 	for i, in := range all {
 		before[i], _ = in.Node().store.Operations()
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
+	if instances >= ownFeeds {
+		s.store.Put(platform.TableOperator, "other", []byte("{}"))
+	}
+	time.Sleep(2 * time.Second)
 	total := int64(0)
 	for i, in := range all {
 		reads, _ := in.Node().store.Operations()
 		total += reads - before[i]
 	}
 	// One reader for each table: 4 reads of servers, 4 of the operator's table, 1
-	// to 2 of leases; each for itself would be 27 and more.
-	assert.Assert(t, total <= 10, "%d reads in 4 s by three instances", total)
+	// to 2 of leases; each for itself would be 27 and more of three instances. The
+	// change of the operator's table in the large zone ends one feed more.
+	most := int64(10)
+	if instances >= ownFeeds {
+		most++
+	}
+	assert.Assert(t, total <= most, "%d reads in 4 s by %d instances", total, instances)
 
 	var reader *running
 	for _, in := range all {
 		readers, known := in.Node().zoneReaders("servers")
-		assert.Equal(t, len(known), 3)
+		assert.Equal(t, len(known), instances)
 		if readers[0] == in.cfg.Instance {
 			reader = in
 		}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -136,6 +136,15 @@
 	return s.instanceAt("zone-a", nil, name, seeds...)
 }
 
+// instances starts so many instances.
+func (s *site) instances(n int) []*running {
+	var all []*running
+	for i := range n {
+		all = append(all, s.instance(fmt.Sprint("edge-", string(rune('a'+i)))))
+	}
+	return all
+}
+
 // instanceAt starts an instance in an availability zone; regions are by zone.
 func (s *site) instanceAt(zone string, regions map[string]string, name string, seeds ...string) *running {
 	gateListener, own := listen(s.t), &gate{next: s.gate}
--- a/edge/views.go
+++ b/edge/views.go
@@ -17,6 +17,10 @@
 	heard   time.Time // when a reader last told what it read, with no gap before it
 }
 
+// viewOld is the age from which on a view is brought up to date before anything
+// is waited for.
+const viewOld = toldSlack
+
 // tookRead notes that the table was read up to a version.
 func (v *view) tookRead(now time.Time, version uint64) {
 	v.read, v.version = now, max(v.version, version)
@@ -42,13 +46,17 @@
 // silent reports whether the table's reader has told nothing for longer than it
 // takes between two words.
 func (v *view) silent(now time.Time, f feed) bool {
-	return now.Sub(v.heard) > f.wait+toldSlack
+	return now.Sub(v.heard) > f.silence()
 }
 
 // feedWait returns how long a feed may wait for changes. The store may hold it to
 // the end of its wait though there are some, so only an instance that hears from
-// the table's reader waits for long.
+// the table's reader waits for long, and one whose view has grown old does not wait
+// at all.
 func (v *view) feedWait(now time.Time, f feed, reader bool) time.Duration {
+	if now.Sub(v.asOf()) > viewOld {
+		return 0
+	}
 	if f.toldWait == 0 || reader || v.silent(now, f) {
 		return f.wait
 	}
@@ -100,7 +108,7 @@
 // feedTook reports a feed that brought rows at the end of its wait only. The
 // store's protocol promises them as soon as they are written.
 func (n *Node) feedTook(table string, after uint64, took, wait time.Duration, rows []chestnutstream.TableRow) {
-	if len(rows) == 0 || took < wait {
+	if len(rows) == 0 || wait <= 0 || took < wait {
 		return
 	}
 	n.metrics.GetOrCreateCounter(`chestnutstream_feeds_overdue_total{table="` + table + `"}`).Inc()
--- a/edge/views_model_test.go
+++ b/edge/views_model_test.go
@@ -15,6 +15,7 @@
 	written   []time.Time // changes of the table by version - 1
 	deaf      bool        // feeds that begin hear nothing until their wait ends
 	lossy     bool        // words are lost
+	crowded   bool        // only those who read for the zone follow the table while they are heard
 	instances []*instanceModel
 }
 
@@ -66,7 +67,7 @@
 	if p := in.poll; p != nil && p.wait > z.feed.wait && in.view.silent(z.now, z.feed) {
 		in.poll = nil
 	}
-	if in.poll == nil {
+	if in.poll == nil && (!z.crowded || in.reader || in.view.silent(z.now, z.feed)) {
 		wait := in.view.feedWait(z.now, z.feed, in.reader)
 		in.poll = &pollModel{wait: wait, ends: z.now.Add(wait), deaf: z.deaf}
 	}
@@ -96,13 +97,13 @@
 		bound   time.Duration
 	}{
 		{"a reader that tells", false, time.Second + 2*modelStep},
-		// A reader that has fallen silent, and a short feed that is deaf as well.
-		{"any", true, time.Second + toldSlack + time.Second + 2*modelStep},
+		// A reader that has fallen silent; what is read then does not wait.
+		{"any", true, time.Second + toldSlack + 2*modelStep},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
-				z := &zoneModel{now: time.Unix(1000, 0), feed: feed{wait: time.Second, toldWait: operatorWait}}
+				z := &zoneModel{now: time.Unix(1000, 0), feed: feed{wait: time.Second, toldWait: operatorWait}, crowded: rapid.Bool().Draw(t, "crowded")}
 				for i := range rapid.IntRange(1, 4).Draw(t, "instances") {
 					z.instances = append(z.instances, &instanceModel{view: view{read: z.now}, taken: map[uint64]bool{}, reader: i == 0})
 				}
--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -57,16 +57,19 @@
 func TestChangesAreInForceThoughFeedsAreDeaf(t *testing.T) {
 	cases := []struct {
 		name       string
+		instances  int
 		readerGone bool
 	}{
-		{"with the reader", false},
-		{"the reader has just gone", true},
+		{"with the reader", 3, false},
+		{"the reader has just gone", 3, true},
+		{"with the reader, in a large zone", ownFeeds + 1, false},
+		{"the reader has just gone, in a large zone", ownFeeds + 1, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t, 1, 3)
-			all := []*running{s.instance("edge-a"), s.instance("edge-b"), s.instance("edge-c")}
+			all := s.instances(c.instances)
 			s.owned(1, all...)
 			time.Sleep(leasesSoon) // until then each reads for itself
 			s.store.Forget()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -146,6 +146,11 @@
 	return []Change{{Server: s.ID, What: "gone", Row: row}}
 }
 
+// Unsettled reports whether entries may have lapsed because the store was away.
+func (f *Fleet) Unsettled(now time.Time) bool {
+	return f.storeAway || (!f.storeBack.IsZero() && now.Sub(f.storeBack) < lapseShadow)
+}
+
 // goneKept bounds how many servers are remembered that have gone.
 const goneKept = 4096
 
