--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -29,6 +29,7 @@
 	feedRetryMax = 900 * time.Millisecond
 	leasesEarly  = 1200 * time.Millisecond // and just after a start, until all that started together are known
 	leasesSoon   = 2500 * time.Millisecond
+	hearSoon     = 1200 * time.Millisecond // after a start, until what others read is waited for
 	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
 	// readShare is the share of the platform's bound on configurations that a feed
 	// of the operator's table waits on the instance that reads for the others: the
@@ -82,10 +83,14 @@
 	return f.wait + toldSlack
 }
 
-// hears reports whether this instance leaves the reading of a table to others and
-// waits for their words.
-func (n *Node) hears(f feed) bool {
-	if f.shared {
+// hears reports whether this instance, which runs for so long, leaves the reading
+// of a table to others and waits for their words. The leases it reads itself until
+// all that started together are known.
+func (n *Node) hears(f feed, up time.Duration) bool {
+	switch {
+	case up <= hearSoon, f.early > 0 && up <= leasesSoon:
+		return false
+	case f.shared:
 		return true
 	}
 	_, all := n.zoneReaders(f.table)
@@ -108,7 +113,7 @@
 	for n.ctx.Err() == nil {
 		var rows []chestnutstream.TableRow
 		var err error
-		if known && n.now().Sub(began) > leasesSoon && n.hears(f) {
+		if known && n.hears(f, n.now().Sub(began)) {
 			if told, ok := n.told(f, version); ok {
 				version = told
 				continue
