--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -21,7 +21,7 @@
 const (
 	operatorWait = 15 * time.Second        // of a feed of the operator's table, on an instance that another one tells what it reads
 	serversPause = 1050 * time.Millisecond // between reads of the servers, at least: their entries change all the time
-	serversShare = 0.525                   // of the platform's bound on leaving servers, the same where that is longer
+	serversShare = 0.35                    // of the platform's bound on leaving servers, the same where that is longer
 	serversWait  = time.Second
 	leasesPause  = 3500 * time.Millisecond // between reads of the leases: a dead holder is found after more than ten seconds
 	leasesWait   = time.Second
@@ -30,7 +30,7 @@
 	leasesEarly  = 1200 * time.Millisecond // and just after a start, until all that started together are known
 	leasesSoon   = 2500 * time.Millisecond
 	hearSoon     = 1200 * time.Millisecond // after a start, until what others read is waited for
-	startSpread  = 40 * time.Millisecond // over which instances that start together spread their first reads
+	startSpread  = 40 * time.Millisecond   // over which instances that start together spread their first reads
 	// readShare is the share of the platform's bound on configurations that a feed
 	// of the operator's table waits on the instance that reads for the others: the
 	// store may hold a feed to the end of its wait though there is news.
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -21,8 +21,12 @@
 // hears from the reader: the own feed brings a change at once, the reader's words
 // bound how late it can be. In larger zones there is no such feed.
 const (
-	wholePause   = 16 * time.Second // between words with all entries that were read, in case that an instance has missed one
-	readersShare = 40               // instances that one reader tells
+	wholePause = 16 * time.Second // between words with all entries that were read, in case that an instance has missed one
+	// The instances that one reader tells: of the servers few, since all their entries
+	// together are hundreds of kilobytes for each instance, and links are as slow as
+	// 10 Mbit/s.
+	readersShare        = 40
+	readersShareServers = 12
 	// ownFeeds is the number of instances of a zone from which on only its readers
 	// follow the operator's table: each change would end the feeds of all.
 	ownFeeds  = 6
@@ -46,7 +50,16 @@
 	all = slices.DeleteFunc(all, func(name string) bool { return name != n.cfg.Instance && !n.mesh.Linked(name) })
 	rank := func(name string) uint64 { return xxhash.Sum64String(table + "\x00" + name) }
 	sort.Slice(all, func(i, j int) bool { return rank(all[i]) < rank(all[j]) })
-	return all[:(len(all)+readersShare-1)/readersShare], all
+	return all[:readersAmong(table, len(all))], all
+}
+
+// readersAmong returns how many of a zone's instances read a table.
+func readersAmong(table string, instances int) int {
+	share := readersShare
+	if table == platform.TableServers {
+		share = readersShareServers
+	}
+	return (instances + share - 1) / share
 }
 
 // told waits for a reader's word on a table, unless this instance is a reader
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -168,3 +168,23 @@
 	n.toldWhole = n.now().Add(-wholePause)
 	assert.Equal(t, told(row(31, "a", "ready", ""), row(32, "b", "ready", "")), "a b ")
 }
+
+// What a reader passes on has to fit its link: after an outage that is all entries
+// of the servers, to each instance that it tells (a zone of 25 instances had one
+// reader with 10 Mbit/s, and leaving servers got requests after 3 s).
+func TestReadersTellWhatTheirLinksCarry(t *testing.T) {
+	const (
+		entryBytes = 600 // of a server that holds 8 adapters
+		servers    = 200
+		link       = 10e6 / 8 // bytes a second
+		drain      = 3 * time.Second
+	)
+	for _, instances := range []int{1, 6, 12, 13, 25, 40, 41, 100} {
+		readers := readersAmong(platform.TableServers, instances)
+		told := (instances - readers + readers - 1) / readers
+		takes := time.Duration(float64(told*servers*entryBytes) / link * float64(time.Second))
+		n := &Node{cfg: platform.Settings{Drain: drain}}
+		assert.Check(t, n.serversPause()+takes < drain, "%d instances: %d readers, each tells %d in %v", instances, readers, told, takes)
+		assert.Check(t, readersAmong(platform.TableOperator, instances) <= readers)
+	}
+}
