--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -14,7 +14,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 func TestRequestGoesOnUnchanged(t *testing.T) {
@@ -396,3 +398,59 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), len(long))
 }
+
+// A stream that is slow but sound goes on to its end; one that brings a byte now
+// and then and no event ends with its route's time-out, at the server too.
+func TestSlowStreamsGoOnAndStalledOnesEnd(t *testing.T) {
+	t.Parallel()
+	slow := newBackend(t, "i-slow", func(c net.Conn, r *http.Request, _ string) bool {
+		streamHead(c, r)
+		for i := range 4 {
+			events(c, i, i+1)
+			time.Sleep(600 * time.Millisecond)
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	})
+	resp, body, err := newFront(t, slow).ask(t, "POST", "/once/1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, strings.Count(body, "data: piece"), 4)
+
+	ended := make(chan struct{})
+	stalled := newBackend(t, "i-stalled", func(c net.Conn, r *http.Request, _ string) bool {
+		defer close(ended)
+		streamHead(c, r)
+		events(c, 0, 1)
+		for {
+			if _, err := io.WriteString(c, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	began := time.Now()
+	_, _, err = newFront(t, stalled).ask(t, "POST", "/once/1", "")
+	assert.Assert(t, err != nil, "a stream that ends early looks complete")
+	citest.Timely(t, time.Since(began), 3500*time.Millisecond)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the server still works on it")
+	}
+}
+
+// Where neither the caller nor the route bounds a request, it is bounded all the
+// same.
+func TestEveryRequestHasADeadline(t *testing.T) {
+	for _, c := range []struct{ deadline, timeout, want time.Duration }{
+		{0, 0, longestAnswer},
+		{0, 3 * time.Second, 3 * time.Second},
+		{2 * time.Second, 3 * time.Second, 2 * time.Second},
+		{4 * time.Second, 3 * time.Second, 3 * time.Second},
+		{4 * time.Second, 0, 4 * time.Second},
+	} {
+		x := &exchange{header: platform.RequestHeader{Deadline: c.deadline}, route: &chestnutstream.Route{Timeout: c.timeout}}
+		assert.Equal(t, x.limit(), c.want)
+	}
+}
--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -80,10 +80,10 @@
 }
 
 // fits reports whether an answer ends before the planned stop cuts it off. most
-// is what bounds it by itself, its deadline or its route's time-out; 0: nothing.
+// is what bounds it by itself: its deadline or its route's time-out.
 // Of a route of which no answer has been seen, early requests are taken.
 func (l *lasting) fits(leave Leave, route string, p chestnutstream.Prompt, most time.Duration) bool {
-	if most > 0 && most <= leave.Left {
+	if most <= leave.Left {
 		return true
 	}
 	if leave.Since >= provenAfter {
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -30,7 +30,7 @@
 		{"early, and such answers are long", Leave{time.Second, 6600 * time.Millisecond}, "seen", chestnutstream.Prompt{Output: 400}, 15 * time.Second, false},
 		{"early, and nothing is known", Leave{time.Second, 6600 * time.Millisecond}, "new", chestnutstream.Prompt{}, 15 * time.Second, true},
 		{"late, and nothing is known", Leave{3 * time.Second, 4600 * time.Millisecond}, "new", chestnutstream.Prompt{}, 15 * time.Second, false},
-		{"late, without any bound", Leave{3 * time.Second, 4600 * time.Millisecond}, "new", chestnutstream.Prompt{}, 0, false},
+		{"late, without a bound of its own", Leave{3 * time.Second, 4600 * time.Millisecond}, "new", chestnutstream.Prompt{}, longestAnswer, false},
 	} {
 		assert.Equal(t, l.fits(c.leave, c.route, c.p, c.most), c.want, c.name)
 	}
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -80,7 +80,7 @@
 	}
 	abandoned := max(abandonLeast, abandonTargets*x.route.TargetLatency, abandonGaps*x.route.TargetGap)
 	until := x.began.Add(abandoned - firstEventTime)
-	if !x.deadline.IsZero() && x.deadline.Before(until) {
+	if x.deadline.Before(until) {
 		return x.deadline.Add(-firstEventTime)
 	}
 	return until
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -124,7 +124,7 @@
 	service string
 	body    []byte
 
-	deadline time.Time // of the answer; zero: none
+	deadline time.Time // of the answer
 	mayRun   bool      // it may have run, or may still run
 	sends    int
 	arrivals int      // sends that a connection was had for
@@ -153,6 +153,7 @@
 	startWait      = 400 * time.Millisecond // for a configuration, after a start
 	retryNoConfig  = 400 * time.Millisecond
 	retrySpread    = 0.25                 // by which share they differ, so that those who were refused together do not return together
+	longestAnswer  = 10 * time.Minute     // where neither the caller nor the route says: a server that sends a byte now and then would hold it for ever
 	deadlineMargin = 4 * time.Millisecond // before the route's time-out, so that the answer arrives in time
 )
 
@@ -231,22 +232,21 @@
 }
 
 // limit returns the longest that the request may take: the caller's deadline or
-// the route's time-out; 0: there is none.
+// the route's time-out, else longestAnswer.
 func (x *exchange) limit() time.Duration {
 	limit := x.header.Deadline
 	if t := x.route.Timeout; t > 0 && (limit == 0 || t < limit) {
 		limit = t
 	}
+	if limit == 0 {
+		return longestAnswer
+	}
 	return limit
 }
 
 // context bounds the request by the caller's deadline and the route's time-out.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
-	limit := x.limit()
-	if limit == 0 {
-		return context.WithCancel(x.r.Context())
-	}
-	x.deadline = x.began.Add(limit - deadlineMargin)
+	x.deadline = x.began.Add(x.limit() - deadlineMargin)
 	return context.WithDeadline(x.r.Context(), x.deadline)
 }
 
@@ -256,10 +256,7 @@
 	if x.header.Deadline > 0 {
 		return x.header.Deadline - now.Sub(x.began)
 	}
-	if !x.deadline.IsZero() {
-		return x.deadline.Sub(now)
-	}
-	return time.Minute
+	return x.deadline.Sub(now)
 }
 
 // refuse answers that the request has not run, and when to come back.
