--- a/edge/place.go
+++ b/edge/place.go
@@ -432,6 +432,14 @@
 	return n.budget(service).Take(n.now())
 }
 
+// Elsewhere implements ingress.Dispatcher.
+func (n *Node) Elsewhere(service string, avoid map[string]bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	return n.budget(service).Has(now) && n.fleet.Others(now, service, avoid)
+}
+
 // Earn implements ingress.Dispatcher.
 func (n *Node) Earn(service string) {
 	n.mu.Lock()
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -95,15 +95,7 @@
 }
 
 func (s *site) backend(cfg standin.BackendSettings) *standin.Backend {
-	l := listen(s.t)
-	cfg.Address = l.Addr().String()
-	if cfg.Zone == "" {
-		cfg.Zone = "zone-a"
-	}
-	b := standin.NewBackend(cfg, s.store)
-	serve(s.t, l, b)
-	b.Beat()
-	s.backends = append(s.backends, b)
+	b := s.silentBackend(cfg)
 	go func() {
 		for {
 			select {
@@ -117,6 +109,20 @@
 	return b
 }
 
+// silentBackend starts a backend server that writes its entry once.
+func (s *site) silentBackend(cfg standin.BackendSettings) *standin.Backend {
+	l := listen(s.t)
+	cfg.Address = l.Addr().String()
+	if cfg.Zone == "" {
+		cfg.Zone = "zone-a"
+	}
+	b := standin.NewBackend(cfg, s.store)
+	serve(s.t, l, b)
+	b.Beat()
+	s.backends = append(s.backends, b)
+	return b
+}
+
 func (s *site) configure(routes string) {
 	s.version += 3
 	s.store.Put(platform.TableOperator, "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[
--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -40,6 +40,12 @@
 	b.tokens = min(b.tokens+b.share, b.most())
 }
 
+// Has reports whether one more send is allowed now.
+func (b *Budget) Has(now time.Time) bool {
+	b.refill(now)
+	return b.tokens >= 1
+}
+
 // Take reports whether one more send is allowed, and counts it.
 func (b *Budget) Take(now time.Time) bool {
 	b.refill(now)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -58,6 +58,17 @@
 	return best
 }
 
+// Others reports whether a service has a server that may get a request, besides
+// those to avoid.
+func (f *Fleet) Others(now time.Time, service string, avoid map[string]bool) bool {
+	for _, s := range f.services[service] {
+		if s.Usable() && !avoid[s.ID] && f.reachable(now, s) && s.judge.open(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fleet) plainCost(now time.Time, s *Server) float64 {
 	cost := 1 + s.Load(now)
 	if slots := float64(max(s.Slots, 1)); cost > slots {
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -148,7 +148,16 @@
 }
 
 func (d *desk) Again(string) bool { return d.again }
-func (d *desk) Earn(string)       {}
+
+func (d *desk) Elsewhere(_ string, avoid map[string]bool) bool {
+	for _, b := range d.backends {
+		if !avoid[b.id] {
+			return d.again
+		}
+	}
+	return false
+}
+func (d *desk) Earn(string) {}
 
 func (d *desk) Leaving() (Leave, bool) { return d.leave, d.leave != Leave{} }
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +61,36 @@
 // errSilent ends an attempt that brought no answer in time.
 var errSilent = errors.New("no answer in time")
 
+// impatient gives an attempt up once its server was silent for as long as patience
+// and another one may be asked. While there is none the server keeps its work: it
+// may only be slow.
+func (x *exchange) impatient(p Placed, patience time.Duration, giveUp func()) (stop func()) {
+	avoid := maps.Clone(x.avoid)
+	avoid[p.Server.ID] = true
+	var mu sync.Mutex
+	stopped := false
+	var t *time.Timer
+	mu.Lock()
+	defer mu.Unlock()
+	t = time.AfterFunc(patience, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case x.server.dispatcher.Elsewhere(x.service, avoid):
+			giveUp()
+		default:
+			t.Reset(patience)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		t.Stop()
+	}
+}
+
 // send sends the request to one server and waits for the beginning of its
 // answer, at most patience (0: to the end). handed reports whether a connection
 // was handed the request.
@@ -73,8 +105,7 @@
 		return nil, false, err
 	}
 	if patience > 0 {
-		t := time.AfterFunc(patience, func() { cancel(errSilent) })
-		defer t.Stop()
+		defer x.impatient(p, patience, func() { cancel(errSilent) })()
 	}
 	transport := x.server.fresh
 	if x.route.Repeatable() {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -87,6 +87,9 @@
 	// Again reports whether one more send of a request to a service is within
 	// the budget, and counts it.
 	Again(service string) bool
+	// Elsewhere reports whether a request may be sent to one more server of its
+	// service now, besides those to avoid.
+	Elsewhere(service string, avoid map[string]bool) bool
 	// Earn notes a request for a service.
 	Earn(service string)
 	// Leaving returns the planned stop of this instance, if one is under way.
