--- a/edge/control.go
+++ b/edge/control.go
@@ -20,6 +20,7 @@
 	orderTimeout  = 45 * time.Millisecond  // an engine answers within milliseconds, and an order that was lost holds up all later ones
 	usedPause     = 60 * time.Millisecond  // between words to owners about the use of their adapters
 	reportTimeout = 700 * time.Millisecond
+	askPause      = 500 * time.Millisecond // between words that ask for a configuration
 )
 
 // control carries out what the state machines want, until the node stops.
@@ -47,6 +48,7 @@
 	changes := n.fleet.Tick(now)
 	n.serversChanged(changes)
 	n.endUntold(now)
+	n.askConfigAgain(now)
 	leaseActions := n.book.Step(boot, n.engines())
 	n.syncLoaders(boot)
 	wait := controlMost
@@ -87,6 +89,17 @@
 	return wait
 }
 
+// askConfigAgain asks the peers for a configuration while there is none: one that is
+// asked before its own connection to this instance is up cannot answer. Callers
+// hold mu.
+func (n *Node) askConfigAgain(now time.Time) {
+	if n.table.Load() != nil || now.Sub(n.askedAt) < askPause {
+		return
+	}
+	n.askedAt = now
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.AskConfig = true })
+}
+
 // syncLoaders keeps a loader for each engine that this instance owns. Callers
 // hold mu.
 func (n *Node) syncLoaders(boot time.Duration) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -67,6 +67,7 @@
 	storeState  dependency
 	turnID      uint64               // of the newest ask for a turn
 	turnWaits   map[uint64]*turnWait // by the ask's number
+	askedAt     time.Time            // when peers were last asked for a configuration
 	started     time.Time
 	views       map[string]*view // by table
 }
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/loader"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Loads are told in one word for all engines of an instance, when they have moved
@@ -56,3 +60,32 @@
 		}
 	}
 }
+
+// asked counts the words that ask for a configuration, and answers none: like a peer
+// whose own connection is not up yet.
+type asked struct{ n atomic.Int32 }
+
+func (a *asked) Heard(_ instance.Member, b instance.Bundle) {
+	if b.AskConfig {
+		a.n.Add(1)
+	}
+}
+func (*asked) Linked(instance.Member) instance.Bundle { return instance.Bundle{} }
+func (*asked) Unlinked(instance.Member, error)        {}
+
+// An instance that starts while the store is away asks its peers until one answers.
+func TestConfigurationIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	n := idleNode(t, "a")
+	var peer asked
+	mesh := instance.NewMesh(instance.Settings{Self: instance.Member{Name: "b", Address: "127.0.0.1:1", Zone: "z"}, Run: 1, Timer: timer.NewSystem(), Log: &log.Logger{Handler: discard.New()}}, &peer)
+	t.Cleanup(mesh.Close)
+	l := listen(t)
+	serve(t, l, mesh)
+	n.mesh.Add(instance.Member{Name: "b", Address: l.Addr().String(), Zone: "z"})
+	t.Cleanup(n.mesh.Close)
+	eventually(t, "it asks again", func() bool {
+		n.step()
+		return peer.n.Load() >= 3
+	})
+}
