--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -351,10 +351,8 @@
 			n.endLoader(c.Server)
 			n.book.Forget(c.Server)
 			n.failWaits(c.Server, "server "+c.What)
-			n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == c.Server })
 		case "draining":
 			n.failWaits(c.Server, "server draining")
-			n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == c.Server })
 		}
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -35,7 +35,6 @@
 	}
 	delete(n.peers, to.Name)
 	n.failWaitsOf(to.Name, "owner not reachable")
-	n.endTurns(instance.TurnNow, func(w *turnWait) bool { return w.owner == to.Name })
 	n.mu.Unlock()
 	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
 }
--- a/edge/place.go
+++ b/edge/place.go
@@ -359,8 +359,9 @@
 	}
 }
 
-// failWaits ends all waits for a server. Callers hold mu.
+// failWaits ends all waits for a server, for loads and for turns. Callers hold mu.
 func (n *Node) failWaits(server, reason string) {
+	n.endTurns(instance.TurnNever, func(w *turnWait) bool { return w.server == server })
 	for k := range n.waits {
 		if k.server == server {
 			n.endWait(k, waitResult{reason: reason})
@@ -368,9 +369,10 @@
 	}
 }
 
-// failWaitsOf ends all waits for loads that an instance was asked for. Callers
-// hold mu.
+// failWaitsOf ends all waits for loads and turns that an instance was asked for.
+// Callers hold mu.
 func (n *Node) failWaitsOf(owner, reason string) {
+	n.endTurns(instance.TurnNow, func(w *turnWait) bool { return w.owner == owner })
 	for k, w := range n.waits {
 		if w.owner == owner {
 			n.endWait(k, waitResult{reason: reason})
--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -48,8 +48,7 @@
 
 // Take reports whether one more send is allowed, and counts it.
 func (b *Budget) Take(now time.Time) bool {
-	b.refill(now)
-	if b.tokens < 1 {
+	if !b.Has(now) {
 		return false
 	}
 	b.tokens--
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -44,7 +44,7 @@
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for i := range list {
 			s := list[(start+i)%len(list)]
-			if !s.Usable() || avoid[s.ID] || !f.reachable(now, s) || (pass == 0 && !s.judge.open(now)) {
+			if !f.mayGet(now, s, avoid, pass > 0) {
 				continue
 			}
 			if cost := f.plainCost(now, s); best == nil || cost < bestCost {
@@ -58,11 +58,17 @@
 	return best
 }
 
+// mayGet reports whether a server may get a request; closed: also one that fails
+// its work.
+func (f *Fleet) mayGet(now time.Time, s *Server, avoid map[string]bool, closed bool) bool {
+	return s.Usable() && !avoid[s.ID] && f.reachable(now, s) && (closed || s.judge.open(now))
+}
+
 // Others reports whether a service has a server that may get a request, besides
 // those to avoid.
 func (f *Fleet) Others(now time.Time, service string, avoid map[string]bool) bool {
 	for _, s := range f.services[service] {
-		if s.Usable() && !avoid[s.ID] && f.reachable(now, s) && s.judge.open(now) {
+		if f.mayGet(now, s, avoid, false) {
 			return true
 		}
 	}
@@ -180,7 +186,7 @@
 	list := make([]ranked, 0, len(f.services[r.Service]))
 	total, near := 0.0, false
 	for _, s := range f.services[r.Service] {
-		if !s.Usable() || avoid[s.ID] || !f.reachable(now, s) || (!closed && !s.judge.open(now)) {
+		if !f.mayGet(now, s, avoid, closed) {
 			continue
 		}
 		if !near && f.near(s.Zone) {
