What servers say of the work that they want is read, logged and counted

Now Server-Limit, Server-Leaving and the Retry-After of a 503 are read from every answer that is the server's own (with and without the platform's prefix; the lowest of several; what cannot be read says nothing), logged when they change ("server backpressure"), counted (chestnutstream_backpressure_total) and shown in the dump. Nothing decides by it yet. The stand-in of a backend server can say all three.

--- a/backend.go
+++ b/backend.go
@@ -53,6 +53,15 @@
 	return m.Model + "/" + m.Adapter
 }
 
+// Backpressure is what a backend server says in an answer of the work that it
+// wants.
+type Backpressure struct {
+	Leaving   bool          // it takes no new work until its end
+	Limit     float64       // requests a second that it takes from all instances together; 0: it names none
+	Unlimited bool          // the answer names no limit; false also for one that cannot be read
+	Pause     time.Duration // it wants nothing from this instance for so long; 0: it says none
+}
+
 // Prompt is what a request says of the tokens that an engine has to read.
 type Prompt struct {
 	Tokens int    // in all; 0: not said
--- a/edge/dump.go
+++ b/edge/dump.go
@@ -27,6 +27,8 @@
 	Owner    string  `json:"owner,omitempty"`
 	InFlight int     `json:"in-flight"`
 	Load     float64 `json:"load"`
+	Limit    float64 `json:"limit-per-s,omitempty"` // requests from all instances
+	Paused   int64   `json:"paused-ms,omitempty"`
 	Slots    int     `json:"slots-taken,omitempty"`
 	AllSlots int     `json:"slots,omitempty"`
 }
@@ -54,6 +56,7 @@
 	out := wireServer{
 		ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, State: string(s.State),
 		Owner: n.ownerOf(s.ID), InFlight: s.InFlight, Load: s.Load(n.now()),
+		Limit: s.Limit(), Paused: s.Paused(n.now()).Milliseconds(),
 	}
 	if e := n.loaders[s.ID]; e != nil {
 		out.Slots, out.AllSlots = e.Slots()
--- a/edge/place.go
+++ b/edge/place.go
@@ -383,8 +383,15 @@
 // Answered implements ingress.Dispatcher.
 func (n *Node) Answered(p ingress.Placed, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	now := n.now()
+	changes := n.fleet.Said(now, now.Add(-r.Took), p.Server.ID, r.Said)
+	n.answered(now, p, target, r)
+	n.mu.Unlock()
+	n.logSaid(changes)
+}
+
+// answered takes what an answer tells of its server. Callers hold mu.
+func (n *Node) answered(now time.Time, p ingress.Placed, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.fleet.Outcome(now, p.Server.ID, r.Outcome, r.Took)
 	if r.Outcome == fleet.Answered && p.First > 0 {
 		n.firstEventTook(p, r.Took)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -29,9 +29,11 @@
 // Change is a change of what the instance believes of a server.
 type Change struct {
 	Server string
-	What   string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed"
+	What   string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed"; of answers: "limit", "limit-ended", "paused", "says-it-leaves"
 	Row    uint64
 	Err    error
+	Limit  float64       // requests a second, from all instances
+	Pause  time.Duration // until the server wants something again
 }
 
 // StoreFailed notes that the store did not answer a read of the list.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,9 @@
 	holds     map[chestnutstream.ModelAdapter]holding
 	noLoads   time.Time // until when its owner is not asked for loads
 	noTurns   time.Time // until when its owner is not asked for turns
+	limit     limit
+	pausedTo  time.Time // until when it wants nothing from this instance
+	leaves    bool      // an answer said that it leaves
 	hash      uint64
 }
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -84,9 +84,9 @@
 	x.sends++
 	x.servers = append(x.servers, next.Server.ID)
 	b, handed, err := x.send(next, "", 0)
-	r := Result{Took: x.server.cfg.Timer.Now().Sub(began), Outcome: fleet.Answered}
+	took := x.server.cfg.Timer.Now().Sub(began)
 	if err != nil {
-		r.Outcome = fleet.Failed
+		r := Result{Took: took, Outcome: fleet.Failed}
 		if !handed {
 			r.Outcome = fleet.Unreachable
 		}
@@ -95,9 +95,9 @@
 		return true
 	}
 	defer b.close()
+	r := x.result(next, b.resp, took)
 	better, err := readWhole(b.resp)
-	ok := err == nil && b.resp.StatusCode < http.StatusInternalServerError && x.isAnswer(b.resp) && !platform.NotExecuted(b.resp.StatusCode, b.resp.Header)
-	if !ok {
+	if err != nil || r.Outcome != fleet.Answered {
 		r.Outcome = fleet.Failed
 		x.server.dispatcher.Answered(next, x.header.Target, r)
 		x.writeWhole(a.resp, body)
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -161,23 +161,13 @@
 func (x *exchange) check(p Placed, a *sent, took time.Duration) bool {
 	x.arrivals++
 	h := a.resp.Header
-	r := Result{Took: took, Outcome: fleet.Answered}
-	if l, ok := platform.ReadServerLoad(h); ok {
-		r.Load = &l
-	}
+	r := x.result(p, a.resp, took)
 	status := a.resp.StatusCode
-	if platform.NotExecuted(status, h) {
-		r.Outcome = fleet.Refused
-		if status == http.StatusMisdirectedRequest {
-			id := h.Get(platform.HeaderServerID)
-			r.Foreign = id != "" && id != p.Server.ID
-			r.NotHeld = !r.Foreign
-		}
+	if r.Outcome == fleet.Refused {
 		x.server.dispatcher.Answered(p, x.header.Target, r)
 		return x.refusedBy(p, a, r)
 	}
 	if !x.isAnswer(a.resp) {
-		r.Outcome = fleet.Failed
 		x.server.dispatcher.Answered(p, x.header.Target, r)
 		x.mayRun, x.avoid[p.Server.ID] = true, true
 		x.reason = fmt.Sprintf("%s: answer %d is of request %q, signed %t", p.Server.ID, status, h.Get(platform.HeaderRequestID), h.Get(platform.HeaderSignature) != "")
@@ -188,9 +178,6 @@
 		return true
 	}
 	x.mayRun = true
-	if status >= http.StatusInternalServerError {
-		r.Outcome = fleet.Failed
-	}
 	if x.stream != nil && status != http.StatusOK {
 		x.server.dispatcher.Answered(p, x.header.Target, r)
 		return x.streamBroke(p, fmt.Errorf("going on was answered %d", status))
@@ -199,6 +186,35 @@
 	return x.relay(p, a)
 }
 
+// result returns what the beginning of an answer tells of its server.
+func (x *exchange) result(p Placed, resp *http.Response, took time.Duration) Result {
+	r := Result{Took: took, Outcome: fleet.Answered}
+	status, h := resp.StatusCode, resp.Header
+	if l, ok := platform.ReadServerLoad(h); ok {
+		r.Load = &l
+	}
+	id := h.Get(platform.HeaderServerID)
+	other := id != "" && id != p.Server.ID
+	switch {
+	case platform.NotExecuted(status, h):
+		r.Outcome = fleet.Refused
+		r.Foreign = other && status == http.StatusMisdirectedRequest
+		r.NotHeld = !r.Foreign && status == http.StatusMisdirectedRequest
+		if !other {
+			r.Said = platform.ReadBackpressure(status, h)
+			r.Said.Unlimited = false // not all that refuse say what they take
+		}
+	case !x.isAnswer(resp):
+		r.Outcome = fleet.Failed
+	default:
+		if status >= http.StatusInternalServerError {
+			r.Outcome = fleet.Failed
+		}
+		r.Said = platform.ReadBackpressure(status, h)
+	}
+	return r
+}
+
 // isAnswer reports whether an answer belongs to this request and bears a server's
 // signature.
 func (x *exchange) isAnswer(resp *http.Response) bool {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -64,8 +64,9 @@
 	Outcome fleet.Outcome
 	Took    time.Duration // to the first byte of the answer
 	Load    *platform.ServerLoad
-	NotHeld bool // the server lacks the adapter or has another version
-	Foreign bool // another server has the address
+	Said    chestnutstream.Backpressure // of an answer that is the server's
+	NotHeld bool                        // the server lacks the adapter or has another version
+	Foreign bool                        // another server has the address
 }
 
 // Dispatcher places requests on backend servers.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -36,8 +36,15 @@
 	Hang      bool
 	BreakAt   int // streams break off after so many events; 0: never
 	LoseOrder int // every n-th order brings no answer and is not carried out; 0: none
+
+	Limit   string  // requests a second that answers name as the server's limit; empty: none
+	Leaving bool    // answers say that it leaves
+	Pause   float64 // seconds: requests are refused, and wanted again after that; 0: none
 }
 
+// inNeed reports whether answers say that the server wants less work.
+func (f BackendFaults) inNeed() bool { return f.Limit != "" || f.Leaving || f.Pause > 0 }
+
 // BackendCounts is what a backend server has seen.
 type BackendCounts struct {
 	Arrivals    int            // requests that reached it, refused ones included
@@ -51,6 +58,7 @@
 	Orders      int
 	ShortTurn   time.Duration // the shortest time between orders of two holders; 0: one holder only
 	LateArrival time.Duration // of the latest request after the server began to drain
+	InNeed      []time.Time   // arrivals since it has been saying that it wants less work
 }
 
 type backendAdapter struct {
@@ -114,7 +122,33 @@
 func (b *Backend) SetFaults(f BackendFaults) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.faults = f
+	b.faults, b.counts.InNeed = f, nil
+}
+
+// say writes what a server in need says into the head of an answer.
+func (f BackendFaults) say(h http.Header) {
+	if f.Limit != "" {
+		h.Set("X-Chestnutstream-Server-Limit", f.Limit)
+	}
+	if f.Leaving {
+		h.Set("X-Chestnutstream-Server-Leaving", "1")
+	}
+	if f.Pause > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.Pause, 'f', -1, 64))
+	}
+}
+
+// MostWithin returns the largest number of times that lie within one span; times
+// are in order.
+func MostWithin(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, t := range times {
+		for t.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
 }
 
 // Counts returns a copy of what the server has seen.
@@ -127,6 +161,7 @@
 		c.Ran[id] = n
 	}
 	c.Holders = append([]string(nil), b.counts.Holders...)
+	c.InNeed = append([]time.Time(nil), b.counts.InNeed...)
 	return c
 }
 
@@ -304,9 +339,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Arrivals++
+	if b.faults.inNeed() {
+		b.counts.InNeed = append(b.counts.InNeed, time.Now())
+	}
 	if !b.drainAt.IsZero() {
 		b.counts.LateArrival = time.Since(b.drainAt)
 	}
+	if b.faults.Pause > 0 {
+		return nil, http.StatusServiceUnavailable, false
+	}
 	model, name, _ := strings.Cut(r.Header.Get("X-Chestnutstream-Model"), "/")
 	if b.cfg.AdapterSlots > 0 && len(b.held()) == 0 {
 		return nil, http.StatusMisdirectedRequest, false
@@ -340,14 +381,15 @@
 	adapter, status, fails := b.admit(r)
 	h := w.Header()
 	h.Set("X-Chestnutstream-Instance-Id", b.cfg.ID)
+	b.mu.Lock()
+	f, running := b.faults, b.running
+	b.mu.Unlock()
+	f.say(h)
 	if status != 0 {
 		h.Set("X-Chestnutstream-Not-Executed", "1")
 		w.WriteHeader(status)
 		return
 	}
-	b.mu.Lock()
-	f, running := b.faults, b.running
-	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
 		b.running--
