Words said while a connection comes up are not lost

Cause: a link counted as up only after the first bundle had been put together and written. What was broadcast in between, here the engines just acquired, went to no link and was not in the bundle either; owners say it again only when it changes.

Change: the link is up before its first bundle is put together, so such words go into the second. TestWordsWhileAConnectionComesUpAreHeard failed before and passes.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -60,6 +60,7 @@
 	heard []Bundle
 	up    int
 	down  int
+	early func() // called while a connection comes up, after what is said first was put together
 }
 
 func (n *node) Heard(_ Member, b Bundle) {
@@ -72,6 +73,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up++
+	if n.early != nil {
+		n.early()
+	}
 	return Bundle{HasOwned: true, Owned: []string{"first"}}
 }
 
@@ -129,6 +133,20 @@
 }
 
 // A connection that falls silent, without a reset, is given up and dialled anew.
+func TestWordsWhileAConnectionComesUpAreHeard(t *testing.T) {
+	a, an, _ := newTestMesh(t, "a")
+	_, bn, b := newTestMesh(t, "b")
+	an.early = func() {
+		a.Broadcast(func(out *Bundle) { out.HasOwned, out.Owned = true, []string{"second"} })
+	}
+	a.Add(b)
+	eventually(t, "b hears the newest word", func() bool {
+		bn.mu.Lock()
+		defer bn.mu.Unlock()
+		return len(bn.heard) > 0 && bn.heard[len(bn.heard)-1].Owned[0] == "second"
+	})
+}
+
 func TestSilentConnectionIsDialledAnew(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes the silence of three beats")
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -232,11 +232,7 @@
 	}
 	_ = resp.Body.Close()
 	defer conn.Close()
-	first := m.handler.Linked(l.member)
-	first.From, first.Run = m.cfg.Self, m.cfg.Run
-	if err := m.write(conn, first); err != nil {
-		return false, err
-	}
+	// What is said while the first bundle is put together belongs into the next.
 	l.mu.Lock()
 	l.up, l.out = true, Bundle{}
 	l.mu.Unlock()
@@ -245,6 +241,11 @@
 		l.up = false
 		l.mu.Unlock()
 	}()
+	first := m.handler.Linked(l.member)
+	first.From, first.Run = m.cfg.Self, m.cfg.Run
+	if err := m.write(conn, first); err != nil {
+		return true, err
+	}
 	closed := make(chan error, 1)
 	go m.watch(conn, closed)
 	return true, m.pump(ctx, l, conn, closed)
