A server whose answers say that it leaves gets no new work

Cause: only the server's entry in the platform's list was believed; Server-Leaving in an answer was not read.

Change: such an answer, also a refusal, a failure, or one to an order or a report, makes the server draining at this instance at once, for as long as that start of it lasts. Instances tell one another, also on a new connection, since entries lag; a word on a server that is not known yet is kept.

--- a/edge/backpressure.go
+++ b/edge/backpressure.go
@@ -1,15 +1,67 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/instance"
 )
 
-// logSaid logs and counts what servers' answers have changed.
-func (n *Node) logSaid(changes []fleet.Change) {
+// said takes what a server's answer to a request that was sent at began says of
+// the work that it wants, and tells the other instances what concerns all of them.
+// Callers hold mu.
+func (n *Node) said(now, began time.Time, server string, b chestnutstream.Backpressure) []fleet.Change {
+	changes := n.fleet.Said(now, began, server, b)
+	n.serversChanged(changes)
+	for _, c := range changes {
+		if c.What == fleet.ChangeLeaves {
+			word := instance.Said{Server: server, Born: n.fleet.Server(server).Born, Leaving: true}
+			n.mesh.Broadcast(func(b *instance.Bundle) { b.Said = append(b.Said, word) })
+		}
+	}
+	return changes
+}
+
+// heardBackend takes what a server's answer to an order or a report says of the
+// work that it wants.
+func (n *Node) heardBackend(server string, took time.Duration, b chestnutstream.Backpressure) {
+	n.mu.Lock()
+	now := n.now()
+	changes := n.said(now, now.Add(-took), server, b)
+	n.mu.Unlock()
+	n.logSaid(changes, "")
+}
+
+// heardSaid takes what a server has said to another instance. Callers hold mu.
+func (n *Node) heardSaid(s instance.Said) []fleet.Change {
+	var changes []fleet.Change
+	if s.Leaving {
+		changes = n.fleet.SaysItLeaves(s.Server, s.Born)
+	}
+	n.serversChanged(changes)
+	return changes
+}
+
+// allSaid returns what servers have said that concerns all instances. Callers hold
+// mu.
+func (n *Node) allSaid() []instance.Said {
+	var words []instance.Said
+	for _, s := range n.fleet.Servers() {
+		if n.fleet.Leaving(s) {
+			words = append(words, instance.Said{Server: s.ID, Born: s.Born, Leaving: true})
+		}
+	}
+	return words
+}
+
+// logSaid logs and counts what answers have changed; peer is the instance that
+// had them, "" for this one.
+func (n *Node) logSaid(changes []fleet.Change, peer string) {
 	for _, c := range changes {
 		n.metrics.GetOrCreateCounter(`chestnutstream_backpressure_total{change="` + c.What + `"}`).Inc()
-		n.log.WithFields(log.Fields{"server": c.Server, "change": c.What, "limit-per-s": c.Limit, "pause-ms": c.Pause.Milliseconds()}).Info("server backpressure")
+		n.log.WithFields(log.Fields{"server": c.Server, "change": c.What, "peer": peer, "limit-per-s": c.Limit, "pause-ms": c.Pause.Milliseconds()}).Info("server backpressure")
 	}
 }
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -351,7 +351,7 @@
 			n.endLoader(c.Server)
 			n.book.Forget(c.Server)
 			n.failWaits(c.Server, "server "+c.What)
-		case "draining":
+		case "draining", fleet.ChangeLeaves:
 			n.failWaits(c.Server, "server draining")
 		}
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -113,14 +113,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), run: run,
-		store: platform.NewStore(cfg.Store, storeTimeout, nil), backends: platform.NewBackends(boot),
-		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		store: platform.NewStore(cfg.Store, storeTimeout, nil),
+		ctx:   ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		rows:    rows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.Near, rand.New(rand.NewPCG(run, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, waits: map[holdKey]*wait{}, turnWaits: map[uint64]*turnWait{},
 		uses: map[holdKey]*adapterUse{}, changed: map[holdKey]bool{}, loads: map[string]int{}, toldEntries: map[string]entry{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
 		started: t.Now(), views: map[string]*view{},
 	}
+	n.backends = platform.NewBackends(boot, n.heardBackend)
 	n.heard = map[string]chan instance.Fed{}
 	feeds := n.feeds()
 	for _, f := range feeds {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
 )
 
@@ -21,6 +22,7 @@
 	for id, told := range n.loads {
 		b.Loads = append(b.Loads, instance.Load{Server: id, Requests: told})
 	}
+	b.Said = n.allSaid()
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
 }
@@ -87,12 +89,17 @@
 		}
 		n.got(g)
 	}
+	var said []fleet.Change
+	for _, s := range b.Said {
+		said = append(said, n.heardSaid(s)...)
+	}
 	ask := b.AskConfig && n.rows.config != nil
 	var told instance.Bundle
 	if ask {
 		told = n.rows.bundle()
 	}
 	n.mu.Unlock()
+	n.logSaid(said, from.Name)
 	for _, f := range b.Fed {
 		n.hearFed(f)
 	}
--- a/edge/place.go
+++ b/edge/place.go
@@ -384,10 +384,10 @@
 func (n *Node) Answered(p ingress.Placed, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.mu.Lock()
 	now := n.now()
-	changes := n.fleet.Said(now, now.Add(-r.Took), p.Server.ID, r.Said)
+	changes := n.said(now, now.Add(-r.Took), p.Server.ID, r.Said)
 	n.answered(now, p, target, r)
 	n.mu.Unlock()
-	n.logSaid(changes)
+	n.logSaid(changes, "")
 }
 
 // answered takes what an answer tells of its server. Callers hold mu.
--- a/fleet/backpressure.go
+++ b/fleet/backpressure.go
@@ -6,6 +6,14 @@
 	"github.com/chestnutstream/chestnutstream"
 )
 
+// Changes of what servers' answers say.
+const (
+	ChangeLimit      = "limit"
+	ChangeLimitEnded = "limit-ended"
+	ChangePaused     = "paused"
+	ChangeLeaves     = "says-it-leaves"
+)
+
 // limit is the newest word of a server on how many requests a second it takes
 // from all instances together.
 type limit struct {
@@ -39,21 +47,46 @@
 	switch {
 	case s.limit.rate == before:
 	case s.limit.rate == 0:
-		changes = append(changes, Change{Server: id, What: "limit-ended", Row: s.Row})
+		changes = append(changes, Change{Server: id, What: ChangeLimitEnded, Row: s.Row})
 	default:
-		changes = append(changes, Change{Server: id, What: "limit", Row: s.Row, Limit: s.limit.rate})
+		changes = append(changes, Change{Server: id, What: ChangeLimit, Row: s.Row, Limit: s.limit.rate})
 	}
 	if until := began.Add(b.Pause); b.Pause > 0 && until.After(s.pausedTo) {
 		s.pausedTo = until
-		changes = append(changes, Change{Server: id, What: "paused", Row: s.Row, Pause: b.Pause})
+		changes = append(changes, Change{Server: id, What: ChangePaused, Row: s.Row, Pause: b.Pause})
 	}
-	if b.Leaving && !s.leaves {
-		s.leaves = true
-		changes = append(changes, Change{Server: id, What: "says-it-leaves", Row: s.Row})
+	if b.Leaving {
+		changes = append(changes, f.SaysItLeaves(id, s.Born)...)
 	}
 	return changes
 }
 
+// SaysItLeaves takes the word of a start of a server that it leaves, from an
+// answer or from another instance. Nothing takes it back; a server that is not
+// known yet may come.
+func (f *Fleet) SaysItLeaves(id string, born int64) []Change {
+	if len(f.leaving) >= goneKept {
+		clear(f.leaving)
+	}
+	f.leaving[id] = born
+	return f.leave(f.servers[id])
+}
+
+// leave makes a server draining if its answers have said that it leaves.
+func (f *Fleet) leave(s *Server) []Change {
+	if s == nil || s.State != chestnutstream.BackendReady || !f.Leaving(s) {
+		return nil
+	}
+	s.State = chestnutstream.BackendDraining
+	return []Change{{Server: s.ID, What: ChangeLeaves, Row: s.Row}}
+}
+
+// Leaving reports whether a server's answers have said that it leaves.
+func (f *Fleet) Leaving(s *Server) bool {
+	born, said := f.leaving[s.ID]
+	return said && born == s.Born
+}
+
 // Limit returns how many requests a second a server takes from all instances; 0:
 // it has named no limit.
 func (s *Server) Limit() float64 { return s.limit.rate }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -29,7 +29,7 @@
 // Change is a change of what the instance believes of a server.
 type Change struct {
 	Server string
-	What   string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed"; of answers: "limit", "limit-ended", "paused", "says-it-leaves"
+	What   string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed", or a Change constant
 	Row    uint64
 	Err    error
 	Limit  float64       // requests a second, from all instances
@@ -101,7 +101,7 @@
 	case s == nil:
 		f.servers[e.Key] = newServer(e.Backend, e.Row)
 		f.holdsListed(now, f.servers[e.Key])
-		return []Change{{Server: e.Key, What: "new", Row: e.Row}}
+		return append([]Change{{Server: e.Key, What: "new", Row: e.Row}}, f.leave(f.servers[e.Key])...)
 	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
 		if e.Backend.Born < s.Born {
 			return nil // a late entry of an earlier start
@@ -109,7 +109,7 @@
 		fresh := newServer(e.Backend, e.Row)
 		fresh.InFlight = s.InFlight
 		f.servers[e.Key] = fresh
-		return []Change{{Server: e.Key, What: "restarted", Row: e.Row}}
+		return append([]Change{{Server: e.Key, What: "restarted", Row: e.Row}}, f.leave(fresh)...)
 	}
 	return f.updated(s, e)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,7 +28,6 @@
 	noTurns   time.Time // until when its owner is not asked for turns
 	limit     limit
 	pausedTo  time.Time // until when it wants nothing from this instance
-	leaves    bool      // an answer said that it leaves
 	hash      uint64
 }
 
@@ -78,6 +77,7 @@
 	rand     *rand.Rand
 	servers  map[string]*Server
 	gone     map[string]uint64    // rows at which servers were found gone
+	leaving  map[string]int64     // servers whose answers said that they leave, and their starts
 	services map[string][]*Server // in order of ID
 	versions map[chestnutstream.ModelAdapter]int
 	readers  map[string]*reader // by service
@@ -95,7 +95,7 @@
 		near = func(string) bool { return true }
 	}
 	return &Fleet{
-		zone: zone, near: near, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, services: map[string][]*Server{},
+		zone: zone, near: near, rand: r, servers: map[string]*Server{}, gone: map[string]uint64{}, leaving: map[string]int64{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*judge{}, readers: map[string]*reader{}, pauses: map[string]*pauses{},
 	}
 }
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -30,6 +30,7 @@
 	Asks      []wireTurnAsk `cbor:"19,keyasint,omitempty"`
 	Turns     []wireTurn    `cbor:"20,keyasint,omitempty"`
 	Paced     []string      `cbor:"21,keyasint,omitempty"`
+	Said      []wireSaid    `cbor:"22,keyasint,omitempty"`
 }
 
 // wireAsk is a Want (version, requests that wait) or a Use (requests begun,
@@ -62,6 +63,13 @@
 	Requests int
 }
 
+type wireSaid struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Born    int64
+	Leaving bool
+}
+
 type wireRead struct {
 	_      struct{} `cbor:",toarray"`
 	Server string
@@ -142,6 +150,9 @@
 	for _, l := range b.Loads {
 		w.Loads = append(w.Loads, wireLoad{Server: l.Server, Requests: l.Requests})
 	}
+	for _, s := range b.Said {
+		w.Said = append(w.Said, wireSaid{Server: s.Server, Born: s.Born, Leaving: s.Leaving})
+	}
 	for _, r := range b.Reading {
 		w.Reading = append(w.Reading, wireRead{Server: r.Server, Tokens: r.Tokens})
 	}
@@ -185,6 +196,9 @@
 	for _, x := range w.Loads {
 		b.Loads = append(b.Loads, Load{Server: x.Server, Requests: x.Requests})
 	}
+	for _, x := range w.Said {
+		b.Said = append(b.Said, Said{Server: x.Server, Born: x.Born, Leaving: x.Leaving})
+	}
 	for _, x := range w.Reading {
 		b.Reading = append(b.Reading, Reading{Server: x.Server, Tokens: x.Tokens})
 	}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -50,6 +50,7 @@
 	Asks      []Ask                     // of prompts that the sender wants to send to the receiver's engines
 	Turns     []Turn                    // answers to asks
 	Paced     []string                  // services whose engines are sent prompts by turns
+	Said      []Said                    // what servers' answers said that concerns all instances
 	Fed       []Fed                     // changes that the sender has read for its availability zone
 }
 
@@ -87,6 +88,13 @@
 	Requests int
 }
 
+// Said is what a start of a server has said of the work that it wants.
+type Said struct {
+	Server  string
+	Born    int64
+	Leaving bool
+}
+
 // Reading is a large prompt that an engine has to read.
 type Reading struct {
 	Server string
@@ -134,5 +142,5 @@
 
 func (b *Bundle) empty() bool {
 	return !b.HasOwned && !b.Leaving && len(b.Wants) == 0 && len(b.Got) == 0 && len(b.Used) == 0 && !b.AskConfig && b.Config == nil && len(b.Fed) == 0 && len(b.Loads) == 0 && len(b.Reading) == 0 &&
-		len(b.Asks) == 0 && len(b.Turns) == 0 && len(b.Paced) == 0
+		len(b.Asks) == 0 && len(b.Turns) == 0 && len(b.Paced) == 0 && len(b.Said) == 0
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -22,6 +22,7 @@
 	Used:   []Use{{Server: "i-1", Target: chestnutstream.ModelAdapter{Model: "m"}, Begun: 4, InProgress: 5}},
 	Config: []byte("{}"), ConfigRow: 8, AskConfig: true,
 	Loads:   []Load{{Server: "i-1", Requests: 7}},
+	Said:    []Said{{Server: "i-1", Born: 12, Leaving: true}},
 	Reading: []Reading{{Server: "i-1", Tokens: 9000}},
 	Fed:     []Fed{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
 	Servers: []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
