A server that refuses with Retry-After is left alone for that time

Cause: a refusal was remembered for the one request only; nobody read Retry-After.

Change: until the end of the time that a 503 or 429 names, counted from when the answer arrived, the server is not placed on by this instance. Where all servers of a service are left alone, callers are refused at once with the time until the first wants work again.

--- a/edge/place.go
+++ b/edge/place.go
@@ -53,9 +53,14 @@
 func (n *Node) placePlain(p ingress.Placement) (ingress.Placed, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := n.fleet.PickPlain(n.now(), p.Service, p.Avoid)
+	now := n.now()
+	s := n.fleet.PickPlain(now, p.Service, p.Avoid)
 	if s == nil {
-		return ingress.Placed{}, &ingress.NoPlaceError{Reason: fmt.Sprintf("no server of %s may take work, of %d", p.Service, len(n.fleet.Service(p.Service))), RetryAfter: noServer}
+		err := &ingress.NoPlaceError{Reason: fmt.Sprintf("no server of %s may take work, of %d", p.Service, len(n.fleet.Service(p.Service))), RetryAfter: noServer}
+		if wait, ok := n.fleet.TakesIn(now, p.Service, p.Avoid); ok {
+			err.Reason, err.RetryAfter = fmt.Sprintf("all servers of %s want no work for now", p.Service), wait
+		}
+		return ingress.Placed{}, err
 	}
 	n.fleet.Sent(s.ID)
 	return ingress.Placed{Server: s.Backend}, nil
@@ -103,7 +108,12 @@
 			continue
 		}
 		if c.Server == nil {
+			wait, wanted := n.fleet.TakesIn(n.now(), p.Service, p.Avoid)
 			n.mu.Unlock()
+			if wanted && (p.Until.IsZero() || n.now().Add(wait).After(p.Until)) {
+				last = waitResult{retryAfter: wait, reason: "all engines want no work for now"}
+				break
+			}
 			if p.Until.IsZero() || n.now().Add(lookAgain).After(p.Until) {
 				break
 			}
@@ -148,7 +158,7 @@
 		}
 	}
 	s := n.fleet.Server(id)
-	if s == nil || !s.Usable() || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
+	if s == nil || !s.Takes(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
 		return ingress.Placed{}, waitResult{retryAfter: leastRetry, reason: "its engine changed while it waited"}
 	}
 	return n.placed(s, p, version, n.now().Sub(began)), waitResult{held: true}
@@ -171,7 +181,7 @@
 	if c := n.fleet.PickEngine(n.now(), request(p, version), p.Avoid, n.loadable); c.Server != nil && c.Held {
 		s = c.Server
 	}
-	if s == nil || !s.Usable() || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
+	if s == nil || !s.Takes(n.now()) || (version > 0 && !n.fleet.Holds(n.now(), s, p.Target, version)) {
 		return "", false
 	}
 	return s.ID, true
--- a/fleet/backpressure.go
+++ b/fleet/backpressure.go
@@ -51,7 +51,7 @@
 	default:
 		changes = append(changes, Change{Server: id, What: ChangeLimit, Row: s.Row, Limit: s.limit.rate})
 	}
-	if until := began.Add(b.Pause); b.Pause > 0 && until.After(s.pausedTo) {
+	if until := now.Add(b.Pause); b.Pause > 0 && until.After(s.pausedTo) {
 		s.pausedTo = until
 		changes = append(changes, Change{Server: id, What: ChangePaused, Row: s.Row, Pause: b.Pause})
 	}
@@ -93,3 +93,26 @@
 
 // Paused returns for how long a server wants nothing from this instance.
 func (s *Server) Paused(now time.Time) time.Duration { return max(s.pausedTo.Sub(now), 0) }
+
+// Takes reports whether a server may get new work of this instance now, as far as
+// its own word goes.
+func (s *Server) Takes(now time.Time) bool { return s.Usable() && s.Paused(now) <= 0 }
+
+// TakesIn returns how long it is until a server of a service, besides those to
+// avoid, may get work, where all that may get any want none for now; ok is false
+// otherwise.
+func (f *Fleet) TakesIn(now time.Time, service string, avoid map[string]bool) (wait time.Duration, ok bool) {
+	for _, s := range f.services[service] {
+		if !s.Usable() || avoid[s.ID] {
+			continue
+		}
+		pause := s.Paused(now)
+		if pause <= 0 {
+			return 0, false
+		}
+		if !ok || pause < wait {
+			wait, ok = pause, true
+		}
+	}
+	return wait, ok
+}
--- a/fleet/backpressure_test.go
+++ b/fleet/backpressure_test.go
@@ -83,3 +83,41 @@
 		})
 	}
 }
+
+func TestServersThatWantNothingForNow(t *testing.T) {
+	pause := func(f *Fleet, id string, sent, d time.Duration) {
+		f.Said(start.Add(sent), start.Add(sent), id, chestnutstream.Backpressure{Pause: d, Unlimited: true})
+	}
+	tests := []struct {
+		name string
+		do   func(f *Fleet)
+		at   time.Duration
+		want string        // that gets a request; "": none does
+		wait time.Duration // until one may, where none does
+	}{
+		{"one of two", func(f *Fleet) { pause(f, "a", 0, 2*time.Second) }, time.Second, "b", 0},
+		{"after its pause", func(f *Fleet) { pause(f, "a", 0, 2*time.Second); pause(f, "b", 0, 3*time.Second) }, 2 * time.Second, "a", 0},
+		{"all", func(f *Fleet) { pause(f, "a", 0, 2*time.Second); pause(f, "b", 0, 3*time.Second) }, time.Second, "", time.Second},
+		{"a shorter word later", func(f *Fleet) {
+			pause(f, "a", 0, 3*time.Second)
+			pause(f, "a", time.Second, time.Second)
+			pause(f, "b", 0, 9*time.Second)
+		}, 2500 * time.Millisecond, "", 500 * time.Millisecond},
+		{"the other one leaves", func(f *Fleet) { pause(f, "a", 0, 2*time.Second); f.SaysItLeaves("b", 1) }, time.Second, "", time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet()
+			f.Listed(start, 0, []Entry{entry("a", 1), entry("b", 2)})
+			test.do(f)
+			now, got := start.Add(test.at), ""
+			if s := f.PickPlain(now, testService, nil); s != nil {
+				got = s.ID
+			}
+			assert.Equal(t, got, test.want)
+			wait, ok := f.TakesIn(now, testService, nil)
+			assert.Equal(t, ok, test.want == "")
+			assert.Equal(t, wait, test.wait)
+		})
+	}
+}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -61,7 +61,7 @@
 // mayGet reports whether a server may get a request; closed: also one that fails
 // its work.
 func (f *Fleet) mayGet(now time.Time, s *Server, avoid map[string]bool, closed bool) bool {
-	return s.Usable() && !avoid[s.ID] && f.reachable(now, s) && (closed || s.judge.open(now))
+	return s.Takes(now) && !avoid[s.ID] && f.reachable(now, s) && (closed || s.judge.open(now))
 }
 
 // Others reports whether a service has a server that may get a request, besides
