--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -18,9 +20,11 @@
 const (
 	wholeMost  = 256 << 10 // an answer up to this size is read whole before a byte of it goes out
 	relayChunk = 8 << 10
-	eventMost  = 1 << 20 // an event that is larger is passed on in parts
+	eventMost  = 1 << 20 // an event that is larger is none: it breaks its stream off
 )
 
+var errLongEvent = errors.New("an event has no end")
+
 var chunks = sync.Pool{New: func() any { b := make([]byte, relayChunk); return &b }}
 
 // relay passes an answer on.
@@ -177,7 +181,11 @@
 	for {
 		n, err := a.resp.Body.Read(*buf)
 		if n > 0 {
-			if werr := x.pass(p, (*buf)[:n]); werr != nil {
+			werr := x.pass(p, (*buf)[:n])
+			if errors.Is(werr, errLongEvent) {
+				return x.streamBroke(p, werr)
+			}
+			if werr != nil {
 				x.status, x.reason = statusClientGone, "caller: "+werr.Error()
 				return true
 			}
@@ -214,10 +222,10 @@
 	s.partial = append(s.partial, b...)
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
 	if end < 0 {
-		if len(s.partial) < eventMost {
-			return nil
+		if len(s.partial) >= eventMost {
+			return fmt.Errorf("%w: %d bytes", errLongEvent, len(s.partial))
 		}
-		end = len(s.partial) - 2
+		return nil
 	}
 	whole := s.partial[:end+2]
 	if id := lastID(whole); id != "" {
