--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -74,6 +74,17 @@
 
 func askFew(n int) (method, path, target string) { return "POST", "/ask/1", fmt.Sprintf("m/a%d", n%4) }
 
+// kindsOfServers are a server of each kind of a site with three engines, and
+// requests for it.
+var kindsOfServers = []struct {
+	name    string
+	backend int // of the site
+	next    func(n int) (method, path, target string)
+}{
+	{"plain service", 3, lookUp},
+	{"engine", 0, askFew},
+}
+
 // The rule LIMIT of the platform's pages: windows of 4 s, half a time more than
 // the limit allows and 5 requests, from 3 s after it was first named.
 const (
@@ -85,15 +96,7 @@
 
 func TestServersLimitHoldsOverAllInstances(t *testing.T) {
 	const rate = 5.0
-	tests := []struct {
-		name    string
-		backend int // of the site
-		next    func(n int) (method, path, target string)
-	}{
-		{"plain service", 3, lookUp},
-		{"engine", 0, askFew},
-	}
-	for _, test := range tests {
+	for _, test := range kindsOfServers {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t, 3, 4)
@@ -145,15 +148,7 @@
 
 func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
 	const drain = 2 * time.Second
-	tests := []struct {
-		name    string
-		backend int // of the site
-		next    func(n int) (method, path, target string)
-	}{
-		{"plain service", 3, lookUp},
-		{"engine", 0, askFew},
-	}
-	for _, test := range tests {
+	for _, test := range kindsOfServers {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t, 3, 4)
--- a/soak/need.go
+++ b/soak/need.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/chestnutstream/chestnutstream/standin"
@@ -78,23 +77,10 @@
 // leaves makes a plain server say that it leaves, after a new one has come. Its
 // entry does not.
 func (r *run) leaves() {
-	r.mu.Lock()
-	var old *backend
-	for _, b := range r.backends {
-		if strings.HasPrefix(b.id, "i-desk") && !r.needy[b] {
-			old = b
-			break
-		}
-	}
-	r.mu.Unlock()
+	old := r.replaceDesk()
 	if old == nil {
 		return
 	}
-	if err := r.addDesk(); err != nil {
-		r.breaks("no new server: %v", err)
-		return
-	}
-	time.Sleep(2 * time.Second)
 	r.needs(old, standin.BackendFaults{Leaving: true}, drainBound, 0, "after it said that it leaves")
 	r.remove(old)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -239,30 +240,40 @@
 // drainDesk makes a plain server leave, after a new one has come. Requests that
 // reach it late count only when nothing else was wrong.
 func (r *run) drainDesk() {
+	old := r.replaceDesk()
+	if old == nil {
+		return
+	}
+	calm := r.calm()
+	old.Drain()
+	time.Sleep(drainBound + contact)
+	if late := old.Counts().LateArrival; calm && r.calm() && late > drainBound {
+		r.breaks("a request reached %s %v after it began to drain", old.id, late)
+	}
+	r.remove(old)
+}
+
+// replaceDesk lets a new plain server come and returns one that is to leave; nil
+// where there is none.
+func (r *run) replaceDesk() *backend {
 	r.mu.Lock()
 	var old *backend
 	for _, b := range r.backends {
-		if b.id[:6] == "i-desk" && !r.needy[b] {
+		if strings.HasPrefix(b.id, "i-desk") && !r.needy[b] {
 			old = b
 			break
 		}
 	}
 	r.mu.Unlock()
 	if old == nil {
-		return
+		return nil
 	}
 	if err := r.addDesk(); err != nil {
 		r.breaks("no new server: %v", err)
-		return
+		return nil
 	}
 	time.Sleep(2 * time.Second)
-	calm := r.calm()
-	old.Drain()
-	time.Sleep(drainBound + contact)
-	if late := old.Counts().LateArrival; calm && r.calm() && late > drainBound {
-		r.breaks("a request reached %s %v after it began to drain", old.id, late)
-	}
-	r.remove(old)
+	return old
 }
 
 // remove ends a plain server.
