--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -94,6 +94,21 @@
 	contactTime = 3 * time.Second
 )
 
+// judgeLimit checks the arrivals at a server that has named a limit since then.
+func judgeLimit(t *testing.T, arrivals []time.Time, named time.Time, rate float64) {
+	t.Helper()
+	var times []time.Time
+	for _, at := range arrivals {
+		if at.Sub(named) >= contactTime {
+			times = append(times, at)
+		}
+	}
+	most, allowed := standin.MostWithin(times, limitWindow), int(limitShare*rate*limitWindow.Seconds()+limitExtra)
+	t.Logf("%d requests in %v; %d allowed, %.0f named", most, limitWindow, allowed, rate*limitWindow.Seconds())
+	assert.Assert(t, most <= allowed, "%d requests in %v, %d allowed", most, limitWindow, allowed)
+	assert.Assert(t, most > 0, "the server gets nothing")
+}
+
 func TestServersLimitHoldsOverAllInstances(t *testing.T) {
 	const rate = 5.0
 	for _, test := range kindsOfServers {
@@ -109,17 +124,8 @@
 			named := time.Now()
 			time.Sleep(contactTime + limitWindow + time.Second)
 			sent, failed := calls.end(t)
-			var times []time.Time
-			for _, at := range b.Counts().InNeed {
-				if at.Sub(named) >= contactTime {
-					times = append(times, at)
-				}
-			}
-			most, allowed := standin.MostWithin(times, limitWindow), int(limitShare*rate*limitWindow.Seconds()+limitExtra)
-			t.Logf("%d requests in %v; %d allowed, %.0f named", most, limitWindow, allowed, rate*limitWindow.Seconds())
-			assert.Assert(t, most <= allowed, "%d requests in %v, %d allowed", most, limitWindow, allowed)
+			judgeLimit(t, b.Counts().InNeed, named, rate)
 			assert.Assert(t, failed <= sent/50, "%d of %d requests not served though another server was free", failed, sent)
-			assert.Assert(t, most > 0, "the server gets nothing")
 		})
 	}
 }
@@ -171,3 +177,36 @@
 		})
 	}
 }
+
+func TestServersLimitHoldsWhenTheGiverOfPermitsIsGone(t *testing.T) {
+	t.Parallel()
+	const rate, server = 5.0, "i-desk-0"
+	s := newSite(t, 3, 4)
+	all := s.instances(4)
+	s.owned(3, all...)
+	first := all[0].Node()
+	first.mu.Lock()
+	giver := first.permits.GivenBy(first.now(), server, first.permitView())
+	first.mu.Unlock()
+	var others []*running
+	for _, in := range all {
+		if in.cfg.Instance != giver {
+			others = append(others, in)
+		}
+	}
+	assert.Equal(t, len(others), 3)
+	calls := startLoad(others, 1, lookUp)
+	b := s.backends[3]
+	b.SetFaults(standin.BackendFaults{Limit: fmt.Sprint(rate)})
+	named := time.Now()
+	time.Sleep(contactTime)
+	for _, in := range all {
+		if in.cfg.Instance == giver {
+			in.Close()
+		}
+	}
+	time.Sleep(limitWindow + time.Second)
+	sent, failed := calls.end(t)
+	judgeLimit(t, b.Counts().InNeed, named, rate)
+	assert.Assert(t, failed <= sent/50, "%d of %d requests not served though another server was free", failed, sent)
+}
