An answer of an earlier start of a server says nothing of the present one

Found in the review: a server that starts again under its id while an answer of its earlier start is still on its way would have been taken for leaving, paused or limited. The start that a request was sent to is compared now, for requests, orders and reports. TestAnswerOfAnEarlierStartSaysNothingOfThePresentOne failed to compile against the code before (the start was not handed over) and passes.

--- a/edge/backpressure.go
+++ b/edge/backpressure.go
@@ -12,15 +12,18 @@
 
 // said takes what a server's answer to a request that was sent at began says of
 // the work that it wants, and tells the other instances what concerns all of them.
-// Callers hold mu.
-func (n *Node) said(now, began time.Time, server string, b chestnutstream.Backpressure) []fleet.Change {
-	changes := n.fleet.Said(now, began, server, b)
+// An answer of an earlier start says nothing of the present one. Callers hold mu.
+func (n *Node) said(now, began time.Time, server chestnutstream.Backend, b chestnutstream.Backpressure) []fleet.Change {
+	s := n.fleet.Server(server.ID)
+	if s == nil || s.Born != server.Born {
+		return nil
+	}
+	changes := n.fleet.Said(now, began, server.ID, b)
 	n.serversChanged(changes)
 	for _, c := range changes {
-		s := n.fleet.Server(server)
 		switch c.What {
 		case fleet.ChangeLeaves:
-			word := instance.Said{Server: server, Born: s.Born, Leaving: true}
+			word := instance.Said{Server: s.ID, Born: s.Born, Leaving: true}
 			n.mesh.Broadcast(func(b *instance.Bundle) { b.Said = append(b.Said, word) })
 		case fleet.ChangeLimit, fleet.ChangeLimitEnded:
 			word := n.limitOf(s)
@@ -32,7 +35,7 @@
 
 // heardBackend takes what a server's answer to an order or a report says of the
 // work that it wants.
-func (n *Node) heardBackend(server string, took time.Duration, b chestnutstream.Backpressure) {
+func (n *Node) heardBackend(server chestnutstream.Backend, took time.Duration, b chestnutstream.Backpressure) {
 	n.mu.Lock()
 	now := n.now()
 	changes := n.said(now, now.Add(-took), server, b)
--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
@@ -210,3 +212,22 @@
 	judgeLimit(t, b.Counts().InNeed, named, rate)
 	assert.Assert(t, failed <= sent/50, "%d of %d requests not served though another server was free", failed, sent)
 }
+
+func TestAnswerOfAnEarlierStartSaysNothingOfThePresentOne(t *testing.T) {
+	n := idleNode(t, "edge-a")
+	now := n.now()
+	entry := func(born int64, row uint64) fleet.Entry {
+		b := chestnutstream.Backend{ID: "i", Born: born, Service: "s", Address: "127.0.0.1:1", State: chestnutstream.BackendReady}
+		return fleet.Entry{Key: "i", Row: row, Backend: b}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Fed(now, []fleet.Entry{entry(1, 1)})
+	first := n.fleet.Server("i").Backend
+	n.fleet.Fed(now, []fleet.Entry{entry(2, 2)})
+	said := chestnutstream.Backpressure{Leaving: true, Limit: 3, Pause: time.Second}
+	assert.Equal(t, len(n.said(now, now, first, said)), 0)
+	assert.Assert(t, n.fleet.Server("i").Takes(now))
+	assert.Equal(t, len(n.said(now, now, n.fleet.Server("i").Backend, said)), 3)
+	assert.Assert(t, !n.fleet.Server("i").Takes(now))
+}
--- a/edge/place.go
+++ b/edge/place.go
@@ -419,7 +419,7 @@
 func (n *Node) Answered(p ingress.Placed, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.mu.Lock()
 	now := n.now()
-	changes := n.said(now, now.Add(-r.Took), p.Server.ID, r.Said)
+	changes := n.said(now, now.Add(-r.Took), p.Server, r.Said)
 	n.answered(now, p, target, r)
 	n.mu.Unlock()
 	n.logSaid(changes, "")
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -111,13 +111,10 @@
 		next = k.booked
 	}
 	k.booked = next.Add(between)
-	if latest := now.Add(bookedMost); next.After(latest) {
-		next = latest
-	}
 	if latest := now.Add(bookedMost); k.booked.After(latest) {
 		k.booked = latest
 	}
-	return false, max(next.Sub(now), waitLeast)
+	return false, min(max(next.Sub(now), waitLeast), bookedMost)
 }
 
 // bucket returns the permits for a server at so many a second. A new one has the
