A request to a plain service waits for a permit while its aim allows it

Change: such a request waits for the next permit for up to a quarter of its latency target, counted from its arrival. What needs longer is refused at once, as before.

--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -231,3 +231,17 @@
 	assert.Equal(t, len(n.said(now, now, n.fleet.Server("i").Backend, said)), 3)
 	assert.Assert(t, !n.fleet.Server("i").Takes(now))
 }
+
+func TestRequestsWaitForAPermitWithinTheirAim(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 4)
+	in := s.instance("edge-a")
+	s.owned(1, in)
+	s.backends[2].Drain() // the one with the limit is the only one left
+	s.backends[1].SetFaults(standin.BackendFaults{Limit: "20"})
+	time.Sleep(time.Second)
+	calls := startLoad([]*running{in}, 1, lookUp)
+	time.Sleep(3 * time.Second)
+	sent, failed := calls.end(t)
+	assert.Assert(t, failed <= sent/20, "%d of %d requests refused, each of which had a permit within 50 ms of its 200", failed, sent)
+}
--- a/edge/place.go
+++ b/edge/place.go
@@ -52,13 +52,17 @@
 }
 
 // placePlain finds a plain server. One with a limit is passed over when there is
-// no permit for it.
+// no permit for it; where there is no other, the request waits for a small part of
+// its latency target.
 func (n *Node) placePlain(ctx context.Context, p ingress.Placement) (ingress.Placed, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for ctx.Err() == nil {
 		now := n.now()
 		s := n.fleet.PickPlain(now, p.Service, p.Avoid)
+		if s == nil && n.awaitPermit(ctx, now, p) {
+			continue
+		}
 		if s == nil {
 			return ingress.Placed{}, n.noPlain(now, p)
 		}
@@ -75,6 +79,23 @@
 	return ingress.Placed{}, fmt.Errorf("place on %s: %w", p.Service, ctx.Err())
 }
 
+// permitShare is the part of its latency target that a request to a plain service
+// may wait for a permit.
+const permitShare = 0.25
+
+// awaitPermit waits until a server of a service takes more work, if that is in
+// time for a request. Callers hold mu, which is given up meanwhile.
+func (n *Node) awaitPermit(ctx context.Context, now time.Time, p ingress.Placement) bool {
+	wait, ok := n.fleet.TakesIn(now, p.Service, p.Avoid)
+	if !ok || now.Add(wait).Sub(p.Began) > time.Duration(permitShare*float64(p.Latency)) {
+		return false
+	}
+	n.mu.Unlock()
+	defer n.mu.Lock()
+	timer.Sleep(ctx, wait)
+	return true
+}
+
 // noPlain says why no plain server gets a request. Callers hold mu.
 func (n *Node) noPlain(now time.Time, p ingress.Placement) error {
 	if wait, ok := n.fleet.TakesIn(now, p.Service, p.Avoid); ok {
