--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -14,8 +14,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Bytes of a server that do not end until the caller closes: the caller is told
-// the truth in time, memory stays bounded and the connection is closed.
+// Bytes of a server that end only when the connection is closed.
 func TestBytesWithoutEnd(t *testing.T) {
 	const (
 		head      = "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: r-1\r\nX-Chestnutstream-Server-Signature: s\r\n"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -80,8 +80,7 @@
 	assert.Assert(t, due > 0 && beyond > 0, "%d requests after the configuration, %d after the version", due, beyond)
 }
 
-// What servers in need say is kept to. In random runs it is rarely calm for long
-// enough to judge that.
+// Random runs are rarely calm for long enough to judge this.
 func TestServersInNeedAreSpared(t *testing.T) {
 	s, r := calmRun(t, realProgram(t), "edge")
 	assert.NilError(t, s.addDesk())
