edge, ingress: log crashes of servers and the parts of failed prompts

The incident's hypotheses could not be told apart: no line said which parts a failed prompt had, how many events its stream had got, or that a server had ended. An instance now opens a connection to a server on which a response broke off; an address that refuses it has no process any more. The stand-ins get an engine whose process ends on a part of a prompt and starts again.

--- a/backend.go
+++ b/backend.go
@@ -53,6 +53,21 @@
 	return m.Model + "/" + m.Adapter
 }
 
+// ResponseProgress is how far a backend server had got with a response when its
+// connection ended.
+type ResponseProgress string
+
+// The stages of a response. A stream is under way once it has shown that the server
+// can generate it: from its MinEventsUnderWay-th event on.
+const (
+	ResponseNone     ResponseProgress = "none"      // nothing has arrived; the request may not have begun to run
+	ResponseBegun    ResponseProgress = "begun"     // the header has arrived
+	ResponseUnderWay ResponseProgress = "under-way" // at least MinEventsUnderWay events have arrived
+)
+
+// MinEventsUnderWay is the number of events from which on a stream is under way.
+const MinEventsUnderWay = 2
+
 // Backpressure is the load signal that a backend server sends with a response.
 type Backpressure struct {
 	Leaving    bool          // the server takes no new work until it stops
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -197,12 +196,9 @@
 	status, _, err := sendRequest(in, "POST", "/order/1", "")
 	assert.NilError(t, err)
 	assert.Equal(t, status, 504)
-	var fields log.Fields
-	for _, e := range in.log.Entries {
-		if e.Message == "request failed" {
-			fields = e.Fields
-		}
-	}
+	failed := in.log.with("request failed")
+	assert.Assert(t, len(failed) > 0)
+	fields := failed[len(failed)-1]
 	assert.Equal(t, fields["status"], 504)
 	assert.Equal(t, fields["may-have-run"], true)
 	assert.Assert(t, fmt.Sprint(fields["servers"]) != "")
--- a/edge/node.go
+++ b/edge/node.go
@@ -75,6 +75,7 @@
 	configRequestedAt time.Time                               // when a configuration was last requested from the peers
 	started           time.Time
 	views             map[string]*view // by table
+	crashChecks       map[processKey]*crashCheck
 }
 
 // adapterKey identifies an adapter on a server.
@@ -124,7 +125,7 @@
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, loadWaits: map[adapterKey]*loadWait{}, prefillWaits: map[uint64]*prefillWait{},
 		usage: map[adapterKey]*adapterUsage{}, changedUsage: map[adapterKey]bool{}, sentLoads: map[string]int{}, sentEntries: map[string]entryDigest{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
 		permits: permit.NewIssuer(cfg.Instance), permitWaiters: map[uint64]chan instance.PermitResponse{},
-		started: t.Now(), views: map[string]*view{},
+		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"github.com/apex/log/handlers/memory"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
@@ -109,6 +108,20 @@
 	return b
 }
 
+// process starts an engine that can crash and is back after two seconds.
+func (s *testSite) process(id string) *standin.BackendProcess {
+	p, err := standin.StartProcess(standin.ProcessSettings{
+		Backend: standin.BackendSettings{
+			ID: id, Service: "assistant", Zone: "zone-a", Slots: 16, AdapterSlots: 4, Model: "m",
+			ServiceTime: 10 * time.Millisecond, Events: 5, LoadTime: 100 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
+		},
+		Heartbeat: 300 * time.Millisecond, RestartTime: 2 * time.Second,
+	}, s.store)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(p.Close)
+	return p
+}
+
 // backendWithoutHeartbeat starts a backend server that writes its entry once.
 func (s *testSite) backendWithoutHeartbeat(cfg standin.BackendSettings) *standin.Backend {
 	l := listen(s.t)
@@ -134,10 +147,37 @@
 type testInstance struct {
 	*Instance
 	cfg       platform.Settings
-	log       *memory.Handler
+	log       *logRecorder
 	storeGate *storeGate // between this instance and the store
 }
 
+// logRecorder is a log.Handler that keeps the entries.
+type logRecorder struct {
+	mu      sync.Mutex
+	entries []*log.Entry
+}
+
+// HandleLog implements log.Handler.
+func (r *logRecorder) HandleLog(e *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = append(r.entries, e)
+	return nil
+}
+
+// with returns the fields of the entries with a message.
+func (r *logRecorder) with(message string) []log.Fields {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []log.Fields
+	for _, e := range r.entries {
+		if e.Message == message {
+			out = append(out, e.Fields)
+		}
+	}
+	return out
+}
+
 func (s *testSite) instance(name string, seeds ...string) *testInstance {
 	return s.instanceAt("zone-a", nil, name, seeds...)
 }
@@ -160,7 +200,7 @@
 		Instance: name, Zone: zone, Regions: regions, Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, ConfigApplyBound: 2 * time.Second, MinHandoverDelay: 3 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
-	h := memory.New()
+	h := &logRecorder{}
 	in, err := startOnFreePorts(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel})
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
@@ -241,6 +281,11 @@
 // sendForVersion is sendRequest that also returns the version of the adapter that served
 // the request.
 func sendForVersion(in *testInstance, method, path, target string) (status int, body, version string, err error) {
+	return sendPrompt(in, method, path, target, "")
+}
+
+// sendPrompt is sendForVersion with the parts of a prompt.
+func sendPrompt(in *testInstance, method, path, target, parts string) (status int, body, version string, err error) {
 	nextID.Lock()
 	nextID.n++
 	id := fmt.Sprintf("r-%d", nextID.n)
@@ -255,6 +300,10 @@
 	if target != "" {
 		req.Header.Set(platform.HeaderModel, target)
 	}
+	if parts != "" {
+		req.Header.Set(platform.HeaderPromptParts, parts)
+		req.Header.Set(platform.HeaderTokens, "300,25")
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", "", err
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -134,6 +134,7 @@
 	}
 	x.connectedAttempts++
 	x.mayHaveRun = true
+	x.recordBroken(a, chestnutstream.ResponseNone, err)
 	if x.mayRetry() {
 		return false
 	}
--- /dev/null
+++ b/ingress/broken.go
@@ -0,0 +1,35 @@
+package ingress
+
+import (
+	"io"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// isDisconnect reports whether an error means that the server's end of a connection
+// was closed or reset.
+func isDisconnect(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// recordBroken tells the dispatcher that the connection to a server ended, if err
+// means that, and records whether the server crashed.
+func (x *exchange) recordBroken(a Assignment, p chestnutstream.ResponseProgress, err error) {
+	x.serverCrashed = false
+	if !isDisconnect(err) {
+		return
+	}
+	b := BrokenResponse{RequestID: x.header.ID, PartIDs: x.header.PartIDs, Progress: p}
+	x.serverCrashed = x.server.dispatcher.RecordBroken(x.ctx, a, b)
+}
+
+// progress returns how far the server's response to the relayed stream has got.
+func (s *stream) progress() chestnutstream.ResponseProgress {
+	if s.events >= chestnutstream.MinEventsUnderWay {
+		return chestnutstream.ResponseUnderWay
+	}
+	return chestnutstream.ResponseBegun
+}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -142,6 +142,8 @@
 	d.results = append(d.results, r)
 }
 
+func (d *fakeDispatcher) RecordBroken(context.Context, Assignment, BrokenResponse) bool { return false }
+
 func (d *fakeDispatcher) RecordPause(Assignment, time.Duration) {}
 
 func (d *fakeDispatcher) Release(Assignment) {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -51,6 +51,7 @@
 			x.status = statusCallerClosed
 			return true
 		}
+		x.recordBroken(a, chestnutstream.ResponseBegun, err)
 		if x.mayRetry() {
 			return false
 		}
@@ -98,6 +99,7 @@
 			r.Outcome = fleet.Unreachable
 		}
 		x.server.dispatcher.RecordResult(next, x.header.Target, r)
+		x.recordBroken(next, chestnutstream.ResponseNone, err)
 		x.writeResponse(br.resp, body)
 		return true
 	}
@@ -107,6 +109,7 @@
 	if err != nil || r.Outcome != fleet.Responded {
 		r.Outcome = fleet.Failed
 		x.server.dispatcher.RecordResult(next, x.header.Target, r)
+		x.recordBroken(next, chestnutstream.ResponseBegun, err)
 		x.writeResponse(br.resp, body)
 		return true
 	}
@@ -155,6 +158,7 @@
 type stream struct {
 	lastID      string    // of the last complete event that was relayed
 	partial     []byte    // beginning of the next event
+	events      int       // complete events from the present server
 	eventSent   bool      // an event was relayed
 	lastEventAt time.Time // when the newest complete event arrived
 }
@@ -178,7 +182,7 @@
 		x.status, x.responseStarted = br.resp.StatusCode, true
 		x.w.WriteHeader(br.resp.StatusCode)
 	}
-	x.stream.partial = x.stream.partial[:0]
+	x.stream.partial, x.stream.events = x.stream.partial[:0], 0
 	buf := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(buf)
 	for {
@@ -231,6 +235,7 @@
 		return nil
 	}
 	whole := s.partial[:end+2]
+	s.events += bytes.Count(whole, []byte("\n\n"))
 	if id := lastID(whole); id != "" {
 		s.lastID = id
 	}
@@ -282,6 +287,7 @@
 		return true
 	}
 	x.server.dispatcher.RecordResult(a, x.header.Target, Result{Outcome: fleet.Failed})
+	x.recordBroken(a, x.stream.progress(), err)
 	x.avoid[a.Server.ID] = true
 	if x.mayRetry() && (x.stream.lastID != "" || !x.stream.eventSent) {
 		return false
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -69,6 +69,13 @@
 	WrongServer  bool                        // the address belongs to another server
 }
 
+// BrokenResponse is a response whose connection ended before it was complete.
+type BrokenResponse struct {
+	RequestID string
+	PartIDs   []string // of the prompt
+	Progress  chestnutstream.ResponseProgress
+}
+
 // Dispatcher places requests on backend servers.
 type Dispatcher interface {
 	// Routes returns the current configuration, or nil if there is none yet.
@@ -80,6 +87,10 @@
 	Place(ctx context.Context, p PlacementRequest) (Assignment, error)
 	// RecordResult records the start of a response, or the failure to get one.
 	RecordResult(a Assignment, target chestnutstream.ModelAdapter, r Result)
+	// RecordBroken records that the connection of a request to a server ended before
+	// the response was complete. It checks the server and reports whether its process
+	// has ended.
+	RecordBroken(ctx context.Context, a Assignment, b BrokenResponse) (crashed bool)
 	// RecordPause records a pause between the events of a stream: the first one
 	// longer than its route allows or, if there was none, the longest one of a
 	// stream that ended.
@@ -142,6 +153,7 @@
 	reason            string
 	responseStarted   bool // the header of a response was written to the caller
 	stream            *stream
+	serverCrashed     bool // the server of the latest attempt ended during it
 }
 
 // Statuses that this package generates. statusNotRun is sent only if the request
@@ -320,7 +332,7 @@
 		"stall-ms": x.stall.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 	}
 	if x.stream != nil {
-		fields["pause-ms"] = x.maxPause.Milliseconds()
+		fields["pause-ms"], fields["events"] = x.maxPause.Milliseconds(), x.stream.events
 		set.GetOrCreateHistogram(`chestnutstream_stream_pause_seconds{route="` + route + `"}`).Update(x.maxPause.Seconds())
 	}
 	if x.header.Prompt.Tokens > 0 {
@@ -334,6 +346,12 @@
 	}
 	if x.status >= 400 || x.reason != "" {
 		fields["may-have-run"] = x.mayHaveRun
+		if x.serverCrashed {
+			fields["server-crashed"] = true
+		}
+		if len(x.header.PartIDs) > 0 {
+			fields["parts"] = strings.Join(x.header.PartIDs, ",")
+		}
 		x.server.cfg.Log.WithFields(fields).Warn("request failed")
 		return
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -38,6 +39,10 @@
 	BreakAfter     int // number of events after which a stream is aborted; 0 for never
 	LoseOrderEvery int // every n-th order gets no response and is not executed; 0 for none
 
+	// CrashPart is the ID of a prompt part: the process ends when it begins to respond
+	// to a prompt with it. It has an effect in a BackendProcess only.
+	CrashPart string
+
 	Limit   string  // requests per second, sent in responses as the server's limit; empty for none
 	Leaving bool    // responses announce that the server is leaving
 	Pause   float64 // seconds: requests are refused with this Retry-After; 0 for none
@@ -59,6 +64,7 @@
 	Orders                    int
 	MinHandoverInterval       time.Duration // shortest interval between orders of two holders; 0 if there was one holder
 	LatestArrivalAfterDrain   time.Duration // time from the start of draining to the latest request
+	CrashPartArrivals         []time.Time   // arrival times of prompts with the fault's CrashPart
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
 }
 
@@ -76,6 +82,7 @@
 	store     *Store
 	startedMS int64
 	router    *mux.Router
+	crash     func() // ends the process; nil outside of a BackendProcess
 
 	mu              sync.Mutex
 	faults          BackendFaults
@@ -127,6 +134,17 @@
 	b.faults, b.counts.ArrivalsUnderBackpressure = f, nil
 }
 
+// crashesOn reports whether the process ends when it begins to respond to a request.
+func (f BackendFaults) crashesOn(r *http.Request) bool {
+	if f.CrashPart == "" {
+		return false
+	}
+	parts := strings.Split(r.Header.Get("X-Chestnutstream-Prefix-Hash"), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		return strings.HasPrefix(part, f.CrashPart+":")
+	})
+}
+
 // setHeaders sets the backpressure headers of a response.
 func (f BackendFaults) setHeaders(h http.Header) {
 	if f.Limit != "" {
@@ -344,6 +362,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Arrivals++
+	if b.faults.crashesOn(r) {
+		b.counts.CrashPartArrivals = append(b.counts.CrashPartArrivals, time.Now())
+	}
 	if b.faults.signalsBackpressure() {
 		b.counts.ArrivalsUnderBackpressure = append(b.counts.ArrivalsUnderBackpressure, time.Now())
 	}
@@ -435,6 +456,12 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
+	if b.crash != nil && f.crashesOn(r) {
+		_ = flusher.Flush()
+		timer.Sleep(r.Context(), b.cfg.ServiceTime)
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
 	for i := from; i < b.cfg.Events; i++ {
 		if f.BreakAfter > 0 && i-from == f.BreakAfter {
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/standin/process.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// BackendProcess runs a Backend on an address of its own and can crash. RestartTime
+// after a crash another Backend starts at the address, with nothing loaded and under
+// another ID.
+type BackendProcess struct {
+	cfg   ProcessSettings
+	store *Store
+	stop  chan struct{}
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	faults   BackendFaults
+	backends []*Backend // all that ran here, the present one last
+	srv      *http.Server
+	running  bool
+	closed   bool
+	crashes  []time.Time
+}
+
+// ProcessSettings configure a BackendProcess.
+type ProcessSettings struct {
+	Backend     BackendSettings // Address is set by StartProcess
+	Heartbeat   time.Duration   // between heartbeats
+	RestartTime time.Duration
+}
+
+// missedHeartbeats is the number of heartbeats after which the row of a crashed
+// process is removed.
+const missedHeartbeats = 3
+
+// StartProcess starts a process on a free loopback port.
+func StartProcess(cfg ProcessSettings, store *Store) (*BackendProcess, error) {
+	p := &BackendProcess{cfg: cfg, store: store, stop: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", cfg.Backend.ID, err)
+	}
+	p.cfg.Backend.Address = l.Addr().String()
+	p.start(p.cfg.Backend, l)
+	p.wg.Add(1)
+	go p.heartbeats()
+	return p, nil
+}
+
+// start runs a new Backend on a listener.
+func (p *BackendProcess) start(cfg BackendSettings, l net.Listener) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = l.Close()
+		return
+	}
+	b := NewBackend(cfg, p.store)
+	b.crash = func() { p.end(b) }
+	b.SetFaults(p.faults)
+	srv := &http.Server{Handler: b}
+	go func() { _ = srv.Serve(l) }()
+	p.backends, p.srv, p.running = append(p.backends, b), srv, true
+	b.Heartbeat()
+}
+
+func (p *BackendProcess) heartbeats() {
+	defer p.wg.Done()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(p.cfg.Heartbeat):
+		}
+		p.mu.Lock()
+		b, running := p.backends[len(p.backends)-1], p.running
+		p.mu.Unlock()
+		if running {
+			b.Heartbeat()
+		}
+	}
+}
+
+// SetFaults replaces the faults in force, also for later Backends.
+func (p *BackendProcess) SetFaults(f BackendFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.backends[len(p.backends)-1].SetFaults(f)
+}
+
+// Crash ends the present Backend: its address refuses connections until the next one
+// starts.
+func (p *BackendProcess) Crash() {
+	p.mu.Lock()
+	b := p.backends[len(p.backends)-1]
+	p.mu.Unlock()
+	p.end(b)
+}
+
+// end ends a Backend if it still runs.
+func (p *BackendProcess) end(b *Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running || p.backends[len(p.backends)-1] != b {
+		return
+	}
+	p.running = false
+	p.crashes = append(p.crashes, time.Now())
+	_ = p.srv.Close()
+	p.wg.Add(2)
+	go p.removeRow(b.cfg.ID)
+	go p.restart(len(p.crashes))
+}
+
+func (p *BackendProcess) removeRow(id string) {
+	defer p.wg.Done()
+	select {
+	case <-p.stop:
+	case <-time.After(missedHeartbeats * p.cfg.Heartbeat):
+		p.store.Remove("servers", id)
+	}
+}
+
+func (p *BackendProcess) restart(n int) {
+	defer p.wg.Done()
+	select {
+	case <-p.stop:
+		return
+	case <-time.After(p.cfg.RestartTime):
+	}
+	cfg := p.cfg.Backend
+	cfg.ID, cfg.Model = fmt.Sprintf("%s-%d", cfg.ID, n), ""
+	l, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		panic(fmt.Sprintf("restart %s: %v", cfg.ID, err)) // another process took the port
+	}
+	p.start(cfg, l)
+}
+
+// Crashes returns the times of the crashes.
+func (p *BackendProcess) Crashes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.crashes...)
+}
+
+// Backends returns all Backends that ran here.
+func (p *BackendProcess) Backends() []*Backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*Backend(nil), p.backends...)
+}
+
+// Close stops the process for good.
+func (p *BackendProcess) Close() {
+	p.mu.Lock()
+	p.closed = true
+	_ = p.srv.Close()
+	p.mu.Unlock()
+	close(p.stop)
+	p.wg.Wait()
+}
