edge: failing test for a part of a prompt that crashes servers

Six engines and four instances on loopback; eight prompts a second have a part on which an engine ends as it begins to respond.

--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -1,8 +1,13 @@
 package edge
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -39,3 +44,125 @@
 	eventually(t, "the broken connection is logged", func() bool { return len(in.log.with("connections of a server broke")) > 0 })
 	assert.Equal(t, len(in.log.with("server crashed")), 0)
 }
+
+// promptCounts counts the responses to prompts, by the time at which they were sent.
+type promptCounts struct {
+	mu     sync.Mutex
+	sentAt []time.Time
+	served []bool
+}
+
+func (c *promptCounts) add(sentAt time.Time, served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentAt, c.served = append(c.sentAt, sentAt), append(c.served, served)
+}
+
+// between returns how many prompts were sent in a period, and how many of these were
+// served.
+func (c *promptCounts) between(from, to time.Time) (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, at := range c.sentAt {
+		if at.Before(from) || !at.Before(to) {
+			continue
+		}
+		sent++
+		if c.served[i] {
+			served++
+		}
+	}
+	return sent, served
+}
+
+// promptSenders send prompts to random instances until stop is called.
+type promptSenders struct {
+	instances []*testInstance
+	done      chan struct{}
+	wg        sync.WaitGroup
+}
+
+// start starts a sender of one prompt per period. parts returns the parts of the n-th
+// prompt.
+func (p *promptSenders) start(path string, period time.Duration, counts *promptCounts, parts func(n int) string) {
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		for n := 0; ; n++ {
+			select {
+			case <-p.done:
+				return
+			case <-time.After(period):
+			}
+			in, target := p.instances[rand.IntN(len(p.instances))], fmt.Sprintf("m/a%d", n%6)
+			p.wg.Add(1)
+			go func() {
+				defer p.wg.Done()
+				sentAt := time.Now()
+				status, body, _, err := sendPrompt(in, "POST", path, target, parts(n))
+				counts.add(sentAt, err == nil && status == http.StatusOK && body == fullStream(target))
+			}()
+		}
+	}()
+}
+
+func (p *promptSenders) stop() {
+	close(p.done)
+	p.wg.Wait()
+}
+
+// The bounds of the rules BUDGET and LOST of the platform.
+const (
+	contactTime          = 3 * time.Second
+	crashesUntilBound    = 5
+	maxCrashPartArrivals = 3
+	minServedShare       = 0.5
+)
+
+func TestPartThatCrashesServersStopsReachingThem(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 0, 4)
+	var processes []*standin.BackendProcess
+	for i := range 6 {
+		processes = append(processes, s.process(fmt.Sprintf("i-engine-%d", i)))
+	}
+	all := s.instances(4)
+	s.awaitOwners(len(processes), all...)
+	sound, crashing := &promptCounts{}, &promptCounts{}
+	senders := &promptSenders{instances: all, done: make(chan struct{})}
+	// Half of the sound prompts are of the caller whose other prompts crash servers.
+	senders.start("/ask/1", 25*time.Millisecond, sound, func(n int) string {
+		return fmt.Sprintf("aa:100,%s:40,%x:150", []string{"ca11", fmt.Sprint(n % 50)}[n%2], n)
+	})
+	time.Sleep(2 * time.Second)
+	for _, p := range processes {
+		p.SetFaults(standin.BackendFaults{CrashPart: "dead"})
+	}
+	start := time.Now()
+	senders.start("/ask/1", 120*time.Millisecond, crashing, func(n int) string { return fmt.Sprintf("aa:100,ca11:40,dead:60,%x:150", 1_000_000+n) })
+	time.Sleep(4 * contactTime)
+	end := time.Now()
+	senders.stop()
+
+	var crashes, arrivals []time.Time
+	for _, p := range processes {
+		crashes = append(crashes, p.Crashes()...)
+		for _, b := range p.Backends() {
+			arrivals = append(arrivals, b.Counts().CrashPartArrivals...)
+		}
+	}
+	assert.Assert(t, len(crashes) > 0, "no server crashed")
+	slices.SortFunc(crashes, time.Time.Compare)
+	last := crashes[min(len(crashes), crashesUntilBound)-1]
+	late := 0
+	for _, at := range arrivals {
+		if at.Sub(last) > contactTime {
+			late++
+		}
+	}
+	sent, served := sound.between(last.Add(2*contactTime), end)
+	before, servedBefore := sound.between(start.Add(-2*time.Second), start)
+	t.Logf("%d crashes, %d prompts with the part at servers, %d of them late; sound prompts served: %d of %d, before %d of %d", len(crashes), len(arrivals), late, served, sent, servedBefore, before)
+	assert.Assert(t, late <= maxCrashPartArrivals, "%d prompts with a part that crashes servers reached servers later than %v after the fifth of %d crashes", late, contactTime, len(crashes))
+	assert.Assert(t, sent > 0 && float64(served) >= minServedShare*float64(sent)*float64(servedBefore)/float64(before), "%d of %d sound prompts served, %d of %d before", served, sent, servedBefore, before)
+}
