--- a/chestnutstream.go
+++ b/chestnutstream.go
@@ -25,16 +25,17 @@
 //
 // On the users' platform (docs/design/platform.md) one instance is:
 //
-//	ingress   the routed HTTP interface; start with server.go
-//	fleet     the backend servers: list, outlier detection, placement, retry budget
-//	lease     the leases that decide which instance gives orders to which engine
-//	permit    the permits for servers with a rate limit
-//	loader    the orders to one engine; start with loader.go
-//	instance  the other instances, over WebSocket and CBOR
-//	oncall    log lines on standard output, limited in number
-//	edge      a complete instance
-//	soak      real processes under random faults
-//	tcp, citest  small helpers
+//	ingress     the routed HTTP interface; start with server.go
+//	fleet       the backend servers: list, outlier detection, placement, retry budget
+//	lease       the leases that decide which instance gives orders to which engine
+//	permit      the permits for servers with a rate limit
+//	quarantine  the parts of prompts that crash servers
+//	loader      the orders to one engine; start with loader.go
+//	instance    the other instances, over WebSocket and CBOR
+//	oncall      log lines on standard output, limited in number
+//	edge        a complete instance
+//	soak        real processes under random faults
+//	tcp, citest small helpers
 //
 // # Usage
 //
--- a/edge/control.go
+++ b/edge/control.go
@@ -49,6 +49,7 @@
 	n.handleServerChanges(changes)
 	n.cancelStalePolls(now)
 	n.requestConfig(now)
+	verdicts := n.updateQuarantine(now)
 	leaseActions := n.leases.Step(boot, n.engines())
 	n.syncLoaders(boot)
 	wait := maxControlInterval
@@ -83,6 +84,7 @@
 	}
 	n.mu.Unlock()
 	n.logServerChanges(changes)
+	n.logVerdicts(verdicts)
 	for _, a := range leaseActions {
 		go n.applyLease(a)
 	}
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -38,7 +38,7 @@
 }
 
 // RecordBroken implements ingress.Dispatcher.
-func (n *Node) RecordBroken(ctx context.Context, a ingress.Assignment, b ingress.BrokenResponse) (crashed bool) {
+func (n *Node) RecordBroken(ctx context.Context, a ingress.Assignment, b ingress.BrokenResponse) ingress.BrokenResult {
 	k := processKey{a.Server.ID, a.Server.Born}
 	n.mu.Lock()
 	c := n.crashChecks[k]
@@ -47,14 +47,24 @@
 		n.crashChecks[k] = c
 		go n.checkCrash(k, c)
 	}
-	c.broken = append(c.broken, b)
+	late := c.crashed
+	if !late {
+		c.broken = append(c.broken, b)
+	}
 	n.mu.Unlock()
+	if late {
+		n.recordCrash(a.Server, []ingress.BrokenResponse{b})
+	}
 	select {
 	case <-c.done:
-		return c.crashed
 	case <-ctx.Done():
-		return false
+		return ingress.BrokenResult{}
 	}
+	r := ingress.BrokenResult{Crashed: c.crashed}
+	if c.crashed && b.Progress == chestnutstream.ResponseBegun {
+		r.Suspected = n.suspected(ctx, a.Server.Service, b.PartIDs)
+	}
+	return r
 }
 
 // checkCrash finds out whether the process of a server has ended.
@@ -72,6 +82,9 @@
 		delete(n.crashChecks, k)
 	}
 	n.mu.Unlock()
+	if c.crashed {
+		n.recordCrash(c.server, broken)
+	}
 	close(c.done)
 	l := n.log.WithFields(log.Fields{"server": k.server, "service": c.server.Service, "requests": len(broken)})
 	if !c.crashed {
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -166,3 +167,85 @@
 	assert.Assert(t, late <= maxCrashPartArrivals, "%d prompts with a part that crashes servers reached servers later than %v after the fifth of %d crashes", late, contactTime, len(crashes))
 	assert.Assert(t, sent > 0 && float64(served) >= minServedShare*float64(sent)*float64(servedBefore)/float64(before), "%d of %d sound prompts served, %d of %d before", served, sent, servedBefore, before)
 }
+
+// convictPart makes engines crash on the part "dead", and has two of them crash.
+func convictPart(t *testing.T, in *testInstance, processes ...*standin.BackendProcess) {
+	t.Helper()
+	for _, p := range processes {
+		p.SetFaults(standin.BackendFaults{CrashPart: "dead"})
+	}
+	for i := range 2 {
+		_, _, _, err := sendPrompt(in, "POST", "/once/1", "m/a1", fmt.Sprintf("aa:100,dead:50,%x:150", i))
+		assert.Assert(t, err != nil, "the response is broken off")
+	}
+	eventually(t, "the part is quarantined", func() bool { return len(in.log.with("quarantine changed")) > 0 })
+}
+
+func TestQuarantinedPromptIsRejectedWithReason(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 0, 4)
+	first, second := s.process("i-engine-0"), s.process("i-engine-1")
+	in := s.instance("edge-a")
+	s.awaitOwners(2, in)
+	convictPart(t, in, first, second)
+	start := time.Now()
+	status, body, _, err := sendPrompt(in, "POST", "/ask/1", "m/a1", "aa:100,dead:50,ff:150")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(start) < 200*time.Millisecond)
+	assert.Assert(t, strings.Contains(body, "dead") && strings.Contains(body, "2 servers of assistant crashed"), "%q", body)
+	failed := in.log.with("request failed")
+	last := failed[len(failed)-1]
+	assert.Equal(t, last["sends"], 0)
+	assert.Equal(t, last["may-have-run"], false)
+	assert.Equal(t, last["reason"].(string)+"\n", body)
+}
+
+func TestNewInstanceKnowsQuarantinedParts(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 0, 4)
+	processes := []*standin.BackendProcess{s.process("i-engine-0"), s.process("i-engine-1"), s.process("i-engine-2")}
+	a := s.instance("edge-a")
+	s.awaitOwners(3, a)
+	convictPart(t, a, processes...)
+	b := s.instance("edge-b", a.cfg.PeerAddress)
+	eventually(t, "ready", b.Node().Ready)
+	eventually(t, "the evidence has arrived", func() bool { return len(b.log.with("quarantine changed")) > 0 })
+	status, _, _, err := sendPrompt(b, "POST", "/ask/1", "m/a1", "aa:100,dead:50,ff:150")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	crashes := 0
+	for _, p := range processes {
+		crashes += len(p.Crashes())
+	}
+	assert.Equal(t, crashes, 2)
+}
+
+func TestOperatorReleasesPartOnAllInstances(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 0, 4)
+	first, second := s.process("i-engine-0"), s.process("i-engine-1")
+	a, b := s.instance("edge-a"), s.instance("edge-b")
+	s.awaitOwners(2, a, b)
+	convictPart(t, a, first, second)
+	for _, p := range []*standin.BackendProcess{first, second} {
+		p.SetFaults(standin.BackendFaults{}) // the servers have been repaired
+	}
+	release := func(part string) int {
+		req, err := http.NewRequest(http.MethodDelete, "http://"+b.cfg.MetricsAddress+"/quarantine/assistant/"+part, nil)
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	assert.Equal(t, release("unknown"), http.StatusNotFound)
+	eventually(t, "both instances quarantine the part", func() bool { return len(b.log.with("quarantine changed")) > 0 })
+	assert.Equal(t, release("dead"), http.StatusOK)
+	for _, in := range []*testInstance{a, b} {
+		eventually(t, "the part is served", func() bool {
+			status, body, _, err := sendPrompt(in, "POST", "/ask/1", "m/a1", "aa:100,dead:50,ff:150")
+			return err == nil && status == http.StatusOK && body == fullStream("m/a1")
+		})
+	}
+}
--- a/edge/dump.go
+++ b/edge/dump.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
 type wireDump struct {
@@ -16,6 +17,17 @@
 	Peers    []string         `json:"peers"`
 	Views    map[string]int64 `json:"view-ages-ms"` // by table of the platform's store
 	Servers  []wireServer     `json:"servers"`
+	Verdicts []wireVerdict    `json:"quarantine"`
+}
+
+type wireVerdict struct {
+	Service     string   `json:"service"`
+	Part        string   `json:"part"`
+	Signature   []string `json:"signature"` // parts that a request must have to be rejected
+	Crashed     []string `json:"crashed"`   // servers
+	LastCrashMS int64    `json:"last-crash-ms"`
+	Probes      int      `json:"probes"`
+	NextProbeMS int64    `json:"next-probe-ms"`
 }
 
 type wireServer struct {
@@ -45,6 +57,9 @@
 	for _, s := range n.fleet.Servers() {
 		d.Servers = append(d.Servers, n.dumpServer(s))
 	}
+	for _, v := range n.quarantine.Verdicts() {
+		d.Verdicts = append(d.Verdicts, n.dumpVerdict(v))
+	}
 	n.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(d); err != nil {
@@ -64,3 +79,16 @@
 	}
 	return out
 }
+
+// dumpVerdict returns the dump of a verdict. Callers hold mu.
+func (n *Node) dumpVerdict(v quarantine.Verdict) wireVerdict {
+	now, e := n.now(), v.Evidence
+	out := wireVerdict{
+		Service: e.Part.Service, Part: e.Part.ID, Signature: v.Signature, Probes: e.Probes,
+		LastCrashMS: now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds(), NextProbeMS: n.quarantine.RetryAfter(now, v).Milliseconds(),
+	}
+	for _, c := range e.Crashes {
+		out.Crashed = append(out.Crashed, c.Server)
+	}
+	return out
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutstream/chestnutstream/loader"
 	"github.com/chestnutstream/chestnutstream/permit"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
 var (
@@ -76,6 +77,10 @@
 	started           time.Time
 	views             map[string]*view // by table
 	crashChecks       map[processKey]*crashCheck
+
+	quarantine          *quarantine.Tracker
+	quarantineUpdatedAt time.Time
+	flights             map[*flight]struct{}
 }
 
 // adapterKey identifies an adapter on a server.
@@ -126,6 +131,7 @@
 		usage: map[adapterKey]*adapterUsage{}, changedUsage: map[adapterKey]bool{}, sentLoads: map[string]int{}, sentEntries: map[string]entryDigest{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
 		permits: permit.NewIssuer(cfg.Instance), permitWaiters: map[uint64]chan instance.PermitResponse{},
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
+		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -23,6 +23,7 @@
 		b.EngineLoads = append(b.EngineLoads, instance.EngineLoad{Server: id, Requests: requests})
 	}
 	n.addBackpressure(&b)
+	b.Evidence = n.newestEvidence()
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
 }
@@ -102,6 +103,7 @@
 	for _, r := range b.PermitResponses {
 		n.handlePermitResponse(r)
 	}
+	verdicts := n.handleEvidence(from.Name, b)
 	sendRows := b.ConfigRequested && n.rows.config != nil
 	var cached instance.Bundle
 	if sendRows {
@@ -109,6 +111,7 @@
 	}
 	n.mu.Unlock()
 	n.logBackpressure(changes, from.Name)
+	n.logVerdicts(verdicts)
 	for _, u := range b.TableUpdates {
 		n.handleUpdate(u)
 	}
--- /dev/null
+++ b/edge/quarantine.go
@@ -0,0 +1,268 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/ingress"
+	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/quarantine"
+)
+
+const (
+	quarantineUpdateInterval = time.Second
+	evidenceReplyTime        = 15 * time.Millisecond // after a crash, for what the other instances know of its requests
+	maxSentEvidence          = 256                   // parts in the first message on a link
+)
+
+// flight is a request in progress whose prompt has parts.
+type flight struct {
+	ingress.Admission
+	probe bool
+}
+
+// Admit implements ingress.Dispatcher.
+func (n *Node) Admit(a ingress.Admission) (release func(), err error) {
+	if len(a.PartIDs) == 0 {
+		return func() {}, nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	d := n.quarantine.Check(now, a.Service, a.PartIDs, n.probeSlot)
+	if d.Blocked {
+		n.metrics.GetOrCreateCounter(`chestnutstream_quarantine_rejections_total{service="` + a.Service + `"}`).Inc()
+		return nil, quarantineError(now, d.Verdict, d.RetryAfter)
+	}
+	if d.Probe {
+		n.sendEvidence([]quarantine.Evidence{d.Report})
+		n.log.WithFields(verdictFields(now, d.Verdict)).WithField("request-id", a.RequestID).Warn("probing a quarantined part")
+	}
+	f := &flight{a, d.Probe}
+	n.flights[f] = struct{}{}
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.flights, f)
+	}, nil
+}
+
+// quarantineError returns the error for a request that is kept from the servers.
+func quarantineError(now time.Time, v quarantine.Verdict, retryAfter time.Duration) *ingress.NoServerError {
+	e := v.Evidence
+	reason := fmt.Sprintf("part %s of the prompt is quarantined: %d servers of %s crashed on it, the last one %v ago",
+		strings.Join(v.Signature, ","), len(e.Crashes), e.Part.Service, now.Sub(e.Crashes[len(e.Crashes)-1].At).Round(time.Millisecond))
+	return &ingress.NoServerError{Reason: reason, RetryAfter: retryAfter}
+}
+
+// probeSlot returns this instance's position in the order in which the connected
+// instances may probe a part. Callers hold mu.
+func (n *Node) probeSlot(p quarantine.Part) int {
+	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + p.Service + "\x00" + p.ID) }
+	own, slot := rank(n.cfg.Instance), 0
+	for _, name := range n.permitView().Candidates {
+		if name != n.cfg.Instance && rank(name) > own {
+			slot++
+		}
+	}
+	return slot
+}
+
+// RecordSurvival implements ingress.Dispatcher.
+func (n *Node) RecordSurvival(service string, partIDs []string) {
+	if len(partIDs) == 0 {
+		return
+	}
+	n.mu.Lock()
+	n.sendEvidence(n.quarantine.RecordSurvival(n.now(), service, partIDs))
+	changes := n.applyVerdicts()
+	n.mu.Unlock()
+	n.logVerdicts(changes)
+}
+
+// recordCrash adds the crash of a server to the evidence.
+func (n *Node) recordCrash(server chestnutstream.Backend, broken []ingress.BrokenResponse) {
+	c := quarantine.ServerCrash{Service: server.Service, Server: server.ID, Born: server.Born}
+	for _, b := range broken {
+		c.Runs = append(c.Runs, quarantine.Run{PartIDs: b.PartIDs, Progress: b.Progress})
+	}
+	n.mu.Lock()
+	n.sendEvidence(n.quarantine.RecordCrash(n.now(), c))
+	changes := n.applyVerdicts()
+	n.mu.Unlock()
+	n.logVerdicts(changes)
+}
+
+// suspected reports whether a part is suspected of having crashed a server, after a
+// time in which other instances respond that it is harmless.
+func (n *Node) suspected(ctx context.Context, service string, partIDs []string) bool {
+	select {
+	case <-time.After(evidenceReplyTime):
+	case <-ctx.Done():
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.quarantine.Suspected(service, partIDs)
+}
+
+// releasePart serves an operator's request to release a part on all instances. It
+// responds with 404 if there is no evidence against the part.
+func (n *Node) releasePart(w http.ResponseWriter, r *http.Request) {
+	p := quarantine.Part{Service: mux.Vars(r)["service"], ID: mux.Vars(r)["part"]}
+	n.mu.Lock()
+	e, ok := n.quarantine.Release(n.now(), p)
+	if ok {
+		n.sendEvidence([]quarantine.Evidence{e})
+	}
+	changes := n.applyVerdicts()
+	n.mu.Unlock()
+	n.logVerdicts(changes)
+	if !ok {
+		http.Error(w, fmt.Sprintf("no evidence against part %q of service %q", p.ID, p.Service), http.StatusNotFound)
+		return
+	}
+	n.log.WithFields(log.Fields{"service": p.Service, "part": p.ID, "remote": r.RemoteAddr}).Warn("part released by an operator")
+}
+
+// applyVerdicts aborts the requests that new verdicts keep from the servers, unless a
+// server has begun to respond. It returns the changes for the log. Callers hold mu.
+func (n *Node) applyVerdicts() []quarantine.Change {
+	changes := n.quarantine.Changes()
+	now := n.now()
+	for _, c := range changes {
+		if c.Kind == quarantine.Released {
+			continue
+		}
+		err := quarantineError(now, c.Verdict, n.quarantine.RetryAfter(now, c.Verdict))
+		for f := range n.flights {
+			if f.Service == c.Verdict.Evidence.Part.Service && c.Verdict.Matches(f.PartIDs) && !f.probe && !f.Begun() {
+				f.Abort(err)
+			}
+		}
+	}
+	return changes
+}
+
+// logVerdicts logs and counts changes of verdicts. Callers do not hold mu.
+func (n *Node) logVerdicts(changes []quarantine.Change) {
+	for _, c := range changes {
+		n.metrics.GetOrCreateCounter(`chestnutstream_quarantine_changes_total{change="` + string(c.Kind) + `"}`).Inc()
+		n.log.WithFields(verdictFields(n.now(), c.Verdict)).WithField("change", string(c.Kind)).Warn("quarantine changed")
+	}
+}
+
+// verdictFields returns the log fields of a verdict.
+func verdictFields(now time.Time, v quarantine.Verdict) log.Fields {
+	e := v.Evidence
+	var servers []string
+	for _, c := range e.Crashes {
+		servers = append(servers, c.Server)
+	}
+	f := log.Fields{"service": e.Part.Service, "part": e.Part.ID, "signature": strings.Join(v.Signature, ","), "crashed": strings.Join(servers, ","), "probes": e.Probes}
+	if len(e.Crashes) > 0 {
+		f["first-ms"], f["last-ms"] = now.Sub(e.Crashes[0].At).Milliseconds(), now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds()
+	}
+	return f
+}
+
+// sendEvidence sends evidence to all other instances. Callers hold mu.
+func (n *Node) sendEvidence(evidence []quarantine.Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
+	messages := evidenceMessages(n.now(), evidence)
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.Evidence = append(b.Evidence, messages...) })
+}
+
+// handleEvidence merges evidence from another instance, and sends it what it lacks.
+// Callers hold mu.
+func (n *Node) handleEvidence(from string, b instance.Bundle) []quarantine.Change {
+	if len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 {
+		return nil
+	}
+	now := n.now()
+	var replies, learned []quarantine.Evidence
+	for _, e := range b.Evidence {
+		if r := n.quarantine.Merge(evidenceOf(now, e)); r.HasReply {
+			replies = append(replies, r.Reply)
+		}
+	}
+	for _, e := range b.EvidenceReplies {
+		received := evidenceOf(now, e)
+		if n.quarantine.Merge(received).Learned {
+			learned = append(learned, received) // the others may still suspect the part
+		}
+	}
+	n.quarantine.Update(now)
+	if len(replies) > 0 {
+		messages := evidenceMessages(now, replies)
+		n.mesh.Send(from, func(b *instance.Bundle) { b.EvidenceReplies = append(b.EvidenceReplies, messages...) })
+	}
+	n.sendEvidence(learned)
+	return n.applyVerdicts()
+}
+
+// updateQuarantine applies the passage of time to the verdicts. Callers hold mu.
+func (n *Node) updateQuarantine(now time.Time) []quarantine.Change {
+	if now.Sub(n.quarantineUpdatedAt) < quarantineUpdateInterval {
+		return nil
+	}
+	n.quarantineUpdatedAt = now
+	n.quarantine.Update(now)
+	return n.applyVerdicts()
+}
+
+// newestEvidence returns the evidence for an instance that may have none: on convicted
+// parts, and on others up to maxSentEvidence. Callers hold mu.
+func (n *Node) newestEvidence() []instance.PartEvidence {
+	all := n.quarantine.Evidence()
+	if len(all) > maxSentEvidence {
+		all = slices.DeleteFunc(all, func(e quarantine.Evidence) bool { return !n.quarantine.Convicted(e.Part) })
+	}
+	return evidenceMessages(n.now(), all)
+}
+
+func evidenceMessages(now time.Time, evidence []quarantine.Evidence) []instance.PartEvidence {
+	var out []instance.PartEvidence
+	for _, e := range evidence {
+		m := instance.PartEvidence{Service: e.Part.Service, ID: e.Part.ID, SurvivedAgeMS: ageMS(now, e.SurvivedAt), ProbedAgeMS: ageMS(now, e.ProbedAt), Probes: e.Probes}
+		for _, c := range e.Crashes {
+			m.Crashes = append(m.Crashes, instance.PartCrash{Server: c.Server, Born: c.Born, AgeMS: ageMS(now, c.At), Weight: c.Weight, Companions: c.Companions})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func evidenceOf(now time.Time, m instance.PartEvidence) quarantine.Evidence {
+	e := quarantine.Evidence{Part: quarantine.Part{Service: m.Service, ID: m.ID}, SurvivedAt: timeOf(now, m.SurvivedAgeMS), ProbedAt: timeOf(now, m.ProbedAgeMS), Probes: m.Probes}
+	for _, c := range m.Crashes {
+		e.Crashes = append(e.Crashes, quarantine.Crash{Server: c.Server, Born: c.Born, At: timeOf(now, c.AgeMS), Weight: c.Weight, Companions: c.Companions})
+	}
+	return e
+}
+
+// ageMS returns the age of a moment in milliseconds, -1 for the zero time.
+func ageMS(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return max(now.Sub(t).Milliseconds(), 0)
+}
+
+// timeOf returns the moment of an age in milliseconds; the zero time for a negative one.
+func timeOf(now time.Time, ms int64) time.Time {
+	if ms < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -88,6 +88,7 @@
 		s.backend(standin.BackendSettings{ID: fmt.Sprintf("i-desk-%d", i), Service: "desk", Slots: 6, ServiceTime: 5 * time.Millisecond})
 	}
 	s.configure(`{"name":"ask","host":"h.example","prefix":"/ask/","type":"streaming","resumable":true,"maxAttempts":2,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
+		{"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
 		{"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"},
 		{"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"}`)
 	return s
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -29,6 +29,9 @@
 func (x *exchange) run() {
 	for {
 		a, err := x.place()
+		if aborted := x.aborted(); aborted != nil && err != nil {
+			err = aborted
+		}
 		if err != nil {
 			x.respondUnplaced(err)
 			return
@@ -93,12 +96,14 @@
 	start := x.server.cfg.Timer.Now()
 	x.attempts++
 	x.servers = append(x.servers, a.Server.ID)
+	x.responseBegun.Store(false)
 	br, connected, err := x.send(a, x.lastEventID(), x.waitTimeout())
 	took := x.server.cfg.Timer.Now().Sub(start)
 	if err != nil {
 		return x.sendFailed(a, connected, took, err)
 	}
 	defer br.close()
+	x.responseBegun.Store(true)
 	return x.checkResponse(a, br, took)
 }
 
@@ -118,10 +123,15 @@
 func (x *exchange) sendFailed(a Assignment, connected bool, took time.Duration, err error) bool {
 	x.reason = err.Error()
 	r := Result{Took: took, Outcome: fleet.Failed}
+	aborted := x.aborted()
 	switch {
 	case x.r.Context().Err() != nil:
 		x.status = statusCallerClosed
 		return true
+	case aborted != nil:
+		x.mayHaveRun = x.mayHaveRun || connected
+		x.respondUnplaced(aborted)
+		return true
 	case errors.Is(err, errNoResponse), errors.Is(err, context.DeadlineExceeded):
 		r.Outcome = fleet.Unresponsive
 	case !connected:
@@ -145,7 +155,7 @@
 // mayRetry reports whether a request that may have run may be sent to another
 // server.
 func (x *exchange) mayRetry() bool {
-	if !x.route.Repeatable() || x.ctx.Err() != nil || x.remaining() < minRetryTime {
+	if !x.route.Repeatable() || x.suspected || x.ctx.Err() != nil || x.remaining() < minRetryTime {
 		return false
 	}
 	return x.distinctServers() < x.route.MaxServers
@@ -263,7 +273,7 @@
 
 // respondFailed responds to a request that may have run and got no response.
 func (x *exchange) respondFailed(err error) {
-	if x.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 		x.respond(statusTimeout, err.Error())
 		return
 	}
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -16,14 +16,16 @@
 }
 
 // recordBroken tells the dispatcher that the connection to a server ended, if err
-// means that, and records whether the server crashed.
+// means that, and records what became of the server. A prompt that may have crashed it
+// is not sent to another one.
 func (x *exchange) recordBroken(a Assignment, p chestnutstream.ResponseProgress, err error) {
-	x.serverCrashed = false
-	if !isDisconnect(err) {
+	x.serverCrashed, x.suspected = false, false
+	if len(x.header.PartIDs) == 0 || !isDisconnect(err) {
 		return
 	}
 	b := BrokenResponse{RequestID: x.header.ID, PartIDs: x.header.PartIDs, Progress: p}
-	x.serverCrashed = x.server.dispatcher.RecordBroken(x.ctx, a, b)
+	r := x.server.dispatcher.RecordBroken(x.ctx, a, b)
+	x.serverCrashed, x.suspected = r.Crashed, r.Suspected
 }
 
 // progress returns how far the server's response to the relayed stream has got.
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -142,7 +142,13 @@
 	d.results = append(d.results, r)
 }
 
-func (d *fakeDispatcher) RecordBroken(context.Context, Assignment, BrokenResponse) bool { return false }
+func (d *fakeDispatcher) RecordBroken(context.Context, Assignment, BrokenResponse) BrokenResult {
+	return BrokenResult{}
+}
+
+func (d *fakeDispatcher) RecordSurvival(string, []string) {}
+
+func (d *fakeDispatcher) Admit(Admission) (release func(), err error) { return func() {}, nil }
 
 func (d *fakeDispatcher) RecordPause(Assignment, time.Duration) {}
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -58,6 +58,9 @@
 		x.respondFailed(fmt.Errorf("%s", x.reason))
 		return true
 	}
+	if br.resp.StatusCode < http.StatusMultipleChoices {
+		x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+	}
 	if br.resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() && x.server.dispatcher.AllowRetry(x.service) {
 		// The server itself failed. Its response is relayed if the retry on
 		// another server fails.
@@ -205,6 +208,9 @@
 			if x.maxPause <= x.route.TargetGap {
 				x.server.dispatcher.RecordPause(a, x.maxPause)
 			}
+			if x.stream.events > 0 && x.stream.progress() == chestnutstream.ResponseBegun {
+				x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+			}
 			return x.relayRemainder()
 		}
 		if err != nil {
@@ -235,7 +241,7 @@
 		return nil
 	}
 	whole := s.partial[:end+2]
-	s.events += bytes.Count(whole, []byte("\n\n"))
+	x.countEvents(bytes.Count(whole, []byte("\n\n")))
 	if id := lastID(whole); id != "" {
 		s.lastID = id
 	}
@@ -252,6 +258,16 @@
 	return nil
 }
 
+// countEvents counts the events of a server's response, and records when it got under
+// way.
+func (x *exchange) countEvents(n int) {
+	before := x.stream.progress()
+	x.stream.events += n
+	if x.stream.progress() != before {
+		x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+	}
+}
+
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) string {
 	i := bytes.LastIndex(events, []byte("\nid:"))
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
@@ -76,6 +77,23 @@
 	Progress  chestnutstream.ResponseProgress
 }
 
+// BrokenResult is what became of the server of a broken response.
+type BrokenResult struct {
+	Crashed   bool // its process has ended
+	Suspected bool // this request may be the cause
+}
+
+// Admission is a request before it is sent to a server.
+type Admission struct {
+	RequestID string
+	Service   string
+	PartIDs   []string // of the prompt
+	// Begun reports whether a server has begun to respond.
+	Begun func() bool
+	// Abort ends the request, with the error that its caller is told.
+	Abort func(err *NoServerError)
+}
+
 // Dispatcher places requests on backend servers.
 type Dispatcher interface {
 	// Routes returns the current configuration, or nil if there is none yet.
@@ -88,9 +106,15 @@
 	// RecordResult records the start of a response, or the failure to get one.
 	RecordResult(a Assignment, target chestnutstream.ModelAdapter, r Result)
 	// RecordBroken records that the connection of a request to a server ended before
-	// the response was complete. It checks the server and reports whether its process
-	// has ended.
-	RecordBroken(ctx context.Context, a Assignment, b BrokenResponse) (crashed bool)
+	// the response was complete. It checks whether the server's process has ended.
+	RecordBroken(ctx context.Context, a Assignment, b BrokenResponse) BrokenResult
+	// RecordSurvival records that the response to a prompt got under way, which shows
+	// that its parts do not crash servers.
+	RecordSurvival(service string, partIDs []string)
+	// Admit decides whether a request may be sent to servers at all. It fails with a
+	// *NoServerError if a part of its prompt crashes servers; otherwise release is to
+	// be called at the end of the request.
+	Admit(a Admission) (release func(), err error)
 	// RecordPause records a pause between the events of a stream: the first one
 	// longer than its route allows or, if there was none, the longest one of a
 	// stream that ended.
@@ -153,7 +177,10 @@
 	reason            string
 	responseStarted   bool // the header of a response was written to the caller
 	stream            *stream
-	serverCrashed     bool // the server of the latest attempt ended during it
+	serverCrashed     bool        // the server of the latest attempt ended during it
+	suspected         bool        // this request may have crashed it
+	responseBegun     atomic.Bool // the server of the latest attempt has begun to respond
+	abort             context.CancelCauseFunc
 }
 
 // Statuses that this package generates. statusNotRun is sent only if the request
@@ -191,9 +218,22 @@
 	defer cancel()
 	x.ctx = ctx
 	s.dispatcher.RecordRequest(x.service)
+	release, err := s.dispatcher.Admit(x.admission())
+	if err != nil {
+		x.respondUnplaced(err)
+		return
+	}
+	defer release()
 	x.run()
 }
 
+func (x *exchange) admission() Admission {
+	return Admission{
+		RequestID: x.header.ID, Service: x.service, PartIDs: x.header.PartIDs,
+		Begun: x.responseBegun.Load, Abort: func(err *NoServerError) { x.abort(err) },
+	}
+}
+
 // receive finds the route and reads the whole request body. It returns false if
 // it has responded already.
 func (x *exchange) receive() bool {
@@ -268,7 +308,18 @@
 // limit.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
 	x.deadline = x.start.Add(x.timeLimit() - deadlineMargin)
-	return context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, x.abort = context.WithCancelCause(ctx)
+	return ctx, func() { x.abort(nil); cancel() }
+}
+
+// aborted returns the error with which the dispatcher has aborted the request, or nil.
+func (x *exchange) aborted() *NoServerError {
+	var err *NoServerError
+	if errors.As(context.Cause(x.ctx), &err) {
+		return err
+	}
+	return nil
 }
 
 // remaining returns the time left for the backend server.
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -35,6 +35,8 @@
 	RateLimits       []wireRateLimit       `cbor:"23,keyasint,omitempty"`
 	PermitRequests   []wirePermitRequest   `cbor:"24,keyasint,omitempty"`
 	PermitResponses  []wirePermitResponse  `cbor:"25,keyasint,omitempty"`
+	Evidence         []wirePartEvidence    `cbor:"26,keyasint,omitempty"`
+	EvidenceReplies  []wirePartEvidence    `cbor:"27,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -97,6 +99,25 @@
 	WaitMS int64
 }
 
+type wirePartEvidence struct {
+	_             struct{} `cbor:",toarray"`
+	Service       string
+	ID            string
+	SurvivedAgeMS int64
+	ProbedAgeMS   int64
+	Probes        int
+	Crashes       []wirePartCrash
+}
+
+type wirePartCrash struct {
+	_          struct{} `cbor:",toarray"`
+	Server     string
+	Born       int64
+	AgeMS      int64
+	Weight     float64
+	Companions []string
+}
+
 type wirePrefill struct {
 	_      struct{} `cbor:",toarray"`
 	Server string
@@ -154,6 +175,7 @@
 		HasOwned: b.HasOwned, Owned: b.Owned, Draining: b.Draining, ConfigRequested: b.ConfigRequested,
 		Config: b.Config, ConfigVersion: b.ConfigVersion, PacedServices: b.PacedServices,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
+		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
 	}
 	for _, x := range b.LoadRequests {
 		w.LoadRequests = append(w.LoadRequests, wireAdapterCounts{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Count: x.Waiting})
@@ -219,6 +241,7 @@
 		HasOwned: w.HasOwned, Owned: w.Owned, Draining: w.Draining, ConfigRequested: w.ConfigRequested,
 		Config: w.Config, ConfigVersion: w.ConfigVersion, PacedServices: w.PacedServices,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
+		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
 	}
 	for _, x := range w.LoadRequests {
 		b.LoadRequests = append(b.LoadRequests, LoadRequest{Server: x.Server, Target: modelAdapter(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
@@ -285,3 +308,27 @@
 	}
 	return out
 }
+
+func encodeEvidence(evidence []PartEvidence) []wirePartEvidence {
+	var out []wirePartEvidence
+	for _, e := range evidence {
+		x := wirePartEvidence{Service: e.Service, ID: e.ID, SurvivedAgeMS: e.SurvivedAgeMS, ProbedAgeMS: e.ProbedAgeMS, Probes: e.Probes}
+		for _, c := range e.Crashes {
+			x.Crashes = append(x.Crashes, wirePartCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func decodeEvidence(evidence []wirePartEvidence) []PartEvidence {
+	var out []PartEvidence
+	for _, x := range evidence {
+		e := PartEvidence{Service: x.Service, ID: x.ID, SurvivedAgeMS: x.SurvivedAgeMS, ProbedAgeMS: x.ProbedAgeMS, Probes: x.Probes}
+		for _, c := range x.Crashes {
+			e.Crashes = append(e.Crashes, PartCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
+		}
+		out = append(out, e)
+	}
+	return out
+}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -54,6 +54,8 @@
 	RateLimits       []RateLimit               // rate limits of servers
 	PermitRequests   []PermitRequest           // permit requests for servers with a rate limit
 	PermitResponses  []PermitResponse          // responses to PermitRequests
+	Evidence         []PartEvidence            // evidence against parts of prompts
+	EvidenceReplies  []PartEvidence            // what the receiver's Evidence lacked
 	TableUpdates     []TableUpdate             // table changes that the sender has read for its availability zone
 }
 
@@ -125,6 +127,26 @@
 	WaitMS int64 // until a permit may be requested again
 }
 
+// PartEvidence is what the sender knows of a part of prompts that may crash the
+// servers of a service. Ages are in milliseconds; a negative age stands for never.
+type PartEvidence struct {
+	Service       string
+	ID            string
+	SurvivedAgeMS int64 // of the latest response that got under way
+	ProbedAgeMS   int64
+	Probes        int
+	Crashes       []PartCrash
+}
+
+// PartCrash is a crash of a server that may have been caused by a part of a prompt.
+type PartCrash struct {
+	Server     string
+	Born       int64 // start of the process
+	AgeMS      int64
+	Weight     float64  // as evidence; 1: the response had begun
+	Companions []string // IDs of the unknown parts in the same prompts
+}
+
 // Prefill is a large prompt that an engine has to prefill.
 type Prefill struct {
 	Server string
@@ -173,5 +195,6 @@
 
 func (b *Bundle) empty() bool {
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
-		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0
+		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
+		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0
 }
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,42 @@
+// Package quarantine finds the parts of prompts that crash backend servers (queries
+// of death), and decides which requests are kept from the servers because of them.
+//
+// # Usage
+//
+//	t := quarantine.NewTracker(quarantine.DefaultSettings())
+//	t.RecordSurvival(now, service, partIDs)              // a response got under way
+//	report := t.RecordCrash(now, crash)                  // a server ended; report goes to all other instances
+//	r := t.Merge(evidence)                               // received from another instance; r.Reply goes back
+//	t.Update(now)                                        // after Merge, and once a second
+//	d := t.Check(now, service, partIDs, rank)            // may the request be sent?
+//	for _, c := range t.Changes() { ... }                // parts quarantined and released
+//
+// # Evidence
+//
+// A part that crashes servers crashes each server that begins to respond to a prompt
+// with it. So one response that got under way shows that all parts of its prompt are
+// harmless, whereas a crash is only weak evidence: all requests whose response had
+// just begun share the blame. A part is convicted by two crashes of
+// different servers without a survival, or by more of them if it is known to have been
+// harmless earlier.
+//
+// Parts that were together in a prompt in each of these crashes cannot be told apart,
+// for example the one that crashes servers and the one of the caller who sends it.
+// Those that have never survived form the signature of the verdict, and only requests
+// with the whole signature are kept from the servers. So requests of the same caller
+// without the harmful part go on, and the first of them to survive removes the
+// caller's part from the signature.
+//
+// # Several instances
+//
+// Instances exchange evidence, not verdicts. Merging is commutative and idempotent, so
+// that instances with the same evidence have the same verdicts, in whatever order it
+// arrived. All times that are sent are ages.
+//
+// # End of a verdict
+//
+// One request with the signature is let through as a probe after probeInterval, which
+// doubles with each probe. While verdicts keep most prompts of a service from its
+// servers, that is urgentProbeInterval. Of all instances, the first in the part's order that has
+// such a request sends it. A probe that survives, or an operator, releases the part.
+package quarantine
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,273 @@
+package quarantine
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/citest"
+)
+
+func TestMain(m *testing.M) { os.Exit(citest.Run(m)) }
+
+func firstInstance(Part) int { return 0 }
+
+// crash returns the crash of a server on which the responses to the given prompts had
+// just begun.
+func crash(server string, prompts ...[]string) ServerCrash {
+	c := ServerCrash{Service: simService, Server: server}
+	for _, ids := range prompts {
+		c.Runs = append(c.Runs, Run{PartIDs: ids, Progress: chestnutstream.ResponseBegun})
+	}
+	return c
+}
+
+func (t *Tracker) blocks(now time.Time, ids ...string) bool {
+	return t.Check(now, simService, ids, firstInstance).Blocked
+}
+
+// step is an event of a test: a crash of a server, or a survival.
+type step struct {
+	at       time.Duration
+	server   string // empty: a survival
+	progress chestnutstream.ResponseProgress
+	ids      []string
+}
+
+func TestVerdicts(t *testing.T) {
+	const begun, none, underWay = chestnutstream.ResponseBegun, chestnutstream.ResponseNone, chestnutstream.ResponseUnderWay
+	prompt := []string{"first", "caller", "dead"}
+	tests := []struct {
+		name  string
+		steps []step
+		want  bool
+	}{
+		{"one crash", []step{{time.Second, "i-1", begun, prompt}}, false},
+		{"two crashes", []step{{time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}}, true},
+		{"one crash seen twice", []step{{time.Second, "i-1", begun, prompt}, {1100 * time.Millisecond, "i-1", begun, prompt}}, false},
+		{"two servers at the same moment", []step{{time.Second, "i-1", begun, prompt}, {time.Second + commonCauseWindow/2, "i-2", begun, prompt}}, false},
+		{"a survival between them", []step{{time.Second, "i-1", begun, prompt}, {1500 * time.Millisecond, "", "", prompt}, {2 * time.Second, "i-2", begun, prompt}}, false},
+		{"two crashes, then a survival", []step{{time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}, {3 * time.Second, "", "", prompt}}, false},
+		{"two crashes of a part that survived earlier", []step{{0, "", "", prompt}, {time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}}, false},
+		{"three of them", []step{{0, "", "", prompt}, {time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}, {3 * time.Second, "i-3", begun, prompt}}, true},
+		{"four crashes without a response", []step{{time.Second, "i-1", none, prompt}, {2 * time.Second, "i-2", none, prompt}, {3 * time.Second, "i-3", none, prompt}, {4 * time.Second, "i-4", none, prompt}}, false},
+		{"five of them", []step{{time.Second, "i-1", none, prompt}, {2 * time.Second, "i-2", none, prompt}, {3 * time.Second, "i-3", none, prompt}, {4 * time.Second, "i-4", none, prompt}, {5 * time.Second, "i-5", none, prompt}}, true},
+		{"responses under way", []step{{time.Second, "i-1", underWay, prompt}, {2 * time.Second, "i-2", underWay, prompt}}, false},
+		{"two crashes within suspicionTTL", []step{{time.Second, "i-1", begun, prompt}, {suspicionTTL, "i-2", begun, prompt}}, true},
+		{"two crashes further apart", []step{{time.Second, "i-1", begun, prompt}, {suspicionTTL + 2*time.Second, "i-2", begun, prompt}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker, now := NewTracker(DefaultSettings()), simStart
+			for _, s := range tt.steps {
+				now = simStart.Add(s.at)
+				tracker.Update(now)
+				if s.server == "" {
+					tracker.RecordSurvival(now, simService, s.ids)
+					continue
+				}
+				tracker.RecordCrash(now, ServerCrash{Service: simService, Server: s.server, Runs: []Run{{s.ids, s.progress}}})
+			}
+			assert.Equal(t, tracker.blocks(now, prompt...), tt.want)
+			assert.Assert(t, !tracker.Check(now, "other", prompt, firstInstance).Blocked, "verdicts are on the servers of one service")
+		})
+	}
+}
+
+func TestOtherPromptsOfTheCallerAreServed(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	tracker.RecordCrash(now, crash("i-1", []string{"first", "caller", "dead"}, []string{"first", "x"}))
+	now = now.Add(time.Second)
+	tracker.RecordCrash(now, crash("i-2", []string{"first", "caller", "dead"}, []string{"first", "y"}))
+	assert.Assert(t, tracker.blocks(now, "first", "caller", "dead", "z"))
+	for _, ids := range [][]string{{"first", "caller"}, {"first", "x"}, {"caller", "x"}, {"first"}} {
+		assert.Assert(t, !tracker.blocks(now, ids...), "%v", ids)
+	}
+	tracker.RecordSurvival(now, simService, []string{"first", "caller"})
+	assert.Assert(t, tracker.blocks(now, "other", "dead"), "the parts that survived are no longer in the signature")
+	verdicts := tracker.Verdicts()
+	assert.Equal(t, len(verdicts), 1)
+	assert.DeepEqual(t, verdicts[0].Signature, []string{"dead"})
+	var kinds []ChangeKind
+	for _, c := range tracker.Changes() {
+		if c.Verdict.Evidence.Part.ID == "dead" {
+			kinds = append(kinds, c.Kind)
+		}
+	}
+	assert.DeepEqual(t, kinds, []ChangeKind{Quarantined, Narrowed})
+}
+
+func TestCrashWithConvictedPartIsNoEvidenceAgainstOthers(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	for i := range 4 {
+		now = now.Add(time.Second)
+		tracker.RecordCrash(now, crash(fmt.Sprint("i-", i), []string{"dead"}, []string{"victim"}))
+		if i == 0 {
+			continue
+		}
+		assert.Assert(t, tracker.blocks(now, "dead"))
+	}
+	// The victim was in the first two crashes as well, so it was convicted with them.
+	tracker.RecordSurvival(now, simService, []string{"victim"})
+	for i := range 4 {
+		now = now.Add(time.Second)
+		tracker.RecordCrash(now, crash(fmt.Sprint("j-", i), []string{"dead"}, []string{"victim"}))
+	}
+	assert.Assert(t, !tracker.blocks(now, "victim"))
+}
+
+func TestProbes(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	convict := func() {
+		now = now.Add(time.Second)
+		tracker.RecordCrash(now, crash(fmt.Sprint("i-", now.Unix()), []string{"dead"}))
+	}
+	convict()
+	convict()
+	check := func(after time.Duration, slot int) Decision {
+		return tracker.Check(now.Add(after), simService, []string{"dead"}, func(Part) int { return slot })
+	}
+	d := check(0, 0)
+	assert.Assert(t, d.Blocked)
+	assert.Equal(t, d.RetryAfter, probeInterval)
+	assert.Assert(t, check(probeInterval-1, 0).Blocked)
+	assert.Assert(t, check(probeInterval, 1).Blocked, "the first instance has the first slot")
+	assert.Assert(t, check(probeInterval, 0).Probe)
+	assert.Assert(t, check(probeInterval+1, 0).Blocked, "one probe at a time")
+	assert.Assert(t, check(probeInterval+probeSlot, 1).Blocked)
+	now = now.Add(probeInterval)
+	convict()
+	assert.Assert(t, check(2*probeInterval-1, 0).Blocked)
+	assert.Assert(t, check(2*probeInterval, 0).Probe)
+	now = now.Add(2 * probeInterval)
+	tracker.RecordSurvival(now, simService, []string{"dead"})
+	assert.Assert(t, !check(0, 0).Blocked)
+}
+
+func TestProbesGetRare(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	probes := 0
+	tracker.RecordCrash(now, crash("i-1", []string{"dead"}))
+	tracker.RecordCrash(now.Add(time.Second), crash("i-2", []string{"dead"}))
+	for range 24 * 60 * 60 {
+		now = now.Add(time.Second)
+		for range 2 {
+			tracker.Check(now, simService, []string{"sound"}, firstInstance)
+		}
+		if tracker.Check(now, simService, []string{"dead"}, firstInstance).Probe {
+			probes++
+			tracker.RecordCrash(now, crash(fmt.Sprint("p-", probes), []string{"dead"}))
+		}
+		tracker.Update(now)
+	}
+	assert.Assert(t, probes >= 24 && probes <= 32, "%d probes in a day", probes)
+}
+
+// A verdict that keeps most prompts of a service from its servers must not last a
+// minute if it is wrong.
+func TestMostlyBlockedServiceIsProbedSoon(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	tracker.RecordCrash(now, crash("i-1", []string{"first"}))
+	tracker.RecordCrash(now.Add(time.Second), crash("i-2", []string{"first"}))
+	now = now.Add(time.Second)
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		if tracker.Check(now, simService, []string{"first"}, firstInstance).Probe {
+			return
+		}
+	}
+	t.Fatal("no probe within 2 s")
+}
+
+func TestOperatorReleasesPart(t *testing.T) {
+	a, b, now := NewTracker(DefaultSettings()), NewTracker(DefaultSettings()), simStart
+	for i := range 2 {
+		now = now.Add(time.Second)
+		for _, e := range a.RecordCrash(now, crash(fmt.Sprint("i-", i), []string{"dead"})) {
+			b.Merge(e)
+		}
+	}
+	b.Update(now)
+	assert.Assert(t, a.blocks(now, "dead") && b.blocks(now, "dead"))
+	_, ok := a.Release(now, Part{simService, "other"})
+	assert.Assert(t, !ok)
+	e, ok := a.Release(now, Part{simService, "dead"})
+	assert.Assert(t, ok)
+	b.Merge(e)
+	b.Update(now)
+	assert.Assert(t, !a.blocks(now, "dead") && !b.blocks(now, "dead"))
+}
+
+func TestStateIsBounded(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	for i := range 3 * maxSurvivals {
+		now = now.Add(time.Millisecond)
+		tracker.RecordSurvival(now, simService, []string{fmt.Sprint("sound-", i)})
+	}
+	for i := range 40 {
+		now = now.Add(time.Second)
+		c := ServerCrash{Service: simService, Server: fmt.Sprint("i-", i)}
+		for j := range 100 {
+			c.Runs = append(c.Runs, Run{PartIDs: []string{"dead", fmt.Sprint(i, "-", j)}, Progress: chestnutstream.ResponseNone})
+		}
+		tracker.RecordCrash(now, c)
+	}
+	assert.Assert(t, len(tracker.suspects) <= maxSuspects, "%d", len(tracker.suspects))
+	assert.Assert(t, len(tracker.survivals.current)+len(tracker.survivals.previous) <= 2*maxSurvivals)
+	e := tracker.suspects[Part{simService, "dead"}]
+	assert.Assert(t, len(e.Crashes) <= maxCrashes && len(e.Crashes[0].Companions) <= maxCompanions)
+	assert.Assert(t, tracker.blocks(now, "dead", "x"))
+}
+
+// Instances that receive the same evidence, in any order and some of it twice, reach
+// the same verdicts.
+func TestInstancesWithSameEvidenceAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		part := rapid.SampledFrom([]string{"a", "b", "c", "dead"})
+		const reporters = 3
+		var all []Evidence
+		var sources []*Tracker
+		var crashedAt []time.Time // two instances may see a crash
+		for range reporters {
+			sources = append(sources, NewTracker(DefaultSettings()))
+		}
+		now := simStart
+		for i := range rapid.IntRange(1, 12).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms")) * time.Millisecond)
+			if i%2 == 0 {
+				crashedAt = append(crashedAt, now)
+			}
+			source := sources[rapid.IntRange(0, reporters-1).Draw(rt, "source")]
+			ids := slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(part, 1, 3).Draw(rt, "parts"))))
+			if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+				source.RecordSurvival(now, simService, ids)
+				for _, id := range ids {
+					all = append(all, Evidence{Part: Part{simService, id}, SurvivedAt: now})
+				}
+				continue
+			}
+			all = append(all, source.RecordCrash(crashedAt[i/2], crash(fmt.Sprint("i-", i/2), ids))...)
+		}
+		var verdicts [2]string
+		for i := range verdicts {
+			tracker := NewTracker(DefaultSettings())
+			order := rapid.Permutation(all).Draw(rt, "order")
+			for _, e := range append(order, order[:len(order)/2]...) {
+				tracker.Merge(e.clone())
+			}
+			tracker.Update(now)
+			for _, v := range tracker.Verdicts() {
+				verdicts[i] += fmt.Sprint(v.Evidence.Part.ID, v.Signature, " ")
+			}
+		}
+		if verdicts[0] != verdicts[1] {
+			rt.Fatalf("verdicts %q and %q", verdicts[0], verdicts[1])
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/survivals.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxSurvivals is the number of parts whose survival is remembered, in each of two
+// generations.
+const maxSurvivals = 16384
+
+// survivals remembers the latest survival of each part, at most 2*maxSurvivals of
+// them. The zero value is ready for use.
+type survivals struct {
+	current, previous map[uint64]time.Time
+}
+
+func (p Part) hash() uint64 { return xxhash.Sum64String(p.Service + "\x00" + p.ID) }
+
+// record records a survival. When the current generation is full it becomes the
+// previous one, which is dropped.
+func (s *survivals) record(p Part, at time.Time) {
+	if s.current == nil {
+		s.current = map[uint64]time.Time{}
+	}
+	h := p.hash()
+	if at.After(s.current[h]) {
+		s.current[h] = at
+	}
+	if len(s.current) >= maxSurvivals {
+		s.current, s.previous = map[uint64]time.Time{}, s.current
+	}
+}
+
+// at returns the latest survival of a part; zero if none is remembered.
+func (s *survivals) at(p Part) time.Time {
+	h := p.hash()
+	if at, ok := s.current[h]; ok {
+		return at
+	}
+	return s.previous[h]
+}
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Limits of the state of a Tracker.
+const (
+	maxSuspects = 2048 // parts with evidence against them
+	// verdictTTL is how long after the latest request with its signature a verdict is
+	// kept.
+	verdictTTL = 24 * time.Hour
+)
+
+// Parameters of probes.
+const (
+	probeInterval       = time.Minute // after a crash, until the first probe; doubles with each probe
+	urgentProbeInterval = time.Second // the same while most prompts of a service are quarantined
+	maxProbeInterval    = time.Hour
+	maxProbeDoublings   = 12
+	probeSlot           = 2 * time.Second  // the instance that is next in a part's order may probe this much later
+	probeTimeout        = 10 * time.Second // within which the result of a probe is expected
+
+	trafficDecay       = 5 * time.Second // in which the counts of prompts fall to a half
+	minTraffic         = 5               // prompts counted, below which no share is computed
+	mostlyBlockedShare = 0.5
+)
+
+// Settings are the weights of crashes that convict a part.
+type Settings struct {
+	ConvictionWeight      float64 // of a part that is not known to have survived
+	KnownConvictionWeight float64 // of a part that has survived earlier
+}
+
+// DefaultSettings returns the settings of the edge role.
+func DefaultSettings() Settings {
+	return Settings{ConvictionWeight: 2, KnownConvictionWeight: 3}
+}
+
+// Tracker holds the evidence of one instance and its verdicts. It is not safe for
+// concurrent use.
+type Tracker struct {
+	cfg       Settings
+	survivals survivals
+	suspects  map[Part]*Evidence
+	verdicts  map[Part]*Verdict
+	traffic   map[string]*traffic // by service
+	changes   []Change
+}
+
+// Verdict is the quarantine of the requests with a convicted part.
+type Verdict struct {
+	Evidence  Evidence
+	Signature []string // IDs of the parts that a request must have, sorted; the convicted part is one of them
+	Since     time.Time
+	usedAt    time.Time
+}
+
+// ChangeKind is the kind of a change of verdicts.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Quarantined ChangeKind = "quarantined"
+	Narrowed    ChangeKind = "narrowed" // the signature has changed
+	Released    ChangeKind = "released"
+)
+
+// Change is a change of the verdict on a part.
+type Change struct {
+	Kind    ChangeKind
+	Verdict Verdict
+}
+
+// ServerCrash is the end of a server's process with the requests that this instance
+// had there.
+type ServerCrash struct {
+	Service string
+	Server  string
+	Born    int64
+	Runs    []Run
+}
+
+// NewTracker returns a tracker without evidence.
+func NewTracker(cfg Settings) *Tracker {
+	return &Tracker{cfg: cfg, suspects: map[Part]*Evidence{}, verdicts: map[Part]*Verdict{}, traffic: map[string]*traffic{}}
+}
+
+// RecordSurvival records that the response to a prompt with the given parts got under
+// way. It returns the evidence that the other instances need.
+func (t *Tracker) RecordSurvival(now time.Time, service string, ids []string) []Evidence {
+	var report []Evidence
+	for _, id := range ids {
+		p := Part{service, id}
+		t.survivals.record(p, now)
+		if e := t.suspects[p]; e != nil && e.survive(now) {
+			report = append(report, e.clone())
+		}
+	}
+	if len(report) > 0 {
+		t.Update(now)
+	}
+	return report
+}
+
+// RecordCrash records the end of a server's process. It returns the evidence that the
+// other instances need.
+func (t *Tracker) RecordCrash(now time.Time, c ServerCrash) []Evidence {
+	changed := map[Part]bool{}
+	for _, r := range c.Runs {
+		if r.Progress == chestnutstream.ResponseUnderWay {
+			continue
+		}
+		for _, id := range r.PartIDs {
+			p := Part{c.Service, id}
+			crash := Crash{Server: c.Server, Born: c.Born, At: now, Weight: r.crashWeight()}
+			crash.merge(Crash{At: now, Companions: t.companions(now, c.Service, r.PartIDs, id)})
+			if t.suspect(p).addCrash(crash) {
+				changed[p] = true
+			}
+		}
+	}
+	t.Update(now)
+	return t.evidence(changed)
+}
+
+// companions returns the given parts, except one, that may have caused a crash.
+func (t *Tracker) companions(crashedAt time.Time, service string, ids []string, except string) []string {
+	var out []string
+	for _, id := range ids {
+		if id != except && !excuses(t.survivals.at(Part{service, id}), crashedAt) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// MergeResult tells what evidence from another instance has changed.
+type MergeResult struct {
+	Learned  bool     // this instance did not know of the survival
+	Reply    Evidence // what the sender lacks, if HasReply is set: a later survival
+	HasReply bool
+}
+
+// Merge adds evidence from another instance. Verdicts follow with the next Update.
+func (t *Tracker) Merge(received Evidence) MergeResult {
+	var r MergeResult
+	e := t.suspect(received.Part)
+	if len(received.Crashes) > 0 && e.SurvivedAt.Sub(received.SurvivedAt) > sameSurvival {
+		r.Reply, r.HasReply = Evidence{Part: e.Part, SurvivedAt: e.SurvivedAt}, true
+	}
+	r.Learned = received.SurvivedAt.Sub(e.SurvivedAt) > sameSurvival
+	if e.survive(received.SurvivedAt) {
+		t.survivals.record(received.Part, received.SurvivedAt)
+	}
+	for _, c := range received.Crashes {
+		e.addCrash(c)
+	}
+	if received.ProbedAt.After(e.ProbedAt) {
+		e.ProbedAt = received.ProbedAt
+	}
+	e.Probes = max(e.Probes, received.Probes)
+	return r
+}
+
+// sameSurvival is the difference up to which two times of a survival count as the
+// same: they were sent as ages.
+const sameSurvival = survivalWindow / 2
+
+// Release records that an operator has found a part to be harmless. It returns the
+// evidence for the other instances, or false if the part is not suspected.
+func (t *Tracker) Release(now time.Time, p Part) (Evidence, bool) {
+	if t.suspects[p] == nil {
+		return Evidence{}, false
+	}
+	return t.RecordSurvival(now, p.Service, []string{p.ID})[0], true
+}
+
+// Evidence returns all evidence, for an instance that has none yet.
+func (t *Tracker) Evidence() []Evidence {
+	all := map[Part]bool{}
+	for p := range t.suspects {
+		all[p] = true
+	}
+	return t.evidence(all)
+}
+
+// Convicted reports whether there is a verdict on a part.
+func (t *Tracker) Convicted(p Part) bool { return t.verdicts[p] != nil }
+
+// Suspected reports whether there is evidence against one of the given parts that is
+// not known to have survived.
+func (t *Tracker) Suspected(service string, ids []string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool {
+		e := t.suspects[Part{service, id}]
+		return e != nil && e.SurvivedAt.IsZero()
+	})
+}
+
+// Verdicts returns all verdicts, in order of service and ID.
+func (t *Tracker) Verdicts() []Verdict {
+	out := make([]Verdict, 0, len(t.verdicts))
+	for _, v := range t.verdicts {
+		out = append(out, *v)
+	}
+	slices.SortFunc(out, func(a, b Verdict) int { return compareParts(a.Evidence.Part, b.Evidence.Part) })
+	return out
+}
+
+func compareParts(a, b Part) int {
+	return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+}
+
+// Changes returns the changes of verdicts since the last call.
+func (t *Tracker) Changes() []Change {
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+// evidence returns copies of the evidence on the given parts, in order.
+func (t *Tracker) evidence(parts map[Part]bool) []Evidence {
+	out := make([]Evidence, 0, len(parts))
+	for p := range parts {
+		if e := t.suspects[p]; e != nil {
+			out = append(out, e.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Evidence) int { return compareParts(a.Part, b.Part) })
+	return out
+}
+
+// suspect returns the evidence on a part, which is new if there was none.
+func (t *Tracker) suspect(p Part) *Evidence {
+	e := t.suspects[p]
+	if e == nil {
+		t.evict()
+		e = &Evidence{Part: p, SurvivedAt: t.survivals.at(p)}
+		t.suspects[p] = e
+	}
+	return e
+}
+
+// evict makes room for one more suspect: the one whose latest crash is the oldest,
+// except convicted ones, is dropped.
+func (t *Tracker) evict() {
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	var oldest *Evidence
+	for _, e := range t.suspects {
+		if t.verdicts[e.Part] == nil && (oldest == nil || e.lastCrash().Before(oldest.lastCrash())) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		delete(t.suspects, oldest.Part)
+	}
+}
+
+// lastCrash returns the time of the latest crash; zero if there is none.
+func (e *Evidence) lastCrash() time.Time {
+	if len(e.Crashes) == 0 {
+		return time.Time{}
+	}
+	return e.Crashes[len(e.Crashes)-1].At
+}
