--- a/edge/dump.go
+++ b/edge/dump.go
@@ -85,7 +85,7 @@
 	now, e := n.now(), v.Evidence
 	out := wireVerdict{
 		Service: e.Part.Service, Part: e.Part.ID, Signature: v.Signature, Probes: e.Probes,
-		LastCrashMS: now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds(), NextProbeMS: n.quarantine.RetryAfter(now, v).Milliseconds(),
+		LastCrashMS: now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds(), NextProbeMS: v.RetryAfter(now).Milliseconds(),
 	}
 	for _, c := range e.Crashes {
 		out.Crashed = append(out.Crashed, c.Server)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -23,7 +23,7 @@
 		b.EngineLoads = append(b.EngineLoads, instance.EngineLoad{Server: id, Requests: requests})
 	}
 	n.addBackpressure(&b)
-	b.Evidence = n.newestEvidence()
+	b.Evidence = evidenceMessages(n.now(), n.quarantine.Evidence(maxFirstEvidence))
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -16,12 +15,14 @@
 	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/quarantine"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 const (
 	quarantineUpdateInterval = time.Second
-	evidenceReplyTime        = 15 * time.Millisecond // after a crash, for what the other instances know of its requests
-	maxSentEvidence          = 256                   // parts in the first message on a link
+	evidenceReplyTime        = 15 * time.Millisecond  // after a crash, for what the other instances know of its requests
+	firstEvidenceTime        = 300 * time.Millisecond // after the start, for the evidence of the other instances
+	maxFirstEvidence         = 256                    // parts in the first message on a link, unless more are convicted
 )
 
 // flight is a request in progress whose prompt has parts.
@@ -31,10 +32,11 @@
 }
 
 // Admit implements ingress.Dispatcher.
-func (n *Node) Admit(a ingress.Admission) (release func(), err error) {
+func (n *Node) Admit(ctx context.Context, a ingress.Admission) (release func(), err error) {
 	if len(a.PartIDs) == 0 {
 		return func() {}, nil
 	}
+	timer.Sleep(ctx, n.started.Add(firstEvidenceTime).Sub(n.now()))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -142,7 +144,7 @@
 		if c.Kind == quarantine.Released {
 			continue
 		}
-		err := quarantineError(now, c.Verdict, n.quarantine.RetryAfter(now, c.Verdict))
+		err := quarantineError(now, c.Verdict, c.Verdict.RetryAfter(now))
 		for f := range n.flights {
 			if f.Service == c.Verdict.Evidence.Part.Service && c.Verdict.Matches(f.PartIDs) && !f.probe && !f.Begun() {
 				f.Abort(err)
@@ -221,16 +223,6 @@
 	return n.applyVerdicts()
 }
 
-// newestEvidence returns the evidence for an instance that may have none: on convicted
-// parts, and on others up to maxSentEvidence. Callers hold mu.
-func (n *Node) newestEvidence() []instance.PartEvidence {
-	all := n.quarantine.Evidence()
-	if len(all) > maxSentEvidence {
-		all = slices.DeleteFunc(all, func(e quarantine.Evidence) bool { return !n.quarantine.Convicted(e.Part) })
-	}
-	return evidenceMessages(n.now(), all)
-}
-
 func evidenceMessages(now time.Time, evidence []quarantine.Evidence) []instance.PartEvidence {
 	var out []instance.PartEvidence
 	for _, e := range evidence {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -114,7 +114,7 @@
 	// Admit decides whether a request may be sent to servers at all. It fails with a
 	// *NoServerError if a part of its prompt crashes servers; otherwise release is to
 	// be called at the end of the request.
-	Admit(a Admission) (release func(), err error)
+	Admit(ctx context.Context, a Admission) (release func(), err error)
 	// RecordPause records a pause between the events of a stream: the first one
 	// longer than its route allows or, if there was none, the longest one of a
 	// stream that ended.
@@ -218,7 +218,7 @@
 	defer cancel()
 	x.ctx = ctx
 	s.dispatcher.RecordRequest(x.service)
-	release, err := s.dispatcher.Admit(x.admission())
+	release, err := s.dispatcher.Admit(ctx, x.admission())
 	if err != nil {
 		x.respondUnplaced(err)
 		return
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -156,6 +157,31 @@
 	})
 }
 
+// A peer that comes back must not wait for what it is sent until the pause between
+// dials has passed.
+func TestPeerThatConnectsIsDialledAtOnce(t *testing.T) {
+	a, _, self := newTestMesh(t, "a")
+	for i := range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		peer := Member{Name: fmt.Sprint("b", i), Address: l.Addr().String()}
+		assert.NilError(t, l.Close())
+		a.Add(peer)
+		time.Sleep(1200 * time.Millisecond) // a's dials have failed, and their pauses are long
+		l, err = net.Listen("tcp", peer.Address)
+		assert.NilError(t, err)
+		b, _, _ := newTestMeshAt(t, peer, l)
+		b.Add(self)
+		for range 20 {
+			if a.Connected(peer.Name) {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Assert(t, a.Connected(peer.Name), "not connected within 100 ms")
+	}
+}
+
 // A connection on which nothing arrives any more, without a reset, is closed and
 // dialled again.
 func TestUnresponsiveConnectionIsRedialled(t *testing.T) {
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -66,6 +66,7 @@
 	member Member
 	cancel context.CancelFunc
 	wake   chan struct{}
+	redial chan struct{} // ends the pause before the next dial
 
 	mu      sync.Mutex
 	up      bool
@@ -107,11 +108,26 @@
 		l.cancel()
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	l := &link{member: member, cancel: cancel, wake: make(chan struct{}, 1)}
+	l := &link{member: member, cancel: cancel, wake: make(chan struct{}, 1), redial: make(chan struct{}, 1)}
 	m.links[member.Name] = l
 	go m.maintain(ctx, l)
 }
 
+// redial dials a peer at once if its outgoing connection is down: the peer has just
+// connected, so it runs.
+func (m *Mesh) redial(name string) {
+	m.mu.Lock()
+	l := m.links[name]
+	m.mu.Unlock()
+	if l == nil || l.isUp() {
+		return
+	}
+	select {
+	case l.redial <- struct{}{}:
+	default:
+	}
+}
+
 // Drop closes the outgoing connections to the given addresses.
 func (m *Mesh) Drop(addresses map[string]bool) {
 	m.mu.Lock()
@@ -214,6 +230,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-l.redial:
 		case <-time.After(delay.NextBackOff()):
 		}
 	}
@@ -357,6 +374,7 @@
 			}
 			from = b.From
 			m.Add(from)
+			m.redial(from.Name)
 		}
 		m.handler.Received(from, b)
 	}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -36,7 +36,6 @@
 // # End of a verdict
 //
 // One request with the signature is let through as a probe after probeInterval, which
-// doubles with each probe. While verdicts keep most prompts of a service from its
-// servers, that is urgentProbeInterval. Of all instances, the first in the part's order that has
+// doubles with each probe. Of all instances, the first in the part's order that has
 // such a request sends it. A probe that survives, or an operator, releases the part.
 package quarantine
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,16 +20,11 @@
 
 // Parameters of probes.
 const (
-	probeInterval       = time.Minute // after a crash, until the first probe; doubles with each probe
-	urgentProbeInterval = time.Second // the same while most prompts of a service are quarantined
-	maxProbeInterval    = time.Hour
-	maxProbeDoublings   = 12
-	probeSlot           = 2 * time.Second  // the instance that is next in a part's order may probe this much later
-	probeTimeout        = 10 * time.Second // within which the result of a probe is expected
-
-	trafficDecay       = 5 * time.Second // in which the counts of prompts fall to a half
-	minTraffic         = 5               // prompts counted, below which no share is computed
-	mostlyBlockedShare = 0.5
+	probeInterval     = time.Minute // after a crash, until the first probe; doubles with each probe
+	maxProbeInterval  = time.Hour
+	maxProbeDoublings = 12
+	probeSlot         = 2 * time.Second  // the instance that is next in a part's order may probe this much later
+	probeTimeout      = 10 * time.Second // within which the result of a probe is expected
 )
 
 // Settings are the weights of crashes that convict a part.
@@ -49,7 +45,6 @@
 	survivals survivals
 	suspects  map[Part]*Evidence
 	verdicts  map[Part]*Verdict
-	traffic   map[string]*traffic // by service
 	changes   []Change
 }
 
@@ -88,7 +83,7 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(cfg Settings) *Tracker {
-	return &Tracker{cfg: cfg, suspects: map[Part]*Evidence{}, verdicts: map[Part]*Verdict{}, traffic: map[string]*traffic{}}
+	return &Tracker{cfg: cfg, suspects: map[Part]*Evidence{}, verdicts: map[Part]*Verdict{}}
 }
 
 // RecordSurvival records that the response to a prompt with the given parts got under
@@ -181,13 +176,36 @@
 	return t.RecordSurvival(now, p.Service, []string{p.ID})[0], true
 }
 
-// Evidence returns all evidence, for an instance that has none yet.
-func (t *Tracker) Evidence() []Evidence {
-	all := map[Part]bool{}
-	for p := range t.suspects {
-		all[p] = true
+// Evidence returns the evidence for an instance that has none yet: on the convicted
+// parts, on the latest other suspects up to limit parts in all, and the survivals of
+// their companions, which are no longer suspected.
+func (t *Tracker) Evidence(limit int) []Evidence {
+	order := slices.SortedFunc(maps.Keys(t.suspects), func(p, q Part) int {
+		switch {
+		case t.Convicted(p) && !t.Convicted(q):
+			return -1
+		case t.Convicted(q) && !t.Convicted(p):
+			return 1
+		}
+		return cmp.Or(t.suspects[q].lastCrash().Compare(t.suspects[p].lastCrash()), compareParts(p, q))
+	})
+	var out []Evidence
+	harmless := map[Part]bool{}
+	for i, p := range order {
+		if i >= limit && !t.Convicted(p) {
+			break
+		}
+		e := t.suspects[p]
+		out = append(out, e.clone())
+		for _, id := range e.companions() {
+			q := Part{p.Service, id}
+			if at := t.survivals.at(q); t.suspects[q] == nil && !at.IsZero() && !harmless[q] {
+				harmless[q] = true
+				out = append(out, Evidence{Part: q, SurvivedAt: at})
+			}
+		}
 	}
-	return t.evidence(all)
+	return out
 }
 
 // Convicted reports whether there is a verdict on a part.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -113,7 +113,6 @@
 // instance's position in a part's order of instances; 0 is the first.
 func (t *Tracker) Check(now time.Time, service string, ids []string, slot func(Part) int) Decision {
 	v, unique := t.match(service, ids)
-	t.countTraffic(now, service, v != nil)
 	if v == nil {
 		return Decision{}
 	}
@@ -123,7 +122,7 @@
 		return Decision{Blocked: true, Verdict: *v, RetryAfter: probeInterval}
 	}
 	e := t.suspects[v.Evidence.Part]
-	at := t.nextProbe(now, e).Add(time.Duration(slot(e.Part)) * probeSlot)
+	at := e.nextProbe().Add(time.Duration(slot(e.Part)) * probeSlot)
 	if now.Before(at) {
 		return Decision{Blocked: true, Verdict: *v, RetryAfter: at.Sub(now)}
 	}
@@ -164,52 +163,16 @@
 
 // RetryAfter returns how long requests under a verdict are kept from the servers at
 // least.
-func (t *Tracker) RetryAfter(now time.Time, v Verdict) time.Duration {
-	return max(t.nextProbe(now, &v.Evidence).Sub(now), 0)
+func (v *Verdict) RetryAfter(now time.Time) time.Duration {
+	return max(v.Evidence.nextProbe().Sub(now), 0)
 }
 
 // nextProbe returns when the first instance in the part's order may send the next
 // probe.
-func (t *Tracker) nextProbe(now time.Time, e *Evidence) time.Time {
-	interval := probeInterval
-	if s := t.traffic[e.Part.Service]; s != nil && s.mostlyBlocked(now) {
-		interval = urgentProbeInterval
-	}
-	at := e.lastCrash().Add(min(interval<<min(e.Probes, maxProbeDoublings), maxProbeInterval))
+func (e *Evidence) nextProbe() time.Time {
+	at := e.lastCrash().Add(min(probeInterval<<min(e.Probes, maxProbeDoublings), maxProbeInterval))
 	if pending := e.ProbedAt.Add(probeTimeout); !e.ProbedAt.IsZero() && pending.After(at) {
 		return pending
 	}
 	return at
 }
-
-// traffic counts the prompts for a service, and those that verdicts keep from its
-// servers. Both counts decay.
-type traffic struct {
-	total, blocked float64
-	at             time.Time
-}
-
-func (t *Tracker) countTraffic(now time.Time, service string, blocked bool) {
-	s := t.traffic[service]
-	if s == nil {
-		s = &traffic{at: now}
-		t.traffic[service] = s
-	}
-	s.decay(now)
-	s.total++
-	if blocked {
-		s.blocked++
-	}
-}
-
-func (s *traffic) decay(now time.Time) {
-	factor := 1 / (1 + float64(now.Sub(s.at))/float64(trafficDecay))
-	s.total, s.blocked, s.at = s.total*factor, s.blocked*factor, now
-}
-
-// mostlyBlocked reports whether verdicts keep most prompts of a service from its
-// servers. Such a verdict is more likely to be wrong, and costs more if it is.
-func (s *traffic) mostlyBlocked(now time.Time) bool {
-	s.decay(now)
-	return s.total >= minTraffic && s.blocked > mostlyBlockedShare*s.total
-}
