ingress: a stream that ends inside an event is broken off

What callers saw: a stream without a length or chunks whose server ended in the middle of an event, or before the first one, was passed on as complete; one that may be resumed was not resumed.

Cause: the end of the connection was taken for the end of the stream, and what followed the last whole event was relayed. Now such a stream is broken off, or resumed, also where a length or the last chunk says that it is whole; a body without any event and with a length is relayed as before.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -204,6 +204,9 @@
 				return true
 			}
 		}
+		if err == io.EOF && x.stream.endsEarly(br.resp) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			if x.maxPause <= x.route.TargetGap {
 				x.server.dispatcher.RecordPause(a, x.maxPause)
@@ -219,6 +222,17 @@
 	}
 }
 
+// endsEarly reports whether the end of a server's response cannot be the end of the
+// stream: it is inside an event, or nothing but the end of the connection shows that
+// there are no events.
+func (s *stream) endsEarly(resp *http.Response) bool {
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if len(s.partial) > 0 {
+		return endsWithConnection || s.events > 0
+	}
+	return endsWithConnection && s.events == 0
+}
+
 // recordPause records a pause between two events. The first one that is too long is
 // reported at once, because the stream may continue for seconds.
 func (x *exchange) recordPause(a Assignment, pause time.Duration) {
@@ -286,7 +300,7 @@
 	return string(bytes.TrimSpace(line))
 }
 
-// relayRemainder relays what follows the last complete event.
+// relayRemainder relays a body without events.
 func (x *exchange) relayRemainder() bool {
 	if len(x.stream.partial) > 0 {
 		if _, err := x.w.Write(x.stream.partial); err != nil {
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/chestnutstream/chestnutstream/citest"
@@ -73,3 +74,52 @@
 		}
 	})
 }
+
+// A stream without a length or chunks ends with its connection, so that a server that
+// ended too early looks like one that has finished.
+func TestStreamThatEndsInsideEventIsBrokenOff(t *testing.T) {
+	const event0, event1 = "id: 0\ndata: piece 0\n\n", "id: 1\ndata: piece 1\n\n"
+	tests := []struct {
+		name     string
+		framing  string
+		body     string
+		complete bool
+	}{
+		{"closed inside an event", "Connection: close", event0 + event1[:9], false},
+		{"closed inside the first event", "Connection: close", event0[:9], false},
+		{"closed before the first event", "Connection: close", "", false},
+		{"closed after an event", "Connection: close", event0 + event1, true},
+		{"length, ends inside an event", fmt.Sprintf("Content-Length: %d", len(event0)+9), event0 + event1[:9], false},
+		{"length, ends after an event", fmt.Sprintf("Content-Length: %d", len(event0)), event0, true},
+		{"length, no event stream", "Content-Length: 9", `{"ok": 1}`, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ends := newBackend(t, "i-ends", func(c net.Conn, r *http.Request, _ string) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\n%s\r\n\r\n%s", r.Header.Get("X-Chestnutstream-Request-Id"), tt.framing, tt.body)
+				return false
+			})
+			resumes := newBackend(t, "i-resumes", func(c net.Conn, r *http.Request, _ string) bool {
+				writeStreamHeader(c, r)
+				from := 0
+				if r.Header.Get("Last-Event-Id") == "0" {
+					from = 1
+				}
+				writeEvents(c, from, 2)
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return true
+			})
+			f := newTestServer(t, ends, resumes)
+			_, body, err := f.send(t, "POST", "/once/1", "x")
+			assert.Equal(t, err == nil, tt.complete, "%v %q", err, body)
+			assert.Equal(t, resumes.requestCount(), 0)
+			_, body, err = f.send(t, "POST", "/ask/1", "x")
+			assert.NilError(t, err)
+			if tt.complete {
+				assert.Equal(t, body, tt.body)
+			} else {
+				assert.Equal(t, body, event0+event1)
+			}
+		})
+	}
+}
