--- a/edge/control.go
+++ b/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/loader"
+	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
 // Time limits and intervals of the control loop.
@@ -225,7 +227,7 @@
 func (n *Node) issueOrder(boot time.Duration, id string, a loader.Action) {
 	e := n.loaders[id]
 	fence, until, ok := n.leases.FencingToken(boot, id)
-	if !ok {
+	if !ok || (a.Order.Kind == chestnutstream.OrderLoad && !a.Poll && !n.admitLoad(e.Server.Service, a.Order)) {
 		n.recordOrderResult(e, boot, a, chestnutstream.OrderRejected)
 		return
 	}
@@ -255,10 +257,18 @@
 	defer cancel()
 	result, err := n.engineClient.Order(ctx, server, o)
 	n.mu.Lock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.crashCheck(server)
+	}
 	if e := n.loaders[id]; e != nil && e.Server.Born == server.Born {
 		n.recordOrderResult(e, n.boot(), a, result)
 	}
+	var changes []quarantine.Change
+	if result == chestnutstream.OrderSatisfied && o.Kind == chestnutstream.OrderLoad {
+		changes = n.recordSurvival(server.Service, []string{loadTrait(o.Target, o.Version)})
+	}
 	n.mu.Unlock()
+	n.logVerdicts(changes)
 	n.metrics.GetOrCreateCounter(`chestnutstream_orders_total{answer="` + string(result) + `"}`).Inc()
 	l := n.log.WithFields(log.Fields{
 		"server": id, "order": o.Kind, "target": o.Target.String(), "version": o.Version, "orders": o.OrderCount,
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/ingress"
+	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
 // A broken connection does not tell whether its server has ended, breaks off single
@@ -32,28 +33,29 @@
 // crashCheck is a check whether a server's process has ended, and its result.
 type crashCheck struct {
 	server  chestnutstream.Backend
-	broken  []ingress.BrokenResponse
+	broken  []brokenResponse
 	done    chan struct{} // closed when crashed is known
 	crashed bool
 }
 
+// brokenResponse is a response whose connection ended.
+type brokenResponse struct {
+	quarantine.Run
+	requestID string
+}
+
 // RecordBroken implements ingress.Dispatcher.
 func (n *Node) RecordBroken(ctx context.Context, a ingress.Assignment, b ingress.BrokenResponse) ingress.BrokenResult {
-	k := processKey{a.Server.ID, a.Server.Born}
+	run := quarantine.Run{Traits: requestTraits(a.Target, a.Version, b.PartIDs), Progress: b.Progress}
 	n.mu.Lock()
-	c := n.crashChecks[k]
-	if c == nil {
-		c = &crashCheck{server: a.Server, done: make(chan struct{})}
-		n.crashChecks[k] = c
-		go n.checkCrash(k, c)
-	}
+	c := n.crashCheck(a.Server)
 	late := c.crashed
 	if !late {
-		c.broken = append(c.broken, b)
+		c.broken = append(c.broken, brokenResponse{run, b.RequestID})
 	}
 	n.mu.Unlock()
 	if late {
-		n.recordCrash(a.Server, []ingress.BrokenResponse{b})
+		n.recordCrash(a.Server, []quarantine.Run{run})
 	}
 	select {
 	case <-c.done:
@@ -62,11 +64,24 @@
 	}
 	r := ingress.BrokenResult{Crashed: c.crashed}
 	if c.crashed && b.Progress == chestnutstream.ResponseBegun {
-		r.Suspected = n.suspected(ctx, a.Server.Service, b.PartIDs)
+		r.Suspected = n.suspected(ctx, a.Server.Service, run.Traits)
 	}
 	return r
 }
 
+// crashCheck returns the check of a server's process, which it starts if there is none.
+// Callers hold mu.
+func (n *Node) crashCheck(server chestnutstream.Backend) *crashCheck {
+	k := processKey{server.ID, server.Born}
+	c := n.crashChecks[k]
+	if c == nil {
+		c = &crashCheck{server: server, done: make(chan struct{})}
+		n.crashChecks[k] = c
+		go n.checkCrash(k, c)
+	}
+	return c
+}
+
 // checkCrash finds out whether the process of a server has ended.
 func (n *Node) checkCrash(k processKey, c *crashCheck) {
 	time.Sleep(crashCollectTime)
@@ -77,16 +92,20 @@
 	}
 	n.mu.Lock()
 	c.crashed = errors.Is(err, syscall.ECONNREFUSED)
-	broken := c.broken
+	broken, loads := c.broken, n.loadsInProgress(k)
 	if !c.crashed {
 		delete(n.crashChecks, k)
 	}
 	n.mu.Unlock()
+	var runs []quarantine.Run
+	for _, b := range broken {
+		runs = append(runs, b.Run)
+	}
 	if c.crashed {
-		n.recordCrash(c.server, broken)
+		n.recordCrash(c.server, append(runs, loads...))
 	}
 	close(c.done)
-	l := n.log.WithFields(log.Fields{"server": k.server, "service": c.server.Service, "requests": len(broken)})
+	l := n.log.WithFields(log.Fields{"server": k.server, "service": c.server.Service, "requests": len(broken), "loads": len(loads)})
 	if !c.crashed {
 		l.WithField("check", checkResult(err)).Info("connections of a server broke")
 		return
@@ -100,6 +119,20 @@
 	})
 }
 
+// loadsInProgress returns the loads that this instance has ordered from a server's
+// process and that are not complete. Callers hold mu.
+func (n *Node) loadsInProgress(k processKey) []quarantine.Run {
+	e := n.loaders[k.server]
+	if e == nil || e.Server.Born != k.born {
+		return nil
+	}
+	var runs []quarantine.Run
+	for target, version := range e.Loading() {
+		runs = append(runs, quarantine.Run{Traits: []string{loadTrait(target, version)}, Progress: chestnutstream.ResponseBegun})
+	}
+	return runs
+}
+
 // checkResult returns the result of a check for the log.
 func checkResult(err error) string {
 	if err == nil {
@@ -109,11 +142,11 @@
 }
 
 // begunRequests returns the IDs of the requests whose response had just begun.
-func begunRequests(broken []ingress.BrokenResponse) []string {
+func begunRequests(broken []brokenResponse) []string {
 	var ids []string
 	for _, b := range broken {
 		if b.Progress == chestnutstream.ResponseBegun && len(ids) < maxLoggedRequests {
-			ids = append(ids, b.RequestID)
+			ids = append(ids, b.requestID)
 		}
 	}
 	return ids
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -85,9 +85,9 @@
 	wg        sync.WaitGroup
 }
 
-// start starts a sender of one prompt per period. parts returns the parts of the n-th
-// prompt.
-func (p *promptSenders) start(path string, period time.Duration, counts *promptCounts, parts func(n int) string) {
+// start starts a sender of one prompt per period. next returns the target and the parts
+// of the n-th prompt.
+func (p *promptSenders) start(path string, period time.Duration, counts *promptCounts, next func(n int) (target, parts string)) {
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
@@ -97,12 +97,13 @@
 				return
 			case <-time.After(period):
 			}
-			in, target := p.instances[rand.IntN(len(p.instances))], fmt.Sprintf("m/a%d", n%6)
+			in := p.instances[rand.IntN(len(p.instances))]
+			target, parts := next(n)
 			p.wg.Add(1)
 			go func() {
 				defer p.wg.Done()
 				sentAt := time.Now()
-				status, body, _, err := sendPrompt(in, "POST", path, target, parts(n))
+				status, body, _, err := sendPrompt(in, "POST", path, target, parts)
 				counts.add(sentAt, err == nil && status == http.StatusOK && body == fullStream(target))
 			}()
 		}
@@ -116,14 +117,37 @@
 
 // The bounds of the rules BUDGET and LOST of the platform.
 const (
-	contactTime          = 3 * time.Second
-	crashesUntilBound    = 5
-	maxCrashPartArrivals = 3
-	minServedShare       = 0.5
+	contactTime       = 3 * time.Second
+	crashesUntilBound = 5
+	maxCrashArrivals  = 3
+	minServedShare    = 0.5
 )
 
+// crashCause is a request, or the order that it leads to, that crashes each engine that
+// gets it.
+type crashCause struct {
+	fault  standin.BackendFaults
+	target string // of the requests; "": as of the sound ones
+	part   string // of their prompts; "": as of the sound ones
+}
+
 func TestPartThatCrashesServersStopsReachingThem(t *testing.T) {
 	t.Parallel()
+	playCrashes(t, crashCause{standin.BackendFaults{CrashPart: "dead"}, "", "dead:60,"})
+}
+
+func TestAdapterThatCrashesServersStopsReachingThem(t *testing.T) {
+	t.Parallel()
+	playCrashes(t, crashCause{standin.BackendFaults{CrashAdapter: "a40"}, "m/a40", ""})
+}
+
+func TestAdapterWhoseLoadCrashesServersIsNoLongerLoaded(t *testing.T) {
+	t.Parallel()
+	playCrashes(t, crashCause{standin.BackendFaults{CrashLoad: "a40"}, "m/a40", ""})
+}
+
+// playCrashes sends sound prompts and, after a while, others that crash engines.
+func playCrashes(t *testing.T, cause crashCause) {
 	s := newTestSite(t, 0, 4)
 	var processes []*standin.BackendProcess
 	for i := range 6 {
@@ -134,39 +158,50 @@
 	sound, crashing := &promptCounts{}, &promptCounts{}
 	senders := &promptSenders{instances: all, done: make(chan struct{})}
 	// Half of the sound prompts are of the caller whose other prompts crash servers.
-	senders.start("/ask/1", 25*time.Millisecond, sound, func(n int) string {
-		return fmt.Sprintf("aa:100,%s:40,%x:150", []string{"ca11", fmt.Sprint(n % 50)}[n%2], n)
+	senders.start("/ask/1", 25*time.Millisecond, sound, func(n int) (target, parts string) {
+		return fmt.Sprintf("m/a%d", n%6), fmt.Sprintf("aa:100,%s:40,%x:150", []string{"ca11", fmt.Sprint(n % 50)}[n%2], n)
 	})
 	time.Sleep(2 * time.Second)
 	for _, p := range processes {
-		p.SetFaults(standin.BackendFaults{CrashPart: "dead"})
+		p.SetFaults(cause.fault)
 	}
 	start := time.Now()
-	senders.start("/ask/1", 120*time.Millisecond, crashing, func(n int) string { return fmt.Sprintf("aa:100,ca11:40,dead:60,%x:150", 1_000_000+n) })
+	senders.start("/ask/1", 120*time.Millisecond, crashing, func(n int) (target, parts string) {
+		if target = cause.target; target == "" {
+			target = fmt.Sprintf("m/a%d", n%6)
+		}
+		return target, fmt.Sprintf("aa:100,ca11:40,%s%x:150", cause.part, 1_000_000+n)
+	})
 	time.Sleep(4 * contactTime)
 	end := time.Now()
 	senders.stop()
+	checkCrashesStopped(t, processes, sound, start, end)
+}
 
-	var crashes, arrivals []time.Time
+// checkCrashesStopped checks the bounds of the rules after causes of crashes came up at
+// start.
+func checkCrashesStopped(t *testing.T, processes []*standin.BackendProcess, sound *promptCounts, start, end time.Time) {
+	t.Helper()
+	var crashes, causes []time.Time
 	for _, p := range processes {
 		crashes = append(crashes, p.Crashes()...)
 		for _, b := range p.Backends() {
-			arrivals = append(arrivals, b.Counts().CrashPartArrivals...)
+			causes = append(append(causes, b.Counts().CrashArrivals...), b.Counts().CrashLoads...)
 		}
 	}
 	assert.Assert(t, len(crashes) > 0, "no server crashed")
 	slices.SortFunc(crashes, time.Time.Compare)
 	last := crashes[min(len(crashes), crashesUntilBound)-1]
 	late := 0
-	for _, at := range arrivals {
+	for _, at := range causes {
 		if at.Sub(last) > contactTime {
 			late++
 		}
 	}
 	sent, served := sound.between(last.Add(2*contactTime), end)
 	before, servedBefore := sound.between(start.Add(-2*time.Second), start)
-	t.Logf("%d crashes, %d prompts with the part at servers, %d of them late; sound prompts served: %d of %d, before %d of %d", len(crashes), len(arrivals), late, served, sent, servedBefore, before)
-	assert.Assert(t, late <= maxCrashPartArrivals, "%d prompts with a part that crashes servers reached servers later than %v after the fifth of %d crashes", late, contactTime, len(crashes))
+	t.Logf("%d crashes, %d requests or orders at servers that cause them, %d of these late; sound prompts served: %d of %d, before %d of %d", len(crashes), len(causes), late, served, sent, servedBefore, before)
+	assert.Assert(t, late <= maxCrashArrivals, "%d requests or orders that crash servers reached servers later than %v after the fifth of %d crashes", late, contactTime, len(crashes))
 	assert.Assert(t, sent > 0 && float64(served) >= minServedShare*float64(sent)*float64(servedBefore)/float64(before), "%d of %d sound prompts served, %d of %d before", served, sent, servedBefore, before)
 }
 
@@ -209,21 +244,21 @@
 	n := idleNode(t, "edge-a")
 	go func() {
 		time.Sleep(firstEvidenceTime / 2)
-		dead := instance.PartEvidence{Service: "assistant", ID: "dead", SurvivedAgeMS: -1, ProbedAgeMS: -1}
+		dead := instance.TraitEvidence{Service: "assistant", ID: "part:dead", SurvivedAgeMS: -1, ProbedAgeMS: -1}
 		for i := range 2 {
-			dead.Crashes = append(dead.Crashes, instance.PartCrash{Server: fmt.Sprint("i-", i), AgeMS: int64(1000 * i), Weight: 1})
+			dead.Crashes = append(dead.Crashes, instance.TraitCrash{Server: fmt.Sprint("i-", i), AgeMS: int64(1000 * i), Weight: 1})
 		}
-		n.Received(instance.Member{Name: "edge-b"}, instance.Bundle{Evidence: []instance.PartEvidence{dead}})
+		n.Received(instance.Member{Name: "edge-b"}, instance.Bundle{Evidence: []instance.TraitEvidence{dead}})
 	}()
 	_, err := n.Admit(t.Context(), ingress.Admission{Service: "assistant", PartIDs: []string{"aa", "dead"}})
-	assert.ErrorContains(t, err, "part dead of the prompt is quarantined")
+	assert.ErrorContains(t, err, "requests with part:dead are quarantined")
 	start := time.Now()
 	_, err = n.Admit(t.Context(), ingress.Admission{Service: "assistant", PartIDs: []string{"aa", "bb"}})
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(start) < firstEvidenceTime/2)
 }
 
-func TestOperatorReleasesPartOnAllInstances(t *testing.T) {
+func TestOperatorReleasesTraitOnAllInstances(t *testing.T) {
 	t.Parallel()
 	s := newTestSite(t, 0, 4)
 	first, second := s.process("i-engine-0"), s.process("i-engine-1")
@@ -233,17 +268,17 @@
 	for _, p := range []*standin.BackendProcess{first, second} {
 		p.SetFaults(standin.BackendFaults{}) // the servers have been repaired
 	}
-	release := func(part string) int {
-		req, err := http.NewRequest(http.MethodDelete, "http://"+b.cfg.MetricsAddress+"/quarantine/assistant/"+part, nil)
+	release := func(trait string) int {
+		req, err := http.NewRequest(http.MethodDelete, "http://"+b.cfg.MetricsAddress+"/quarantine/assistant/"+trait, nil)
 		assert.NilError(t, err)
 		resp, err := http.DefaultClient.Do(req)
 		assert.NilError(t, err)
 		resp.Body.Close()
 		return resp.StatusCode
 	}
-	assert.Equal(t, release("unknown"), http.StatusNotFound)
+	assert.Equal(t, release("part:unknown"), http.StatusNotFound)
 	eventually(t, "both instances quarantine the part", func() bool { return len(b.log.with("quarantine changed")) > 0 })
-	assert.Equal(t, release("dead"), http.StatusOK)
+	assert.Equal(t, release("part:dead"), http.StatusOK)
 	for _, in := range []*testInstance{a, b} {
 		eventually(t, "the part is served", func() bool {
 			status, body, _, err := sendPrompt(in, "POST", "/ask/1", "m/a1", "aa:100,dead:50,ff:150")
--- a/edge/dump.go
+++ b/edge/dump.go
@@ -22,8 +22,8 @@
 
 type wireVerdict struct {
 	Service     string   `json:"service"`
-	Part        string   `json:"part"`
-	Signature   []string `json:"signature"` // parts that a request must have to be rejected
+	Trait       string   `json:"trait"`
+	Signature   []string `json:"signature"` // traits that a request must have to be rejected
 	Crashed     []string `json:"crashed"`   // servers
 	LastCrashMS int64    `json:"last-crash-ms"`
 	Probes      int      `json:"probes"`
@@ -84,7 +84,7 @@
 func (n *Node) dumpVerdict(v quarantine.Verdict) wireVerdict {
 	now, e := n.now(), v.Evidence
 	out := wireVerdict{
-		Service: e.Part.Service, Part: e.Part.ID, Signature: v.Signature, Probes: e.Probes,
+		Service: e.Trait.Service, Trait: e.Trait.ID, Signature: v.Signature, Probes: e.Probes,
 		LastCrashMS: now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds(), NextProbeMS: v.RetryAfter(now).Milliseconds(),
 	}
 	for _, c := range e.Crashes {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -120,7 +120,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	r.HandleFunc("/dump", in.node.dump)
-	r.HandleFunc("/quarantine/{service}/{part}", in.node.releasePart).Methods(http.MethodDelete)
+	r.HandleFunc("/quarantine/{service}/{trait:.+}", in.node.releaseTrait).Methods(http.MethodDelete)
 	return r
 }
 
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -22,34 +22,40 @@
 	quarantineUpdateInterval = time.Second
 	evidenceReplyTime        = 15 * time.Millisecond  // after a crash, for what the other instances know of its requests
 	firstEvidenceTime        = 300 * time.Millisecond // after the start, for the evidence of the other instances
-	maxFirstEvidence         = 256                    // parts in the first message on a link, unless more are convicted
+	maxFirstEvidence         = 256                    // traits in the first message on a link, unless more are convicted
 )
 
-// flight is a request in progress whose prompt has parts.
+// flight is a request in progress that has traits.
 type flight struct {
 	ingress.Admission
-	probe bool
+	traits []string
+	probe  bool
 }
 
 // Admit implements ingress.Dispatcher.
 func (n *Node) Admit(ctx context.Context, a ingress.Admission) (release func(), err error) {
-	if len(a.PartIDs) == 0 {
+	if len(a.PartIDs) == 0 && a.Target.Adapter == "" {
 		return func() {}, nil
 	}
 	timer.Sleep(ctx, n.started.Add(firstEvidenceTime).Sub(n.now()))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	d := n.quarantine.Check(now, a.Service, a.PartIDs, n.probeSlot)
+	version := n.fleet.Version(a.Target)
+	f := &flight{Admission: a, traits: requestTraits(a.Target, version, a.PartIDs)}
+	if a.Target.Adapter != "" {
+		f.traits = append(f.traits, loadTrait(a.Target, version))
+	}
+	d := n.quarantine.Check(now, a.Service, f.traits, n.probeSlot)
 	if d.Blocked {
 		n.metrics.GetOrCreateCounter(`chestnutstream_quarantine_rejections_total{service="` + a.Service + `"}`).Inc()
 		return nil, quarantineError(now, d.Verdict, d.RetryAfter)
 	}
 	if d.Probe {
+		f.probe = true
 		n.sendEvidence([]quarantine.Evidence{d.Report})
-		n.log.WithFields(verdictFields(now, d.Verdict)).WithField("request-id", a.RequestID).Warn("probing a quarantined part")
+		n.log.WithFields(verdictFields(now, d.Verdict)).WithField("request-id", a.RequestID).Warn("probing a quarantined trait")
 	}
-	f := &flight{a, d.Probe}
 	n.flights[f] = struct{}{}
 	return func() {
 		n.mu.Lock()
@@ -58,17 +64,34 @@
 	}, nil
 }
 
+// admitLoad reports whether an order to load may be sent to an engine: it is not
+// quarantined, or a request for it is a probe, or it is one itself. Callers hold mu.
+func (n *Node) admitLoad(service string, o chestnutstream.BackendOrder) bool {
+	now, trait := n.now(), loadTrait(o.Target, o.Version)
+	if n.quarantine.Probing(now, quarantine.Trait{Service: service, ID: trait}) {
+		return true
+	}
+	d := n.quarantine.Check(now, service, []string{trait}, n.probeSlot)
+	if d.Probe {
+		n.sendEvidence([]quarantine.Evidence{d.Report})
+	}
+	if d.Blocked || d.Probe {
+		n.log.WithFields(verdictFields(now, d.Verdict)).WithField("probe", d.Probe).Warn("order to load a quarantined adapter or model")
+	}
+	return !d.Blocked
+}
+
 // quarantineError returns the error for a request that is kept from the servers.
 func quarantineError(now time.Time, v quarantine.Verdict, retryAfter time.Duration) *ingress.NoServerError {
 	e := v.Evidence
-	reason := fmt.Sprintf("part %s of the prompt is quarantined: %d servers of %s crashed on it, the last one %v ago",
-		strings.Join(v.Signature, ","), len(e.Crashes), e.Part.Service, now.Sub(e.Crashes[len(e.Crashes)-1].At).Round(time.Millisecond))
+	reason := fmt.Sprintf("requests with %s are quarantined: %d servers of %s crashed on them, the last one %v ago",
+		strings.Join(v.Signature, " and "), len(e.Crashes), e.Trait.Service, now.Sub(e.Crashes[len(e.Crashes)-1].At).Round(time.Millisecond))
 	return &ingress.NoServerError{Reason: reason, RetryAfter: retryAfter}
 }
 
 // probeSlot returns this instance's position in the order in which the connected
-// instances may probe a part. Callers hold mu.
-func (n *Node) probeSlot(p quarantine.Part) int {
+// instances may probe a trait. Callers hold mu.
+func (n *Node) probeSlot(p quarantine.Trait) int {
 	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + p.Service + "\x00" + p.ID) }
 	own, slot := rank(n.cfg.Instance), 0
 	for _, name := range n.permitView().Candidates {
@@ -80,59 +103,56 @@
 }
 
 // RecordSurvival implements ingress.Dispatcher.
-func (n *Node) RecordSurvival(service string, partIDs []string) {
-	if len(partIDs) == 0 {
-		return
-	}
+func (n *Node) RecordSurvival(a ingress.Assignment, partIDs []string) {
 	n.mu.Lock()
-	n.sendEvidence(n.quarantine.RecordSurvival(n.now(), service, partIDs))
-	changes := n.applyVerdicts()
+	changes := n.recordSurvival(a.Server.Service, requestTraits(a.Target, a.Version, partIDs))
 	n.mu.Unlock()
 	n.logVerdicts(changes)
 }
 
-// recordCrash adds the crash of a server to the evidence.
-func (n *Node) recordCrash(server chestnutstream.Backend, broken []ingress.BrokenResponse) {
-	c := quarantine.ServerCrash{Service: server.Service, Server: server.ID, Born: server.Born}
-	for _, b := range broken {
-		c.Runs = append(c.Runs, quarantine.Run{PartIDs: b.PartIDs, Progress: b.Progress})
+// recordSurvival records that traits have crashed no server. Callers hold mu.
+func (n *Node) recordSurvival(service string, traits []string) []quarantine.Change {
+	if len(traits) == 0 {
+		return nil
 	}
+	n.sendEvidence(n.quarantine.RecordSurvival(n.now(), service, traits))
+	return n.applyVerdicts()
+}
+
+// recordCrash adds the crash of a server to the evidence.
+func (n *Node) recordCrash(server chestnutstream.Backend, runs []quarantine.Run) {
 	n.mu.Lock()
+	c := quarantine.ServerCrash{Service: server.Service, Server: server.ID, Born: server.Born, Runs: runs}
 	n.sendEvidence(n.quarantine.RecordCrash(n.now(), c))
 	changes := n.applyVerdicts()
 	n.mu.Unlock()
 	n.logVerdicts(changes)
 }
 
-// suspected reports whether a part is suspected of having crashed a server, after a
+// suspected reports whether a trait is suspected of having crashed a server, after a
 // time in which other instances respond that it is harmless.
-func (n *Node) suspected(ctx context.Context, service string, partIDs []string) bool {
-	select {
-	case <-time.After(evidenceReplyTime):
-	case <-ctx.Done():
-	}
+func (n *Node) suspected(ctx context.Context, service string, traits []string) bool {
+	timer.Sleep(ctx, evidenceReplyTime)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.quarantine.Suspected(service, partIDs)
+	return n.quarantine.Suspected(service, traits)
 }
 
-// releasePart serves an operator's request to release a part on all instances. It
-// responds with 404 if there is no evidence against the part.
-func (n *Node) releasePart(w http.ResponseWriter, r *http.Request) {
-	p := quarantine.Part{Service: mux.Vars(r)["service"], ID: mux.Vars(r)["part"]}
+// releaseTrait serves an operator's request to release a trait on all instances. It
+// responds with 404 if there is no evidence against the trait.
+func (n *Node) releaseTrait(w http.ResponseWriter, r *http.Request) {
+	p := quarantine.Trait{Service: mux.Vars(r)["service"], ID: mux.Vars(r)["trait"]}
 	n.mu.Lock()
-	e, ok := n.quarantine.Release(n.now(), p)
-	if ok {
-		n.sendEvidence([]quarantine.Evidence{e})
-	}
+	released := n.quarantine.Release(n.now(), p)
+	n.sendEvidence(released)
 	changes := n.applyVerdicts()
 	n.mu.Unlock()
 	n.logVerdicts(changes)
-	if !ok {
-		http.Error(w, fmt.Sprintf("no evidence against part %q of service %q", p.ID, p.Service), http.StatusNotFound)
+	if len(released) == 0 {
+		http.Error(w, fmt.Sprintf("no evidence against %q of service %q", p.ID, p.Service), http.StatusNotFound)
 		return
 	}
-	n.log.WithFields(log.Fields{"service": p.Service, "part": p.ID, "remote": r.RemoteAddr}).Warn("part released by an operator")
+	n.log.WithFields(log.Fields{"service": p.Service, "trait": p.ID, "remote": r.RemoteAddr}).Warn("trait released by an operator")
 }
 
 // applyVerdicts aborts the requests that new verdicts keep from the servers, unless a
@@ -146,7 +166,7 @@
 		}
 		err := quarantineError(now, c.Verdict, c.Verdict.RetryAfter(now))
 		for f := range n.flights {
-			if f.Service == c.Verdict.Evidence.Part.Service && c.Verdict.Matches(f.PartIDs) && !f.probe && !f.Begun() {
+			if f.Service == c.Verdict.Evidence.Trait.Service && c.Verdict.Matches(f.traits) && !f.probe && !f.Begun() {
 				f.Abort(err)
 			}
 		}
@@ -169,7 +189,7 @@
 	for _, c := range e.Crashes {
 		servers = append(servers, c.Server)
 	}
-	f := log.Fields{"service": e.Part.Service, "part": e.Part.ID, "signature": strings.Join(v.Signature, ","), "crashed": strings.Join(servers, ","), "probes": e.Probes}
+	f := log.Fields{"service": e.Trait.Service, "trait": e.Trait.ID, "signature": strings.Join(v.Signature, ","), "crashed": strings.Join(servers, ","), "probes": e.Probes}
 	if len(e.Crashes) > 0 {
 		f["first-ms"], f["last-ms"] = now.Sub(e.Crashes[0].At).Milliseconds(), now.Sub(e.Crashes[len(e.Crashes)-1].At).Milliseconds()
 	}
@@ -201,7 +221,7 @@
 	for _, e := range b.EvidenceReplies {
 		received := evidenceOf(now, e)
 		if n.quarantine.Merge(received).Learned {
-			learned = append(learned, received) // the others may still suspect the part
+			learned = append(learned, received) // the others may still suspect the trait
 		}
 	}
 	n.quarantine.Update(now)
@@ -223,20 +243,20 @@
 	return n.applyVerdicts()
 }
 
-func evidenceMessages(now time.Time, evidence []quarantine.Evidence) []instance.PartEvidence {
-	var out []instance.PartEvidence
+func evidenceMessages(now time.Time, evidence []quarantine.Evidence) []instance.TraitEvidence {
+	var out []instance.TraitEvidence
 	for _, e := range evidence {
-		m := instance.PartEvidence{Service: e.Part.Service, ID: e.Part.ID, SurvivedAgeMS: ageMS(now, e.SurvivedAt), ProbedAgeMS: ageMS(now, e.ProbedAt), Probes: e.Probes}
+		m := instance.TraitEvidence{Service: e.Trait.Service, ID: e.Trait.ID, SurvivedAgeMS: ageMS(now, e.SurvivedAt), ProbedAgeMS: ageMS(now, e.ProbedAt), Probes: e.Probes}
 		for _, c := range e.Crashes {
-			m.Crashes = append(m.Crashes, instance.PartCrash{Server: c.Server, Born: c.Born, AgeMS: ageMS(now, c.At), Weight: c.Weight, Companions: c.Companions})
+			m.Crashes = append(m.Crashes, instance.TraitCrash{Server: c.Server, Born: c.Born, AgeMS: ageMS(now, c.At), Weight: c.Weight, Companions: c.Companions})
 		}
 		out = append(out, m)
 	}
 	return out
 }
 
-func evidenceOf(now time.Time, m instance.PartEvidence) quarantine.Evidence {
-	e := quarantine.Evidence{Part: quarantine.Part{Service: m.Service, ID: m.ID}, SurvivedAt: timeOf(now, m.SurvivedAgeMS), ProbedAt: timeOf(now, m.ProbedAgeMS), Probes: m.Probes}
+func evidenceOf(now time.Time, m instance.TraitEvidence) quarantine.Evidence {
+	e := quarantine.Evidence{Trait: quarantine.Trait{Service: m.Service, ID: m.ID}, SurvivedAt: timeOf(now, m.SurvivedAgeMS), ProbedAt: timeOf(now, m.ProbedAgeMS), Probes: m.Probes}
 	for _, c := range m.Crashes {
 		e.Crashes = append(e.Crashes, quarantine.Crash{Server: c.Server, Born: c.Born, At: timeOf(now, c.AgeMS), Weight: c.Weight, Companions: c.Companions})
 	}
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -20,7 +20,7 @@
 // is not sent to another one.
 func (x *exchange) recordBroken(a Assignment, p chestnutstream.ResponseProgress, err error) {
 	x.serverCrashed, x.suspected = false, false
-	if len(x.header.PartIDs) == 0 || !isDisconnect(err) {
+	if !x.mayCrash() || !isDisconnect(err) {
 		return
 	}
 	b := BrokenResponse{RequestID: x.header.ID, PartIDs: x.header.PartIDs, Progress: p}
@@ -28,6 +28,19 @@
 	x.serverCrashed, x.suspected = r.Crashed, r.Suspected
 }
 
+// recordSurvival tells the dispatcher that the response to the request got under way.
+func (x *exchange) recordSurvival(a Assignment) {
+	if x.mayCrash() {
+		x.server.dispatcher.RecordSurvival(a, x.header.PartIDs)
+	}
+}
+
+// mayCrash reports whether the request has something that can be known to crash
+// servers.
+func (x *exchange) mayCrash() bool {
+	return len(x.header.PartIDs) > 0 || x.header.Target.Adapter != ""
+}
+
 // progress returns how far the server's response to the relayed stream has got.
 func (s *stream) progress() chestnutstream.ResponseProgress {
 	if s.events >= chestnutstream.MinEventsUnderWay {
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -146,9 +146,11 @@
 	return BrokenResult{}
 }
 
-func (d *fakeDispatcher) RecordSurvival(string, []string) {}
+func (d *fakeDispatcher) RecordSurvival(Assignment, []string) {}
 
-func (d *fakeDispatcher) Admit(context.Context, Admission) (release func(), err error) { return func() {}, nil }
+func (d *fakeDispatcher) Admit(context.Context, Admission) (release func(), err error) {
+	return func() {}, nil
+}
 
 func (d *fakeDispatcher) RecordPause(Assignment, time.Duration) {}
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -59,7 +59,7 @@
 		return true
 	}
 	if br.resp.StatusCode < http.StatusMultipleChoices {
-		x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+		x.recordSurvival(a)
 	}
 	if br.resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() && x.server.dispatcher.AllowRetry(x.service) {
 		// The server itself failed. Its response is relayed if the retry on
@@ -212,7 +212,7 @@
 				x.server.dispatcher.RecordPause(a, x.maxPause)
 			}
 			if x.stream.events > 0 && x.stream.progress() == chestnutstream.ResponseBegun {
-				x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+				x.recordSurvival(a)
 			}
 			return x.relayRemainder()
 		}
@@ -255,7 +255,7 @@
 		return nil
 	}
 	whole := s.partial[:end+2]
-	x.countEvents(bytes.Count(whole, []byte("\n\n")))
+	x.countEvents(a, bytes.Count(whole, []byte("\n\n")))
 	if id := lastID(whole); id != "" {
 		s.lastID = id
 	}
@@ -274,11 +274,11 @@
 
 // countEvents counts the events of a server's response, and records when it got under
 // way.
-func (x *exchange) countEvents(n int) {
+func (x *exchange) countEvents(a Assignment, n int) {
 	before := x.stream.progress()
 	x.stream.events += n
 	if x.stream.progress() != before {
-		x.server.dispatcher.RecordSurvival(x.service, x.header.PartIDs)
+		x.recordSurvival(a)
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -87,6 +87,7 @@
 type Admission struct {
 	RequestID string
 	Service   string
+	Target    chestnutstream.ModelAdapter
 	PartIDs   []string // of the prompt
 	// Begun reports whether a server has begun to respond.
 	Begun func() bool
@@ -109,10 +110,10 @@
 	// the response was complete. It checks whether the server's process has ended.
 	RecordBroken(ctx context.Context, a Assignment, b BrokenResponse) BrokenResult
 	// RecordSurvival records that the response to a prompt got under way, which shows
-	// that its parts do not crash servers.
-	RecordSurvival(service string, partIDs []string)
+	// that neither its parts nor its adapter crash servers.
+	RecordSurvival(a Assignment, partIDs []string)
 	// Admit decides whether a request may be sent to servers at all. It fails with a
-	// *NoServerError if a part of its prompt crashes servers; otherwise release is to
+	// *NoServerError if such requests crash servers; otherwise release is to
 	// be called at the end of the request.
 	Admit(ctx context.Context, a Admission) (release func(), err error)
 	// RecordPause records a pause between the events of a stream: the first one
@@ -229,7 +230,7 @@
 
 func (x *exchange) admission() Admission {
 	return Admission{
-		RequestID: x.header.ID, Service: x.service, PartIDs: x.header.PartIDs,
+		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, PartIDs: x.header.PartIDs,
 		Begun: x.responseBegun.Load, Abort: func(err *NoServerError) { x.abort(err) },
 	}
 }
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -35,8 +35,8 @@
 	RateLimits       []wireRateLimit       `cbor:"23,keyasint,omitempty"`
 	PermitRequests   []wirePermitRequest   `cbor:"24,keyasint,omitempty"`
 	PermitResponses  []wirePermitResponse  `cbor:"25,keyasint,omitempty"`
-	Evidence         []wirePartEvidence    `cbor:"26,keyasint,omitempty"`
-	EvidenceReplies  []wirePartEvidence    `cbor:"27,keyasint,omitempty"`
+	Evidence         []wireTraitEvidence   `cbor:"26,keyasint,omitempty"`
+	EvidenceReplies  []wireTraitEvidence   `cbor:"27,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -99,17 +99,17 @@
 	WaitMS int64
 }
 
-type wirePartEvidence struct {
+type wireTraitEvidence struct {
 	_             struct{} `cbor:",toarray"`
 	Service       string
 	ID            string
 	SurvivedAgeMS int64
 	ProbedAgeMS   int64
 	Probes        int
-	Crashes       []wirePartCrash
+	Crashes       []wireTraitCrash
 }
 
-type wirePartCrash struct {
+type wireTraitCrash struct {
 	_          struct{} `cbor:",toarray"`
 	Server     string
 	Born       int64
@@ -309,24 +309,24 @@
 	return out
 }
 
-func encodeEvidence(evidence []PartEvidence) []wirePartEvidence {
-	var out []wirePartEvidence
+func encodeEvidence(evidence []TraitEvidence) []wireTraitEvidence {
+	var out []wireTraitEvidence
 	for _, e := range evidence {
-		x := wirePartEvidence{Service: e.Service, ID: e.ID, SurvivedAgeMS: e.SurvivedAgeMS, ProbedAgeMS: e.ProbedAgeMS, Probes: e.Probes}
+		x := wireTraitEvidence{Service: e.Service, ID: e.ID, SurvivedAgeMS: e.SurvivedAgeMS, ProbedAgeMS: e.ProbedAgeMS, Probes: e.Probes}
 		for _, c := range e.Crashes {
-			x.Crashes = append(x.Crashes, wirePartCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
+			x.Crashes = append(x.Crashes, wireTraitCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
 		}
 		out = append(out, x)
 	}
 	return out
 }
 
-func decodeEvidence(evidence []wirePartEvidence) []PartEvidence {
-	var out []PartEvidence
+func decodeEvidence(evidence []wireTraitEvidence) []TraitEvidence {
+	var out []TraitEvidence
 	for _, x := range evidence {
-		e := PartEvidence{Service: x.Service, ID: x.ID, SurvivedAgeMS: x.SurvivedAgeMS, ProbedAgeMS: x.ProbedAgeMS, Probes: x.Probes}
+		e := TraitEvidence{Service: x.Service, ID: x.ID, SurvivedAgeMS: x.SurvivedAgeMS, ProbedAgeMS: x.ProbedAgeMS, Probes: x.Probes}
 		for _, c := range x.Crashes {
-			e.Crashes = append(e.Crashes, PartCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
+			e.Crashes = append(e.Crashes, TraitCrash{Server: c.Server, Born: c.Born, AgeMS: c.AgeMS, Weight: c.Weight, Companions: c.Companions})
 		}
 		out = append(out, e)
 	}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -54,8 +54,8 @@
 	RateLimits       []RateLimit               // rate limits of servers
 	PermitRequests   []PermitRequest           // permit requests for servers with a rate limit
 	PermitResponses  []PermitResponse          // responses to PermitRequests
-	Evidence         []PartEvidence            // evidence against parts of prompts
-	EvidenceReplies  []PartEvidence            // what the receiver's Evidence lacked
+	Evidence         []TraitEvidence           // evidence against parts of prompts
+	EvidenceReplies  []TraitEvidence           // what the receiver's Evidence lacked
 	TableUpdates     []TableUpdate             // table changes that the sender has read for its availability zone
 }
 
@@ -127,19 +127,19 @@
 	WaitMS int64 // until a permit may be requested again
 }
 
-// PartEvidence is what the sender knows of a part of prompts that may crash the
+// TraitEvidence is what the sender knows of a part of prompts that may crash the
 // servers of a service. Ages are in milliseconds; a negative age stands for never.
-type PartEvidence struct {
+type TraitEvidence struct {
 	Service       string
 	ID            string
 	SurvivedAgeMS int64 // of the latest response that got under way
 	ProbedAgeMS   int64
 	Probes        int
-	Crashes       []PartCrash
+	Crashes       []TraitCrash
 }
 
-// PartCrash is a crash of a server that may have been caused by a part of a prompt.
-type PartCrash struct {
+// TraitCrash is a crash of a server that may have been caused by a part of a prompt.
+type TraitCrash struct {
 	Server     string
 	Born       int64 // start of the process
 	AgeMS      int64
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -26,11 +26,11 @@
 	ServerNotices: []ServerNotice{{Server: "i-1", Born: 12, Leaving: true}},
 	RateLimits:    []RateLimit{{Server: "i-1", Born: 12, Rate: 2.5, AgeMS: 30}}, PermitRequests: []PermitRequest{{Server: "i-1", ID: 5, Rate: 2.5}},
 	PermitResponses: []PermitResponse{{Server: "i-1", ID: 5, OK: true, WaitMS: 90}},
-	Evidence: []PartEvidence{{
+	Evidence: []TraitEvidence{{
 		Service: "s", ID: "a1", SurvivedAgeMS: -1, ProbedAgeMS: 7, Probes: 1,
-		Crashes: []PartCrash{{Server: "i-1", Born: 12, AgeMS: 30, Weight: 0.4, Companions: []string{"b2"}}},
+		Crashes: []TraitCrash{{Server: "i-1", Born: 12, AgeMS: 30, Weight: 0.4, Companions: []string{"b2"}}},
 	}},
-	EvidenceReplies: []PartEvidence{{Service: "s", ID: "a1", SurvivedAgeMS: 5, ProbedAgeMS: -1}},
+	EvidenceReplies: []TraitEvidence{{Service: "s", ID: "a1", SurvivedAgeMS: 5, ProbedAgeMS: -1}},
 	Prefills:        []Prefill{{Server: "i-1", Tokens: 9000}},
 	TableUpdates:    []TableUpdate{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
 	Servers:         []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -239,6 +239,21 @@
 	return s != nil && s.state == slotLoaded && s.version >= version
 }
 
+// Loading returns the adapter versions, and the base model, that the engine is loading
+// as far as is known. The version of a base model is 0.
+func (e *Engine) Loading() map[chestnutstream.ModelAdapter]int {
+	loading := map[chestnutstream.ModelAdapter]int{}
+	for target, s := range e.slots {
+		if s.state == slotLoading {
+			loading[target] = s.version
+		}
+	}
+	if e.loadingModel != "" {
+		loading[chestnutstream.ModelAdapter{Model: e.loadingModel}] = 0
+	}
+	return loading
+}
+
 // Slots returns how many slots are occupied and how many there are.
 func (e *Engine) Slots() (occupied, all int) { return len(e.slots), e.spec.AdapterSlots }
 
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -7,13 +7,13 @@
 	"github.com/chestnutstream/chestnutstream"
 )
 
-// Part identifies a part of prompts for the servers of a service.
-type Part struct {
+// Trait identifies a trait of prompts for the servers of a service.
+type Trait struct {
 	Service string
 	ID      string
 }
 
-// Weights of crashes as evidence against a part, by how far the response to a prompt
+// Weights of crashes as evidence against a trait, by how far the response to a prompt
 // with it had got.
 const (
 	begunWeight = 1.0
@@ -24,28 +24,28 @@
 
 // Thresholds of evidence.
 const (
-	// survivalWindow is the time before a crash in which a survival shows that the part
+	// survivalWindow is the time before a crash in which a survival shows that the trait
 	// did not cause it.
 	survivalWindow = 200 * time.Millisecond
 	// commonCauseWindow is the time within which crashes count as one: servers that
 	// are cut off or stopped together end at the same moment.
 	commonCauseWindow = 50 * time.Millisecond
-	// suspicionTTL is how long a crash counts against a part that is not convicted.
+	// suspicionTTL is how long a crash counts against a trait that is not convicted.
 	suspicionTTL = 10 * time.Minute
-	// maxCrashes is the number of crashes kept for a part.
+	// maxCrashes is the number of crashes kept for a trait.
 	maxCrashes = 16
 	// maxCompanions is the number of companions kept for a crash. With fewer companions
-	// a signature has fewer parts, so that more requests have it.
+	// a signature has fewer traits, so that more requests have it.
 	maxCompanions = 8
 )
 
-// Crash is the end of a server's process as evidence against a part.
+// Crash is the end of a server's process as evidence against a trait.
 type Crash struct {
 	Server string
 	Born   int64 // start of the process
 	At     time.Time
 	Weight float64
-	// Companions are the IDs of the parts that were in a prompt together with this one
+	// Companions are the IDs of the traits that were in a prompt together with this one
 	// and may have caused the crash as well, sorted.
 	Companions []string
 }
@@ -70,9 +70,9 @@
 
 func (c Crash) sameProcess(other Crash) bool { return c.Server == other.Server && c.Born == other.Born }
 
-// Evidence is what is known of a part.
+// Evidence is what is known of a trait.
 type Evidence struct {
-	Part       Part
+	Trait      Trait
 	Crashes    []Crash   // that count against it, oldest first
 	SurvivedAt time.Time // latest survival; zero: none is known
 	ProbedAt   time.Time // latest probe; zero: none
@@ -122,10 +122,10 @@
 	slices.SortStableFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// excuses reports whether a known survival shows that the part did not cause a crash.
+// excuses reports whether a known survival shows that the trait did not cause a crash.
 func (e *Evidence) excuses(c Crash) bool { return excuses(e.SurvivedAt, c.At) }
 
-// excuses reports whether a survival shows that a part did not cause a crash.
+// excuses reports whether a survival shows that a trait did not cause a crash.
 func excuses(survivedAt, crashedAt time.Time) bool {
 	return !survivedAt.IsZero() && crashedAt.Sub(survivedAt) < survivalWindow
 }
@@ -141,7 +141,7 @@
 	return true
 }
 
-// companions returns the parts that were companions in all crashes.
+// companions returns the traits that were companions in all crashes.
 func (e *Evidence) companions() []string {
 	if len(e.Crashes) == 0 {
 		return nil
@@ -165,11 +165,11 @@
 
 // Run is a request that a server had not completed when it ended.
 type Run struct {
-	PartIDs  []string
+	Traits   []string
 	Progress chestnutstream.ResponseProgress
 }
 
-// crashWeight returns the weight of a crash as evidence against the parts of a run.
+// crashWeight returns the weight of a crash as evidence against the traits of a run.
 func (r Run) crashWeight() float64 {
 	if r.Progress == chestnutstream.ResponseBegun {
 		return begunWeight
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -16,14 +16,14 @@
 
 func TestMain(m *testing.M) { os.Exit(citest.Run(m)) }
 
-func firstInstance(Part) int { return 0 }
+func firstInstance(Trait) int { return 0 }
 
 // crash returns the crash of a server on which the responses to the given prompts had
 // just begun.
 func crash(server string, prompts ...[]string) ServerCrash {
 	c := ServerCrash{Service: simService, Server: server}
 	for _, ids := range prompts {
-		c.Runs = append(c.Runs, Run{PartIDs: ids, Progress: chestnutstream.ResponseBegun})
+		c.Runs = append(c.Runs, Run{Traits: ids, Progress: chestnutstream.ResponseBegun})
 	}
 	return c
 }
@@ -54,7 +54,7 @@
 		{"two servers at the same moment", []step{{time.Second, "i-1", begun, prompt}, {time.Second + commonCauseWindow/2, "i-2", begun, prompt}}, false},
 		{"a survival between them", []step{{time.Second, "i-1", begun, prompt}, {1500 * time.Millisecond, "", "", prompt}, {2 * time.Second, "i-2", begun, prompt}}, false},
 		{"two crashes, then a survival", []step{{time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}, {3 * time.Second, "", "", prompt}}, false},
-		{"two crashes of a part that survived earlier", []step{{0, "", "", prompt}, {time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}}, false},
+		{"two crashes of a trait that survived earlier", []step{{0, "", "", prompt}, {time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}}, false},
 		{"three of them", []step{{0, "", "", prompt}, {time.Second, "i-1", begun, prompt}, {2 * time.Second, "i-2", begun, prompt}, {3 * time.Second, "i-3", begun, prompt}}, true},
 		{"four crashes without a response", []step{{time.Second, "i-1", none, prompt}, {2 * time.Second, "i-2", none, prompt}, {3 * time.Second, "i-3", none, prompt}, {4 * time.Second, "i-4", none, prompt}}, false},
 		{"five of them", []step{{time.Second, "i-1", none, prompt}, {2 * time.Second, "i-2", none, prompt}, {3 * time.Second, "i-3", none, prompt}, {4 * time.Second, "i-4", none, prompt}, {5 * time.Second, "i-5", none, prompt}}, true},
@@ -90,13 +90,13 @@
 		assert.Assert(t, !tracker.blocks(now, ids...), "%v", ids)
 	}
 	tracker.RecordSurvival(now, simService, []string{"first", "caller"})
-	assert.Assert(t, tracker.blocks(now, "other", "dead"), "the parts that survived are no longer in the signature")
+	assert.Assert(t, tracker.blocks(now, "other", "dead"), "the traits that survived are no longer in the signature")
 	verdicts := tracker.Verdicts()
 	assert.Equal(t, len(verdicts), 1)
 	assert.DeepEqual(t, verdicts[0].Signature, []string{"dead"})
 	var kinds []ChangeKind
 	for _, c := range tracker.Changes() {
-		if c.Verdict.Evidence.Part.ID == "dead" {
+		if c.Verdict.Evidence.Trait.ID == "dead" {
 			kinds = append(kinds, c.Kind)
 		}
 	}
@@ -145,7 +145,7 @@
 	convict()
 	convict()
 	check := func(after time.Duration, slot int) Decision {
-		return tracker.Check(now.Add(after), simService, []string{"dead"}, func(Part) int { return slot })
+		return tracker.Check(now.Add(after), simService, []string{"dead"}, func(Trait) int { return slot })
 	}
 	d := check(0, 0)
 	assert.Assert(t, d.Blocked)
@@ -180,23 +180,22 @@
 	assert.Assert(t, probes >= 24 && probes <= 32, "%d probes in a day", probes)
 }
 
-func TestOperatorReleasesPart(t *testing.T) {
+func TestOperatorReleasesTrait(t *testing.T) {
 	a, b, now := NewTracker(DefaultSettings()), NewTracker(DefaultSettings()), simStart
 	for i := range 2 {
 		now = now.Add(time.Second)
-		for _, e := range a.RecordCrash(now, crash(fmt.Sprint("i-", i), []string{"dead"})) {
+		for _, e := range a.RecordCrash(now, crash(fmt.Sprint("i-", i), []string{"dead", "companion"})) {
 			b.Merge(e)
 		}
 	}
 	b.Update(now)
-	assert.Assert(t, a.blocks(now, "dead") && b.blocks(now, "dead"))
-	_, ok := a.Release(now, Part{simService, "other"})
-	assert.Assert(t, !ok)
-	e, ok := a.Release(now, Part{simService, "dead"})
-	assert.Assert(t, ok)
-	b.Merge(e)
+	assert.Assert(t, a.blocks(now, "companion", "dead") && b.blocks(now, "companion", "dead"))
+	assert.Equal(t, len(a.Release(now, Trait{simService, "other"})), 0)
+	for _, e := range a.Release(now, Trait{simService, "dead"}) {
+		b.Merge(e)
+	}
 	b.Update(now)
-	assert.Assert(t, !a.blocks(now, "dead") && !b.blocks(now, "dead"))
+	assert.Assert(t, !a.blocks(now, "companion", "dead") && !b.blocks(now, "companion", "dead"))
 }
 
 func TestStateIsBounded(t *testing.T) {
@@ -209,13 +208,13 @@
 		now = now.Add(time.Second)
 		c := ServerCrash{Service: simService, Server: fmt.Sprint("i-", i)}
 		for j := range 100 {
-			c.Runs = append(c.Runs, Run{PartIDs: []string{"dead", fmt.Sprint(i, "-", j)}, Progress: chestnutstream.ResponseNone})
+			c.Runs = append(c.Runs, Run{Traits: []string{"dead", fmt.Sprint(i, "-", j)}, Progress: chestnutstream.ResponseNone})
 		}
 		tracker.RecordCrash(now, c)
 	}
 	assert.Assert(t, len(tracker.suspects) <= maxSuspects, "%d", len(tracker.suspects))
 	assert.Assert(t, len(tracker.survivals.current)+len(tracker.survivals.previous) <= 2*maxSurvivals)
-	e := tracker.suspects[Part{simService, "dead"}]
+	e := tracker.suspects[Trait{simService, "dead"}]
 	assert.Assert(t, len(e.Crashes) <= maxCrashes && len(e.Crashes[0].Companions) <= maxCompanions)
 	assert.Assert(t, tracker.blocks(now, "dead", "x"))
 }
@@ -224,7 +223,7 @@
 // the same verdicts.
 func TestInstancesWithSameEvidenceAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		part := rapid.SampledFrom([]string{"a", "b", "c", "dead"})
+		trait := rapid.SampledFrom([]string{"a", "b", "c", "dead"})
 		const reporters = 3
 		var all []Evidence
 		var sources []*Tracker
@@ -239,11 +238,11 @@
 				crashedAt = append(crashedAt, now)
 			}
 			source := sources[rapid.IntRange(0, reporters-1).Draw(rt, "source")]
-			ids := slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(part, 1, 3).Draw(rt, "parts"))))
+			ids := slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(trait, 1, 3).Draw(rt, "traits"))))
 			if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
 				source.RecordSurvival(now, simService, ids)
 				for _, id := range ids {
-					all = append(all, Evidence{Part: Part{simService, id}, SurvivedAt: now})
+					all = append(all, Evidence{Trait: Trait{simService, id}, SurvivedAt: now})
 				}
 				continue
 			}
@@ -258,7 +257,7 @@
 			}
 			tracker.Update(now)
 			for _, v := range tracker.Verdicts() {
-				verdicts[i] += fmt.Sprint(v.Evidence.Part.ID, v.Signature, " ")
+				verdicts[i] += fmt.Sprint(v.Evidence.Trait.ID, v.Signature, " ")
 			}
 		}
 		if verdicts[0] != verdicts[1] {
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -211,7 +211,7 @@
 	if !crashes {
 		m.sound++
 	}
-	if m.trackers[i].Check(m.at(), simService, ids, func(Part) int { return 0 }).Blocked {
+	if m.trackers[i].Check(m.at(), simService, ids, func(Trait) int { return 0 }).Blocked {
 		if !crashes {
 			m.soundBlocked++
 		}
@@ -275,7 +275,7 @@
 	for _, r := range s.runs {
 		if !r.ended {
 			r.ended = true
-			lost[r.instance] = append(lost[r.instance], Run{PartIDs: r.ids, Progress: r.progress})
+			lost[r.instance] = append(lost[r.instance], Run{Traits: r.ids, Progress: r.progress})
 		}
 	}
 	born := s.born
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -6,21 +6,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxSurvivals is the number of parts whose survival is remembered, in each of two
+// maxSurvivals is the number of traits whose survival is remembered, in each of two
 // generations.
 const maxSurvivals = 16384
 
-// survivals remembers the latest survival of each part, at most 2*maxSurvivals of
+// survivals remembers the latest survival of each trait, at most 2*maxSurvivals of
 // them. The zero value is ready for use.
 type survivals struct {
 	current, previous map[uint64]time.Time
 }
 
-func (p Part) hash() uint64 { return xxhash.Sum64String(p.Service + "\x00" + p.ID) }
+func (p Trait) hash() uint64 { return xxhash.Sum64String(p.Service + "\x00" + p.ID) }
 
 // record records a survival. When the current generation is full it becomes the
 // previous one, which is dropped.
-func (s *survivals) record(p Part, at time.Time) {
+func (s *survivals) record(p Trait, at time.Time) {
 	if s.current == nil {
 		s.current = map[uint64]time.Time{}
 	}
@@ -33,8 +33,8 @@
 	}
 }
 
-// at returns the latest survival of a part; zero if none is remembered.
-func (s *survivals) at(p Part) time.Time {
+// at returns the latest survival of a trait; zero if none is remembered.
+func (s *survivals) at(p Trait) time.Time {
 	h := p.hash()
 	if at, ok := s.current[h]; ok {
 		return at
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -12,7 +12,7 @@
 
 // Limits of the state of a Tracker.
 const (
-	maxSuspects = 2048 // parts with evidence against them
+	maxSuspects = 2048 // traits with evidence against them
 	// verdictTTL is how long after the latest request with its signature a verdict is
 	// kept.
 	verdictTTL = 24 * time.Hour
@@ -23,14 +23,14 @@
 	probeInterval     = time.Minute // after a crash, until the first probe; doubles with each probe
 	maxProbeInterval  = time.Hour
 	maxProbeDoublings = 12
-	probeSlot         = 2 * time.Second  // the instance that is next in a part's order may probe this much later
+	probeSlot         = 2 * time.Second  // the instance that is next in a trait's order may probe this much later
 	probeTimeout      = 10 * time.Second // within which the result of a probe is expected
 )
 
-// Settings are the weights of crashes that convict a part.
+// Settings are the weights of crashes that convict a trait.
 type Settings struct {
-	ConvictionWeight      float64 // of a part that is not known to have survived
-	KnownConvictionWeight float64 // of a part that has survived earlier
+	ConvictionWeight      float64 // of a trait that is not known to have survived
+	KnownConvictionWeight float64 // of a trait that has survived earlier
 }
 
 // DefaultSettings returns the settings of the edge role.
@@ -43,15 +43,15 @@
 type Tracker struct {
 	cfg       Settings
 	survivals survivals
-	suspects  map[Part]*Evidence
-	verdicts  map[Part]*Verdict
+	suspects  map[Trait]*Evidence
+	verdicts  map[Trait]*Verdict
 	changes   []Change
 }
 
-// Verdict is the quarantine of the requests with a convicted part.
+// Verdict is the quarantine of the requests with a convicted trait.
 type Verdict struct {
 	Evidence  Evidence
-	Signature []string // IDs of the parts that a request must have, sorted; the convicted part is one of them
+	Signature []string // IDs of the traits that a request must have, sorted; the convicted trait is one of them
 	Since     time.Time
 	usedAt    time.Time
 }
@@ -66,7 +66,7 @@
 	Released    ChangeKind = "released"
 )
 
-// Change is a change of the verdict on a part.
+// Change is a change of the verdict on a trait.
 type Change struct {
 	Kind    ChangeKind
 	Verdict Verdict
@@ -83,15 +83,15 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(cfg Settings) *Tracker {
-	return &Tracker{cfg: cfg, suspects: map[Part]*Evidence{}, verdicts: map[Part]*Verdict{}}
+	return &Tracker{cfg: cfg, suspects: map[Trait]*Evidence{}, verdicts: map[Trait]*Verdict{}}
 }
 
-// RecordSurvival records that the response to a prompt with the given parts got under
+// RecordSurvival records that the response to a prompt with the given traits got under
 // way. It returns the evidence that the other instances need.
 func (t *Tracker) RecordSurvival(now time.Time, service string, ids []string) []Evidence {
 	var report []Evidence
 	for _, id := range ids {
-		p := Part{service, id}
+		p := Trait{service, id}
 		t.survivals.record(p, now)
 		if e := t.suspects[p]; e != nil && e.survive(now) {
 			report = append(report, e.clone())
@@ -106,15 +106,15 @@
 // RecordCrash records the end of a server's process. It returns the evidence that the
 // other instances need.
 func (t *Tracker) RecordCrash(now time.Time, c ServerCrash) []Evidence {
-	changed := map[Part]bool{}
+	changed := map[Trait]bool{}
 	for _, r := range c.Runs {
 		if r.Progress == chestnutstream.ResponseUnderWay {
 			continue
 		}
-		for _, id := range r.PartIDs {
-			p := Part{c.Service, id}
+		for _, id := range r.Traits {
+			p := Trait{c.Service, id}
 			crash := Crash{Server: c.Server, Born: c.Born, At: now, Weight: r.crashWeight()}
-			crash.merge(Crash{At: now, Companions: t.companions(now, c.Service, r.PartIDs, id)})
+			crash.merge(Crash{At: now, Companions: t.companions(now, c.Service, r.Traits, id)})
 			if t.suspect(p).addCrash(crash) {
 				changed[p] = true
 			}
@@ -124,11 +124,11 @@
 	return t.evidence(changed)
 }
 
-// companions returns the given parts, except one, that may have caused a crash.
+// companions returns the given traits, except one, that may have caused a crash.
 func (t *Tracker) companions(crashedAt time.Time, service string, ids []string, except string) []string {
 	var out []string
 	for _, id := range ids {
-		if id != except && !excuses(t.survivals.at(Part{service, id}), crashedAt) {
+		if id != except && !excuses(t.survivals.at(Trait{service, id}), crashedAt) {
 			out = append(out, id)
 		}
 	}
@@ -145,13 +145,13 @@
 // Merge adds evidence from another instance. Verdicts follow with the next Update.
 func (t *Tracker) Merge(received Evidence) MergeResult {
 	var r MergeResult
-	e := t.suspect(received.Part)
+	e := t.suspect(received.Trait)
 	if len(received.Crashes) > 0 && e.SurvivedAt.Sub(received.SurvivedAt) > sameSurvival {
-		r.Reply, r.HasReply = Evidence{Part: e.Part, SurvivedAt: e.SurvivedAt}, true
+		r.Reply, r.HasReply = Evidence{Trait: e.Trait, SurvivedAt: e.SurvivedAt}, true
 	}
 	r.Learned = received.SurvivedAt.Sub(e.SurvivedAt) > sameSurvival
 	if e.survive(received.SurvivedAt) {
-		t.survivals.record(received.Part, received.SurvivedAt)
+		t.survivals.record(received.Trait, received.SurvivedAt)
 	}
 	for _, c := range received.Crashes {
 		e.addCrash(c)
@@ -167,30 +167,35 @@
 // same: they were sent as ages.
 const sameSurvival = survivalWindow / 2
 
-// Release records that an operator has found a part to be harmless. It returns the
-// evidence for the other instances, or false if the part is not suspected.
-func (t *Tracker) Release(now time.Time, p Part) (Evidence, bool) {
-	if t.suspects[p] == nil {
-		return Evidence{}, false
+// Release records that an operator has found a trait to be harmless, and with it the
+// others in the signature of its verdict. It returns the evidence for the other
+// instances, or none if the trait is not suspected.
+func (t *Tracker) Release(now time.Time, trait Trait) []Evidence {
+	if t.suspects[trait] == nil {
+		return nil
 	}
-	return t.RecordSurvival(now, p.Service, []string{p.ID})[0], true
+	ids := []string{trait.ID}
+	if v := t.verdicts[trait]; v != nil {
+		ids = v.Signature
+	}
+	return t.RecordSurvival(now, trait.Service, ids)
 }
 
 // Evidence returns the evidence for an instance that has none yet: on the convicted
-// parts, on the latest other suspects up to limit parts in all, and the survivals of
+// traits, on the latest other suspects up to limit traits in all, and the survivals of
 // their companions, which are no longer suspected.
 func (t *Tracker) Evidence(limit int) []Evidence {
-	order := slices.SortedFunc(maps.Keys(t.suspects), func(p, q Part) int {
+	order := slices.SortedFunc(maps.Keys(t.suspects), func(p, q Trait) int {
 		switch {
 		case t.Convicted(p) && !t.Convicted(q):
 			return -1
 		case t.Convicted(q) && !t.Convicted(p):
 			return 1
 		}
-		return cmp.Or(t.suspects[q].lastCrash().Compare(t.suspects[p].lastCrash()), compareParts(p, q))
+		return cmp.Or(t.suspects[q].lastCrash().Compare(t.suspects[p].lastCrash()), compareTraits(p, q))
 	})
 	var out []Evidence
-	harmless := map[Part]bool{}
+	harmless := map[Trait]bool{}
 	for i, p := range order {
 		if i >= limit && !t.Convicted(p) {
 			break
@@ -198,24 +203,24 @@
 		e := t.suspects[p]
 		out = append(out, e.clone())
 		for _, id := range e.companions() {
-			q := Part{p.Service, id}
+			q := Trait{p.Service, id}
 			if at := t.survivals.at(q); t.suspects[q] == nil && !at.IsZero() && !harmless[q] {
 				harmless[q] = true
-				out = append(out, Evidence{Part: q, SurvivedAt: at})
+				out = append(out, Evidence{Trait: q, SurvivedAt: at})
 			}
 		}
 	}
 	return out
 }
 
-// Convicted reports whether there is a verdict on a part.
-func (t *Tracker) Convicted(p Part) bool { return t.verdicts[p] != nil }
+// Convicted reports whether there is a verdict on a trait.
+func (t *Tracker) Convicted(p Trait) bool { return t.verdicts[p] != nil }
 
-// Suspected reports whether there is evidence against one of the given parts that is
+// Suspected reports whether there is evidence against one of the given traits that is
 // not known to have survived.
 func (t *Tracker) Suspected(service string, ids []string) bool {
 	return slices.ContainsFunc(ids, func(id string) bool {
-		e := t.suspects[Part{service, id}]
+		e := t.suspects[Trait{service, id}]
 		return e != nil && e.SurvivedAt.IsZero()
 	})
 }
@@ -226,11 +231,11 @@
 	for _, v := range t.verdicts {
 		out = append(out, *v)
 	}
-	slices.SortFunc(out, func(a, b Verdict) int { return compareParts(a.Evidence.Part, b.Evidence.Part) })
+	slices.SortFunc(out, func(a, b Verdict) int { return compareTraits(a.Evidence.Trait, b.Evidence.Trait) })
 	return out
 }
 
-func compareParts(a, b Part) int {
+func compareTraits(a, b Trait) int {
 	return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
 }
 
@@ -241,24 +246,24 @@
 	return out
 }
 
-// evidence returns copies of the evidence on the given parts, in order.
-func (t *Tracker) evidence(parts map[Part]bool) []Evidence {
-	out := make([]Evidence, 0, len(parts))
-	for p := range parts {
+// evidence returns copies of the evidence on the given traits, in order.
+func (t *Tracker) evidence(traits map[Trait]bool) []Evidence {
+	out := make([]Evidence, 0, len(traits))
+	for p := range traits {
 		if e := t.suspects[p]; e != nil {
 			out = append(out, e.clone())
 		}
 	}
-	slices.SortFunc(out, func(a, b Evidence) int { return compareParts(a.Part, b.Part) })
+	slices.SortFunc(out, func(a, b Evidence) int { return compareTraits(a.Trait, b.Trait) })
 	return out
 }
 
-// suspect returns the evidence on a part, which is new if there was none.
-func (t *Tracker) suspect(p Part) *Evidence {
+// suspect returns the evidence on a trait, which is new if there was none.
+func (t *Tracker) suspect(p Trait) *Evidence {
 	e := t.suspects[p]
 	if e == nil {
 		t.evict()
-		e = &Evidence{Part: p, SurvivedAt: t.survivals.at(p)}
+		e = &Evidence{Trait: p, SurvivedAt: t.survivals.at(p)}
 		t.suspects[p] = e
 	}
 	return e
@@ -272,12 +277,12 @@
 	}
 	var oldest *Evidence
 	for _, e := range t.suspects {
-		if t.verdicts[e.Part] == nil && (oldest == nil || e.lastCrash().Before(oldest.lastCrash())) {
+		if t.verdicts[e.Trait] == nil && (oldest == nil || e.lastCrash().Before(oldest.lastCrash())) {
 			oldest = e
 		}
 	}
 	if oldest != nil {
-		delete(t.suspects, oldest.Part)
+		delete(t.suspects, oldest.Trait)
 	}
 }
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -11,7 +11,7 @@
 	t.expire(now)
 	t.discountExplained()
 	old := t.verdicts
-	t.verdicts = map[Part]*Verdict{}
+	t.verdicts = map[Trait]*Verdict{}
 	for p, e := range t.suspects {
 		if t.convicts(e) {
 			t.verdicts[p] = t.verdict(now, e, old[p])
@@ -32,7 +32,7 @@
 	return e.weight() >= t.cfg.KnownConvictionWeight
 }
 
-// expire drops old crashes and parts without evidence against them.
+// expire drops old crashes and traits without evidence against them.
 func (t *Tracker) expire(now time.Time) {
 	for p, e := range t.suspects {
 		ttl := suspicionTTL
@@ -49,10 +49,10 @@
 	}
 }
 
-// discountExplained drops the crashes that a convicted part explains from the evidence
-// on other parts, unless these cannot be told from the convicted one.
+// discountExplained drops the crashes that a convicted trait explains from the evidence
+// on other traits, unless these cannot be told from the convicted one.
 func (t *Tracker) discountExplained() {
-	for _, p := range slices.SortedFunc(maps.Keys(t.suspects), compareParts) {
+	for _, p := range slices.SortedFunc(maps.Keys(t.suspects), compareTraits) {
 		culprit := t.suspects[p]
 		if culprit == nil || !t.convicts(culprit) {
 			continue
@@ -70,13 +70,13 @@
 	}
 }
 
-// signature returns the parts that a request must have to fall under the verdict on
-// a part, sorted: the part, and its companions in all crashes unless these are known
+// signature returns the traits that a request must have to fall under the verdict on
+// a trait, sorted: the trait, and its companions in all crashes unless these are known
 // to be harmless.
 func (t *Tracker) signature(e *Evidence) []string {
-	ids := []string{e.Part.ID}
+	ids := []string{e.Trait.ID}
 	for _, id := range e.companions() {
-		survivedAt := t.survivals.at(Part{e.Part.Service, id})
+		survivedAt := t.survivals.at(Trait{e.Trait.Service, id})
 		if survivedAt.IsZero() || (!e.SurvivedAt.IsZero() && !excuses(survivedAt, e.Crashes[0].At)) {
 			ids = append(ids, id)
 		}
@@ -85,7 +85,7 @@
 	return ids
 }
 
-// verdict returns the verdict on a convicted part; old is the earlier one, or nil.
+// verdict returns the verdict on a convicted trait; old is the earlier one, or nil.
 func (t *Tracker) verdict(now time.Time, e *Evidence, old *Verdict) *Verdict {
 	v := &Verdict{Evidence: e.clone(), Signature: t.signature(e), Since: now, usedAt: now}
 	switch {
@@ -110,8 +110,8 @@
 }
 
 // Check decides whether a request may be sent to a server now. slot returns this
-// instance's position in a part's order of instances; 0 is the first.
-func (t *Tracker) Check(now time.Time, service string, ids []string, slot func(Part) int) Decision {
+// instance's position in a trait's order of instances; 0 is the first.
+func (t *Tracker) Check(now time.Time, service string, ids []string, slot func(Trait) int) Decision {
 	v, unique := t.match(service, ids)
 	if v == nil {
 		return Decision{}
@@ -121,8 +121,8 @@
 		// A request under several verdicts shows nothing about any of them.
 		return Decision{Blocked: true, Verdict: *v, RetryAfter: probeInterval}
 	}
-	e := t.suspects[v.Evidence.Part]
-	at := e.nextProbe().Add(time.Duration(slot(e.Part)) * probeSlot)
+	e := t.suspects[v.Evidence.Trait]
+	at := e.nextProbe().Add(time.Duration(slot(e.Trait)) * probeSlot)
 	if now.Before(at) {
 		return Decision{Blocked: true, Verdict: *v, RetryAfter: at.Sub(now)}
 	}
@@ -131,27 +131,34 @@
 	return Decision{Probe: true, Verdict: *v, Report: e.clone()}
 }
 
-// match returns the verdict on a request with the given parts, or nil. Of verdicts with
-// the same signature it is the one on the first part, so that all instances count
-// probes at the same part; unique is false if there are others.
+// Probing reports whether a request that was let through as a probe of a trait may still
+// be in progress.
+func (t *Tracker) Probing(now time.Time, trait Trait) bool {
+	e := t.suspects[trait]
+	return e != nil && now.Sub(e.ProbedAt) < probeTimeout && e.ProbedAt.After(e.lastCrash())
+}
+
+// match returns the verdict on a request with the given traits, or nil. Of verdicts with
+// the same signature it is the one on the first trait, so that all instances count
+// probes at the same trait; unique is false if there are others.
 func (t *Tracker) match(service string, ids []string) (v *Verdict, unique bool) {
 	unique = true
 	for _, id := range ids {
-		found := t.verdicts[Part{service, id}]
+		found := t.verdicts[Trait{service, id}]
 		switch {
 		case found == nil || !found.Matches(ids):
 		case v == nil:
 			v = found
 		case !slices.Equal(v.Signature, found.Signature):
 			unique = false
-		case found.Evidence.Part.ID < v.Evidence.Part.ID:
+		case found.Evidence.Trait.ID < v.Evidence.Trait.ID:
 			v = found
 		}
 	}
 	return v, unique
 }
 
-// Matches reports whether a request with the given parts has the whole signature.
+// Matches reports whether a request with the given traits has the whole signature.
 func (v *Verdict) Matches(ids []string) bool {
 	for _, id := range v.Signature {
 		if !slices.Contains(ids, id) {
@@ -167,7 +174,7 @@
 	return max(v.Evidence.nextProbe().Sub(now), 0)
 }
 
-// nextProbe returns when the first instance in the part's order may send the next
+// nextProbe returns when the first instance in the trait's order may send the next
 // probe.
 func (e *Evidence) nextProbe() time.Time {
 	at := e.lastCrash().Add(min(probeInterval<<min(e.Probes, maxProbeDoublings), maxProbeInterval))
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -39,9 +39,10 @@
 	BreakAfter     int // number of events after which a stream is aborted; 0 for never
 	LoseOrderEvery int // every n-th order gets no response and is not executed; 0 for none
 
-	// CrashPart is the ID of a prompt part: the process ends when it begins to respond
-	// to a prompt with it. It has an effect in a BackendProcess only.
-	CrashPart string
+	// The process ends when it begins to respond to a prompt with the part CrashPart or
+	// for the adapter CrashAdapter, and while it loads the adapter or model CrashLoad.
+	// These have an effect in a BackendProcess only.
+	CrashPart, CrashAdapter, CrashLoad string
 
 	Limit   string  // requests per second, sent in responses as the server's limit; empty for none
 	Leaving bool    // responses announce that the server is leaving
@@ -64,7 +65,8 @@
 	Orders                    int
 	MinHandoverInterval       time.Duration // shortest interval between orders of two holders; 0 if there was one holder
 	LatestArrivalAfterDrain   time.Duration // time from the start of draining to the latest request
-	CrashPartArrivals         []time.Time   // arrival times of prompts with the fault's CrashPart
+	CrashArrivals             []time.Time   // arrival times of prompts on which the process crashes
+	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
 }
 
@@ -136,6 +138,9 @@
 
 // crashesOn reports whether the process ends when it begins to respond to a request.
 func (f BackendFaults) crashesOn(r *http.Request) bool {
+	if _, adapter, _ := strings.Cut(r.Header.Get("X-Chestnutstream-Model"), "/"); f.CrashAdapter != "" && adapter == f.CrashAdapter {
+		return true
+	}
 	if f.CrashPart == "" {
 		return false
 	}
@@ -312,6 +317,7 @@
 			return http.StatusOK
 		}
 		b.orders++
+		b.crashDuringLoad(o.Model, b.cfg.ModelLoadTime)
 		b.model, b.modelReadyAt = o.Model, now.Add(b.cfg.ModelLoadTime)
 		return http.StatusAccepted
 	}
@@ -351,11 +357,21 @@
 	if b.loadedBefore[o.Adapter] {
 		load /= 10
 	}
+	b.crashDuringLoad(o.Adapter, load)
 	b.adapters[o.Adapter] = &backendAdapter{version: version, readyAt: now.Add(load)}
 	b.counts.SlotsExceeded = b.counts.SlotsExceeded || len(b.adapters) > b.cfg.AdapterSlots
 	return http.StatusAccepted
 }
 
+// crashDuringLoad ends the process in the middle of a load, if the fault is in force.
+// Callers hold mu.
+func (b *Backend) crashDuringLoad(name string, load time.Duration) {
+	if b.crash != nil && b.faults.CrashLoad == name {
+		b.counts.CrashLoads = append(b.counts.CrashLoads, time.Now())
+		time.AfterFunc(load/2, b.crash)
+	}
+}
+
 // admit decides whether a request is executed. status is 0 if it is admitted and
 // the response status otherwise; fail reports that it is to end with status 500.
 func (b *Backend) admit(r *http.Request) (adapter *backendAdapter, status int, fail bool) {
@@ -363,7 +379,7 @@
 	defer b.mu.Unlock()
 	b.counts.Arrivals++
 	if b.faults.crashesOn(r) {
-		b.counts.CrashPartArrivals = append(b.counts.CrashPartArrivals, time.Now())
+		b.counts.CrashArrivals = append(b.counts.CrashArrivals, time.Now())
 	}
 	if b.faults.signalsBackpressure() {
 		b.counts.ArrivalsUnderBackpressure = append(b.counts.ArrivalsUnderBackpressure, time.Now())
