quarantine: servers that end together are weak evidence

Cause: each crash counted fully against what one of the servers had, though crashes at the same moment have one cause, and none of their requests was on all of these servers. The crashes of 50 ms now count as one event, in proportion to its servers that had the trait.

TestServersThatEndTogetherConvictNothing failed before.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -27,8 +27,8 @@
 	// survivalWindow is the time before a crash in which a survival shows that the trait
 	// did not cause it.
 	survivalWindow = 200 * time.Millisecond
-	// commonCauseWindow is the time within which crashes count as one: servers that
-	// are cut off or stopped together end at the same moment.
+	// commonCauseWindow is the time within which crashes are one event: servers that are
+	// cut off or lose their power together end at the same moment.
 	commonCauseWindow = 50 * time.Millisecond
 	// suspicionTTL is how long a crash counts against a trait that is not convicted.
 	suspicionTTL = 10 * time.Minute
@@ -79,24 +79,6 @@
 	Probes     int
 }
 
-// weight returns the combined weight of the crashes.
-func (e *Evidence) weight() float64 {
-	total := 0.0
-	var last Crash
-	for i, c := range e.Crashes {
-		if i > 0 && c.At.Sub(last.At) < commonCauseWindow {
-			if c.Weight > last.Weight {
-				total += c.Weight - last.Weight
-				last.Weight = c.Weight
-			}
-			continue
-		}
-		total += c.Weight
-		last = c
-	}
-	return total
-}
-
 // addCrash adds a crash, or raises its weight. It reports whether the evidence has
 // changed.
 func (e *Evidence) addCrash(c Crash) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// Servers that end together, as when their power fails, have not been crashed by a
+// request that one of them had.
+func TestServersThatEndTogetherConvictNothing(t *testing.T) {
+	tracker, now := NewTracker(DefaultSettings()), simStart
+	for event := range 3 {
+		now = now.Add(5 * time.Second)
+		for i := range 4 {
+			prompts := [][]string{{"first", fmt.Sprint(event, i)}}
+			if i == event {
+				prompts = append(prompts, []string{"first", "victim"})
+			}
+			tracker.RecordCrash(now.Add(time.Duration(i)*time.Millisecond), crash(fmt.Sprint("i-", event, i), prompts...))
+		}
+		tracker.RecordSurvival(now.Add(time.Second), simService, []string{"first"})
+	}
+	assert.Assert(t, !tracker.blocks(now, "first", "victim"))
+}
+
 func TestOtherPromptsOfTheCallerAreServed(t *testing.T) {
 	tracker, now := NewTracker(DefaultSettings()), simStart
 	tracker.RecordCrash(now, crash("i-1", []string{"first", "caller", "dead"}, []string{"first", "x"}))
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -45,6 +45,7 @@
 	manyCallers bool          // the prompts with the part come from all callers
 	fanOut      int           // prompts that a caller sends at once; 0: one
 	outage      time.Duration // period in which a fifth of the servers crash together; 0: never
+	all         time.Duration // period in which all servers crash together; 0: never
 	single      time.Duration // period in which a random server crashes; 0: never
 	flapping    bool          // one server crashes each 1.5 s and is back after 0.5 s
 	cutOff      bool          // a third of the instances do not reach the others
@@ -147,6 +148,13 @@
 			}
 		})
 	}
+	if m.all > 0 {
+		m.every(m.all, func() {
+			for _, s := range m.servers {
+				m.crash(s, time.Second, false)
+			}
+		})
+	}
 	if m.single > 0 {
 		m.every(m.single, func() { m.crash(m.servers[m.rng.IntN(len(m.servers))], restartTime, false) })
 	}
@@ -390,6 +398,7 @@
 		with("5 in 100, few prompts", func(s *simScenario) { s.crashShare, s.perSecond = 0.05, 4 }),
 		with("5 in 100, 195 instances", func(s *simScenario) { s.crashShare = 0.05; large(s) }),
 		with("no part, a fifth of the servers crash each 4 s", func(s *simScenario) { s.outage = 4 * time.Second }),
+		with("no part, all servers crash each 8 s", func(s *simScenario) { s.all = 8 * time.Second }),
 		with("no part, one server flaps", func(s *simScenario) { s.flapping = true }),
 		with("no part, crashes, each prompt with a part of its own", func(s *simScenario) { s.outage, s.callers = 4*time.Second, 0 }),
 		with("no part, a server crashes each second", func(s *simScenario) { s.single = time.Second }),
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -45,6 +45,7 @@
 	survivals survivals
 	suspects  map[Trait]*Evidence
 	verdicts  map[Trait]*Verdict
+	crashes   map[string]*crashTimes // by service
 	changes   []Change
 }
 
@@ -83,7 +84,17 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(cfg Settings) *Tracker {
-	return &Tracker{cfg: cfg, suspects: map[Trait]*Evidence{}, verdicts: map[Trait]*Verdict{}}
+	return &Tracker{cfg: cfg, suspects: map[Trait]*Evidence{}, verdicts: map[Trait]*Verdict{}, crashes: map[string]*crashTimes{}}
+}
+
+// crashTimes returns the known crashes of the servers of a service.
+func (t *Tracker) crashTimes(service string) *crashTimes {
+	times := t.crashes[service]
+	if times == nil {
+		times = &crashTimes{}
+		t.crashes[service] = times
+	}
+	return times
 }
 
 // RecordSurvival records that the response to a prompt with the given traits got under
@@ -106,6 +117,7 @@
 // RecordCrash records the end of a server's process. It returns the evidence that the
 // other instances need.
 func (t *Tracker) RecordCrash(now time.Time, c ServerCrash) []Evidence {
+	t.crashTimes(c.Service).record(Crash{Server: c.Server, Born: c.Born, At: now})
 	changed := map[Trait]bool{}
 	for _, r := range c.Runs {
 		if r.Progress == chestnutstream.ResponseUnderWay {
@@ -154,6 +166,7 @@
 		t.survivals.record(received.Trait, received.SurvivedAt)
 	}
 	for _, c := range received.Crashes {
+		t.crashTimes(received.Trait.Service).record(c)
 		e.addCrash(c)
 	}
 	if received.ProbedAt.After(e.ProbedAt) {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -26,14 +26,18 @@
 
 // convicts reports whether evidence is enough for a verdict.
 func (t *Tracker) convicts(e *Evidence) bool {
+	threshold := t.cfg.KnownConvictionWeight
 	if e.SurvivedAt.IsZero() {
-		return e.weight() >= t.cfg.ConvictionWeight
+		threshold = t.cfg.ConvictionWeight
 	}
-	return e.weight() >= t.cfg.KnownConvictionWeight
+	return t.crashTimes(e.Trait.Service).weight(e.Crashes) >= threshold
 }
 
 // expire drops old crashes and traits without evidence against them.
 func (t *Tracker) expire(now time.Time) {
+	for _, times := range t.crashes {
+		times.expire(now.Add(-verdictTTL))
+	}
 	for p, e := range t.suspects {
 		ttl := suspicionTTL
 		if v := t.verdicts[p]; v != nil {
