soak: engines that crash, alone or by prompts with one part

Engines may end and start again empty under another ID; for nine seconds, prompts with a part on which engines end are sent to all instances, and the arrivals later than 3 s after the fifth crash are counted where no other fault was in effect. A planted fault (an instance that sends them on) is found.

--- a/soak/backpressure.go
+++ b/soak/backpressure.go
@@ -29,16 +29,16 @@
 	}
 	defer r.clearBackpressured(b)
 	time.Sleep(reactionTime)
-	b.SetFaults(f)
+	b.setFaults(f)
 	startedAt := time.Now()
 	time.Sleep(settleTime + observationTime)
 	faultFree, n := r.faultFreeSince(startedAt), 0
-	for _, at := range b.Counts().ArrivalsUnderBackpressure {
+	for _, at := range b.current().Counts().ArrivalsUnderBackpressure {
 		if at.Sub(startedAt) >= settleTime {
 			n++
 		}
 	}
-	b.SetFaults(standin.BackendFaults{})
+	b.setFaults(standin.BackendFaults{})
 	if faultFree && n > maxRequests {
 		r.reportViolation("%s received %d requests in %v %s: %d allowed", b.id, n, observationTime, condition, maxRequests)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/standin"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
 
@@ -25,6 +26,7 @@
 	incarnation       int // process incarnation of the instance when the request was sent
 	route             string
 	adapter           string
+	parts             string // of the prompt
 	sentAt            time.Time
 	status            int
 	signed            bool
@@ -74,6 +76,7 @@
 	res.route = []string{"order", "look", "ask", "ask", "once"}[rng.IntN(5)]
 	if res.route == "ask" || res.route == "once" {
 		res.adapter = fmt.Sprintf("a%d", min(rng.IntN(adapterCount), rng.IntN(adapterCount)))
+		res.parts = fmt.Sprintf("first:100,caller-%d:40,%s:150", rng.IntN(30), id)
 		r.mu.Lock()
 		if at := r.declaredAt[res.adapter]; !at.IsZero() && time.Since(at) > versionApplyBound && r.faultFree() {
 			res.minAdapterVersion = r.adapterVersions[res.adapter]
@@ -116,6 +119,7 @@
 	req.Header.Set(platform.HeaderDeadline, "4000")
 	if res.adapter != "" {
 		req.Header.Set(platform.HeaderModel, "m/"+res.adapter)
+		req.Header.Set(platform.HeaderPromptParts, res.parts)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -234,18 +238,12 @@
 	backends := append([]*backend(nil), r.backends...)
 	r.mu.Unlock()
 	for _, b := range backends {
-		c := b.Counts()
-		for id, n := range c.Runs {
-			executions[id] += n
-		}
-		if c.SlotsExceeded {
-			r.reportViolation("%s received orders to load more adapters than it has slots", b.id)
-		}
-		if c.FencingTokenDecreased {
-			r.reportViolation("%s received an order with a lower fencing token than an earlier order", b.id)
-		}
-		if c.MinHandoverInterval > 0 && c.MinHandoverInterval < minHandoverInterval {
-			r.reportViolation("%s received orders from two lease holders within %v: %v", b.id, c.MinHandoverInterval, c.Holders)
+		for _, s := range b.all {
+			c := s.Counts()
+			for id, n := range c.Runs {
+				executions[id] += n
+			}
+			r.checkOrders(b.id, c)
 		}
 	}
 	loggedFailures := r.loggedFailures()
@@ -263,6 +261,19 @@
 	}
 }
 
+// checkOrders checks the orders that a server received.
+func (r *run) checkOrders(id string, c standin.BackendCounts) {
+	if c.SlotsExceeded {
+		r.reportViolation("%s received orders to load more adapters than it has slots", id)
+	}
+	if c.FencingTokenDecreased {
+		r.reportViolation("%s received an order with a lower fencing token than an earlier order", id)
+	}
+	if c.MinHandoverInterval > 0 && c.MinHandoverInterval < minHandoverInterval {
+		r.reportViolation("%s received orders from two lease holders within %v: %v", id, c.MinHandoverInterval, c.Holders)
+	}
+}
+
 // killedBeforeLogging reports whether the process that received a request ended so
 // soon after it that its log line may be missing.
 func (r *run) killedBeforeLogging(res result) bool {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -46,11 +46,18 @@
 	plainServersAdded int
 }
 
-// backend is a stand-in backend server that is reached through a proxy.
+// backend is a stand-in backend server that is reached through a proxy. It is replaced
+// when it crashes.
 type backend struct {
-	*standin.Backend
 	id    string
 	proxy *proxy
+
+	mu       sync.Mutex
+	all      []*standin.Backend // that ran behind the proxy, the present one last
+	settings standin.BackendSettings
+	faults   standin.BackendFaults
+	down     bool
+	crashes  []time.Time
 }
 
 // instance is an instance under test; its addresses and settings stay the same
@@ -187,16 +194,16 @@
 		return err
 	}
 	cfg.Address = link.address()
-	b := &backend{Backend: standin.NewBackend(cfg, d.store), id: cfg.ID, proxy: link}
+	b := &backend{id: cfg.ID, proxy: link, settings: cfg, faults: standin.BackendFaults{CrashPart: crashPart}}
+	d.startBackend(b, cfg)
 	go func() { _ = http.Serve(l, b) }()
-	b.Heartbeat()
 	go func() {
 		for {
 			select {
 			case <-d.stop:
 				return
 			case <-time.After(heartbeatInterval):
-				b.Heartbeat()
+				b.heartbeat()
 			}
 		}
 	}()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,6 +17,7 @@
 	delay         time.Duration
 	dropAll       bool // drop bytes in both directions; connections stay open
 	dropResponses bool // drop bytes from the server to the client
+	down          bool // the address refuses connections
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -25,15 +26,19 @@
 		return nil, fmt.Errorf("listen for proxy: %w", err)
 	}
 	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -105,7 +110,38 @@
 	}
 }
 
+// crash closes all connections and refuses new ones until restore is called. It reports
+// whether the address accepted connections before.
+func (p *proxy) crash() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return false
+	}
+	p.down = true
+	_ = p.listener.Close()
+	for conn := range p.conns {
+		_ = conn.Close()
+	}
+	return true
+}
+
+// restore accepts connections again.
+func (p *proxy) restore() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listener, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return fmt.Errorf("listen for proxy: %w", err)
+	}
+	p.listener, p.down = listener, false
+	go p.accept(listener)
+	return nil
+}
+
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.reset()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -179,6 +179,7 @@
 	r.mu.Unlock()
 	duration := minFaultDuration + time.Duration(r.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 	adapter := fmt.Sprintf("a%d", r.rng.IntN(adapterCount))
+	engine, seed := r.backends[r.rng.IntN(engineCount)], r.rng.Uint64()
 	kinds := []struct {
 		name   string
 		inject func()
@@ -203,6 +204,8 @@
 		{"configuration", r.putConfiguration, nil},
 		{"version", func() { r.declareVersion(adapter) }, nil},
 		{"drain", r.drainPlainServer, nil},
+		{"server-crashes", func() { r.crash(engine, engine.current()) }, nil},
+		{"crash-prompts", func() { r.sendCrashPrompts(seed) }, nil},
 		{"server-limit", func() { r.signalLimit(b) }, nil},
 		{"server-pause", func() { r.signalPause(b) }, nil},
 		{"server-says-it-leaves", r.signalLeaving, nil},
@@ -213,7 +216,7 @@
 	r.resultsMu.Unlock()
 	disruptive := true
 	switch kind.name {
-	case "configuration", "version", "drain", "reload", "server-limit", "server-pause", "server-says-it-leaves":
+	case "configuration", "version", "drain", "reload", "crash-prompts", "server-limit", "server-pause", "server-says-it-leaves":
 		disruptive = false
 	default:
 		r.extendEffects(duration)
@@ -251,9 +254,9 @@
 		return
 	}
 	faultFree := r.faultFree()
-	old.Drain()
+	old.current().Drain()
 	time.Sleep(drainBound + recoveryBound)
-	if late := old.Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
+	if late := old.current().Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
 		r.reportViolation("a request reached %s %v after it began to drain", old.id, late)
 	}
 	r.removePlainServer(old)
@@ -308,9 +311,11 @@
 		}
 	}
 	for _, b := range r.backends {
-		c := b.Counts()
-		out.UnloadsInUse += c.UnloadsInUse
-		out.Unloads += c.Unloads
+		for _, s := range b.all {
+			c := s.Counts()
+			out.UnloadsInUse += c.UnloadsInUse
+			out.Unloads += c.Unloads
+		}
 	}
 	sort.Strings(out.Violations)
 	return out
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,6 +117,27 @@
 	assert.Assert(t, served >= len(r.results)*9/10, "%d of %d requests served", served, len(r.results))
 }
 
+// Prompts that crash engines must stop reaching them. Random runs are rarely free of
+// other faults for long enough to check this.
+func TestCrashPromptsAreContained(t *testing.T) {
+	d, r := startFaultFreeRun(t, buildProgram(t), "edge")
+	time.Sleep(warmUpDuration)
+	stop := r.startClients(1)
+	time.Sleep(time.Second)
+	r.sendCrashPrompts(1)
+	r.checkRecovery()
+	stop()
+	r.checkServerCounts()
+	d.close()
+	assert.Assert(t, len(r.violations) == 0, strings.Join(r.violations, "\n"))
+	crashes := 0
+	for _, b := range d.backends {
+		crashes += len(b.crashes)
+	}
+	t.Logf("%d crashes", crashes)
+	assert.Assert(t, crashes > 0)
+}
+
 // Guards against checks that pass on a faulty instance: each planted fault must be
 // found.
 func TestChecksFindPlantedFaults(t *testing.T) {
@@ -129,6 +150,7 @@
 		{"ignores-limits", " after it signaled a limit: "},
 		{"ignores-pauses", " while paused by Retry-After: "},
 		{"ignores-answers", " after it signaled that it is leaving: "},
+		{"ignores-crashes", "prompts with a part that crashes engines reached them more than"},
 		{"cuts-streams", "not the whole stream"},
 		{"logs-nothing", "without a log line that gives the reason"},
 		{"keeps-old-routes", " served configuration 2 more than 2s after 4 was acknowledged"},
@@ -151,6 +173,8 @@
 				r.signalPause(r.backends[engineCount])
 			case "ignores-answers":
 				r.signalLeaving()
+			case "ignores-crashes":
+				r.sendCrashPrompts(1)
 			}
 			time.Sleep(3 * time.Second)
 			stop()
@@ -213,9 +237,25 @@
 	if kind == "trusts-its-lease" || kind == "loads-without-asking" {
 		go m.sendOrders(cfg.NodeName)
 	}
+	if kind == "ignores-crashes" {
+		go m.loadModels(cfg.NodeName)
+	}
 	fmt.Println(http.ListenAndServe(cfg.Listen.Frontend, m))
 }
 
+// loadModels orders engines that have started again to load their base model.
+func (m *mutant) loadModels(name string) {
+	for name == "edge-0" {
+		for _, s := range m.servers("assistant") {
+			resp, err := http.Post("http://"+s.Address+"/order", "application/json", strings.NewReader(fmt.Sprintf(`{"operation":"load","model":"m","holder":%q,"fencingToken":1}`, name)))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 type mutantServer struct {
 	id      string
 	Service string `json:"service"`
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -41,7 +41,7 @@
 
 	// The process ends when it begins to respond to a prompt with the part CrashPart or
 	// for the adapter CrashAdapter, and while it loads the adapter or model CrashLoad.
-	// These have an effect in a BackendProcess only.
+	// These have an effect only where OnCrash is set.
 	CrashPart, CrashAdapter, CrashLoad string
 
 	Limit   string  // requests per second, sent in responses as the server's limit; empty for none
@@ -84,7 +84,7 @@
 	store     *Store
 	startedMS int64
 	router    *mux.Router
-	crash     func() // ends the process; nil outside of a BackendProcess
+	crash     func() // ends the process; nil: it cannot crash
 
 	mu              sync.Mutex
 	faults          BackendFaults
@@ -129,6 +129,10 @@
 	b.router.ServeHTTP(w, r)
 }
 
+// OnCrash sets the function that ends the process when a fault crashes it. It is set
+// before the first request; a BackendProcess does so itself.
+func (b *Backend) OnCrash(end func()) { b.crash = end }
+
 // SetFaults replaces the faults in force and clears ArrivalsUnderBackpressure.
 func (b *Backend) SetFaults(f BackendFaults) {
 	b.mu.Lock()
--- a/standin/process.go
+++ b/standin/process.go
@@ -60,7 +60,7 @@
 		return
 	}
 	b := NewBackend(cfg, p.store)
-	b.crash = func() { p.end(b) }
+	b.OnCrash(func() { p.end(b) })
 	b.SetFaults(p.faults)
 	srv := &http.Server{Handler: b}
 	go func() { _ = srv.Serve(l) }()
