Read-through: names of traits, one process for crashing stand-ins

quarantine: variables named after what they hold, the unused start of a verdict removed, comments speak of requests. The soak runs its servers as standin.BackendProcess, which takes the place of its own restarts. Behaviour of the product is as before; the tests of quarantine and soak pass.

--- a/chestnutstream.go
+++ b/chestnutstream.go
@@ -29,7 +29,7 @@
 //	fleet       the backend servers: list, outlier detection, placement, retry budget
 //	lease       the leases that decide which instance gives orders to which engine
 //	permit      the permits for servers with a rate limit
-//	quarantine  the parts of prompts that crash servers
+//	quarantine  what requests that crash servers have in common
 //	loader      the orders to one engine; start with loader.go
 //	instance    the other instances, over WebSocket and CBOR
 //	oncall      log lines on standard output, limited in number
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -91,8 +91,8 @@
 
 // probeSlot returns this instance's position in the order in which the connected
 // instances may probe a trait. Callers hold mu.
-func (n *Node) probeSlot(p quarantine.Trait) int {
-	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + p.Service + "\x00" + p.ID) }
+func (n *Node) probeSlot(trait quarantine.Trait) int {
+	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + trait.Service + "\x00" + trait.ID) }
 	own, slot := rank(n.cfg.Instance), 0
 	for _, name := range n.permitView().Candidates {
 		if name != n.cfg.Instance && rank(name) > own {
@@ -141,18 +141,18 @@
 // releaseTrait serves an operator's request to release a trait on all instances. It
 // responds with 404 if there is no evidence against the trait.
 func (n *Node) releaseTrait(w http.ResponseWriter, r *http.Request) {
-	p := quarantine.Trait{Service: mux.Vars(r)["service"], ID: mux.Vars(r)["trait"]}
+	trait := quarantine.Trait{Service: mux.Vars(r)["service"], ID: mux.Vars(r)["trait"]}
 	n.mu.Lock()
-	released := n.quarantine.Release(n.now(), p)
+	released := n.quarantine.Release(n.now(), trait)
 	n.sendEvidence(released)
 	changes := n.applyVerdicts()
 	n.mu.Unlock()
 	n.logVerdicts(changes)
 	if len(released) == 0 {
-		http.Error(w, fmt.Sprintf("no evidence against %q of service %q", p.ID, p.Service), http.StatusNotFound)
+		http.Error(w, fmt.Sprintf("no evidence against %q of service %q", trait.ID, trait.Service), http.StatusNotFound)
 		return
 	}
-	n.log.WithFields(log.Fields{"service": p.Service, "trait": p.ID, "remote": r.RemoteAddr}).Warn("trait released by an operator")
+	n.log.WithFields(log.Fields{"service": trait.Service, "trait": trait.ID, "remote": r.RemoteAddr}).Warn("trait released by an operator")
 }
 
 // applyVerdicts aborts the requests that new verdicts keep from the servers, unless a
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -7,13 +7,14 @@
 	"github.com/chestnutstream/chestnutstream"
 )
 
-// Trait identifies a trait of prompts for the servers of a service.
+// Trait identifies what requests to a service may have in common; see the package
+// comment.
 type Trait struct {
 	Service string
 	ID      string
 }
 
-// Weights of crashes as evidence against a trait, by how far the response to a prompt
+// Weights of crashes as evidence against a trait, by how far the response to a request
 // with it had got.
 const (
 	begunWeight = 1.0
@@ -45,7 +46,7 @@
 	Born   int64 // start of the process
 	At     time.Time
 	Weight float64
-	// Companions are the IDs of the traits that were in a prompt together with this one
+	// Companions are the IDs of the traits that were in a request together with this one
 	// and may have caused the crash as well, sorted.
 	Companions []string
 }
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -16,15 +16,15 @@
 	current, previous map[uint64]time.Time
 }
 
-func (p Trait) hash() uint64 { return xxhash.Sum64String(p.Service + "\x00" + p.ID) }
+func (trait Trait) hash() uint64 { return xxhash.Sum64String(trait.Service + "\x00" + trait.ID) }
 
 // record records a survival. When the current generation is full it becomes the
 // previous one, which is dropped.
-func (s *survivals) record(p Trait, at time.Time) {
+func (s *survivals) record(trait Trait, at time.Time) {
 	if s.current == nil {
 		s.current = map[uint64]time.Time{}
 	}
-	h := p.hash()
+	h := trait.hash()
 	if at.After(s.current[h]) {
 		s.current[h] = at
 	}
@@ -34,8 +34,8 @@
 }
 
 // at returns the latest survival of a trait; zero if none is remembered.
-func (s *survivals) at(p Trait) time.Time {
-	h := p.hash()
+func (s *survivals) at(trait Trait) time.Time {
+	h := trait.hash()
 	if at, ok := s.current[h]; ok {
 		return at
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -52,9 +52,8 @@
 // Verdict is the quarantine of the requests with a convicted trait.
 type Verdict struct {
 	Evidence  Evidence
-	Signature []string // IDs of the traits that a request must have, sorted; the convicted trait is one of them
-	Since     time.Time
-	usedAt    time.Time
+	Signature []string  // IDs of the traits that a request must have, sorted; the convicted trait is one of them
+	usedAt    time.Time // of the latest request that it kept from the servers
 }
 
 // ChangeKind is the kind of a change of verdicts.
@@ -63,7 +62,7 @@
 // The kinds of changes.
 const (
 	Quarantined ChangeKind = "quarantined"
-	Narrowed    ChangeKind = "narrowed" // the signature has changed
+	Narrowed    ChangeKind = "narrowed" // the signature has changed, mostly to fewer traits
 	Released    ChangeKind = "released"
 )
 
@@ -97,14 +96,14 @@
 	return times
 }
 
-// RecordSurvival records that the response to a prompt with the given traits got under
+// RecordSurvival records that the response to a request with the given traits got under
 // way. It returns the evidence that the other instances need.
 func (t *Tracker) RecordSurvival(now time.Time, service string, ids []string) []Evidence {
 	var report []Evidence
 	for _, id := range ids {
-		p := Trait{service, id}
-		t.survivals.record(p, now)
-		if e := t.suspects[p]; e != nil && e.survive(now) {
+		trait := Trait{service, id}
+		t.survivals.record(trait, now)
+		if e := t.suspects[trait]; e != nil && e.survive(now) {
 			report = append(report, e.clone())
 		}
 	}
@@ -124,11 +123,11 @@
 			continue
 		}
 		for _, id := range r.Traits {
-			p := Trait{c.Service, id}
+			trait := Trait{c.Service, id}
 			crash := Crash{Server: c.Server, Born: c.Born, At: now, Weight: r.crashWeight()}
 			crash.merge(Crash{At: now, Companions: t.companions(now, c.Service, r.Traits, id)})
-			if t.suspect(p).addCrash(crash) {
-				changed[p] = true
+			if t.suspect(trait).addCrash(crash) {
+				changed[trait] = true
 			}
 		}
 	}
@@ -198,28 +197,28 @@
 // traits, on the latest other suspects up to limit traits in all, and the survivals of
 // their companions, which are no longer suspected.
 func (t *Tracker) Evidence(limit int) []Evidence {
-	order := slices.SortedFunc(maps.Keys(t.suspects), func(p, q Trait) int {
+	order := slices.SortedFunc(maps.Keys(t.suspects), func(trait, other Trait) int {
 		switch {
-		case t.Convicted(p) && !t.Convicted(q):
+		case t.Convicted(trait) && !t.Convicted(other):
 			return -1
-		case t.Convicted(q) && !t.Convicted(p):
+		case t.Convicted(other) && !t.Convicted(trait):
 			return 1
 		}
-		return cmp.Or(t.suspects[q].lastCrash().Compare(t.suspects[p].lastCrash()), compareTraits(p, q))
+		return cmp.Or(t.suspects[other].lastCrash().Compare(t.suspects[trait].lastCrash()), compareTraits(trait, other))
 	})
 	var out []Evidence
 	harmless := map[Trait]bool{}
-	for i, p := range order {
-		if i >= limit && !t.Convicted(p) {
+	for i, trait := range order {
+		if i >= limit && !t.Convicted(trait) {
 			break
 		}
-		e := t.suspects[p]
+		e := t.suspects[trait]
 		out = append(out, e.clone())
 		for _, id := range e.companions() {
-			q := Trait{p.Service, id}
-			if at := t.survivals.at(q); t.suspects[q] == nil && !at.IsZero() && !harmless[q] {
-				harmless[q] = true
-				out = append(out, Evidence{Trait: q, SurvivedAt: at})
+			other := Trait{trait.Service, id}
+			if at := t.survivals.at(other); t.suspects[other] == nil && !at.IsZero() && !harmless[other] {
+				harmless[other] = true
+				out = append(out, Evidence{Trait: other, SurvivedAt: at})
 			}
 		}
 	}
@@ -227,7 +226,7 @@
 }
 
 // Convicted reports whether there is a verdict on a trait.
-func (t *Tracker) Convicted(p Trait) bool { return t.verdicts[p] != nil }
+func (t *Tracker) Convicted(trait Trait) bool { return t.verdicts[trait] != nil }
 
 // Suspected reports whether there is evidence against one of the given traits that is
 // not known to have survived.
@@ -262,8 +261,8 @@
 // evidence returns copies of the evidence on the given traits, in order.
 func (t *Tracker) evidence(traits map[Trait]bool) []Evidence {
 	out := make([]Evidence, 0, len(traits))
-	for p := range traits {
-		if e := t.suspects[p]; e != nil {
+	for trait := range traits {
+		if e := t.suspects[trait]; e != nil {
 			out = append(out, e.clone())
 		}
 	}
@@ -272,12 +271,12 @@
 }
 
 // suspect returns the evidence on a trait, which is new if there was none.
-func (t *Tracker) suspect(p Trait) *Evidence {
-	e := t.suspects[p]
+func (t *Tracker) suspect(trait Trait) *Evidence {
+	e := t.suspects[trait]
 	if e == nil {
 		t.evict()
-		e = &Evidence{Trait: p, SurvivedAt: t.survivals.at(p)}
-		t.suspects[p] = e
+		e = &Evidence{Trait: trait, SurvivedAt: t.survivals.at(trait)}
+		t.suspects[trait] = e
 	}
 	return e
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -12,13 +12,13 @@
 	t.discountExplained()
 	old := t.verdicts
 	t.verdicts = map[Trait]*Verdict{}
-	for p, e := range t.suspects {
+	for trait, e := range t.suspects {
 		if t.convicts(e) {
-			t.verdicts[p] = t.verdict(now, e, old[p])
+			t.verdicts[trait] = t.verdict(now, e, old[trait])
 		}
 	}
-	for p, v := range old {
-		if t.verdicts[p] == nil {
+	for trait, v := range old {
+		if t.verdicts[trait] == nil {
 			t.changes = append(t.changes, Change{Released, *v})
 		}
 	}
@@ -38,9 +38,9 @@
 	for _, times := range t.crashes {
 		times.expire(now.Add(-verdictTTL))
 	}
-	for p, e := range t.suspects {
+	for trait, e := range t.suspects {
 		ttl := suspicionTTL
-		if v := t.verdicts[p]; v != nil {
+		if v := t.verdicts[trait]; v != nil {
 			ttl = verdictTTL
 			if now.Sub(v.usedAt) < verdictTTL {
 				continue
@@ -48,7 +48,7 @@
 		}
 		e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) > ttl })
 		if len(e.Crashes) == 0 {
-			delete(t.suspects, p)
+			delete(t.suspects, trait)
 		}
 	}
 }
@@ -56,19 +56,19 @@
 // discountExplained drops the crashes that a convicted trait explains from the evidence
 // on other traits, unless these cannot be told from the convicted one.
 func (t *Tracker) discountExplained() {
-	for _, p := range slices.SortedFunc(maps.Keys(t.suspects), compareTraits) {
-		culprit := t.suspects[p]
+	for _, trait := range slices.SortedFunc(maps.Keys(t.suspects), compareTraits) {
+		culprit := t.suspects[trait]
 		if culprit == nil || !t.convicts(culprit) {
 			continue
 		}
 		signature := t.signature(culprit)
-		for q, e := range t.suspects {
-			if q.Service != p.Service || t.convicts(e) || slices.Contains(signature, q.ID) {
+		for other, e := range t.suspects {
+			if other.Service != trait.Service || t.convicts(e) || slices.Contains(signature, other.ID) {
 				continue
 			}
 			e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return slices.ContainsFunc(culprit.Crashes, c.sameProcess) })
 			if len(e.Crashes) == 0 {
-				delete(t.suspects, q)
+				delete(t.suspects, other)
 			}
 		}
 	}
@@ -91,15 +91,15 @@
 
 // verdict returns the verdict on a convicted trait; old is the earlier one, or nil.
 func (t *Tracker) verdict(now time.Time, e *Evidence, old *Verdict) *Verdict {
-	v := &Verdict{Evidence: e.clone(), Signature: t.signature(e), Since: now, usedAt: now}
+	v := &Verdict{Evidence: e.clone(), Signature: t.signature(e), usedAt: now}
 	switch {
 	case old == nil:
 		t.changes = append(t.changes, Change{Quarantined, *v})
 	case !slices.Equal(old.Signature, v.Signature):
-		v.Since, v.usedAt = old.Since, old.usedAt
+		v.usedAt = old.usedAt
 		t.changes = append(t.changes, Change{Narrowed, *v})
 	default:
-		v.Since, v.usedAt = old.Since, old.usedAt
+		v.usedAt = old.usedAt
 	}
 	return v
 }
--- a/soak/backpressure.go
+++ b/soak/backpressure.go
@@ -33,7 +33,7 @@
 	startedAt := time.Now()
 	time.Sleep(settleTime + observationTime)
 	faultFree, n := r.faultFreeSince(startedAt), 0
-	for _, at := range b.current().Counts().ArrivalsUnderBackpressure {
+	for _, at := range b.Current().Counts().ArrivalsUnderBackpressure {
 		if at.Sub(startedAt) >= settleTime {
 			n++
 		}
--- a/soak/check.go
+++ b/soak/check.go
@@ -238,7 +238,7 @@
 	backends := append([]*backend(nil), r.backends...)
 	r.mu.Unlock()
 	for _, b := range backends {
-		for _, s := range b.all {
+		for _, s := range b.Backends() {
 			c := s.Counts()
 			for id, n := range c.Runs {
 				executions[id] += n
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -7,8 +7,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // Engines end when they begin to respond to a prompt with crashPart, and start again
@@ -20,49 +18,8 @@
 	crashPromptDuration  = 9 * time.Second
 	crashesUntilBound    = 5
 	maxLateCrashArrivals = 3 // later than recoveryBound after the crash number crashesUntilBound
-	missedHeartbeats     = 3 // until the row of a crashed server is removed
 )
 
-// startBackend starts a server behind the proxy of b.
-func (d *deployment) startBackend(b *backend, cfg standin.BackendSettings) {
-	s := standin.NewBackend(cfg, d.store)
-	s.OnCrash(func() { d.crash(b, s) })
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s.SetFaults(b.faults)
-	b.all, b.down = append(b.all, s), false
-	s.Heartbeat()
-}
-
-// crash ends a server, and starts the next one at its address after restartTime.
-func (d *deployment) crash(b *backend, s *standin.Backend) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.down || s != b.all[len(b.all)-1] {
-		return
-	}
-	b.down = true
-	b.proxy.crash()
-	b.crashes = append(b.crashes, time.Now())
-	old, next := b.settings.ID, b.settings
-	if n := len(b.all) - 1; n > 0 {
-		old = fmt.Sprintf("%s-%d", old, n)
-	}
-	next.ID, next.Model = fmt.Sprintf("%s-%d", next.ID, len(b.all)), ""
-	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() { d.store.Remove("servers", old) })
-	time.AfterFunc(restartTime, func() {
-		select {
-		case <-d.stop:
-			return
-		default:
-		}
-		d.startBackend(b, next)
-		if err := b.proxy.restore(); err != nil {
-			panic(err) // another process took the port
-		}
-	})
-}
-
 // sendCrashPrompts sends prompts with crashPart to random instances, and checks how many
 // reach engines after recoveryBound, unless a fault was in effect.
 func (r *run) sendCrashPrompts(seed uint64) {
@@ -93,12 +50,10 @@
 	engines := slices.Clone(r.backends[:engineCount])
 	r.mu.Unlock()
 	for _, b := range engines {
-		b.mu.Lock()
-		crashes = append(crashes, b.crashes...)
-		for _, s := range b.all {
+		crashes = append(crashes, b.Crashes()...)
+		for _, s := range b.Backends() {
 			arrivals = append(arrivals, s.Counts().CrashArrivals...)
 		}
-		b.mu.Unlock()
 	}
 	isBefore := func(t time.Time) bool { return t.Before(startedAt) }
 	crashes, arrivals = slices.DeleteFunc(crashes, isBefore), slices.DeleteFunc(arrivals, isBefore)
@@ -117,31 +72,3 @@
 		r.reportViolation("%d prompts with a part that crashes engines reached them more than %v after crash %d of %d", late, recoveryBound, min(len(crashes), crashesUntilBound), len(crashes))
 	}
 }
-
-// current returns the server that runs behind the proxy.
-func (b *backend) current() *standin.Backend {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.all[len(b.all)-1]
-}
-
-// ServeHTTP implements http.Handler.
-func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) { b.current().ServeHTTP(w, r) }
-
-// setFaults replaces the faults in force.
-func (b *backend) setFaults(f standin.BackendFaults) {
-	f.CrashPart = crashPart
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.faults = f
-	b.all[len(b.all)-1].SetFaults(f)
-}
-
-// heartbeat renews the row of the present server.
-func (b *backend) heartbeat() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.down {
-		b.all[len(b.all)-1].Heartbeat()
-	}
-}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -34,7 +34,6 @@
 	dir         string
 	store       *standin.Store
 	faultyStore *faultyStore
-	stop        chan struct{}
 
 	mu                sync.Mutex
 	backends          []*backend
@@ -46,18 +45,17 @@
 	plainServersAdded int
 }
 
-// backend is a stand-in backend server that is reached through a proxy. It is replaced
-// when it crashes.
+// backend is a stand-in backend server that is reached through a proxy.
 type backend struct {
+	*standin.BackendProcess
 	id    string
 	proxy *proxy
+}
 
-	mu       sync.Mutex
-	all      []*standin.Backend // that ran behind the proxy, the present one last
-	settings standin.BackendSettings
-	faults   standin.BackendFaults
-	down     bool
-	crashes  []time.Time
+// setFaults replaces the faults in force.
+func (b *backend) setFaults(f standin.BackendFaults) {
+	f.CrashPart = crashPart
+	b.SetFaults(f)
 }
 
 // instance is an instance under test; its addresses and settings stay the same
@@ -144,7 +142,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
-	d := &deployment{cfg: cfg, dir: dir, store: standin.NewStore(), stop: make(chan struct{}), adapterVersions: map[string]int{}, declaredAt: map[string]time.Time{}}
+	d := &deployment{cfg: cfg, dir: dir, store: standin.NewStore(), adapterVersions: map[string]int{}, declaredAt: map[string]time.Time{}}
 	d.faultyStore = &faultyStore{next: d.store, rng: rng}
 	for i := range engineCount {
 		if err := d.addBackend(standin.BackendSettings{
@@ -181,8 +179,7 @@
 	return d.addBackend(standin.BackendSettings{ID: fmt.Sprintf("i-desk-%d", d.plainServersAdded), Service: "desk", Slots: 12, ServiceTime: 8 * time.Millisecond})
 }
 
-// addBackend starts a backend server behind a proxy and renews its row in the store
-// every heartbeatInterval.
+// addBackend starts a backend server behind a proxy.
 func (d *deployment) addBackend(cfg standin.BackendSettings) error {
 	cfg.Zone = "zone-a"
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -194,19 +191,11 @@
 		return err
 	}
 	cfg.Address = link.address()
-	b := &backend{id: cfg.ID, proxy: link, settings: cfg, faults: standin.BackendFaults{CrashPart: crashPart}}
-	d.startBackend(b, cfg)
-	go func() { _ = http.Serve(l, b) }()
-	go func() {
-		for {
-			select {
-			case <-d.stop:
-				return
-			case <-time.After(heartbeatInterval):
-				b.heartbeat()
-			}
-		}
-	}()
+	process := standin.StartProcessOn(l, standin.ProcessSettings{
+		Backend: cfg, Heartbeat: heartbeatInterval, RestartTime: restartTime, Crashed: link.refuse, Restarted: link.restore,
+	}, d.store)
+	b := &backend{BackendProcess: process, id: cfg.ID, proxy: link}
+	b.setFaults(standin.BackendFaults{})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.backends = append(d.backends, b)
@@ -369,8 +358,8 @@
 		_ = cmd.Wait()
 		inst.storeLink.close()
 	}
-	close(d.stop)
 	for _, b := range backends {
+		b.Close()
 		b.proxy.close()
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,7 +17,6 @@
 	delay         time.Duration
 	dropAll       bool // drop bytes in both directions; connections stay open
 	dropResponses bool // drop bytes from the server to the client
-	down          bool // the address refuses connections
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -110,20 +109,14 @@
 	}
 }
 
-// crash closes all connections and refuses new ones until restore is called. It reports
-// whether the address accepted connections before.
-func (p *proxy) crash() bool {
+// refuse closes all connections and refuses new ones until restore is called.
+func (p *proxy) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.down {
-		return false
-	}
-	p.down = true
 	_ = p.listener.Close()
 	for conn := range p.conns {
 		_ = conn.Close()
 	}
-	return true
 }
 
 // restore accepts connections again.
@@ -134,7 +127,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for proxy: %w", err)
 	}
-	p.listener, p.down = listener, false
+	p.listener = listener
 	go p.accept(listener)
 	return nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -204,7 +204,7 @@
 		{"configuration", r.putConfiguration, nil},
 		{"version", func() { r.declareVersion(adapter) }, nil},
 		{"drain", r.drainPlainServer, nil},
-		{"server-crashes", func() { r.crash(engine, engine.current()) }, nil},
+		{"server-crashes", func() { engine.Crash() }, nil},
 		{"crash-prompts", func() { r.sendCrashPrompts(seed) }, nil},
 		{"server-limit", func() { r.signalLimit(b) }, nil},
 		{"server-pause", func() { r.signalPause(b) }, nil},
@@ -254,9 +254,9 @@
 		return
 	}
 	faultFree := r.faultFree()
-	old.current().Drain()
+	old.Current().Drain()
 	time.Sleep(drainBound + recoveryBound)
-	if late := old.current().Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
+	if late := old.Current().Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
 		r.reportViolation("a request reached %s %v after it began to drain", old.id, late)
 	}
 	r.removePlainServer(old)
@@ -311,7 +311,7 @@
 		}
 	}
 	for _, b := range r.backends {
-		for _, s := range b.all {
+		for _, s := range b.Backends() {
 			c := s.Counts()
 			out.UnloadsInUse += c.UnloadsInUse
 			out.Unloads += c.Unloads
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -132,7 +132,7 @@
 	assert.Assert(t, len(r.violations) == 0, strings.Join(r.violations, "\n"))
 	crashes := 0
 	for _, b := range d.backends {
-		crashes += len(b.crashes)
+		crashes += len(b.Crashes())
 	}
 	t.Logf("%d crashes", crashes)
 	assert.Assert(t, crashes > 0)
--- a/standin/process.go
+++ b/standin/process.go
@@ -12,10 +12,11 @@
 // after a crash another Backend starts at the address, with nothing loaded and under
 // another ID.
 type BackendProcess struct {
-	cfg   ProcessSettings
-	store *Store
-	stop  chan struct{}
-	wg    sync.WaitGroup
+	cfg     ProcessSettings
+	address string
+	store   *Store
+	stop    chan struct{}
+	wg      sync.WaitGroup
 
 	mu       sync.Mutex
 	faults   BackendFaults
@@ -28,9 +29,11 @@
 
 // ProcessSettings configure a BackendProcess.
 type ProcessSettings struct {
-	Backend     BackendSettings // Address is set by StartProcess
+	Backend     BackendSettings // Address: the advertised one; empty: that of the process
 	Heartbeat   time.Duration   // between heartbeats
 	RestartTime time.Duration
+	Crashed     func()       // called as the process ends; may be nil
+	Restarted   func() error // called when the next Backend accepts connections; may be nil
 }
 
 // missedHeartbeats is the number of heartbeats after which the row of a crashed
@@ -39,16 +42,23 @@
 
 // StartProcess starts a process on a free loopback port.
 func StartProcess(cfg ProcessSettings, store *Store) (*BackendProcess, error) {
-	p := &BackendProcess{cfg: cfg, store: store, stop: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", cfg.Backend.ID, err)
 	}
-	p.cfg.Backend.Address = l.Addr().String()
+	return StartProcessOn(l, cfg, store), nil
+}
+
+// StartProcessOn starts a process on a listener.
+func StartProcessOn(l net.Listener, cfg ProcessSettings, store *Store) *BackendProcess {
+	p := &BackendProcess{cfg: cfg, address: l.Addr().String(), store: store, stop: make(chan struct{})}
+	if cfg.Backend.Address == "" {
+		p.cfg.Backend.Address = p.address
+	}
 	p.start(p.cfg.Backend, l)
 	p.wg.Add(1)
 	go p.heartbeats()
-	return p, nil
+	return p
 }
 
 // start runs a new Backend on a listener.
@@ -93,25 +103,30 @@
 	p.backends[len(p.backends)-1].SetFaults(f)
 }
 
-// Crash ends the present Backend: its address refuses connections until the next one
-// starts.
-func (p *BackendProcess) Crash() {
+// Current returns the present Backend, or the latest one while none runs.
+func (p *BackendProcess) Current() *Backend {
 	p.mu.Lock()
-	b := p.backends[len(p.backends)-1]
-	p.mu.Unlock()
-	p.end(b)
+	defer p.mu.Unlock()
+	return p.backends[len(p.backends)-1]
 }
 
+// Crash ends the present Backend: its address refuses connections until the next one
+// starts.
+func (p *BackendProcess) Crash() { p.end(p.Current()) }
+
 // end ends a Backend if it still runs.
 func (p *BackendProcess) end(b *Backend) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.running || p.backends[len(p.backends)-1] != b {
+	if !p.running || p.closed || p.backends[len(p.backends)-1] != b {
 		return
 	}
 	p.running = false
 	p.crashes = append(p.crashes, time.Now())
 	_ = p.srv.Close()
+	if p.cfg.Crashed != nil {
+		p.cfg.Crashed()
+	}
 	p.wg.Add(2)
 	go p.removeRow(b.cfg.ID)
 	go p.restart(len(p.crashes))
@@ -135,11 +150,16 @@
 	}
 	cfg := p.cfg.Backend
 	cfg.ID, cfg.Model = fmt.Sprintf("%s-%d", cfg.ID, n), ""
-	l, err := net.Listen("tcp", cfg.Address)
+	l, err := net.Listen("tcp", p.address)
+	if err == nil {
+		p.start(cfg, l)
+		if p.cfg.Restarted != nil {
+			err = p.cfg.Restarted()
+		}
+	}
 	if err != nil {
 		panic(fmt.Sprintf("restart %s: %v", cfg.ID, err)) // another process took the port
 	}
-	p.start(cfg, l)
 }
 
 // Crashes returns the times of the crashes.
