--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -264,10 +264,17 @@
 	return inst, d.start(inst)
 }
 
+// Ports of instances. They are below the ports from which Linux takes those of outgoing
+// connections by default, so that none is taken between its choice and its use.
+const (
+	minInstancePort = 12000
+	maxInstancePort = 32000
+)
+
 // freePorts returns the first of ten consecutive free ports; its last digit is 0.
 func freePorts() (int, error) {
 	for range 200 {
-		basePort := 20000 + 10*rand.IntN(3000)
+		basePort := minInstancePort + 10*rand.IntN((maxInstancePort-minInstancePort)/10)
 		free := true
 		for i := range 10 {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", basePort+i))
