quarantine: bounded reports of crashes and first messages on links

Evidence on up to 256 traits, 31 KB, was sent to each instance whose link came up, and on all traits of all requests after a crash. An instance now reports at most 32 traits of a crash, those with the greatest weight first, and 16 and the convicted ones on a new link; a later report has all crashes of its trait.

TestReportOfCrashIsBounded failed before (102 traits).

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -22,7 +22,7 @@
 	quarantineUpdateInterval = time.Second
 	evidenceReplyTime        = 15 * time.Millisecond  // after a crash, for what the other instances know of its requests
 	firstEvidenceTime        = 300 * time.Millisecond // after the start, for the evidence of the other instances
-	maxFirstEvidence         = 256                    // traits in the first message on a link, unless more are convicted
+	maxFirstEvidence         = 16                     // traits in the first message on a link, unless more are convicted: all links may come up at once
 )
 
 // flight is a request in progress that has traits.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -237,6 +237,19 @@
 	assert.Assert(t, tracker.blocks(now, "dead", "x"))
 }
 
+// Links of instances are as slow as 10 Mbit/s, and each message goes to all others.
+func TestReportOfCrashIsBounded(t *testing.T) {
+	tracker := NewTracker(DefaultSettings())
+	c := ServerCrash{Service: simService, Server: "i-1"}
+	for i := range 100 {
+		c.Runs = append(c.Runs, Run{Traits: []string{"first", fmt.Sprint("queued-", i)}, Progress: chestnutstream.ResponseNone})
+	}
+	c.Runs = append(c.Runs, Run{Traits: []string{"first", "dead"}, Progress: chestnutstream.ResponseBegun})
+	report := tracker.RecordCrash(simStart, c)
+	assert.Assert(t, len(report) <= maxReported, "%d", len(report))
+	assert.Assert(t, slices.ContainsFunc(report, func(e Evidence) bool { return e.Trait.ID == "dead" }), "what had begun goes first")
+}
+
 // Instances that receive the same evidence, in any order and some of it twice, reach
 // the same verdicts.
 func TestInstancesWithSameEvidenceAgree(t *testing.T) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -13,6 +13,7 @@
 // Limits of the state of a Tracker.
 const (
 	maxSuspects = 2048 // traits with evidence against them
+	maxReported = 32   // traits that an instance reports of a crash
 	// verdictTTL is how long after the latest request with its signature a verdict is
 	// kept.
 	verdictTTL = 24 * time.Hour
@@ -114,7 +115,7 @@
 }
 
 // RecordCrash records the end of a server's process. It returns the evidence that the
-// other instances need.
+// other instances need, on at most maxReported traits.
 func (t *Tracker) RecordCrash(now time.Time, c ServerCrash) []Evidence {
 	t.crashTimes(c.Service).record(Crash{Server: c.Server, Born: c.Born, At: now})
 	changed := map[Trait]bool{}
@@ -132,7 +133,7 @@
 		}
 	}
 	t.Update(now)
-	return t.evidence(changed)
+	return t.report(changed)
 }
 
 // companions returns the given traits, except one, that may have caused a crash.
@@ -258,16 +259,20 @@
 	return out
 }
 
-// evidence returns copies of the evidence on the given traits, in order.
-func (t *Tracker) evidence(traits map[Trait]bool) []Evidence {
+// report returns copies of the evidence on the given traits, at most maxReported of
+// them: those with the greatest weight.
+func (t *Tracker) report(traits map[Trait]bool) []Evidence {
 	out := make([]Evidence, 0, len(traits))
 	for trait := range traits {
 		if e := t.suspects[trait]; e != nil {
 			out = append(out, e.clone())
 		}
 	}
-	slices.SortFunc(out, func(a, b Evidence) int { return compareTraits(a.Trait, b.Trait) })
-	return out
+	weight := func(e Evidence) float64 { return t.crashTimes(e.Trait.Service).weight(e.Crashes) }
+	slices.SortFunc(out, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), compareTraits(a.Trait, b.Trait))
+	})
+	return out[:min(len(out), maxReported)]
 }
 
 // suspect returns the evidence on a trait, which is new if there was none.
