--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -118,13 +118,20 @@
 	results        []Result
 	openPlacements int
 	drain          Drain
+	suspect        bool           // broken responses are suspected of having crashed their servers
+	admitted       chan Admission // receives each admission, if not nil
+	placeBlocks    bool           // Place waits until the request ends
 }
 
 func (d *fakeDispatcher) Routes() *chestnutstream.RouteTable { return d.table }
 
 func (d *fakeDispatcher) AwaitRoutes(context.Context) *chestnutstream.RouteTable { return d.table }
 
-func (d *fakeDispatcher) Place(_ context.Context, p PlacementRequest) (Assignment, error) {
+func (d *fakeDispatcher) Place(ctx context.Context, p PlacementRequest) (Assignment, error) {
+	if d.placeBlocks {
+		<-ctx.Done()
+		return Assignment{}, ctx.Err()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, b := range d.backends {
@@ -143,12 +150,15 @@
 }
 
 func (d *fakeDispatcher) RecordBroken(context.Context, Assignment, BrokenResponse) BrokenResult {
-	return BrokenResult{}
+	return BrokenResult{Crashed: d.suspect, Suspected: d.suspect}
 }
 
 func (d *fakeDispatcher) RecordSurvival(Assignment, []string) {}
 
-func (d *fakeDispatcher) Admit(context.Context, Admission) (release func(), err error) {
+func (d *fakeDispatcher) Admit(_ context.Context, a Admission) (release func(), err error) {
+	if d.admitted != nil {
+		d.admitted <- a
+	}
 	return func() {}, nil
 }
 
