Tests: ports that stay reserved while their process is down

The peer of the test now keeps its port and rejects the dials; the test fails as before without the redial. Processes of stand-ins that crash listen on a loopback address of their own, where nothing takes their port. No product code is changed.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,12 +166,20 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		peer := Member{Name: fmt.Sprint("b", i), Address: l.Addr().String()}
-		assert.NilError(t, l.Close())
+		b := NewMesh(Settings{Self: peer, Incarnation: 1, Timer: timer.NewSystem(), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}}, &recorder{})
+		var up atomic.Bool
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !up.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			b.ServeHTTP(w, r)
+		})}
+		go func() { _ = srv.Serve(l) }()
+		t.Cleanup(func() { b.Close(); _ = srv.Close() })
 		a.Add(peer)
 		time.Sleep(1200 * time.Millisecond) // a's dials have failed, and their pauses are long
-		l, err = net.Listen("tcp", peer.Address)
-		assert.NilError(t, err)
-		b, _, _ := newTestMeshAt(t, peer, l)
+		up.Store(true)
 		b.Add(self)
 		for range 20 {
 			if a.Connected(peer.Name) {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -182,7 +182,7 @@
 // addBackend starts a backend server behind a proxy.
 func (d *deployment) addBackend(cfg standin.BackendSettings) error {
 	cfg.Zone = "zone-a"
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", standin.ProcessAddress)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", cfg.ID, err)
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // proxy forwards TCP connections to an address and injects network faults.
@@ -20,7 +22,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", standin.ProcessAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for proxy: %w", err)
 	}
--- a/standin/process.go
+++ b/standin/process.go
@@ -40,9 +40,14 @@
 // process is removed.
 const missedHeartbeats = 3
 
+// ProcessAddress is the address to listen on for a process that ends and starts again. It
+// is a loopback address of its own, so that other listeners and outgoing connections,
+// which use 127.0.0.1, do not take the port meanwhile.
+const ProcessAddress = "127.0.0.2:0"
+
 // StartProcess starts a process on a free loopback port.
 func StartProcess(cfg ProcessSettings, store *Store) (*BackendProcess, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ProcessAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", cfg.Backend.ID, err)
 	}
