Log the software versions of a stream's servers and what it takes up

No line told whether a stream that continued did so on the software version that began it, nor whether an instance resumed it or its caller took it up, so the hypotheses on joined streams (docs/incidents/two-software-versions.md) could not be told apart. The version in a server's entry is decoded, and sent to followers when it changes; the lines of requests have software, resumes and after-event. No decision is changed.

go test ./ingress ./platform ./fleet: passed.

--- a/backend.go
+++ b/backend.go
@@ -23,6 +23,9 @@
 	Slots   int
 	State   BackendState
 	Models  []LoadedModel // as of the last entry; later orders are not included
+	// Software is the version of the server's software, "" if unknown. A stream continues
+	// only on the version that began it, and never if that is unknown.
+	Software string
 }
 
 // LoadedModel is a base model loaded on an engine, with its loaded adapters.
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -134,14 +134,14 @@
 type entryDigest struct {
 	born             int64
 	service, address string
-	zone             string
+	zone, software   string
 	slots            int
 	state            chestnutstream.BackendState
 	models           string
 }
 
 func digestEntry(b chestnutstream.Backend) entryDigest {
-	e := entryDigest{born: b.Born, service: b.Service, address: b.Address, zone: b.Zone, slots: b.Slots, state: b.State}
+	e := entryDigest{born: b.Born, service: b.Service, address: b.Address, zone: b.Zone, software: b.Software, slots: b.Slots, state: b.State}
 	for _, m := range b.Models {
 		e.models += fmt.Sprintf("%s@%d ", m.Name, m.Version)
 	}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -129,7 +129,7 @@
 		s.State = chestnutstream.BackendDraining
 		changes = append(changes, Change{Server: s.ID, What: "draining", RowVersion: e.RowVersion})
 	}
-	s.Models, s.Slots, s.Zone = e.Backend.Models, e.Backend.Slots, e.Backend.Zone
+	s.Models, s.Slots, s.Zone, s.Software = e.Backend.Models, e.Backend.Slots, e.Backend.Zone, e.Backend.Software
 	return changes
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -94,8 +94,7 @@
 // response or the request cannot be retried.
 func (x *exchange) attempt(a Assignment) bool {
 	start := x.server.cfg.Timer.Now()
-	x.attempts++
-	x.servers = append(x.servers, a.Server.ID)
+	x.recordSend(a)
 	x.responseBegun.Store(false)
 	br, connected, err := x.send(a, x.lastEventID(), x.waitTimeout())
 	took := x.server.cfg.Timer.Now().Sub(start)
@@ -107,6 +106,12 @@
 	return x.checkResponse(a, br, took)
 }
 
+// recordSend records that the request is sent to a server.
+func (x *exchange) recordSend(a Assignment) {
+	x.attempts++
+	x.servers, x.software = append(x.servers, a.Server.ID), append(x.software, a.Server.Software)
+}
+
 // waitTimeout returns how long a server may take to respond before a repeatable
 // request is retried on another server; 0: no timeout.
 func (x *exchange) waitTimeout() time.Duration {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -92,8 +92,7 @@
 	}
 	defer x.server.dispatcher.Release(next)
 	start := x.server.cfg.Timer.Now()
-	x.attempts++
-	x.servers = append(x.servers, next.Server.ID)
+	x.recordSend(next)
 	second, connected, err := x.send(next, "", 0)
 	took := x.server.cfg.Timer.Now().Sub(start)
 	if err != nil {
@@ -166,11 +165,17 @@
 	lastEventAt time.Time // when the newest complete event arrived
 }
 
+// takesUpStream reports whether the request continues a stream that the caller received
+// in part from an earlier request.
+func (x *exchange) takesUpStream() bool {
+	return x.header.LastEventID != "" && x.route != nil && x.route.Kind == chestnutstream.RouteStreaming
+}
+
 // lastEventID returns the id of the event after which a server is to resume, "" for
 // a request that starts at the beginning.
 func (x *exchange) lastEventID() string {
 	if x.stream == nil {
-		return x.r.Header.Get("Last-Event-Id")
+		return x.header.LastEventID
 	}
 	return x.stream.lastID
 }
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -137,7 +137,7 @@
 	h := platform.ForwardedHeader(x.r.Header)
 	platform.RequestConstraints{Server: a.Server.ID, Version: a.Version, Remaining: remaining, Priority: x.priority()}.Set(h)
 	if lastEventID != "" {
-		h.Set("Last-Event-Id", lastEventID)
+		h.Set(platform.HeaderLastEventID, lastEventID)
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // prevents net/http from adding its own
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -170,6 +170,7 @@
 	attempts          int
 	connectedAttempts int      // attempts that got a connection
 	servers           []string // that the request was sent to
+	software          []string // their software versions
 	avoid             map[string]bool
 	stall             time.Duration
 	timeToFirstByte   time.Duration // from the request to the start of the relayed response; 0: none started
@@ -380,7 +381,7 @@
 	set.GetOrCreateHistogram(`chestnutstream_routed_seconds{service="` + x.service + `"}`).Update(took.Seconds())
 	fields := log.Fields{
 		"request-id": x.header.ID, "route": route, "service": x.service, "target": x.header.Target.String(),
-		"servers": strings.Join(x.servers, ","), "sends": x.attempts, "status": x.status, "ms": took.Milliseconds(),
+		"servers": strings.Join(x.servers, ","), "software": strings.Join(x.software, ","), "sends": x.attempts, "status": x.status, "ms": took.Milliseconds(),
 		"stall-ms": x.stall.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 	}
 	if x.stream != nil {
@@ -393,6 +394,9 @@
 	if x.table != nil {
 		fields["config"] = x.table.Version
 	}
+	if x.takesUpStream() {
+		fields["resumes"], fields["after-event"] = x.header.Resumes, x.header.LastEventID
+	}
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
