ingress, edge: resume a stream only on its software version

What callers saw: one response with events from two software versions of a service (ORDER), status 200 and complete. Cause: when a stream broke off, the instance resumed it on any server of the service; the version in a server's entry was read by no decision. Fix: the version of the server that made the first event is kept with the request; after that only servers of this version are chosen, also after a wait for a load, a permit or a prefill grant. An unknown version fits none. If no server of the version is left, the stream is broken off at once.

--- a/edge/place.go
+++ b/edge/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -64,10 +65,11 @@
 	last := placeResult{retryAfter: noServerRetryAfter, reason: "no engine may take work"}
 	refused := 0 // prefill requests refused by owners: their engines have other prompts to prefill
 	for ctx.Err() == nil {
-		for id := range p.Avoid {
+		n.mu.Lock()
+		excluded := n.excludedServers(p)
+		for id := range excluded {
 			avoid[id] = true
 		}
-		n.mu.Lock()
 		version := n.fleet.Version(p.Target)
 		c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), avoid, n.loadable)
 		if c.Replica != nil {
@@ -95,8 +97,13 @@
 			continue
 		}
 		if c.Server == nil {
-			wait, ok := n.fleet.AvailableIn(n.now(), p.Service, p.Avoid)
+			wait, ok := n.fleet.AvailableIn(n.now(), p.Service, excluded)
+			unservable := p.Continues && !n.hasSoftware(p.Service, p.Software)
 			n.mu.Unlock()
+			if unservable {
+				last = placeResult{retryAfter: noServerRetryAfter, reason: fmt.Sprintf("no server of software version %q, which began the stream", p.Software)}
+				break
+			}
 			if ok && wait > p.TargetLatency {
 				n.mu.Lock()
 				last = placeResult{retryAfter: n.fleet.RecordRejection(n.now(), p.Service, wait), reason: "all engines take no more for now"}
@@ -151,7 +158,7 @@
 		return ingress.Assignment{}, placeResult{noPermit: true, retryAfter: minRetryAfter, reason: "its engine takes no more for now"}
 	}
 	s := n.fleet.Server(id)
-	if s == nil || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
+	if s == nil || !mayRun(s, p) || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
 		return ingress.Assignment{}, placeResult{retryAfter: minRetryAfter, reason: "its engine changed while it waited"}
 	}
 	return n.recordPlacement(s, p, version, n.now().Sub(start)), placeResult{ok: true}
@@ -171,10 +178,10 @@
 		return "", false
 	}
 	s := n.fleet.Server(id)
-	if c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), p.Avoid, n.loadable); c.Server != nil && c.Loaded {
+	if c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), n.excludedServers(p), n.loadable); c.Server != nil && c.Loaded {
 		s = c.Server
 	}
-	if s == nil || !s.Available(n.now()) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
+	if s == nil || !mayRun(s, p) || !s.Available(n.now()) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
 		return "", false
 	}
 	return s.ID, true
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -17,6 +17,7 @@
 	defer n.mu.Unlock()
 	for ctx.Err() == nil {
 		now := n.now()
+		p.Avoid = n.excludedServers(p)
 		s := n.fleet.PickPlain(now, p.Service, p.Avoid)
 		if s == nil && n.awaitAvailableServer(ctx, now, p) {
 			continue
@@ -28,7 +29,7 @@
 		if !n.acquirePermit(ctx, id) {
 			continue
 		}
-		if s = n.fleet.Server(id); s == nil || !s.Unpaused(n.now()) {
+		if s = n.fleet.Server(id); s == nil || !mayRun(s, p) || !s.Unpaused(n.now()) {
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -26,8 +26,9 @@
 // backend is a backend server that responds to each request with bytes that a test
 // chooses, and records the requests that it receives.
 type backend struct {
-	id string
-	l  net.Listener
+	id       string
+	software string
+	l        net.Listener
 
 	mu           sync.Mutex
 	requests     []*http.Request
@@ -135,9 +136,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, b := range d.backends {
-		if !p.Avoid[b.id] {
+		if !p.Avoid[b.id] && (!p.Continues || p.Software == b.software) {
 			d.openPlacements++
-			return Assignment{Server: chestnutstream.Backend{ID: b.id, Address: b.l.Addr().String()}}, nil
+			return Assignment{Server: chestnutstream.Backend{ID: b.id, Address: b.l.Addr().String(), Software: b.software}}, nil
 		}
 	}
 	return Assignment{}, &NoServerError{Reason: "no server left", RetryAfter: 250 * time.Millisecond}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -269,6 +269,7 @@
 		x.recordPause(a, now.Sub(s.lastEventAt))
 	}
 	s.eventSent, s.lastEventAt = true, now
+	x.recordBeginning(a)
 	_, err := x.w.Write(whole)
 	s.partial = append(s.partial[:0], s.partial[end+2:]...)
 	if err != nil {
@@ -277,6 +278,14 @@
 	return nil
 }
 
+// recordBeginning records which software version began the stream, when the caller gets
+// its first event.
+func (x *exchange) recordBeginning(a Assignment) {
+	if !x.continues {
+		x.continues, x.streamSoftware = true, a.Server.Software
+	}
+}
+
 // countEvents counts the events of a server's response, and records when it got under
 // way.
 func (x *exchange) countEvents(a Assignment, n int) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -37,6 +37,10 @@
 	Start         time.Time     // when the request arrived
 	Avoid         map[string]bool
 	Until         time.Time // the placement is useless after this time; zero: no limit besides the context
+	// Continues is set if the caller has events of the stream already. Only servers of the
+	// software version Software can go on with it, none if that is "".
+	Continues bool
+	Software  string
 }
 
 // Assignment is a backend server chosen for a request. Each Assignment must be
@@ -179,6 +183,8 @@
 	reason            string
 	responseStarted   bool // the header of a response was written to the caller
 	stream            *stream
+	continues         bool        // the caller has events of the stream
+	streamSoftware    string      // software version that began it
 	serverCrashed     bool        // the server of the latest attempt ended during it
 	suspected         bool        // this request may have crashed it
 	responseBegun     atomic.Bool // the server of the latest attempt has begun to respond
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sort"
@@ -22,6 +24,7 @@
 	Service       string
 	Zone          string
 	Address       string
+	Software      string // version of its software, named in the events of its streams; empty: "v1", not named
 	Slots         int
 	AdapterSlots  int           // 0 for a plain service
 	Model         string        // base model that an engine has loaded at the start; empty for none
@@ -31,6 +34,9 @@
 	ModelLoadTime time.Duration // load time of the base model
 }
 
+// defaultSoftware is the software version of backend servers whose settings name none.
+const defaultSoftware = "v1"
+
 // BackendFaults are the faults that a Backend injects; SetFaults replaces them
 // at run time.
 type BackendFaults struct {
@@ -217,7 +223,7 @@
 	b.mu.Lock()
 	b.heartbeats++
 	row := backendRow{
-		Service: b.cfg.Service, Address: b.cfg.Address, Zone: b.cfg.Zone, Version: "v1", Slots: b.cfg.Slots,
+		Service: b.cfg.Service, Address: b.cfg.Address, Zone: b.cfg.Zone, Version: cmp.Or(b.cfg.Software, defaultSoftware), Slots: b.cfg.Slots,
 		State: b.state, Born: b.startedMS, Sequence: b.heartbeats, Models: b.loadedModels(),
 	}
 	b.mu.Unlock()
@@ -468,6 +474,15 @@
 	b.stream(w, r, f)
 }
 
+// event returns an event of a stream.
+func (b *Backend) event(i int, model string) string {
+	text := fmt.Sprintf("piece %d of %s", i, model)
+	if b.cfg.Software != "" {
+		text += " by " + b.cfg.Software
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, text)
+}
+
 // stream writes the events of a response, starting after Last-Event-Id.
 func (b *Backend) stream(w http.ResponseWriter, r *http.Request, f BackendFaults) {
 	from := 0
@@ -490,7 +505,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, r.Header.Get("X-Chestnutstream-Model")); err != nil {
+		if _, err := io.WriteString(w, b.event(i, r.Header.Get("X-Chestnutstream-Model"))); err != nil {
 			return
 		}
 		if err := flusher.Flush(); err != nil {
