edge: a stream that a caller takes up continues on its software version

What callers saw: a stream broke off, its caller took it up by a new request (Last-Event-Id, Resumes), got 200 and a complete rest, written by servers of another software version than the beginning (ORDER). Cause: such a request was placed like a new one. Resumes was read nowhere, and no instance kept which version had begun a stream. Fix: package software. An instance records the version of each stream that it begins. While a service has servers of several versions it sends the record to three others, and asks all others for streams that it does not know, for 150 ms at most. While there has been one version only, nothing is sent. What stays unknown is refused as not run, with a Retry-After. TestStreamsTakenUpByCallersContinueOnTheirSoftwareVersion and TestStreamOfUnknownOriginIsRefusedWhileVersionsAreMixed failed before. Open: after an end of all instances the list of servers is all that is known.

--- a/edge/node.go
+++ b/edge/node.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutstream/chestnutstream/permit"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/quarantine"
+	"github.com/chestnutstream/chestnutstream/software"
 )
 
 var (
@@ -83,6 +84,11 @@
 	flights             map[*flight]struct{}
 	verdictRows         map[string]verdictRow // by key: as last read or written
 	verdictRowsAt       time.Time             // when they are compared with the verdicts next
+
+	versions     *software.Versions
+	origins      *software.Origins
+	lastOriginID uint64                 // of the newest origin request
+	originWaits  map[uint64]*originWait // by ID of the origin request
 }
 
 // adapterKey identifies an adapter on a server.
@@ -134,6 +140,7 @@
 		permits: permit.NewIssuer(cfg.Instance), permitWaiters: map[uint64]chan instance.PermitResponse{},
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{}, verdictRows: map[string]verdictRow{},
+		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -103,6 +103,7 @@
 	for _, r := range b.PermitResponses {
 		n.handlePermitResponse(r)
 	}
+	n.handleOrigins(from.Name, b)
 	verdicts := n.handleEvidence(from.Name, b)
 	sendRows := b.ConfigRequested && n.rows.config != nil
 	var cached instance.Bundle
@@ -148,6 +149,7 @@
 	}
 	n.mu.Lock()
 	changes := n.fleet.ApplyUpdates(n.now(), decodeServerEntries(b.Servers))
+	n.observeSoftware()
 	n.mu.Unlock()
 	n.logServerChanges(changes)
 	n.adoptConfig(b.Config, b.ConfigVersion, from)
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -287,31 +287,42 @@
 
 // sendPrompt is sendForVersion with the parts of a prompt.
 func sendPrompt(in *testInstance, method, path, target, parts string) (status int, body, version string, err error) {
+	headers := map[string]string{platform.HeaderModel: target}
+	if parts != "" {
+		headers[platform.HeaderPromptParts], headers[platform.HeaderTokens] = parts, "300,25"
+	}
+	status, body, header, err := sendHeaders(in, method, path, newRequestID(), headers)
+	return status, body, header.Get(platform.HeaderWeightVersions), err
+}
+
+func newRequestID() string {
 	nextID.Lock()
+	defer nextID.Unlock()
 	nextID.n++
-	id := fmt.Sprintf("r-%d", nextID.n)
-	nextID.Unlock()
+	return fmt.Sprintf("r-%d", nextID.n)
+}
+
+// sendHeaders sends a request with further headers; empty values are left out.
+func sendHeaders(in *testInstance, method, path, id string, headers map[string]string) (status int, body string, header http.Header, err error) {
 	req, err := http.NewRequest(method, "http://"+in.cfg.CallerAddress+path, strings.NewReader("x"))
 	if err != nil {
-		return 0, "", "", err
+		return 0, "", nil, err
 	}
 	req.Host = "h.example"
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, "4000")
-	if target != "" {
-		req.Header.Set(platform.HeaderModel, target)
-	}
-	if parts != "" {
-		req.Header.Set(platform.HeaderPromptParts, parts)
-		req.Header.Set(platform.HeaderTokens, "300,25")
+	for name, value := range headers {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, "", "", err
+		return 0, "", nil, err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b), resp.Header.Get(platform.HeaderWeightVersions), err
+	return resp.StatusCode, string(b), resp.Header, err
 }
 
 // fullStream is the whole stream that an engine writes for a target.
--- a/edge/software_test.go
+++ b/edge/software_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
@@ -25,13 +27,8 @@
 }
 
 func TestBrokenStreamsContinueOnTheirSoftwareVersion(t *testing.T) {
-	s := newTestSite(t, 0, 3)
-	for i := range 2 {
-		s.softwareEngine(fmt.Sprint("i-old-", i), "v1")
-		s.softwareEngine(fmt.Sprint("i-new-", i), "v2")
-	}
-	in := s.instance("edge-a")
-	s.awaitOwners(4, in)
+	s, all := mixedSite(t, 1)
+	in := all[0]
 	for _, id := range []int{2, 3} { // an engine of each version; newTestSite has started two plain servers
 		s.backends[id].SetFaults(standin.BackendFaults{BreakAfter: 2})
 	}
@@ -47,3 +44,101 @@
 	}
 	assert.Assert(t, whole >= 36, "%d whole, %d broken off", whole, broken)
 }
+
+// callerStream is a stream as its caller has received it.
+type callerStream struct {
+	target  string
+	resumes string // request that received the first event
+	events  string
+}
+
+// beginStreams begins streams that break off at their instance, and returns those that
+// have events.
+func beginStreams(in *testInstance, n int) []callerStream {
+	var out []callerStream
+	for i := range n {
+		c := callerStream{target: fmt.Sprintf("m/a%d", i%4), resumes: newRequestID()}
+		_, body, _, _ := sendHeaders(in, "POST", "/ask/1", c.resumes, map[string]string{platform.HeaderModel: c.target})
+		if c.events = body; strings.Count(body, "\n\n") > 0 && strings.Count(body, "\n\n") < 5 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// takeUp takes a stream up at an instance, and reports whether it is whole then.
+func (c *callerStream) takeUp(in *testInstance) bool {
+	status, body, _, err := sendHeaders(in, "POST", "/ask/1", newRequestID(), map[string]string{
+		platform.HeaderModel: c.target, platform.HeaderResumes: c.resumes, platform.HeaderLastEventID: fmt.Sprint(strings.Count(c.events, "\n\n") - 1),
+	})
+	if status == http.StatusOK {
+		c.events += body
+	}
+	return err == nil && status == http.StatusOK && strings.Count(c.events, "\n\n") == 5
+}
+
+// mixedSite starts two engines of each of two software versions, and instances.
+func mixedSite(t *testing.T, instances int) (*testSite, []*testInstance) {
+	s := newTestSite(t, 0, 3)
+	for i := range 2 {
+		s.softwareEngine(fmt.Sprint("i-old-", i), "v1")
+		s.softwareEngine(fmt.Sprint("i-new-", i), "v2")
+	}
+	all := s.instances(instances)
+	s.awaitOwners(4, all...)
+	return s, all
+}
+
+// breakStreams makes all engines break streams off after two events, or no longer.
+func (s *testSite) breakStreams(breaks bool) {
+	f := standin.BackendFaults{}
+	if breaks {
+		f.BreakAfter = 2
+	}
+	for _, b := range s.backends {
+		b.SetFaults(f)
+	}
+}
+
+func TestStreamsTakenUpByCallersContinueOnTheirSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		ends bool // the instance that began the streams ends before
+	}{
+		{"at another instance", false},
+		{"after the end of their instance", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, all := mixedSite(t, 3)
+			s.breakStreams(true)
+			streams := beginStreams(all[0], 12)
+			s.breakStreams(false)
+			if tt.ends {
+				all[0].Close()
+			}
+			s.awaitOwners(4, all[1], all[2])
+			whole := 0
+			for i := range streams {
+				if streams[i].takeUp(all[1+i%2]) {
+					whole++
+				}
+				assert.Assert(t, !joinsVersions(streams[i].events), "joined from two versions: %q", streams[i].events)
+			}
+			assert.Assert(t, len(streams) >= 8, "only %d streams broke off", len(streams))
+			assert.Equal(t, whole, len(streams))
+		})
+	}
+}
+
+func TestStreamOfUnknownOriginIsRefusedWhileVersionsAreMixed(t *testing.T) {
+	_, all := mixedSite(t, 2)
+	for _, resumes := range []string{"", "invented"} {
+		status, body, header, err := sendHeaders(all[0], "POST", "/ask/1", newRequestID(), map[string]string{
+			platform.HeaderModel: "m/a1", platform.HeaderResumes: resumes, platform.HeaderLastEventID: "1",
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable, body)
+		assert.Assert(t, header.Get("Retry-After") != "")
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -285,6 +285,8 @@
 		return
 	}
 	n.routes.Store(t)
+	n.versions.SetRetention(streamRetention(t))
+	n.origins.SetRetention(streamRetention(t))
 	n.rows.config, n.rows.configRowVersion = value, rowVersion
 	n.mu.Unlock()
 	n.log.WithFields(log.Fields{"version": t.Version, "row": rowVersion, "routes": t.Routes(), "from": from}).Info("configuration in force")
@@ -341,6 +343,7 @@
 	}
 	changes = append(changes, n.fleet.Tick(now)...)
 	n.handleServerChanges(changes)
+	n.observeSoftware()
 	n.mu.Unlock()
 	n.logServerChanges(changes)
 }
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -122,6 +122,7 @@
 	suspect        bool           // broken responses are suspected of having crashed their servers
 	admitted       chan Admission // receives each admission, if not nil
 	placeBlocks    bool           // Place waits until the request ends
+	origins        map[string]string
 }
 
 func (d *fakeDispatcher) Routes() *chestnutstream.RouteTable { return d.table }
@@ -183,6 +184,22 @@
 }
 func (d *fakeDispatcher) RecordRequest(string) {}
 
+func (d *fakeDispatcher) RecordOrigin(a Assignment, requestID string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.origins == nil {
+		d.origins = map[string]string{}
+	}
+	d.origins[requestID] = a.Server.Software
+}
+
+func (d *fakeDispatcher) FindOrigin(_ context.Context, _, requestID string) (software string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	software, ok = d.origins[requestID]
+	return software, ok
+}
+
 func (d *fakeDispatcher) Draining() (Drain, bool) { return d.drain, d.drain != Drain{} }
 
 // testServer is an ingress server in front of backends, with a route of each kind.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -116,6 +116,9 @@
 		return true
 	}
 	x.server.dispatcher.RecordResult(next, x.header.Target, r)
+	if x.route.Kind == chestnutstream.RouteStreaming {
+		x.recordBeginning(next)
+	}
 	x.writeResponse(second.resp, secondBody)
 	return true
 }
@@ -281,8 +284,12 @@
 // recordBeginning records which software version began the stream, when the caller gets
 // its first event.
 func (x *exchange) recordBeginning(a Assignment) {
-	if !x.continues {
-		x.continues, x.streamSoftware = true, a.Server.Software
+	if x.continues {
+		return
+	}
+	x.continues, x.streamSoftware = true, a.Server.Software
+	if x.route.Resumable {
+		x.server.dispatcher.RecordOrigin(a, x.header.ID)
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -134,6 +134,12 @@
 	CanRetry(service string, avoid map[string]bool) bool
 	// RecordRequest records a request to a service, which adds to its retry budget.
 	RecordRequest(service string)
+	// RecordOrigin records that a server sent the first event of a stream to a request
+	// that its caller may name when it takes the stream up.
+	RecordOrigin(a Assignment, requestID string)
+	// FindOrigin returns the software version that began a stream whose first event a
+	// request received; ok is false if it cannot be found out.
+	FindOrigin(ctx context.Context, service, requestID string) (software string, ok bool)
 	// Draining returns the drain of this instance, if one is in progress.
 	Draining() (d Drain, ok bool)
 }
@@ -205,9 +211,12 @@
 	retryAfterDefault  = 150 * time.Millisecond // the cause is expected to be short; nothing more is known
 	configWaitTimeout  = 400 * time.Millisecond // wait for the first configuration after a start
 	retryAfterNoConfig = 400 * time.Millisecond
-	retryAfterJitter   = 0.25                 // relative jitter, so that requests rejected together are not retried together
-	maxResponseTime    = 10 * time.Minute     // if neither the caller nor the route sets a limit: a server that sends a byte now and then would otherwise hold the request forever
-	deadlineMargin     = 4 * time.Millisecond // before the request's time limit, so that the response arrives in time
+	// retryAfterUnknownOrigin is the Retry-After for a caller whose stream was begun by an
+	// unknown software version. An instance that cannot be reached now may know it.
+	retryAfterUnknownOrigin = time.Second
+	retryAfterJitter        = 0.25                 // relative jitter, so that requests rejected together are not retried together
+	maxResponseTime         = 10 * time.Minute     // if neither the caller nor the route sets a limit: a server that sends a byte now and then would otherwise hold the request forever
+	deadlineMargin          = 4 * time.Millisecond // before the request's time limit, so that the response arrives in time
 )
 
 // ServeHTTP implements http.Handler.
@@ -232,9 +241,34 @@
 		return
 	}
 	defer release()
+	if !x.findOrigin() {
+		return
+	}
 	x.run()
 }
 
+// findOrigin finds out which software version can go on with a stream that the caller
+// takes up. It returns false if it has rejected the request, as that is unknown.
+func (x *exchange) findOrigin() bool {
+	if !x.takesUpStream() {
+		return true
+	}
+	software, ok := x.server.dispatcher.FindOrigin(x.ctx, x.service, x.header.Resumes)
+	x.continues, x.streamSoftware = true, software
+	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_stream_take_ups_total{origin="` + originLabel(ok) + `"}`).Inc()
+	if !ok {
+		x.reject(retryAfterUnknownOrigin, "the software version that began the stream is unknown")
+	}
+	return ok
+}
+
+func originLabel(ok bool) string {
+	if ok {
+		return "found"
+	}
+	return "unknown"
+}
+
 func (x *exchange) admission() Admission {
 	return Admission{
 		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, PartIDs: x.header.PartIDs,
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/software"
 )
 
 // wireBundle is the CBOR form of a Bundle. Its keys are part of the protocol.
@@ -37,6 +38,9 @@
 	PermitResponses  []wirePermitResponse  `cbor:"25,keyasint,omitempty"`
 	Evidence         []wireTraitEvidence   `cbor:"26,keyasint,omitempty"`
 	EvidenceReplies  []wireTraitEvidence   `cbor:"27,keyasint,omitempty"`
+	StreamOrigins    []wireStreamOrigin    `cbor:"28,keyasint,omitempty"`
+	OriginRequests   []wireOriginRequest   `cbor:"29,keyasint,omitempty"`
+	OriginResponses  []wireOriginResponse  `cbor:"30,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -118,6 +122,25 @@
 	Companions []string
 }
 
+type wireStreamOrigin struct {
+	_        struct{} `cbor:",toarray"`
+	Stream   uint64
+	Software string
+}
+
+type wireOriginRequest struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Stream uint64
+}
+
+type wireOriginResponse struct {
+	_        struct{} `cbor:",toarray"`
+	ID       uint64
+	Known    bool
+	Software string
+}
+
 type wirePrefill struct {
 	_      struct{} `cbor:",toarray"`
 	Server string
@@ -223,6 +246,15 @@
 	for _, r := range b.PrefillResponses {
 		w.PrefillResponses = append(w.PrefillResponses, wirePrefillResponse{Server: r.Server, ID: r.ID, State: string(r.State), WaitMS: r.WaitMS})
 	}
+	for _, x := range b.StreamOrigins {
+		w.StreamOrigins = append(w.StreamOrigins, wireStreamOrigin{Stream: uint64(x.Stream), Software: x.Software})
+	}
+	for _, x := range b.OriginRequests {
+		w.OriginRequests = append(w.OriginRequests, wireOriginRequest{ID: x.ID, Stream: uint64(x.Stream)})
+	}
+	for _, x := range b.OriginResponses {
+		w.OriginResponses = append(w.OriginResponses, wireOriginResponse{ID: x.ID, Known: x.Known, Software: x.Software})
+	}
 	frame, err := cbor.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode bundle: %w", err)
@@ -286,6 +318,15 @@
 		}
 		b.TableUpdates = append(b.TableUpdates, u)
 	}
+	for _, x := range w.StreamOrigins {
+		b.StreamOrigins = append(b.StreamOrigins, software.Origin{Stream: software.StreamKey(x.Stream), Software: x.Software})
+	}
+	for _, x := range w.OriginRequests {
+		b.OriginRequests = append(b.OriginRequests, OriginRequest{ID: x.ID, Stream: software.StreamKey(x.Stream)})
+	}
+	for _, x := range w.OriginResponses {
+		b.OriginResponses = append(b.OriginResponses, OriginResponse{ID: x.ID, Known: x.Known, Software: x.Software})
+	}
 	return b, nil
 }
 
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -18,7 +18,10 @@
 // is dialled again.
 package instance
 
-import "github.com/chestnutstream/chestnutstream"
+import (
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/software"
+)
 
 // Path is the HTTP path of the protocol.
 const Path = "/instance"
@@ -56,6 +59,9 @@
 	PermitResponses  []PermitResponse          // responses to PermitRequests
 	Evidence         []TraitEvidence           // evidence against parts of prompts
 	EvidenceReplies  []TraitEvidence           // what the receiver's Evidence lacked
+	StreamOrigins    []software.Origin         // which software versions began streams
+	OriginRequests   []OriginRequest           // requests for the origins of streams
+	OriginResponses  []OriginResponse          // responses to OriginRequests
 	TableUpdates     []TableUpdate             // table changes that the sender has read for its availability zone
 }
 
@@ -147,6 +153,19 @@
 	Companions []string // IDs of the unknown parts in the same prompts
 }
 
+// OriginRequest requests the software version that began a stream.
+type OriginRequest struct {
+	ID     uint64 // chosen by the sender
+	Stream software.StreamKey
+}
+
+// OriginResponse is the response to an OriginRequest.
+type OriginResponse struct {
+	ID       uint64
+	Known    bool
+	Software string
+}
+
 // Prefill is a large prompt that an engine has to prefill.
 type Prefill struct {
 	Server string
@@ -196,5 +215,6 @@
 func (b *Bundle) empty() bool {
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
-		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0
+		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
+		len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
 }
--- a/route.go
+++ b/route.go
@@ -114,6 +114,9 @@
 	Limits   ClientLimits
 	byHost   map[string][]*Route      // longest prefix first
 	minGaps  map[string]time.Duration // smallest TargetGap, by service
+	// MaxStreamTime is the longest Timeout of a route with streams that can be resumed, and
+	// 0 if one of them has none.
+	MaxStreamTime time.Duration
 }
 
 // NewRouteTable returns a table of the routes, indexed by host and prefix.
@@ -123,7 +126,12 @@
 		t.Services[s.Name] = s
 	}
 	t.minGaps = map[string]time.Duration{}
+	unlimited := false
 	for _, r := range routes {
+		if r.Kind == RouteStreaming && r.Resumable {
+			t.MaxStreamTime = max(t.MaxStreamTime, r.Timeout)
+			unlimited = unlimited || r.Timeout == 0
+		}
 		for _, target := range r.Targets {
 			if gap, ok := t.minGaps[target.Service]; r.TargetGap > 0 && (!ok || r.TargetGap < gap) {
 				t.minGaps[target.Service] = r.TargetGap
@@ -132,6 +140,9 @@
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
+	if unlimited {
+		t.MaxStreamTime = 0
+	}
 	for _, hostRoutes := range t.byHost {
 		sort.SliceStable(hostRoutes, func(i, j int) bool { return len(hostRoutes[i].Prefix) > len(hostRoutes[j].Prefix) })
 	}
