edge: keep the software versions and the origins of streams in the store

Cause: nothing that lasts named the versions of a service or the streams that they began; the list of servers shows one version alone once the last server of the other has left. Fix: a row for each service lists the versions that may have begun streams. It is written before the first resumable stream begins on a version, and a version is removed when none of its servers was listed for the time in which streams end. An origin is recorded when the request is sent, so that it is kept before the first event. TestStreamsTakenUpAfterTheEndOfAllInstances failed before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -53,6 +53,8 @@
 	n.requestConfig(now)
 	verdicts := n.updateQuarantine(now)
 	n.updateVerdictRows(now)
+	n.updateSoftwareRows(now, boot)
+	n.updateOriginRows(now)
 	leaseActions := n.leases.Step(boot, n.engines())
 	n.syncLoaders(boot)
 	wait := maxControlInterval
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -75,6 +75,7 @@
 		go n.watch(w)
 	}
 	go n.control()
+	go n.loadOrigins()
 	for _, seed := range cfg.Seeds {
 		if seed != cfg.PeerAddress {
 			n.mesh.Add(instance.Member{Name: instance.SeedName(seed), Address: seed})
--- a/edge/node.go
+++ b/edge/node.go
@@ -85,10 +85,12 @@
 	verdictRows         map[string]verdictRow // by key: as last read or written
 	verdictRowsAt       time.Time             // when they are compared with the verdicts next
 
-	versions     *software.Versions
-	origins      *software.Origins
-	lastOriginID uint64                 // of the newest origin request
-	originWaits  map[uint64]*originWait // by ID of the origin request
+	versions       *software.Versions
+	softwareRowsAt time.Time // when they are compared with the versions next
+	origins        *software.Origins
+	lastOriginID   uint64                 // of the newest origin request
+	originWaits    map[uint64]*originWait // by ID of the origin request
+	originStore    originStore
 }
 
 // adapterKey identifies an adapter on a server.
@@ -141,6 +143,7 @@
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{}, verdictRows: map[string]verdictRow{},
 		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
+		originStore: originStore{loaded: make(chan struct{})},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -23,6 +23,7 @@
 		b.EngineLoads = append(b.EngineLoads, instance.EngineLoad{Server: id, Requests: requests})
 	}
 	n.addBackpressure(&b)
+	b.SoftwareRows = n.knownSoftwareRows()
 	b.Evidence = evidenceMessages(n.now(), n.quarantine.Evidence(maxFirstEvidence))
 	n.log.WithField("peer", to.Name).Info("peer linked")
 	return b
@@ -113,6 +114,7 @@
 	n.mu.Unlock()
 	n.logBackpressure(changes, from.Name)
 	n.logVerdicts(verdicts)
+	n.applySoftwareRows(b.SoftwareRows)
 	for _, u := range b.TableUpdates {
 		n.handleUpdate(u)
 	}
--- a/edge/place.go
+++ b/edge/place.go
@@ -158,7 +158,7 @@
 		return ingress.Assignment{}, placeResult{noPermit: true, retryAfter: minRetryAfter, reason: "its engine takes no more for now"}
 	}
 	s := n.fleet.Server(id)
-	if s == nil || !mayRun(s, p) || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
+	if s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
 		return ingress.Assignment{}, placeResult{retryAfter: minRetryAfter, reason: "its engine changed while it waited"}
 	}
 	return n.recordPlacement(s, p, version, n.now().Sub(start)), placeResult{ok: true}
@@ -181,7 +181,7 @@
 	if c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), n.excludedServers(p), n.loadable); c.Server != nil && c.Loaded {
 		s = c.Server
 	}
-	if s == nil || !mayRun(s, p) || !s.Available(n.now()) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
+	if s == nil || !n.mayRun(s, p) || !s.Available(n.now()) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
 		return "", false
 	}
 	return s.ID, true
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -29,7 +29,7 @@
 		if !n.acquirePermit(ctx, id) {
 			continue
 		}
-		if s = n.fleet.Server(id); s == nil || !mayRun(s, p) || !s.Unpaused(n.now()) {
+		if s = n.fleet.Server(id); s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) {
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -92,14 +91,7 @@
 // probeSlot returns this instance's position in the order in which the connected
 // instances may probe a trait. Callers hold mu.
 func (n *Node) probeSlot(trait quarantine.Trait) int {
-	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + trait.Service + "\x00" + trait.ID) }
-	own, slot := rank(n.cfg.Instance), 0
-	for _, name := range n.permitView().Candidates {
-		if name != n.cfg.Instance && rank(name) > own {
-			slot++
-		}
-	}
-	return slot
+	return n.instanceSlot(trait.Service + "\x00" + trait.ID)
 }
 
 // RecordSurvival implements ingress.Dispatcher.
--- a/edge/software_test.go
+++ b/edge/software_test.go
@@ -13,9 +13,9 @@
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
-// softwareEngine starts an engine of a software version.
+// softwareEngine starts an engine of a software version, whose entry can be removed.
 func (s *testSite) softwareEngine(id, software string) *standin.Backend {
-	return s.backend(standin.BackendSettings{
+	return s.backendWithoutHeartbeat(standin.BackendSettings{
 		ID: id, Service: "assistant", Slots: 16, AdapterSlots: 4, Model: "m", Software: software,
 		ServiceTime: 20 * time.Millisecond, Events: 5, LoadTime: 50 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
 	})
@@ -142,3 +142,51 @@
 		assert.Assert(t, header.Get("Retry-After") != "")
 	}
 }
+
+// All instances end and start again: only the store tells which version began a stream.
+func TestStreamsTakenUpAfterTheEndOfAllInstances(t *testing.T) {
+	tests := []struct {
+		name    string
+		oldGone bool // the servers of the old version have left by then
+	}{
+		{"with servers of both versions", false},
+		{"when one version is left", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, all := mixedSite(t, 2)
+			s.breakStreams(true)
+			streams := beginStreams(all[0], 16)
+			assert.Assert(t, len(streams) >= 8, "only %d streams broke off", len(streams))
+			time.Sleep(2 * originWriteInterval)
+			s.breakStreams(false)
+			for _, in := range all {
+				in.Close()
+			}
+			if tt.oldGone {
+				s.store.Remove(platform.TableServers, "i-old-0")
+				s.store.Remove(platform.TableServers, "i-old-1")
+			}
+			again := []*testInstance{s.instance("edge-a"), s.instance("edge-b")}
+			if tt.oldGone {
+				s.awaitOwners(2, again...)
+			} else {
+				s.awaitOwners(4, again...)
+			}
+			whole, joined := 0, 0
+			for i := range streams {
+				old := strings.Contains(streams[i].events, " by v1")
+				if streams[i].takeUp(again[i%2]) {
+					whole++
+				} else if !old || !tt.oldGone {
+					t.Errorf("not whole: %q", streams[i].events)
+				}
+				if joinsVersions(streams[i].events) {
+					joined++
+				}
+			}
+			assert.Equal(t, joined, 0)
+			assert.Assert(t, whole > 0)
+		})
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -401,6 +401,7 @@
 		n.mesh.Add(instance.Member{Name: h.Name, Address: h.Address, Zone: h.Zone})
 	}
 	n.applyVerdictRows(rows, snapshot)
+	n.applySoftwareRows(rows)
 }
 
 // neighbours returns the instances that this one exchanges messages with, and the
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -65,6 +65,7 @@
 		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Prompt: x.header.Prompt,
 		TargetLatency: x.route.TargetLatency, Priority: x.route.Priority, Start: x.start, Avoid: x.avoid, Until: until,
 		Continues: x.continues, Software: x.streamSoftware,
+		Resumable: x.resumable(),
 	}
 }
 
@@ -107,10 +108,19 @@
 	return x.checkResponse(a, br, took)
 }
 
-// recordSend records that the request is sent to a server.
+// recordSend records that the request is sent to a server. The origin of a stream is
+// recorded now, so that it has reached other instances and the store by the first event.
 func (x *exchange) recordSend(a Assignment) {
 	x.attempts++
 	x.servers, x.software = append(x.servers, a.Server.ID), append(x.software, a.Server.Software)
+	if x.resumable() && !x.continues {
+		x.server.dispatcher.RecordOrigin(a, x.header.ID)
+	}
+}
+
+// resumable reports whether the request is for a stream that the caller may take up.
+func (x *exchange) resumable() bool {
+	return x.route.Kind == chestnutstream.RouteStreaming && x.route.Resumable
 }
 
 // waitTimeout returns how long a server may take to respond before a repeatable
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -116,9 +116,6 @@
 		return true
 	}
 	x.server.dispatcher.RecordResult(next, x.header.Target, r)
-	if x.route.Kind == chestnutstream.RouteStreaming {
-		x.recordBeginning(next)
-	}
 	x.writeResponse(second.resp, secondBody)
 	return true
 }
@@ -284,12 +281,8 @@
 // recordBeginning records which software version began the stream, when the caller gets
 // its first event.
 func (x *exchange) recordBeginning(a Assignment) {
-	if x.continues {
-		return
-	}
-	x.continues, x.streamSoftware = true, a.Server.Software
-	if x.route.Resumable {
-		x.server.dispatcher.RecordOrigin(a, x.header.ID)
+	if !x.continues {
+		x.continues, x.streamSoftware = true, a.Server.Software
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -41,6 +41,8 @@
 	// software version Software can go on with it, none if that is "".
 	Continues bool
 	Software  string
+	// Resumable is set for a stream that the caller may take up by another request.
+	Resumable bool
 }
 
 // Assignment is a backend server chosen for a request. Each Assignment must be
@@ -134,8 +136,8 @@
 	CanRetry(service string, avoid map[string]bool) bool
 	// RecordRequest records a request to a service, which adds to its retry budget.
 	RecordRequest(service string)
-	// RecordOrigin records that a server sent the first event of a stream to a request
-	// that its caller may name when it takes the stream up.
+	// RecordOrigin records that a request, which its caller may name when it takes the
+	// stream up, is sent to a server that may send the first event.
 	RecordOrigin(a Assignment, requestID string)
 	// FindOrigin returns the software version that began a stream whose first event a
 	// request received; ok is false if it cannot be found out.
@@ -212,8 +214,8 @@
 	configWaitTimeout  = 400 * time.Millisecond // wait for the first configuration after a start
 	retryAfterNoConfig = 400 * time.Millisecond
 	// retryAfterUnknownOrigin is the Retry-After for a caller whose stream was begun by an
-	// unknown software version. An instance that cannot be reached now may know it.
-	retryAfterUnknownOrigin = time.Second
+	// unknown software version: only an instance that cannot be reached now may know it.
+	retryAfterUnknownOrigin = 5 * time.Second
 	retryAfterJitter        = 0.25                 // relative jitter, so that requests rejected together are not retried together
 	maxResponseTime         = 10 * time.Minute     // if neither the caller nor the route sets a limit: a server that sends a byte now and then would otherwise hold the request forever
 	deadlineMargin          = 4 * time.Millisecond // before the request's time limit, so that the response arrives in time
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -41,6 +41,7 @@
 	StreamOrigins    []wireStreamOrigin    `cbor:"28,keyasint,omitempty"`
 	OriginRequests   []wireOriginRequest   `cbor:"29,keyasint,omitempty"`
 	OriginResponses  []wireOriginResponse  `cbor:"30,keyasint,omitempty"`
+	SoftwareRows     []wireTableRow        `cbor:"31,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -197,7 +198,7 @@
 		Name: b.From.Name, Address: b.From.Address, Zone: b.From.Zone, Incarnation: b.Incarnation,
 		HasOwned: b.HasOwned, Owned: b.Owned, Draining: b.Draining, ConfigRequested: b.ConfigRequested,
 		Config: b.Config, ConfigVersion: b.ConfigVersion, PacedServices: b.PacedServices,
-		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions),
+		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
 	}
 	for _, x := range b.LoadRequests {
@@ -272,7 +273,7 @@
 		From: Member{Name: w.Name, Address: w.Address, Zone: w.Zone}, Incarnation: w.Incarnation,
 		HasOwned: w.HasOwned, Owned: w.Owned, Draining: w.Draining, ConfigRequested: w.ConfigRequested,
 		Config: w.Config, ConfigVersion: w.ConfigVersion, PacedServices: w.PacedServices,
-		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions),
+		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
 	}
 	for _, x := range w.LoadRequests {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -33,10 +33,11 @@
 		Crashes: []TraitCrash{{Server: "i-1", Born: 12, AgeMS: 30, Weight: 0.4, Companions: []string{"b2"}}},
 	}},
 	EvidenceReplies: []TraitEvidence{{Service: "s", ID: "a1", SurvivedAgeMS: 5, ProbedAgeMS: -1}},
+	SoftwareRows:    []chestnutstream.TableRow{{Key: "software/s", Value: []byte("{}"), Version: 6}},
 	StreamOrigins:   []software.Origin{{Stream: 7, Software: "v1"}}, OriginRequests: []OriginRequest{{ID: 4, Stream: 7}}, OriginResponses: []OriginResponse{{ID: 4, Known: true, Software: "v1"}},
-	Prefills:        []Prefill{{Server: "i-1", Tokens: 9000}},
-	TableUpdates:    []TableUpdate{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
-	Servers:         []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
+	Prefills:     []Prefill{{Server: "i-1", Tokens: 9000}},
+	TableUpdates: []TableUpdate{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
+	Servers:      []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
 }
 
 func TestBundleRoundTrip(t *testing.T) {
--- a/software/doc.go
+++ b/software/doc.go
@@ -11,6 +11,8 @@
 //
 //	v := software.NewVersions(retention)
 //	v.Observe(now, listed)                       // the list of servers has been read
+//	v.ApplyRow(row)                              // a row has been read from the store
+//	for _, row := range v.Changes(now, slot) {}  // rows to write
 //	version, ok := v.Sole(now, service)          // no other version can have begun a stream
 //
 // # Two sources
@@ -19,4 +21,13 @@
 // that other instances have sent it. It is lost with the process. Versions records which
 // versions have served at all: while there is only one, it has begun every stream, also
 // those that no instance remembers.
+//
+// # Invariants
+//
+// The versions of a service are kept in a row of the platform's store, since the list of
+// servers shows one version alone as soon as the other's last server has left. A version
+// is added before its first stream begins. It is removed when an instance has seen none
+// of its servers for the retention time, in which each of its streams has ended; no time
+// is kept in the row, so an instance that has just started begins to wait anew. Rows are
+// written under the condition that they have not changed.
 package software
--- a/software/origins.go
+++ b/software/origins.go
@@ -38,13 +38,10 @@
 	return &Origins{retention: retention, newer: map[StreamKey]string{}, older: map[StreamKey]string{}}
 }
 
-// Record records which version began a stream. It keeps what it has recorded of the
-// stream before.
+// Record records which version began a stream, in place of what was recorded before: until
+// its first event, a request may be sent to several servers.
 func (o *Origins) Record(now time.Duration, origin Origin) {
 	o.rotate(now)
-	if _, ok := o.Find(now, origin.Stream); ok {
-		return
-	}
 	if len(o.newer) >= maxOriginsPerGeneration {
 		o.older, o.newer, o.since = o.newer, map[StreamKey]string{}, now
 	}
--- a/software/origins_test.go
+++ b/software/origins_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// A stream is found, with the version that was recorded first, for at least the
+// A stream is found, with the version that was recorded last, for at least the
 // retention time, and forgotten after twice that.
 func TestOriginsAreKeptForTheRetentionTime(t *testing.T) {
 	const retention = 10 * time.Second
@@ -31,7 +31,7 @@
 			case ok && (!known || age > 2*retention):
 				rt.Fatalf("stream %d still found", stream)
 			}
-			if !ok {
+			if rapid.Bool().Draw(rt, "record") {
 				v := rapid.SampledFrom([]string{"v1", "v2"}).Draw(rt, "version")
 				o.Record(now, Origin{stream, v})
 				recorded[stream] = record{now, v}
--- /dev/null
+++ b/software/row_test.go
@@ -0,0 +1,33 @@
+package software
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+func TestRowsRoundTrip(t *testing.T) {
+	value, err := EncodeRow(Row{Service: "s", Versions: []string{"v1", "v2"}})
+	assert.NilError(t, err)
+	row, err := DecodeRow(chestnutstream.TableRow{Key: RowKey("s"), Value: value, Version: 7})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, row, Row{Service: "s", Versions: []string{"v1", "v2"}, Revision: 7})
+	value, err = EncodeOrigins(map[StreamKey]string{1 << 63: "v2", 5: "v1"})
+	assert.NilError(t, err)
+	origins, err := DecodeOrigins(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, origins, []Origin{{5, "v1"}, {1 << 63, "v2"}})
+}
+
+func TestMalformedRowsAreRejected(t *testing.T) {
+	for _, value := range []string{"", "null", "{}", `{"service":"other","versions":["v1"]}`, `{"service":"s","versions":[]}`, `{"service":"s","versions":"v1"}`} {
+		_, err := DecodeRow(chestnutstream.TableRow{Key: RowKey("s"), Value: []byte(value), Version: 1})
+		assert.Assert(t, err != nil, "%s", value)
+	}
+	for _, value := range []string{"", "[]", `{"v1":"5"}`, `{"v1":["x"]}`, `{"v1":["10000000000000000"]}`} {
+		_, err := DecodeOrigins([]byte(value))
+		assert.Assert(t, err != nil, "%s", value)
+	}
+}
--- a/software/versions.go
+++ b/software/versions.go
@@ -1,10 +1,19 @@
 package software
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
+// maxObservationGap is the longest time between two observations of the list of servers
+// in between which a version counts as absent throughout.
+const maxObservationGap = 5 * time.Second
+
+// writeStagger is the time after which the next instance in order writes a row that the
+// instance before it should have written.
+const writeStagger = 300 * time.Millisecond
+
 // Versions records which software versions of each service may have begun streams that
 // callers can still take up. Times are readings of the boot clock.
 type Versions struct {
@@ -13,7 +22,12 @@
 }
 
 type serviceVersions struct {
-	seenAt map[string]time.Duration // by version: when a server of it was last listed
+	row         Row                      // as last read or written
+	listed      map[string]bool          // versions of the listed servers
+	seenAt      map[string]time.Duration // by version: when a server of it was last listed
+	absentSince map[string]time.Duration // by version of the row that no listed server has
+	observedAt  time.Duration
+	changeSince time.Duration // since when the row is to be changed; 0: it is not
 }
 
 // NewVersions returns an empty record. A version counts for the retention time after its
@@ -28,7 +42,7 @@
 func (v *Versions) service(name string) *serviceVersions {
 	s := v.services[name]
 	if s == nil {
-		s = &serviceVersions{seenAt: map[string]time.Duration{}}
+		s = &serviceVersions{listed: map[string]bool{}, seenAt: map[string]time.Duration{}, absentSince: map[string]time.Duration{}}
 		v.services[name] = s
 	}
 	return s
@@ -36,41 +50,140 @@
 
 // Observe records the versions of the listed servers, by service.
 func (v *Versions) Observe(now time.Duration, listed map[string]map[string]bool) {
-	for name, versions := range listed {
-		s := v.service(name)
-		for version := range versions {
-			s.seenAt[version] = now
+	for name := range listed {
+		v.service(name)
+	}
+	for name, s := range v.services {
+		s.observe(now, v.retention, listed[name])
+	}
+}
+
+func (s *serviceVersions) observe(now, retention time.Duration, listed map[string]bool) {
+	if now-s.observedAt > maxObservationGap {
+		clear(s.absentSince)
+	}
+	s.observedAt, s.listed = now, listed
+	for version := range listed {
+		s.seenAt[version] = now
+		delete(s.absentSince, version)
+	}
+	for _, version := range s.row.Versions {
+		if _, ok := s.absentSince[version]; !ok && !listed[version] {
+			s.absentSince[version] = now
 		}
 	}
+	maps.DeleteFunc(s.seenAt, func(_ string, at time.Duration) bool { return now-at > retention })
+}
+
+// ApplyRow records a row as it was read or written. Older ones are ignored.
+func (v *Versions) ApplyRow(r Row) {
+	if s := v.service(r.Service); r.Revision > s.row.Revision {
+		s.row, s.changeSince = r, 0
+	}
+}
+
+// Rows returns the known rows, in the order of their services.
+func (v *Versions) Rows() []Row {
+	var out []Row
+	for _, name := range slices.Sorted(maps.Keys(v.services)) {
+		if r := v.services[name].row; r.Revision > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// KnownRows reports whether a row is known, and whether one of them has several versions.
+func (v *Versions) KnownRows() (known, several bool) {
 	for _, s := range v.services {
-		for version, at := range s.seenAt {
-			if now-at > v.retention {
-				delete(s.seenAt, version)
-			}
+		known = known || s.row.Revision > 0
+		several = several || len(s.row.Versions) > 1
+	}
+	return known, several
+}
+
+// Registered reports whether a version is in the row of its service. A resumable stream
+// begins on registered versions only: after an end of all instances, the row alone tells
+// which versions may have begun it.
+func (v *Versions) Registered(service, version string) bool {
+	s := v.services[service]
+	return s != nil && slices.Contains(s.row.Versions, version)
+}
+
+// AllRegistered reports whether the versions of all listed servers are registered.
+func (v *Versions) AllRegistered(service string) bool {
+	s := v.services[service]
+	if s == nil {
+		return false
+	}
+	for version := range s.listed {
+		if !slices.Contains(s.row.Versions, version) {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes returns the rows to be written, each to be applied if the row still has its
+// Revision. Versions are added once they are listed, and removed when none of their
+// servers has been listed for the retention time. slot returns the position of this
+// instance in the order in which the instances write a service's row.
+func (v *Versions) Changes(now time.Duration, slot func(service string) int) []Row {
+	var out []Row
+	for _, name := range slices.Sorted(maps.Keys(v.services)) {
+		s := v.services[name]
+		versions := s.wanted(now, v.retention)
+		if slices.Equal(versions, s.row.Versions) {
+			s.changeSince = 0
+			continue
+		}
+		if s.changeSince == 0 {
+			s.changeSince = now
+		}
+		if now-s.changeSince >= time.Duration(slot(name))*writeStagger {
+			out = append(out, Row{Service: name, Versions: versions, Revision: s.row.Revision})
+		}
+	}
+	return out
+}
+
+// wanted returns the versions that the row is to have, in order: those that it has, while
+// no server is listed.
+func (s *serviceVersions) wanted(now, retention time.Duration) []string {
+	if len(s.listed) == 0 {
+		return s.row.Versions
+	}
+	versions := maps.Clone(s.listed)
+	for _, version := range s.row.Versions {
+		if since, absent := s.absentSince[version]; !absent || now-since <= retention {
+			versions[version] = true
 		}
 	}
+	return slices.Sorted(maps.Keys(versions))
 }
 
-// possible returns the versions that may have begun streams, in order.
-func (s *serviceVersions) possible(now, retention time.Duration) []string {
-	var out []string
+// possible returns the versions that may have begun streams.
+func (s *serviceVersions) possible(now, retention time.Duration) map[string]bool {
+	out := map[string]bool{}
+	for _, version := range s.row.Versions {
+		out[version] = true
+	}
 	for version, at := range s.seenAt {
 		if now-at <= retention {
-			out = append(out, version)
+			out[version] = true
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
 // Sole returns the version that has begun every stream of a service that callers may
-// still take up; ok is false if there may be several, or if it is unknown.
+// still take up; ok is false if there may be several, or while the row is not known.
 func (v *Versions) Sole(now time.Duration, service string) (version string, ok bool) {
 	s := v.services[service]
-	if s == nil {
+	if s == nil || s.row.Revision == 0 {
 		return "", false
 	}
-	possible := s.possible(now, v.retention)
+	possible := slices.Collect(maps.Keys(s.possible(now, v.retention)))
 	if len(possible) != 1 || possible[0] == "" {
 		return "", false
 	}
