ingress: resume streams that have run for long

What callers saw: a stream that broke off more than two to three seconds after its request was never resumed by the instance, but aborted (502), with servers free. Cause: the time until which a placement is useful counted from the start of the request, also for a stream whose caller has got events since; the deadline had passed before the first attempt to place it. Fix: it counts from the latest event, as the caller's patience does. TestLongStreamIsResumed failed before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -85,7 +85,11 @@
 		return x.deadline
 	}
 	abandoned := max(minAbandonTime, abandonLatencyTargets*x.route.TargetLatency, abandonEventGaps*x.route.TargetGap)
-	until := x.start.Add(abandoned - firstEventTime)
+	waitsSince := x.start
+	if x.stream != nil && x.stream.eventSent {
+		waitsSince = x.stream.lastEventAt
+	}
+	until := waitsSince.Add(abandoned - firstEventTime)
 	if x.deadline.Before(until) {
 		return x.deadline.Add(-firstEventTime)
 	}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -136,6 +136,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !p.Until.IsZero() && time.Now().After(p.Until) {
+		return Assignment{}, &NoServerError{Reason: "too late"}
+	}
 	for _, b := range d.backends {
 		if !p.Avoid[b.id] && (!p.Continues || p.Software == b.software) {
 			d.openPlacements++
--- a/ingress/software_test.go
+++ b/ingress/software_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,21 @@
 	return b
 }
 
+func TestLongStreamIsResumed(t *testing.T) {
+	breaks := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+		writeStreamHeader(c, r)
+		for i := range 4 {
+			writeEvents(c, i, i+1)
+			time.Sleep(minAbandonTime / 4)
+		}
+		return false
+	})
+	f := newTestServer(t, breaks, newStreamBackend(t, "i-2", "", 0))
+	_, body, err := f.send(t, "POST", "/ask/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(body, "\n\n"), 6)
+}
+
 func TestStreamIsNotResumedOnAnotherSoftwareVersion(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/software/simulation_test.go
+++ b/software/simulation_test.go
@@ -142,7 +142,7 @@
 					s.start(i)
 				}
 			},
-			"": func(rt *rapid.T) {},
+			"": func(*rapid.T) {},
 		})
 		for i := range s.instances {
 			s.takeUp(i)
