--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,7 @@
 	route             string
 	adapter           string
 	parts             string // of the prompt
+	headers           map[string]string
 	sentAt            time.Time
 	status            int
 	signed            bool
@@ -62,7 +63,9 @@
 				if rng.IntN(versionedRouteInterval) == 0 {
 					request = r.requestVersionedRoute
 				}
-				r.checkResult(request(client, rng, fmt.Sprintf("c%d-%d-%d", seed, c, n)))
+				res := request(client, rng, fmt.Sprintf("c%d-%d-%d", seed, c, n))
+				r.checkResult(res)
+				r.takeUp(client, rng, res)
 				time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 			}
 		}()
@@ -121,6 +124,9 @@
 		req.Header.Set(platform.HeaderModel, "m/"+res.adapter)
 		req.Header.Set(platform.HeaderPromptParts, res.parts)
 	}
+	for name, value := range res.headers {
+		req.Header.Set(name, value)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		res.err = err
@@ -141,7 +147,7 @@
 		switch {
 		case !res.signed:
 			r.reportViolation("%s: response without a server's signature", res.id)
-		case res.adapter != "" && res.body != expectedStream(res.adapter):
+		case res.adapter != "" && (!beginsExpectedStream(res.body, res.adapter) || strings.Count(res.body, "\n\n") != eventsPerStream):
 			r.reportViolation("%s: response body is not the whole stream of %s: %.200q", res.id, res.adapter, res.body)
 		case res.adapter != "" && res.adapterVersion < res.minAdapterVersion:
 			r.reportViolation("%s: version %d of %s served more than %v after version %d was declared", res.id, res.adapterVersion, res.adapter, versionApplyBound, res.minAdapterVersion)
@@ -150,16 +156,21 @@
 	if res.routeVersion > 0 {
 		r.checkConfigVersion(res)
 	}
+	r.recordResult(res)
+}
+
+// recordResult stores a result for checkServerCounts.
+func (r *run) recordResult(res result) {
 	r.resultsMu.Lock()
 	defer r.resultsMu.Unlock()
 	r.results = append(r.results, res)
 }
 
-// expectedStream returns the complete response body of an adapter.
-func expectedStream(adapter string) string {
+// expectedStream returns the complete response body of an adapter by a software version.
+func expectedStream(adapter, software string) string {
 	var b strings.Builder
 	for i := range eventsPerStream {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d of m/%s\n\n", i, i, adapter)
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d of m/%s by %s\n\n", i, i, adapter, software)
 	}
 	return b.String()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -188,6 +188,7 @@
 		{"pause", func() { inst.signal(syscall.SIGSTOP) }, func() { inst.signal(syscall.SIGCONT) }},
 		{"long-pause", func() { inst.signal(syscall.SIGSTOP); timer.Sleep(ctx, 3*duration) }, func() { inst.signal(syscall.SIGCONT) }},
 		{"kill", func() { r.mustRestart(inst, syscall.SIGKILL) }, nil},
+		{"kill-all", r.restartAll, nil},
 		{"terminate", func() { r.mustRestart(inst, syscall.SIGTERM) }, nil},
 		{"reload", func() { inst.signal(syscall.SIGHUP) }, nil},
 		{"store-away", func() { r.faultyStore.setFaults(0, 0, 0, true) }, func() { r.faultyStore.setFaults(0, 0, 0, false) }},
