edge: keep the origins of all earlier streams once versions are mixed

Cause: streams that began while there was one version are sent to others when a second one is seen, but only if the list of servers told of it. Mostly the row of the service does, which another instance has just written; then none were sent. And what the writer of a zone received at once beyond 2,000 streams was dropped. Evidence: 2,167 streams read from the store after the start, some 10,000 expected; 342 take-ups of unknown origin. Fix: both sources lead to the same check; a write takes up to ten rows. TestEarlierOriginsAreSentWhenVersionsBecomeMixed failed before in the second case.

--- a/edge/node.go
+++ b/edge/node.go
@@ -87,6 +87,7 @@
 
 	versions       *software.Versions
 	softwareRowsAt time.Time // when they are compared with the versions next
+	mixedServices  int       // services with several software versions
 	origins        *software.Origins
 	lastOriginID   uint64                 // of the newest origin request
 	originWaits    map[uint64]*originWait // by ID of the origin request
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -25,6 +25,8 @@
 	originLoadTimeout   = 400 * time.Millisecond // wait of a request for the rows that are read after the start
 	originLoadRetry     = 300 * time.Millisecond // between two reads, and checks whether they are needed
 	maxRowsPerDelete    = 100                    // limit of a transaction of the store
+	maxRowsPerWrite     = 10                     // of 40 KB each, so that a transaction stays below 1 MB
+	maxQueuedOrigins    = maxRowsPerWrite * software.MaxOriginsPerRow
 )
 
 // originStore is the state of the rows with origins.
@@ -62,7 +64,7 @@
 		s.writeAt = n.now().Add(originWriteInterval)
 		time.AfterFunc(originWriteInterval, n.wakeControl)
 	}
-	if len(s.queue) < software.MaxOriginsPerRow {
+	if len(s.queue) < maxQueuedOrigins {
 		s.queue[o.Stream] = o.Software
 	}
 }
@@ -73,38 +75,35 @@
 	if !s.ready || len(s.queue) == 0 || s.writing || now.Before(s.writeAt) {
 		return
 	}
-	key := fmt.Sprintf("%s%02d", n.originRowPrefix(), s.next)
-	s.next = (s.next + 1) % originRowsPerWriter
-	origins := s.queue
+	var t chestnutstream.RowTransaction
+	for _, origins := range software.SplitOrigins(s.queue) {
+		value, err := software.EncodeOrigins(origins)
+		if err != nil {
+			n.log.WithError(err).Warn("origins of streams not kept in the store")
+			continue
+		}
+		t.Writes = append(t.Writes, chestnutstream.TableRow{Table: software.OriginTable, Key: fmt.Sprintf("%s%02d", n.originRowPrefix(), s.next), Value: value})
+		s.next = (s.next + 1) % originRowsPerWriter
+	}
 	s.queue, s.writing = nil, true
-	go n.writeOrigins(key, origins)
+	go n.writeOrigins(t)
 }
 
 // originRowPrefix returns the prefix of the keys of this instance's rows, which the number
 // of the row in the ring follows.
 func (n *Node) originRowPrefix() string { return n.cfg.Instance + "/" }
 
-func (n *Node) writeOrigins(key string, origins map[software.StreamKey]string) {
-	err := n.writeOriginRow(key, origins)
-	if err != nil {
-		n.log.WithError(err).WithField("streams", len(origins)).Warn("origins of streams not kept in the store")
+func (n *Node) writeOrigins(t chestnutstream.RowTransaction) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	if _, err := n.store.Apply(ctx, t); err != nil {
+		n.log.WithError(err).WithField("rows", len(t.Writes)).Warn("origins of streams not kept in the store")
 	}
 	n.mu.Lock()
 	n.originStore.writing = false
 	n.mu.Unlock()
 }
 
-func (n *Node) writeOriginRow(key string, origins map[software.StreamKey]string) error {
-	value, err := software.EncodeOrigins(origins)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	_, err = n.store.Apply(ctx, chestnutstream.RowTransaction{Writes: []chestnutstream.TableRow{{Table: software.OriginTable, Key: key, Value: value}}})
-	return err
-}
-
 // loadOrigins reads the origins that were kept before this instance started, if there
 // may be several versions of a service. Until then what this instance does not know of a
 // stream may still be in the store.
--- a/edge/software.go
+++ b/edge/software.go
@@ -78,7 +78,6 @@
 
 // observeSoftware records the software versions of the listed servers. Callers hold mu.
 func (n *Node) observeSoftware() {
-	boot := n.boot()
 	listed := map[string]map[string]bool{}
 	for _, s := range n.fleet.Servers() {
 		if listed[s.Service] == nil {
@@ -86,22 +85,19 @@
 		}
 		listed[s.Service][s.Software] = true
 	}
-	mixed := n.mixedServices(boot, listed)
-	n.versions.Observe(boot, listed)
-	if n.mixedServices(boot, listed) > mixed {
-		for _, o := range n.origins.All(boot) {
-			n.sendOrigin(o)
-		}
-	}
+	n.versions.Observe(n.boot(), listed)
+	n.sendEarlierOrigins()
 }
 
-// mixedServices returns the number of services with several versions. Callers hold mu.
-func (n *Node) mixedServices(boot time.Duration, listed map[string]map[string]bool) int {
-	count := 0
-	for service := range listed {
-		if n.versions.Mixed(boot, service) {
-			count++
+// sendEarlierOrigins sends the origins of the streams that began before a service had
+// several software versions. Callers hold mu.
+func (n *Node) sendEarlierOrigins() {
+	boot := n.boot()
+	mixed := n.versions.MixedServices(boot)
+	if mixed > n.mixedServices {
+		for _, o := range n.origins.All(boot) {
+			n.sendOrigin(o)
 		}
 	}
-	return count
+	n.mixedServices = mixed
 }
--- a/edge/software_rows.go
+++ b/edge/software_rows.go
@@ -31,6 +31,7 @@
 		}
 		n.mu.Lock()
 		n.versions.ApplyRow(row)
+		n.sendEarlierOrigins()
 		n.mu.Unlock()
 	}
 }
--- a/edge/software_test.go
+++ b/edge/software_test.go
@@ -9,7 +9,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/software"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
@@ -190,3 +194,35 @@
 		})
 	}
 }
+
+// Instances learn of a new version from the list of servers or from the row of the
+// service, whichever comes first.
+func TestEarlierOriginsAreSentWhenVersionsBecomeMixed(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(n *Node)
+	}{
+		{"from the list", func(n *Node) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.fleet.ApplyUpdates(n.now(), []fleet.Entry{{Key: "i-2", RowVersion: 2, Backend: chestnutstream.Backend{ID: "i-2", Service: "s", Software: "v2", State: chestnutstream.BackendReady}}})
+			n.observeSoftware()
+		}},
+		{"from the row", func(n *Node) {
+			n.applySoftwareRows([]chestnutstream.TableRow{{Key: software.RowKey("s"), Value: []byte(`{"service":"s","versions":["v1","v2"]}`), Version: 3}})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := idleNode(t, "edge-a")
+			n.mu.Lock()
+			n.fleet.ApplyUpdates(n.now(), []fleet.Entry{{Key: "i-1", RowVersion: 1, Backend: chestnutstream.Backend{ID: "i-1", Service: "s", Software: "v1", State: chestnutstream.BackendReady}}})
+			n.observeSoftware()
+			n.mu.Unlock()
+			n.RecordOrigin(ingress.Assignment{Server: chestnutstream.Backend{Service: "s", Software: "v1"}}, "r-1")
+			assert.Equal(t, len(n.originStore.queue), 0)
+			tt.learn(n)
+			assert.DeepEqual(t, n.originStore.queue, map[software.StreamKey]string{software.KeyOf("r-1"): "v1"})
+		})
+	}
+}
--- a/software/row.go
+++ b/software/row.go
@@ -59,6 +59,18 @@
 // MaxOriginsPerRow limits the origins in one row, to about 40 KB.
 const MaxOriginsPerRow = 2000
 
+// SplitOrigins splits origins into rows.
+func SplitOrigins(origins map[StreamKey]string) []map[StreamKey]string {
+	var out []map[StreamKey]string
+	for stream, version := range origins {
+		if len(out) == 0 || len(out[len(out)-1]) >= MaxOriginsPerRow {
+			out = append(out, map[StreamKey]string{})
+		}
+		out[len(out)-1][stream] = version
+	}
+	return out
+}
+
 // EncodeOrigins returns the value of a row with origins: the keys of the streams, in
 // hexadecimal, by version.
 func EncodeOrigins(origins map[StreamKey]string) ([]byte, error) {
--- a/software/row_test.go
+++ b/software/row_test.go
@@ -31,3 +31,21 @@
 		assert.Assert(t, err != nil, "%s", value)
 	}
 }
+
+func TestOriginsAreSplitIntoRows(t *testing.T) {
+	origins := map[StreamKey]string{}
+	for i := range StreamKey(2*MaxOriginsPerRow + 1) {
+		origins[i] = "v1"
+	}
+	rows := SplitOrigins(origins)
+	assert.Equal(t, len(rows), 3)
+	for _, row := range rows {
+		value, err := EncodeOrigins(row)
+		assert.NilError(t, err)
+		assert.Assert(t, len(value) < 48<<10, "%d bytes", len(value)) // a row holds 64 KB in base64
+		for stream := range row {
+			delete(origins, stream)
+		}
+	}
+	assert.Equal(t, len(origins), 0)
+}
--- a/software/versions.go
+++ b/software/versions.go
@@ -190,6 +190,17 @@
 	return possible[0], true
 }
 
+// MixedServices returns the number of services for which Mixed reports true.
+func (v *Versions) MixedServices(now time.Duration) int {
+	count := 0
+	for name := range v.services {
+		if v.Mixed(now, name) {
+			count++
+		}
+	}
+	return count
+}
+
 // Mixed reports whether several versions of a service may have begun streams.
 func (v *Versions) Mixed(now time.Duration, service string) bool {
 	s := v.services[service]
