edge, ingress: forward requests through an instance that reaches servers

What callers saw: at an instance that has lost its links to all servers, one first request in ten to one in three was served, the others got 503 (RECOVER), though the instances beside it had servers. Cause: an instance that backs off from every server had no other way; what could not be sent was refused. Evidence: after three seconds of the first cut 9 in 10 of its responses were 'no engine (server) may take work'; the others served 99 in 100. Fix: when new connections to all usable servers of a service fail, requests go to another instance at once, and after two failed connections before that is known. The other instance places them with its own view and never forwards them again. What has not run may go to a second instance; what may have run is not repeated. The time left, the servers tried, the software version of a stream and the caller's leaving are passed on; the retry budget counts a request once. Instances tell each other which services they are cut off from, so that servers that are down for all lead to no detours. One server is probed four times a second until one answers, then all once. TestRequestsAreServedByInstancesThatReachNoServer failed before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -53,6 +53,7 @@
 	n.requestConfig(now)
 	verdicts := n.updateQuarantine(now)
 	n.updateVerdictRows(now)
+	n.updateCutOff()
 	n.updateSoftwareRows(now, boot)
 	n.updateOriginRows(now)
 	leaseActions := n.leases.Step(boot, n.engines())
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
@@ -85,8 +84,9 @@
 // checkCrash finds out whether the process of a server has ended.
 func (n *Node) checkCrash(k processKey, c *crashCheck) {
 	time.Sleep(crashCollectTime)
-	d := net.Dialer{Timeout: crashCheckTimeout, KeepAlive: -1}
-	conn, err := d.DialContext(n.ctx, "tcp", c.server.Address)
+	ctx, cancel := context.WithTimeout(n.ctx, crashCheckTimeout)
+	conn, err := n.dial(ctx, "tcp", c.server.Address)
+	cancel()
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,13 +42,19 @@
 // Start starts an instance: its listeners, the watches of the store and the
 // control loop. It fails when an address cannot be listened on.
 func Start(cfg platform.Settings, logger log.Interface) (*Instance, error) {
+	return start(cfg, logger, ingress.Dial)
+}
+
+// start is Start with a function that connects to backend servers.
+func start(cfg platform.Settings, logger log.Interface, dial chestnutstream.DialFunc) (*Instance, error) {
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryBytes)))
 	}
 	debug.SetGCPercent(gcPercent)
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Timer: t, Log: logger, Metrics: n.metrics}, n)}
+	n.dial = dial
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: cfg.Instance, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial}, n)}
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -111,7 +117,14 @@
 func (in *Instance) peers() http.Handler {
 	r := mux.NewRouter()
 	r.Handle(instance.Path, in.node.mesh)
-	return r
+	forwarded := in.ingress.Forwarded()
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if ingress.IsForwarded(req) {
+			forwarded.ServeHTTP(w, req)
+			return
+		}
+		r.ServeHTTP(w, req)
+	})
 }
 
 func (in *Instance) operations() http.Handler {
@@ -143,6 +156,10 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := in.callers.Shutdown(ctx)
+	for err == nil && in.ingress.InProgress() > 0 { // requests that other instances have forwarded
+		n.sleep(drainPollInterval)
+		err = ctx.Err()
+	}
 	left := in.ingress.InProgress()
 	in.Close()
 	if err != nil {
--- a/edge/node.go
+++ b/edge/node.go
@@ -41,6 +41,7 @@
 	incarnation  uint64 // of this process
 	store        *platform.Store
 	engineClient *platform.EngineClient
+	dial         chestnutstream.DialFunc // connects to backend servers, and to other instances to forward requests
 	mesh         *instance.Mesh
 	updates      map[string]chan instance.TableUpdate // by table: changes received from the zone's readers
 
@@ -86,8 +87,10 @@
 	verdictRowsAt       time.Time             // when they are compared with the verdicts next
 
 	versions       *software.Versions
-	softwareRowsAt time.Time // when they are compared with the versions next
-	mixedServices  int       // services with several software versions
+	softwareRowsAt time.Time       // when they are compared with the versions next
+	cutOff         map[string]bool // services of which this instance reaches no server
+	probing        map[string]bool // services whose servers are probed
+	mixedServices  int             // services with several software versions
 	origins        *software.Origins
 	lastOriginID   uint64                 // of the newest origin request
 	originWaits    map[uint64]*originWait // by ID of the origin request
@@ -112,6 +115,11 @@
 	draining    bool
 	incarnation uint64 // of the peer's process
 	owned       map[string]bool
+	cutOff      map[string]bool // services of which it reaches no server
+
+	forwarded           int // requests in progress that this instance has forwarded to it
+	forwardAfter        time.Time
+	forwardServiceAfter map[string]time.Time // by service
 }
 
 // cachedRows are the newest rows of the store, kept encoded for instances that
@@ -134,8 +142,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), incarnation: incarnation,
-		store: platform.NewStore(cfg.Store, storeTimeout, nil),
-		ctx:   ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		store: platform.NewStore(cfg.Store, storeTimeout, nil), dial: ingress.Dial,
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		rows:    cachedRows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.SameRegion, rand.New(rand.NewPCG(incarnation, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, loadWaits: map[adapterKey]*loadWait{}, prefillWaits: map[uint64]*prefillWait{},
@@ -144,7 +152,7 @@
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{}, verdictRows: map[string]verdictRow{},
 		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
-		originStore: originStore{loaded: make(chan struct{})},
+		cutOff: map[string]bool{}, probing: map[string]bool{}, originStore: originStore{loaded: make(chan struct{})},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +25,7 @@
 		b.EngineLoads = append(b.EngineLoads, instance.EngineLoad{Server: id, Requests: requests})
 	}
 	n.addBackpressure(&b)
+	b.HasCutOff, b.CutOff = len(n.cutOff) > 0, slices.Sorted(maps.Keys(n.cutOff))
 	b.SoftwareRows = n.knownSoftwareRows()
 	b.Evidence = evidenceMessages(n.now(), n.quarantine.Evidence(maxFirstEvidence))
 	n.log.WithField("peer", to.Name).Info("peer linked")
@@ -55,6 +58,12 @@
 		p.member, p.incarnation, p.draining = from, b.Incarnation, false
 	}
 	p.draining = p.draining || b.Draining
+	if b.HasCutOff {
+		p.cutOff = map[string]bool{}
+		for _, service := range b.CutOff {
+			p.cutOff[service] = true
+		}
+	}
 	for _, l := range b.EngineLoads {
 		n.fleet.SetTotalRequests(l.Server, l.Requests)
 	}
--- a/edge/place.go
+++ b/edge/place.go
@@ -45,6 +45,16 @@
 
 // Place implements ingress.Dispatcher.
 func (n *Node) Place(ctx context.Context, p ingress.PlacementRequest) (ingress.Assignment, error) {
+	n.mu.Lock()
+	a, ok := n.forwardAtOnce(p)
+	cutOff := n.cutOff[p.Service]
+	n.mu.Unlock()
+	if ok {
+		return a, nil
+	}
+	if p.Forwarded && cutOff {
+		return ingress.Assignment{}, &ingress.NoServerError{Reason: "this instance reaches no server of " + p.Service, RetryAfter: cutOffRejectionRetry}
+	}
 	if n.engineSpec(p.Service) == nil {
 		return n.placePlain(ctx, p)
 	}
@@ -97,6 +107,10 @@
 			continue
 		}
 		if c.Server == nil {
+			if a, ok := n.forwardUnplaced(p, excluded); ok {
+				n.mu.Unlock()
+				return a, nil
+			}
 			wait, ok := n.fleet.AvailableIn(n.now(), p.Service, excluded)
 			unservable := p.Continues && !n.hasSoftware(p.Service, p.Software)
 			n.mu.Unlock()
@@ -398,6 +412,11 @@
 // RecordResult implements ingress.Dispatcher.
 func (n *Node) RecordResult(a ingress.Assignment, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.mu.Lock()
+	if a.Peer != "" {
+		n.recordForward(a, r.Outcome)
+		n.mu.Unlock()
+		return
+	}
 	now := n.now()
 	changes := n.recordBackpressure(now, now.Add(-r.Took), a.Server, r.Backpressure)
 	n.recordResponse(now, a, target, r)
@@ -408,6 +427,9 @@
 // recordResponse passes a response to the fleet. Callers hold mu.
 func (n *Node) recordResponse(now time.Time, a ingress.Assignment, target chestnutstream.ModelAdapter, r ingress.Result) {
 	n.fleet.RecordOutcome(now, a.Server.ID, r.Outcome, r.Took)
+	if r.Connected {
+		n.fleet.RecordConnection(now, a.Server.ID, true)
+	}
 	if r.Outcome == fleet.Responded && a.FirstEvent > 0 {
 		n.recordFirstEvent(a, r.Took)
 	}
@@ -441,6 +463,12 @@
 func (n *Node) Release(a ingress.Assignment) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if a.Peer != "" {
+		if p := n.peers[a.Peer]; p != nil && p.forwarded > 0 {
+			p.forwarded--
+		}
+		return
+	}
 	n.fleet.RecordDone(a.Server.ID)
 	k := adapterKey{a.Server.ID, a.Target}
 	if u := n.usage[k]; u != nil && u.inProgress > 0 {
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -19,6 +19,11 @@
 		now := n.now()
 		p.Avoid = n.excludedServers(p)
 		s := n.fleet.PickPlain(now, p.Service, p.Avoid)
+		if s == nil {
+			if a, ok := n.forwardUnplaced(p, p.Avoid); ok {
+				return a, nil
+			}
+		}
 		if s == nil && n.awaitAvailableServer(ctx, now, p) {
 			continue
 		}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,8 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
 	"github.com/chestnutstream/chestnutstream/timer"
@@ -30,6 +33,9 @@
 	backends  []*standin.Backend
 	version   uint64
 	stop      chan struct{}
+
+	mu        sync.Mutex
+	addresses map[string]bool // of the backend servers
 }
 
 // storeGate is a proxy of the store that can make it unavailable.
@@ -75,7 +81,7 @@
 
 // newTestSite starts the stand-ins of the platform with a first configuration.
 func newTestSite(t *testing.T, engines, slots int) *testSite {
-	s := &testSite{t: t, store: standin.NewStore(), stop: make(chan struct{})}
+	s := &testSite{t: t, store: standin.NewStore(), stop: make(chan struct{}), addresses: map[string]bool{}}
 	s.storeGate = &storeGate{next: s.store}
 	t.Cleanup(func() { close(s.stop) })
 	for i := range engines {
@@ -127,6 +133,9 @@
 func (s *testSite) backendWithoutHeartbeat(cfg standin.BackendSettings) *standin.Backend {
 	l := listen(s.t)
 	cfg.Address = l.Addr().String()
+	s.mu.Lock()
+	s.addresses[cfg.Address] = true
+	s.mu.Unlock()
 	if cfg.Zone == "" {
 		cfg.Zone = "zone-a"
 	}
@@ -144,12 +153,77 @@
 		{"name":"desk","healthPath":"/health","maxConnections":100}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, s.version, routes)))
 }
 
+// serverGate opens the connections of an instance to the backend servers of its site, and
+// can cut it off from them.
+type serverGate struct {
+	site *testSite
+
+	mu    sync.Mutex
+	cut   serverCut
+	conns []net.Conn
+}
+
+// serverCut is how an instance is cut off from the servers.
+type serverCut string
+
+const (
+	cutNone   serverCut = ""
+	cutRefuse serverCut = "refuse" // new connections are refused, open ones are reset
+	cutHang   serverCut = "hang"   // new connections get no response, open ones are reset
+	cutNew    serverCut = "new"    // new connections are refused, open ones live on
+)
+
+func (g *serverGate) set(cut serverCut) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+	if cut == cutRefuse || cut == cutHang {
+		for _, conn := range g.conns {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+		g.conns = nil
+	}
+}
+
+func (g *serverGate) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	g.mu.Lock()
+	cut := g.cut
+	g.mu.Unlock()
+	if g.site.hasBackend(address) {
+		switch cut {
+		case cutRefuse, cutNew:
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		case cutHang:
+			ctx, cancel := context.WithTimeout(ctx, 160*time.Millisecond)
+			defer cancel()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
+	conn, err := ingress.Dial(ctx, network, address)
+	if err == nil && g.site.hasBackend(address) {
+		g.mu.Lock()
+		g.conns = append(g.conns, conn)
+		g.mu.Unlock()
+	}
+	return conn, err
+}
+
+// hasBackend reports whether an address is that of a backend server.
+func (s *testSite) hasBackend(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addresses[address]
+}
+
 // testInstance is an instance of a site.
 type testInstance struct {
 	*Instance
 	cfg       platform.Settings
 	log       *logRecorder
 	storeGate *storeGate // between this instance and the store
+	servers   *serverGate
 }
 
 // logRecorder is a log.Handler that keeps the entries.
@@ -201,11 +275,11 @@
 		Instance: name, Zone: zone, Regions: regions, Store: gateListener.Addr().String(), Seeds: seeds, Grace: 4 * time.Second, ConfigApplyBound: 2 * time.Second, MinHandoverDelay: 3 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
-	h := &logRecorder{}
-	in, err := startOnFreePorts(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel})
+	h, servers := &logRecorder{}, &serverGate{site: s}
+	in, err := startOnFreePorts(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel}, servers.dial)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
-	return &testInstance{Instance: in, cfg: cfg, log: h, storeGate: own}
+	return &testInstance{Instance: in, cfg: cfg, log: h, storeGate: own, servers: servers}
 }
 
 // idleNode returns a node that watches no table and has no store.
@@ -217,7 +291,7 @@
 
 // startOnFreePorts starts an instance on free ports. When another test takes a port
 // between its choice and its use, it chooses others.
-func startOnFreePorts(t *testing.T, cfg *platform.Settings, logger log.Interface) (in *Instance, err error) {
+func startOnFreePorts(t *testing.T, cfg *platform.Settings, logger log.Interface, dial chestnutstream.DialFunc) (in *Instance, err error) {
 	address := func() string {
 		l := listen(t)
 		defer l.Close()
@@ -225,7 +299,7 @@
 	}
 	for range 10 {
 		cfg.CallerAddress, cfg.ReadinessAddress, cfg.PeerAddress, cfg.MetricsAddress = address(), address(), address(), address()
-		if in, err = Start(*cfg, logger); !errors.Is(err, syscall.EADDRINUSE) {
+		if in, err = start(*cfg, logger, dial); !errors.Is(err, syscall.EADDRINUSE) {
 			return in, err
 		}
 	}
--- a/fleet/outlier.go
+++ b/fleet/outlier.go
@@ -36,6 +36,7 @@
 	updatedAt       time.Time
 	maxConnFailures int // consecutive failed connections before a backoff; 0: defaultMaxConnFailures
 	connFailures    int // consecutive failed connections
+	dialFailures    int // the same, not reset by a response on a connection that was open before
 	backoffUntil    time.Time
 	pickedAt        time.Time
 	latency         time.Duration // moving average of the time to a response
@@ -61,6 +62,7 @@
 		return
 	}
 	d.connFailures++
+	d.dialFailures++
 	if d.connFailures >= d.connFailureLimit() {
 		d.backoffUntil = now.Add(d.backoff())
 	}
--- /dev/null
+++ b/fleet/reachability.go
@@ -0,0 +1,67 @@
+package fleet
+
+import "time"
+
+// unreachable reports whether the latest new connections of this instance to a server, or
+// to the servers of its availability zone, have failed. Older connections may live on.
+func (f *Fleet) unreachable(s *Server) bool {
+	z := f.zones[s.Zone]
+	return s.detector.unreachable() || (z != nil && z.unreachable())
+}
+
+func (d *outlierDetector) unreachable() bool { return d.dialFailures >= d.connFailureLimit() }
+
+// CutOff reports whether a service has usable servers and this instance reaches none.
+func (f *Fleet) CutOff(service string) bool {
+	usable := false
+	for _, s := range f.services[service] {
+		if !s.Usable() {
+			continue
+		}
+		if usable = true; !f.unreachable(s) {
+			return false
+		}
+	}
+	return usable
+}
+
+// Unreachable returns the usable servers of a service that this instance does not reach,
+// besides those in exclude.
+func (f *Fleet) Unreachable(service string, exclude map[string]bool) []*Server {
+	var out []*Server
+	for _, s := range f.services[service] {
+		if s.Usable() && !exclude[s.ID] && f.unreachable(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// RecordConnection records whether a new connection to a server could be opened.
+func (f *Fleet) RecordConnection(now time.Time, id string, ok bool) {
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	if !ok {
+		s.detector.recordPick(now)
+		return
+	}
+	s.detector.recordConnected()
+	if z := f.zones[s.Zone]; z != nil {
+		z.recordConnected()
+	}
+}
+
+func (d *outlierDetector) recordConnected() {
+	d.connFailures, d.dialFailures, d.backoffUntil = 0, 0, time.Time{}
+}
+
+// Services returns the names of the services that have servers.
+func (f *Fleet) Services() []string {
+	var out []string
+	for name := range f.services {
+		out = append(out, name)
+	}
+	return out
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -66,6 +66,7 @@
 		TargetLatency: x.route.TargetLatency, Priority: x.route.Priority, Start: x.start, Avoid: x.avoid, Until: until,
 		Continues: x.continues, Software: x.streamSoftware,
 		Resumable: x.resumable(),
+		Forwarded: x.forwardedBy != "" || x.forwards >= maxForwards, Unreachable: x.unreachable, AvoidPeers: x.avoidPeers,
 	}
 }
 
@@ -102,19 +103,30 @@
 	start := x.server.cfg.Timer.Now()
 	x.recordSend(a)
 	x.responseBegun.Store(false)
-	br, connected, err := x.send(a, x.lastEventID(), x.waitTimeout())
+	waitTimeout := x.waitTimeout()
+	if a.Peer != "" {
+		waitTimeout = 0 // the other instance waits for servers
+	}
+	br, connected, err := x.send(a, x.lastEventID(), waitTimeout)
 	took := x.server.cfg.Timer.Now().Sub(start)
 	if err != nil {
 		return x.sendFailed(a, connected, took, err)
 	}
 	defer br.close()
 	x.responseBegun.Store(true)
+	if a.Peer != "" {
+		return x.checkForwarded(a, br, took)
+	}
 	return x.checkResponse(a, br, took)
 }
 
 // recordSend records that the request is sent to a server. The origin of a stream is
 // recorded now, so that it has reached other instances and the store by the first event.
 func (x *exchange) recordSend(a Assignment) {
+	if a.Peer != "" {
+		x.forwards++
+		return
+	}
 	x.attempts++
 	x.servers, x.software = append(x.servers, a.Server.ID), append(x.software, a.Server.Software)
 	if x.resumable() && !x.continues {
@@ -122,6 +134,12 @@
 	}
 }
 
+// recordConnected records that a server gave the request a connection.
+func (x *exchange) recordConnected(a Assignment) {
+	x.connectedAttempts++
+	x.connectedServers = append(x.connectedServers, a.Server.ID)
+}
+
 // resumable reports whether the request is for a stream that the caller may take up.
 func (x *exchange) resumable() bool {
 	return x.route.Kind == chestnutstream.RouteStreaming && x.route.Resumable
@@ -152,17 +170,20 @@
 		x.mayHaveRun = x.mayHaveRun || connected
 		x.respondUnplaced(aborted)
 		return true
-	case errors.Is(err, errNoResponse), errors.Is(err, context.DeadlineExceeded):
+	case a.Peer != "":
+		return x.forwardFailed(a, connected, took, err)
+	case errors.Is(err, errNoResponse), x.ctx.Err() != nil:
 		r.Outcome = fleet.Unresponsive
 	case !connected:
-		r.Outcome = fleet.Unreachable
+		r.Outcome = fleet.Unreachable // also when the dial timed out
 	}
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	x.avoid[a.Server.ID] = true
 	if !connected {
+		x.unreachable++
 		return false
 	}
-	x.connectedAttempts++
+	x.recordConnected(a)
 	x.mayHaveRun = true
 	x.recordBroken(a, chestnutstream.ResponseNone, err)
 	if x.mayRetry() {
@@ -193,9 +214,10 @@
 // is valid. It returns true if the caller has a response or the request cannot be
 // retried.
 func (x *exchange) checkResponse(a Assignment, br *backendResponse, took time.Duration) bool {
-	x.connectedAttempts++
+	x.recordConnected(a)
 	h := br.resp.Header
 	r := x.result(a, br.resp, took)
+	r.Connected = br.connected
 	status := br.resp.StatusCode
 	if r.Outcome == fleet.Refused {
 		x.server.dispatcher.RecordResult(a, x.header.Target, r)
@@ -288,6 +310,7 @@
 	if errors.As(err, &noServer) {
 		retryAfter = noServer.RetryAfter
 	}
+	retryAfter = max(retryAfter, x.forwardRetryAfter)
 	x.reject(retryAfter, err.Error())
 }
 
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -20,7 +20,7 @@
 // is not sent to another one.
 func (x *exchange) recordBroken(a Assignment, p chestnutstream.ResponseProgress, err error) {
 	x.serverCrashed, x.suspected = false, false
-	if !x.mayCrash() || !isDisconnect(err) {
+	if a.Peer != "" || !x.mayCrash() || !isDisconnect(err) {
 		return
 	}
 	b := BrokenResponse{RequestID: x.header.ID, PartIDs: x.header.PartIDs, Progress: p}
@@ -30,7 +30,7 @@
 
 // recordSurvival tells the dispatcher that the response to the request got under way.
 func (x *exchange) recordSurvival(a Assignment) {
-	if x.mayCrash() {
+	if a.Peer == "" && x.mayCrash() {
 		x.server.dispatcher.RecordSurvival(a, x.header.PartIDs)
 	}
 }
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -123,6 +123,7 @@
 	admitted       chan Admission // receives each admission, if not nil
 	placeBlocks    bool           // Place waits until the request ends
 	origins        map[string]string
+	peers          []Assignment // instances to which requests are forwarded if no backend takes them
 }
 
 func (d *fakeDispatcher) Routes() *chestnutstream.RouteTable { return d.table }
@@ -145,6 +146,12 @@
 			return Assignment{Server: chestnutstream.Backend{ID: b.id, Address: b.l.Addr().String(), Software: b.software}}, nil
 		}
 	}
+	for _, a := range d.peers {
+		if !p.Forwarded && !p.AvoidPeers[a.Peer] {
+			d.openPlacements++
+			return a, nil
+		}
+	}
 	return Assignment{}, &NoServerError{Reason: "no server left", RetryAfter: 250 * time.Millisecond}
 }
 
@@ -205,9 +212,21 @@
 
 func (d *fakeDispatcher) Draining() (Drain, bool) { return d.drain, d.drain != Drain{} }
 
+// awaitDone waits until a server has no requests in progress.
+func awaitDone(t *testing.T, s *Server) {
+	for range 200 {
+		if s.InProgress() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("requests in progress after 2 s")
+}
+
 // testServer is an ingress server in front of backends, with a route of each kind.
 type testServer struct {
 	*httptest.Server
+	handler    *Server
 	dispatcher *fakeDispatcher
 }
 
@@ -222,10 +241,10 @@
 		r.Targets = []chestnutstream.RouteTarget{{Service: "s", Weight: 1}}
 	}
 	d := &fakeDispatcher{allowRetry: true, backends: backends, table: chestnutstream.NewRouteTable(1, routes, []*chestnutstream.BackendService{{Name: "s"}}, chestnutstream.ClientLimits{BodyBytes: 1 << 20})}
-	s := NewServer(Settings{Timer: timer.NewSystem(), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewSet()}, d)
+	s := NewServer(Settings{Instance: "edge-test", Timer: timer.NewSystem(), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewSet()}, d)
 	srv := httptest.NewServer(s)
 	t.Cleanup(srv.Close)
-	return &testServer{Server: srv, dispatcher: d}
+	return &testServer{Server: srv, handler: s, dispatcher: d}
 }
 
 // send sends a request and returns its response and body. A response that breaks
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -45,8 +45,10 @@
 	body, err := readBuffered(br.resp)
 	if err != nil {
 		x.reason = fmt.Sprintf("%s: answer broke off: %v", a.Server.ID, err)
-		x.server.dispatcher.RecordResult(a, x.header.Target, Result{Outcome: fleet.Failed})
-		x.avoid[a.Server.ID] = true
+		if a.Peer == "" {
+			x.server.dispatcher.RecordResult(a, x.header.Target, Result{Outcome: fleet.Failed})
+			x.avoid[a.Server.ID] = true
+		}
 		if x.r.Context().Err() != nil {
 			x.status = statusCallerClosed
 			return true
@@ -61,7 +63,7 @@
 	if br.resp.StatusCode < http.StatusMultipleChoices {
 		x.recordSurvival(a)
 	}
-	if br.resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() && x.server.dispatcher.AllowRetry(x.service) {
+	if a.Peer == "" && br.resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() && x.server.dispatcher.AllowRetry(x.service) {
 		// The server itself failed. Its response is relayed if the retry on
 		// another server fails.
 		return x.relayRetry(a, br, body)
@@ -151,6 +153,8 @@
 	for name, values := range platform.ResponseHeader(resp.Header) {
 		h[name] = values
 	}
+	removeForwardHeaders(h)
+	x.setForwardedResponse("")
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // prevents net/http from detecting one
 	}
@@ -213,7 +217,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
-			if x.maxPause <= x.route.TargetGap {
+			if x.maxPause <= x.route.TargetGap && a.Peer == "" {
 				x.server.dispatcher.RecordPause(a, x.maxPause)
 			}
 			if x.stream.events > 0 && x.stream.progress() == chestnutstream.ResponseBegun {
@@ -242,7 +246,7 @@
 // reported at once, because the stream may continue for seconds.
 func (x *exchange) recordPause(a Assignment, pause time.Duration) {
 	allowed := x.route.TargetGap
-	if allowed > 0 && x.maxPause <= allowed && pause > allowed {
+	if a.Peer == "" && allowed > 0 && x.maxPause <= allowed && pause > allowed {
 		x.server.dispatcher.RecordPause(a, pause)
 	}
 	x.maxPause = max(x.maxPause, pause)
@@ -330,9 +334,11 @@
 		x.status = statusCallerClosed
 		return true
 	}
-	x.server.dispatcher.RecordResult(a, x.header.Target, Result{Outcome: fleet.Failed})
+	if a.Peer == "" {
+		x.server.dispatcher.RecordResult(a, x.header.Target, Result{Outcome: fleet.Failed})
+		x.avoid[a.Server.ID] = true
+	}
 	x.recordBroken(a, x.stream.progress(), err)
-	x.avoid[a.Server.ID] = true
 	if x.mayRetry() && (x.stream.lastID != "" || !x.stream.eventSent) {
 		return false
 	}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/tcp"
 )
@@ -31,10 +32,22 @@
 	maxHeaderBytes           = 64 << 10 // header size of a response
 )
 
-func newTransport(idle time.Duration) *http.Transport {
+// Dial connects to a backend server or another instance.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.LimitUnacked(unackedTimeout)}
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	return conn, nil
+}
+
+func newTransport(dial chestnutstream.DialFunc, idle time.Duration) *http.Transport {
+	if dial == nil {
+		dial = Dial
+	}
 	return &http.Transport{
-		DialContext:  d.DialContext,
+		DialContext:  dial,
 		MaxIdleConns: 0, MaxIdleConnsPerHost: maxIdleConnsPerServer, IdleConnTimeout: idle,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
@@ -43,8 +56,9 @@
 
 // backendResponse is the response of one attempt whose header has arrived.
 type backendResponse struct {
-	resp   *http.Response
-	cancel context.CancelFunc
+	resp      *http.Response
+	cancel    context.CancelFunc
+	connected bool // on a connection opened for it
 }
 
 func (br *backendResponse) close() {
@@ -98,8 +112,11 @@
 func (x *exchange) send(a Assignment, lastEventID string, waitTimeout time.Duration) (br *backendResponse, connected bool, err error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
-	var gotConn atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }})
+	var gotConn, newConn atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		gotConn.Store(true)
+		newConn.Store(!i.Reused)
+	}})
 	req, err := x.request(ctx, a, lastEventID)
 	if err != nil {
 		stop()
@@ -120,7 +137,7 @@
 		stop()
 		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
 	}
-	return &backendResponse{resp: resp, cancel: stop}, true, nil
+	return &backendResponse{resp: resp, cancel: stop, connected: newConn.Load()}, true, nil
 }
 
 // request builds the request for a server. Method, path, query and body are the
@@ -135,7 +152,12 @@
 		return nil, fmt.Errorf("request to %s: %w", a.Server.ID, context.DeadlineExceeded)
 	}
 	h := platform.ForwardedHeader(x.r.Header)
-	platform.RequestConstraints{Server: a.Server.ID, Version: a.Version, Remaining: remaining, Priority: x.priority()}.Set(h)
+	if a.Peer != "" {
+		platform.SetDeadline(h, x.forwardDeadline())
+		x.setForwardHeaders(h)
+	} else {
+		x.setConstraints(h, a, remaining)
+	}
 	if lastEventID != "" {
 		h.Set(platform.HeaderLastEventID, lastEventID)
 	}
@@ -148,6 +170,11 @@
 	return req, nil
 }
 
+// setConstraints sets the headers by which a server runs the request only as intended.
+func (x *exchange) setConstraints(h http.Header, a Assignment, remaining time.Duration) {
+	platform.RequestConstraints{Server: a.Server.ID, Version: a.Version, Remaining: remaining, Priority: x.priority()}.Set(h)
+}
+
 // Priorities sent to engines, 0 to 9: 0 is the highest, and engines assume 5 if
 // none is sent.
 const (
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -21,9 +21,11 @@
 
 // Settings configures a Server.
 type Settings struct {
-	Timer   chestnutstream.Timer
-	Log     log.Interface
-	Metrics *metrics.Set
+	Instance string // name of this instance
+	Timer    chestnutstream.Timer
+	Log      log.Interface
+	Metrics  *metrics.Set
+	Dial     chestnutstream.DialFunc // connects to backend servers and other instances; nil: Dial
 }
 
 // PlacementRequest describes a request that needs a backend server.
@@ -43,12 +45,17 @@
 	Software  string
 	// Resumable is set for a stream that the caller may take up by another request.
 	Resumable bool
+	// Forwarded is set for a request of another instance, which is not forwarded again.
+	Forwarded   bool
+	Unreachable int             // servers that gave this request no connection
+	AvoidPeers  map[string]bool // instances that it is not to be forwarded to
 }
 
-// Assignment is a backend server chosen for a request. Each Assignment must be
-// released with Dispatcher.Release.
+// Assignment is a backend server chosen for a request, or another instance. Each
+// Assignment must be released with Dispatcher.Release.
 type Assignment struct {
-	Server      chestnutstream.Backend
+	Peer        string                 // the instance that the request is forwarded to; "": it is sent to Server
+	Server      chestnutstream.Backend // only the service and the address, if Peer is set
 	Target      chestnutstream.ModelAdapter
 	Version     int           // of the adapter
 	LoadStall   time.Duration // time spent waiting for the adapter
@@ -74,6 +81,7 @@
 	Backpressure chestnutstream.Backpressure // from a response that the server itself sent
 	NotLoaded    bool                        // the adapter is not loaded there in the requested version
 	WrongServer  bool                        // the address belongs to another server
+	Connected    bool                        // a new connection to the server was opened
 }
 
 // BrokenResponse is a response whose connection ended before it was complete.
@@ -158,7 +166,7 @@
 
 // NewServer returns a server that places its requests with d.
 func NewServer(cfg Settings, d Dispatcher) *Server {
-	return &Server{cfg: cfg, dispatcher: d, nonRepeatable: newTransport(idleTimeoutNonRepeatable), repeatable: newTransport(idleTimeoutRepeatable)}
+	return &Server{cfg: cfg, dispatcher: d, nonRepeatable: newTransport(cfg.Dial, idleTimeoutNonRepeatable), repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable)}
 }
 
 // InProgress returns the number of requests in progress.
@@ -183,6 +191,7 @@
 	connectedAttempts int      // attempts that got a connection
 	servers           []string // that the request was sent to
 	software          []string // their software versions
+	connectedServers  []string // that gave the request a connection, here or at another instance
 	avoid             map[string]bool
 	stall             time.Duration
 	timeToFirstByte   time.Duration // from the request to the start of the relayed response; 0: none started
@@ -191,11 +200,16 @@
 	reason            string
 	responseStarted   bool // the header of a response was written to the caller
 	stream            *stream
-	continues         bool        // the caller has events of the stream
-	streamSoftware    string      // software version that began it
-	serverCrashed     bool        // the server of the latest attempt ended during it
-	suspected         bool        // this request may have crashed it
-	responseBegun     atomic.Bool // the server of the latest attempt has begun to respond
+	continues         bool   // the caller has events of the stream
+	streamSoftware    string // software version that began it
+	serverCrashed     bool   // the server of the latest attempt ended during it
+	suspected         bool   // this request may have crashed it
+	forwardedBy       string // instance that has forwarded the request; "": it is a caller's
+	unreachable       int    // servers that gave no connection
+	forwards          int    // instances that the request was forwarded to
+	avoidPeers        map[string]bool
+	forwardRetryAfter time.Duration // of the latest instance that has not run the request
+	responseBegun     atomic.Bool   // the server of the latest attempt has begun to respond
 	abort             context.CancelCauseFunc
 }
 
@@ -222,10 +236,16 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, "") }
+
+// serve serves a caller's request, or one that another instance has forwarded.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, forwardedBy string) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
-	x := &exchange{server: s, w: w, r: r, start: s.cfg.Timer.Now(), header: platform.ReadRequestHeader(r.Header), avoid: map[string]bool{}}
+	x := &exchange{server: s, w: w, r: r, start: s.cfg.Timer.Now(), header: platform.ReadRequestHeader(r.Header), avoid: map[string]bool{}, avoidPeers: map[string]bool{}, forwardedBy: forwardedBy}
+	if forwardedBy != "" {
+		x.takeForwardHeaders()
+	}
 	if _, draining := s.dispatcher.Draining(); draining {
 		w.Header().Set("Connection", "close")
 	}
@@ -236,7 +256,9 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	x.ctx = ctx
-	s.dispatcher.RecordRequest(x.service)
+	if forwardedBy == "" {
+		s.dispatcher.RecordRequest(x.service) // the forwarding instance counts it
+	}
 	release, err := s.dispatcher.Admit(ctx, x.admission())
 	if err != nil {
 		x.respondUnplaced(err)
@@ -252,7 +274,7 @@
 // findOrigin finds out which software version can go on with a stream that the caller
 // takes up. It returns false if it has rejected the request, as that is unknown.
 func (x *exchange) findOrigin() bool {
-	if !x.takesUpStream() {
+	if !x.takesUpStream() || x.continues {
 		return true
 	}
 	software, ok := x.server.dispatcher.FindOrigin(x.ctx, x.service, x.header.Resumes)
@@ -396,6 +418,7 @@
 		h.Set(platform.HeaderRequestID, x.header.ID)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.setForwardedResponse(x.outcome())
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write([]byte(reason + "\n"))
 }
@@ -439,6 +462,12 @@
 	if x.takesUpStream() {
 		fields["resumes"], fields["after-event"] = x.header.Resumes, x.header.LastEventID
 	}
+	if x.forwardedBy != "" {
+		fields["forwarded-by"] = x.forwardedBy
+	}
+	if x.forwards > 0 {
+		fields["forwards"] = x.forwards
+	}
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -42,6 +42,8 @@
 	OriginRequests   []wireOriginRequest   `cbor:"29,keyasint,omitempty"`
 	OriginResponses  []wireOriginResponse  `cbor:"30,keyasint,omitempty"`
 	SoftwareRows     []wireTableRow        `cbor:"31,keyasint,omitempty"`
+	HasCutOff        bool                  `cbor:"32,keyasint,omitempty"`
+	CutOff           []string              `cbor:"33,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -199,6 +201,7 @@
 		HasOwned: b.HasOwned, Owned: b.Owned, Draining: b.Draining, ConfigRequested: b.ConfigRequested,
 		Config: b.Config, ConfigVersion: b.ConfigVersion, PacedServices: b.PacedServices,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
+		HasCutOff: b.HasCutOff, CutOff: b.CutOff,
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
 	}
 	for _, x := range b.LoadRequests {
@@ -274,6 +277,7 @@
 		HasOwned: w.HasOwned, Owned: w.Owned, Draining: w.Draining, ConfigRequested: w.ConfigRequested,
 		Config: w.Config, ConfigVersion: w.ConfigVersion, PacedServices: w.PacedServices,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
+		HasCutOff: w.HasCutOff, CutOff: w.CutOff,
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
 	}
 	for _, x := range w.LoadRequests {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -59,6 +59,8 @@
 	PermitResponses  []PermitResponse          // responses to PermitRequests
 	Evidence         []TraitEvidence           // evidence against parts of prompts
 	EvidenceReplies  []TraitEvidence           // what the receiver's Evidence lacked
+	HasCutOff        bool                      // CutOff is present, possibly empty
+	CutOff           []string                  // services of which the sender reaches no server
 	SoftwareRows     []chestnutstream.TableRow // software versions of services
 	StreamOrigins    []software.Origin         // which software versions began streams
 	OriginRequests   []OriginRequest           // requests for the origins of streams
@@ -217,5 +219,5 @@
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
-		len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
+		!b.HasCutOff && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
 }
