edge: an instance that is cut off reports no servers as crashed

What happened: a connection broke and the address refused a new one, which counted as the end of the server's process. Cause: the refusal was taken for the server's, without looking whether this instance could connect to any other. Fix: a crash is reported only if one of three other servers accepts a connection, or if there is no other. TestInstanceThatReachesNoServerReportsNoCrashes failed before (3 reports). Only suspected: an instance that loses single servers, which refuse it but nobody else, still reports these.

--- a/edge/crash.go
+++ b/edge/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 const (
 	crashCollectTime  = 10 * time.Millisecond  // from the first broken connection to the check, in which further ones are collected
 	crashCheckTimeout = 160 * time.Millisecond // of the new connection
+	crashWitnesses    = 3                      // other servers that are tried before a refused connection counts as a crash
 	crashMemory       = 3 * time.Second        // for which a crash is remembered, for responses whose end is noticed late
 	maxLoggedRequests = 8                      // in the log line of a crash
 )
@@ -90,8 +92,9 @@
 	if err == nil {
 		_ = conn.Close()
 	}
+	crashed := errors.Is(err, syscall.ECONNREFUSED) && n.reachesOthers(c.server)
 	n.mu.Lock()
-	c.crashed = errors.Is(err, syscall.ECONNREFUSED)
+	c.crashed = crashed
 	broken, loads := c.broken, n.loadsInProgress(k)
 	if !c.crashed {
 		delete(n.crashChecks, k)
@@ -119,6 +122,32 @@
 	})
 }
 
+// reachesOthers reports whether this instance can connect to another server than the one
+// that refused a connection: if it is cut off, the refusal may not be the server's. It
+// reports true if there is no other.
+func (n *Node) reachesOthers(server chestnutstream.Backend) bool {
+	n.mu.Lock()
+	var others []chestnutstream.Backend
+	for _, s := range n.fleet.Servers() {
+		if s.ID != server.ID && s.Usable() {
+			others = append(others, s.Backend)
+		}
+	}
+	n.mu.Unlock()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(crashWitnesses, len(others))]
+	results := make(chan bool, len(others))
+	for _, s := range others {
+		go func() { results <- n.canConnect(s) }()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // loadsInProgress returns the loads that this instance has ordered from a server's
 // process and that are not complete. Callers hold mu.
 func (n *Node) loadsInProgress(k processKey) []quarantine.Run {
--- a/edge/cutoff_test.go
+++ b/edge/cutoff_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // runs returns how often each request was run by the backend servers.
@@ -89,3 +90,22 @@
 		assert.Assert(t, time.Since(start) < 500*time.Millisecond, "refused after %v", time.Since(start))
 	}
 }
+
+func TestInstanceThatReachesNoServerReportsNoCrashes(t *testing.T) {
+	s := newTestSite(t, 3, 3)
+	in := s.instance("edge-a")
+	s.awaitOwners(3, in)
+	for _, b := range s.backends {
+		b.SetFaults(standin.BackendFaults{Hang: true}) // requests are in progress when the cut begins
+	}
+	for i := range 6 {
+		go func() { _, _, _ = sendRequest(in, "POST", "/ask/1", fmt.Sprintf("m/a%d", i)) }()
+	}
+	eventually(t, "requests are in progress", func() bool { return len(s.runs()) >= 3 })
+	in.servers.set(cutRefuse)
+	eventually(t, "the broken connections are logged", func() bool {
+		return len(in.log.with("connections of a server broke"))+len(in.log.with("server crashed")) > 0
+	})
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, len(in.log.with("server crashed")), 0)
+}
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -168,8 +168,8 @@
 
 const (
 	cutNone   serverCut = ""
-	cutRefuse serverCut = "refuse" // new connections are refused, open ones are reset
-	cutHang   serverCut = "hang"   // new connections get no response, open ones are reset
+	cutRefuse serverCut = "refuse" // new connections are refused, open ones are closed
+	cutHang   serverCut = "hang"   // new connections get no response, open ones are closed
 	cutNew    serverCut = "new"    // new connections are refused, open ones live on
 )
 
@@ -179,8 +179,7 @@
 	g.cut = cut
 	if cut == cutRefuse || cut == cutHang {
 		for _, conn := range g.conns {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
+			_ = conn.(*net.TCPConn).CloseRead() // as if the server had closed it
 		}
 		g.conns = nil
 	}
