ingress: resume a stream that hangs because its server is unreachable

What callers saw: streams in progress when their instance was cut off hung until the callers gave them up after 3.2 s. Cause: nothing ends the wait for further bytes of a response; no data is in flight that the kernel could miss an acknowledgement of. Fix: a stream that may be resumed, without any byte for 750 ms, is aborted once new connections to its server fail too, and continues elsewhere; a request that waits for its response may move on to another instance. A server that is silent for a second or two but accepts connections is left alone.

--- a/edge/place.go
+++ b/edge/place.go
@@ -489,7 +489,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	return n.retryBudget(service).CanRetry(now) && n.fleet.HasAlternative(now, service, avoid)
+	alternative := n.fleet.HasAlternative(now, service, avoid) || (n.cutOff[service] && len(n.mesh.Peers()) > 0)
+	return n.retryBudget(service).CanRetry(now) && alternative
+}
+
+// IsUnreachable implements ingress.Dispatcher.
+func (n *Node) IsUnreachable(a ingress.Assignment) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return a.Peer == "" && n.fleet.IsUnreachable(a.Server.ID)
 }
 
 // RecordRequest implements ingress.Dispatcher.
--- a/fleet/reachability.go
+++ b/fleet/reachability.go
@@ -11,6 +11,12 @@
 
 func (d *outlierDetector) unreachable() bool { return d.dialFailures >= d.connFailureLimit() }
 
+// IsUnreachable reports whether the latest new connections to a server have failed.
+func (f *Fleet) IsUnreachable(id string) bool {
+	s := f.servers[id]
+	return s != nil && f.unreachable(s)
+}
+
 // CutOff reports whether a service has usable servers and this instance reaches none.
 func (f *Fleet) CutOff(service string) bool {
 	usable := false
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -123,7 +123,8 @@
 	admitted       chan Admission // receives each admission, if not nil
 	placeBlocks    bool           // Place waits until the request ends
 	origins        map[string]string
-	peers          []Assignment // instances to which requests are forwarded if no backend takes them
+	unreachable    map[string]bool // by ID of the server
+	peers          []Assignment    // instances to which requests are forwarded if no backend takes them
 }
 
 func (d *fakeDispatcher) Routes() *chestnutstream.RouteTable { return d.table }
@@ -210,6 +211,12 @@
 	return software, ok
 }
 
+func (d *fakeDispatcher) IsUnreachable(a Assignment) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unreachable[a.Server.ID]
+}
+
 func (d *fakeDispatcher) Draining() (Drain, bool) { return d.drain, d.drain != Drain{} }
 
 // awaitDone waits until a server has no requests in progress.
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -137,3 +138,33 @@
 	_ = conn.Close()
 	awaitDone(t, f.handler)
 }
+
+func TestHangingStreamOfUnreachableServerIsResumed(t *testing.T) {
+	tests := []struct {
+		name        string
+		unreachable bool
+		servers     int // that receive the request
+	}{
+		{"unreachable", true, 2},
+		{"silent, but reachable", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			silent := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+				writeStreamHeader(c, r)
+				writeEvents(c, 0, 2)
+				time.Sleep(2 * minStallTime)
+				writeEvents(c, 2, 6)
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return true
+			})
+			other := newStreamBackend(t, "i-2", "", 0)
+			f := newTestServer(t, silent, other)
+			f.dispatcher.unreachable = map[string]bool{"i-1": tt.unreachable}
+			_, body, err := f.send(t, "POST", "/ask/1", "x")
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(body, "\n\n"), 6)
+			assert.Equal(t, silent.requestCount()+other.requestCount(), tt.servers)
+		})
+	}
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -197,8 +197,11 @@
 	x.stream.partial, x.stream.events = x.stream.partial[:0], 0
 	buf := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(buf)
+	stall := x.watchStall(a, br.cancel)
+	defer stall.stop()
 	for {
 		n, err := br.resp.Body.Read(*buf)
+		stall.recordRead(x.server.cfg.Timer.Now())
 		if n > 0 {
 			writeErr := x.relayEvents(a, (*buf)[:n])
 			if errors.Is(writeErr, errEventTooLong) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -142,6 +142,9 @@
 	// CanRetry reports whether a request can be retried now on a server of its
 	// service that is not in avoid.
 	CanRetry(service string, avoid map[string]bool) bool
+	// IsUnreachable reports whether new connections to the server of an assignment fail,
+	// though a connection that is open may live on.
+	IsUnreachable(a Assignment) bool
 	// RecordRequest records a request to a service, which adds to its retry budget.
 	RecordRequest(service string)
 	// RecordOrigin records that a request, which its caller may name when it takes the
