edge, permit: requests wait in the instances while servers are brittle

Cause: that a server is full showed only by its rejections, at all instances at once, and each rejected request went on to the next server. Nothing read Server-Brittle. Fix: while a service's servers say so, each request needs one of the server's slots, which one instance grants for all; rejections are counted over all instances and stop the sending in time. A service whose servers do not say so pays nothing.

--- a/backend.go
+++ b/backend.go
@@ -77,6 +77,11 @@
 	RateLimit  float64       // requests per second from all instances together; 0: no valid limit given
 	Unlimited  bool          // no limit header at all; false for a limit that cannot be parsed
 	RetryAfter time.Duration // Retry-After: send nothing from this instance for this long; 0: none given
+	// Brittle is set if the server crashes when it has to reject more than MaxRejections
+	// requests in a second for want of room; Sturdy if the response does not say so.
+	Brittle       bool
+	MaxRejections int
+	Sturdy        bool
 }
 
 // Prompt describes the tokens of a request as its caller states them.
--- a/edge/backpressure.go
+++ b/edge/backpressure.go
@@ -25,6 +25,8 @@
 		case fleet.ChangeLeaving:
 			message := instance.ServerNotice{Server: s.ID, Born: s.Born, Leaving: true}
 			n.mesh.Broadcast(func(b *instance.Bundle) { b.ServerNotices = append(b.ServerNotices, message) })
+		case fleet.ChangeBrittle, fleet.ChangeBrittleEnded:
+			n.broadcastBrittleness(c)
 		case fleet.ChangeLimit, fleet.ChangeLimitEnded:
 			message := n.limitMessage(s)
 			n.mesh.Broadcast(func(b *instance.Bundle) { b.RateLimits = append(b.RateLimits, message) })
@@ -57,6 +59,9 @@
 // addBackpressure adds the backpressure signals of servers that concern all instances
 // to a message. Callers hold mu.
 func (n *Node) addBackpressure(b *instance.Bundle) {
+	for _, service := range n.fleet.BrittleServices() {
+		b.BrittleServices = append(b.BrittleServices, n.brittleMessage(service))
+	}
 	for _, s := range n.fleet.Servers() {
 		if n.fleet.Leaving(s) {
 			b.ServerNotices = append(b.ServerNotices, instance.ServerNotice{Server: s.ID, Born: s.Born, Leaving: true})
--- /dev/null
+++ b/edge/brittle.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/permit"
+)
+
+// Brittle servers crash when they have to reject too many requests in a second, and their
+// queues are short. While a service's servers are brittle, requests wait in the instances:
+// each needs one of the server's slots, which one instance grants for all, and what is
+// rejected all the same is counted over all instances.
+
+// acquireSlot reports whether a request may be sent to a server now, as far as its slots
+// are concerned. Callers hold mu, which is released while another instance is asked.
+func (n *Node) acquireSlot(ctx context.Context, server string) bool {
+	s := n.fleet.Server(server)
+	if s == nil {
+		return false
+	}
+	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle || s.Slots <= 0 {
+		return true
+	}
+	now, view := n.now(), n.permitView()
+	issuer := n.permits.IssuerOf(now, server, view)
+	ok, wait, result := false, permitTimeout, "silent"
+	if issuer == n.cfg.Instance {
+		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view)
+		if ok {
+			n.slotGrants[server]++
+		}
+		result = permitResult(ok)
+	} else {
+		h := n.holding(s)
+		p, responded := n.askIssuer(ctx, issuer, func(b *instance.Bundle, id uint64) {
+			b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: server, ID: id, Held: h.Held, Received: h.Received, Slots: s.Slots})
+		})
+		if responded && p.OK {
+			n.unusedGrants[server]-- // its caller sends the request at once
+		}
+		if responded {
+			ok, wait = p.OK, time.Duration(p.WaitMS)*time.Millisecond
+			result = permitResult(ok)
+		} else if ctx.Err() == nil {
+			n.permits.MarkUnresponsive(n.now(), issuer)
+			n.log.WithField("server", server).WithField("peer", issuer).Warn("slot issuer did not respond")
+		}
+	}
+	n.metrics.GetOrCreateCounter(`chestnutstream_slots_total{result="` + result + `"}`).Inc()
+	if !ok {
+		n.fleet.RecordNoPermit(n.now(), server, wait)
+	}
+	return ok
+}
+
+// holding returns this instance's use of a server, including grants that are about to be
+// used. Callers hold mu.
+func (n *Node) holding(s *fleet.Server) permit.Holding {
+	return permit.Holding{Holder: n.cfg.Instance, Held: s.InFlight + max(n.unusedGrants[s.ID], 0), Received: n.slotGrants[s.ID]}
+}
+
+// handleSlotResponse counts a grant as it arrives: the request that waits for it has not
+// been sent yet. Callers hold mu.
+func (n *Node) handleSlotResponse(p instance.PermitResponse) {
+	if p.OK {
+		n.slotGrants[p.Server]++
+		if n.permitWaiters[p.ID] != nil {
+			n.unusedGrants[p.Server]++
+		}
+	}
+	n.handlePermitResponse(p)
+}
+
+// reportHeld tells the issuer of a brittle server's slots how many requests this instance
+// has in progress there. Callers hold mu.
+func (n *Node) reportHeld(server string) {
+	s := n.fleet.Server(server)
+	if s == nil {
+		return
+	}
+	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle {
+		return
+	}
+	h := n.holding(s)
+	issuer := n.permits.IssuerOf(n.now(), server, n.permitView())
+	if issuer == n.cfg.Instance {
+		n.slots.Report(n.now(), server, h)
+		return
+	}
+	n.mesh.Send(issuer, func(b *instance.Bundle) {
+		b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: server, Held: h.Held, Received: h.Received})
+	})
+}
+
+// handleSlotRequest handles the request of another instance for a slot, or its report.
+// Callers hold mu.
+func (n *Node) handleSlotRequest(from string, r instance.SlotRequest) {
+	h := permit.Holding{Holder: from, Held: r.Held, Received: r.Received}
+	if r.ID == 0 {
+		n.slots.Report(n.now(), r.Server, h)
+		return
+	}
+	ok, wait := n.slots.Request(n.now(), r.Server, h, r.Slots, n.permitView())
+	p := instance.PermitResponse{Server: r.Server, ID: r.ID, OK: ok, WaitMS: wait.Milliseconds() + 1}
+	n.mesh.Send(from, func(b *instance.Bundle) { b.SlotResponses = append(b.SlotResponses, p) })
+}
+
+// recordRejection records that a server rejected a request of this instance for want of
+// room, and tells all others if the server is brittle. Callers hold mu.
+func (n *Node) recordRejection(server string) {
+	s := n.fleet.Server(server)
+	if s == nil {
+		return
+	}
+	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle {
+		return
+	}
+	n.handleRejection(server)
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.Rejections = append(b.Rejections, server) })
+}
+
+// handleRejection handles the rejection of any instance's request by a brittle server.
+// Callers hold mu.
+func (n *Node) handleRejection(server string) {
+	n.slots.RecordRejection(n.now(), server)
+	if n.fleet.RecordRejectionOf(n.now(), server) {
+		n.metrics.GetOrCreateCounter(`chestnutstream_brittle_pauses_total`).Inc()
+	}
+}
+
+// brittleMessage returns the message about a service for other instances. Callers hold mu.
+func (n *Node) brittleMessage(service string) instance.BrittleService {
+	maxRejections, at, ok := n.fleet.Brittle(service)
+	if !ok {
+		at = n.now()
+	}
+	return instance.BrittleService{Service: service, Brittle: ok, MaxRejections: maxRejections, AgeMS: max(n.now().Sub(at).Milliseconds(), 0)}
+}
+
+// broadcastBrittleness tells all instances of a change of a service's servers. Callers
+// hold mu.
+func (n *Node) broadcastBrittleness(c fleet.Change) {
+	s := n.fleet.Server(c.Server)
+	if s == nil {
+		return
+	}
+	message := n.brittleMessage(s.Service)
+	n.mesh.Broadcast(func(b *instance.Bundle) { b.BrittleServices = append(b.BrittleServices, message) })
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -41,6 +41,7 @@
 		}
 	}
 	delete(n.peers, to.Name)
+	n.slots.Forget(to.Name)
 	n.failOwnerWaits(to.Name, "owner not reachable")
 	n.mu.Unlock()
 	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
@@ -110,6 +111,18 @@
 	for _, r := range b.PermitRequests {
 		n.handlePermitRequest(from.Name, r)
 	}
+	for _, r := range b.SlotRequests {
+		n.handleSlotRequest(from.Name, r)
+	}
+	for _, s := range b.BrittleServices {
+		n.fleet.RecordPeerBrittle(s.Service, n.now().Add(-time.Duration(s.AgeMS)*time.Millisecond), s.Brittle, s.MaxRejections)
+	}
+	for _, server := range b.Rejections {
+		n.handleRejection(server)
+	}
+	for _, r := range b.SlotResponses {
+		n.handleSlotResponse(r)
+	}
 	for _, r := range b.PermitResponses {
 		n.handlePermitResponse(r)
 	}
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -57,12 +57,21 @@
 // requestPermit requests a permit from another instance. Callers hold mu, which is
 // released meanwhile.
 func (n *Node) requestPermit(ctx context.Context, issuer string, r instance.PermitRequest) (p instance.PermitResponse, responded bool) {
+	return n.askIssuer(ctx, issuer, func(b *instance.Bundle, id uint64) {
+		r.ID = id
+		b.PermitRequests = append(b.PermitRequests, r)
+	})
+}
+
+// askIssuer sends a request for a permit or a slot to another instance, under an ID, and
+// waits for the response. Callers hold mu, which is released meanwhile.
+func (n *Node) askIssuer(ctx context.Context, issuer string, add func(b *instance.Bundle, id uint64)) (p instance.PermitResponse, responded bool) {
 	n.lastPermitID++
-	r.ID = n.lastPermitID
+	id := n.lastPermitID
 	ch := make(chan instance.PermitResponse, 1)
-	n.permitWaiters[r.ID] = ch
-	defer delete(n.permitWaiters, r.ID)
-	if !n.mesh.Send(issuer, func(b *instance.Bundle) { b.PermitRequests = append(b.PermitRequests, r) }) {
+	n.permitWaiters[id] = ch
+	defer delete(n.permitWaiters, id)
+	if !n.mesh.Send(issuer, func(b *instance.Bundle) { add(b, id) }) {
 		return p, false
 	}
 	n.mu.Unlock()
@@ -75,7 +84,12 @@
 	case <-ctx.Done():
 	case <-timeout.C:
 	}
-	return p, false
+	select {
+	case p = <-ch: // it came at the last moment
+		return p, true
+	default:
+		return p, false
+	}
 }
 
 // handlePermitRequest responds to another instance's permit request. Callers hold mu.
--- a/edge/place.go
+++ b/edge/place.go
@@ -87,7 +87,8 @@
 		}
 		if c.Server != nil && c.Loaded {
 			id, now := c.Server.ID, n.now()
-			if limit, _ := c.Server.Limit(); limit <= 0 && !n.prefillPaced(p.Service) {
+			_, _, brittle := n.fleet.Brittle(p.Service)
+			if limit, _ := c.Server.Limit(); limit <= 0 && !brittle && !n.prefillPaced(p.Service) {
 				assignment := n.recordPlacement(c.Server, p, version, now.Sub(start))
 				n.mu.Unlock()
 				return assignment, nil
@@ -168,7 +169,7 @@
 			return ingress.Assignment{}, placeResult{retryAfter: wait, reason: "its engine has other prompts to read"}
 		}
 	}
-	if !n.acquirePermit(ctx, id) {
+	if !n.acquirePermit(ctx, id) || !n.acquireSlot(ctx, id) {
 		return ingress.Assignment{}, placeResult{noPermit: true, retryAfter: minRetryAfter, reason: "its engine takes no more for now"}
 	}
 	s := n.fleet.Server(id)
@@ -419,6 +420,9 @@
 	}
 	now := n.now()
 	changes := n.recordBackpressure(now, now.Add(-r.Took), a.Server, r.Backpressure)
+	if r.NoRoom {
+		n.recordRejection(a.Server.ID)
+	}
 	n.recordResponse(now, a, target, r)
 	n.mu.Unlock()
 	n.logBackpressure(changes, "")
@@ -470,6 +474,7 @@
 		return
 	}
 	n.fleet.RecordDone(a.Server.ID)
+	n.reportHeld(a.Server.ID)
 	k := adapterKey{a.Server.ID, a.Target}
 	if u := n.usage[k]; u != nil && u.inProgress > 0 {
 		u.inProgress--
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -31,7 +31,7 @@
 			return ingress.Assignment{}, n.noPlainServer(now, p)
 		}
 		id := s.ID
-		if !n.acquirePermit(ctx, id) {
+		if !n.acquirePermit(ctx, id) || !n.acquireSlot(ctx, id) {
 			continue
 		}
 		if s = n.fleet.Server(id); s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -358,6 +358,8 @@
 			n.removeLoader(c.Server)
 			n.leases.ForgetServer(c.Server)
 			n.failServerWaits(c.Server, "server "+c.What)
+			delete(n.slotGrants, c.Server)
+			delete(n.unusedGrants, c.Server)
 		case "draining", fleet.ChangeLeaving:
 			n.failServerWaits(c.Server, "server draining")
 		}
--- a/fleet/backpressure.go
+++ b/fleet/backpressure.go
@@ -62,6 +62,7 @@
 		s.pausedUntil = until
 		changes = append(changes, Change{Server: id, What: ChangePaused, RowVersion: s.RowVersion, Pause: b.RetryAfter})
 	}
+	changes = append(changes, f.recordBrittleness(now, sentAt, s, b)...)
 	if b.Leaving {
 		changes = append(changes, f.RecordLeaving(id, s.Born)...)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,7 @@
 	permitWait             time.Duration // the latest wait for a permit
 	rejected               int           // requests rejected during that wait
 	hash                   uint64
+	rejections             []time.Time // by this server while it is brittle, within rejectionWindow
 }
 
 // loadedAdapter is a model or adapter that is believed to be loaded on an engine.
@@ -88,8 +89,9 @@
 	pauses   map[string]*pauseTracker    // by service
 	zones    map[string]*outlierDetector // of connections to the servers of each availability zone
 
-	storeUnavailable bool      // the latest read of the list failed
-	storeRecoveredAt time.Time // first successful read after failures
+	brittle          map[string]brittleness // by service
+	storeUnavailable bool                   // the latest read of the list failed
+	storeRecoveredAt time.Time              // first successful read after failures
 }
 
 // New returns an empty fleet as seen from an availability zone. inRegion reports
@@ -100,7 +102,7 @@
 	}
 	return &Fleet{
 		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, removed: map[string]uint64{}, leaving: map[string]int64{}, services: map[string][]*Server{},
-		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
+		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
 	}
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -259,7 +259,8 @@
 		r.NotLoaded = !r.WrongServer && status == http.StatusMisdirectedRequest
 		if !otherServer {
 			r.Backpressure = platform.ReadBackpressure(status, h)
-			r.Backpressure.Unlimited = false // a rejection without a limit does not mean that the server has none
+			r.Backpressure.Unlimited, r.Backpressure.Sturdy = false, false // a rejection without a limit does not mean that the server has none
+			r.NoRoom = status == http.StatusServiceUnavailable
 		}
 	case !x.isValidResponse(resp):
 		r.Outcome = fleet.Failed
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -79,6 +79,7 @@
 	Took         time.Duration // time to the first byte of the response
 	Load         *platform.ServerLoad
 	Backpressure chestnutstream.Backpressure // from a response that the server itself sent
+	NoRoom       bool                        // the server rejected the request because it is full
 	NotLoaded    bool                        // the adapter is not loaded there in the requested version
 	WrongServer  bool                        // the address belongs to another server
 	Connected    bool                        // a new connection to the server was opened
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -43,6 +43,10 @@
 	OriginResponses  []wireOriginResponse  `cbor:"30,keyasint,omitempty"`
 	SoftwareRows     []wireTableRow        `cbor:"31,keyasint,omitempty"`
 	HasCutOff        bool                  `cbor:"32,keyasint,omitempty"`
+	SlotRequests     []wireSlotRequest     `cbor:"34,keyasint,omitempty"`
+	BrittleServices  []wireBrittleService  `cbor:"35,keyasint,omitempty"`
+	Rejections       []string              `cbor:"36,keyasint,omitempty"`
+	SlotResponses    []wirePermitResponse  `cbor:"37,keyasint,omitempty"`
 	CutOff           []string              `cbor:"33,keyasint,omitempty"`
 }
 
@@ -125,6 +129,24 @@
 	Companions []string
 }
 
+type wireSlotRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	ID     uint64
+	Held   int
+	Slots  int
+
+	Received uint64
+}
+
+type wireBrittleService struct {
+	_             struct{} `cbor:",toarray"`
+	Service       string
+	Brittle       bool
+	MaxRejections int
+	AgeMS         int64
+}
+
 type wireStreamOrigin struct {
 	_        struct{} `cbor:",toarray"`
 	Stream   uint64
@@ -201,7 +223,7 @@
 		HasOwned: b.HasOwned, Owned: b.Owned, Draining: b.Draining, ConfigRequested: b.ConfigRequested,
 		Config: b.Config, ConfigVersion: b.ConfigVersion, PacedServices: b.PacedServices,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
-		HasCutOff: b.HasCutOff, CutOff: b.CutOff,
+		HasCutOff: b.HasCutOff, CutOff: b.CutOff, Rejections: b.Rejections,
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
 	}
 	for _, x := range b.LoadRequests {
@@ -235,9 +257,7 @@
 	for _, r := range b.PermitRequests {
 		w.PermitRequests = append(w.PermitRequests, wirePermitRequest{Server: r.Server, ID: r.ID, Rate: r.Rate})
 	}
-	for _, x := range b.PermitResponses {
-		w.PermitResponses = append(w.PermitResponses, wirePermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
+	w.PermitResponses, w.SlotResponses = encodePermitResponses(b.PermitResponses), encodePermitResponses(b.SlotResponses)
 	for _, p := range b.Prefills {
 		w.Prefills = append(w.Prefills, wirePrefill{Server: p.Server, Tokens: p.Tokens})
 	}
@@ -250,6 +270,12 @@
 	for _, r := range b.PrefillResponses {
 		w.PrefillResponses = append(w.PrefillResponses, wirePrefillResponse{Server: r.Server, ID: r.ID, State: string(r.State), WaitMS: r.WaitMS})
 	}
+	for _, x := range b.SlotRequests {
+		w.SlotRequests = append(w.SlotRequests, wireSlotRequest{Server: x.Server, ID: x.ID, Held: x.Held, Slots: x.Slots, Received: x.Received})
+	}
+	for _, x := range b.BrittleServices {
+		w.BrittleServices = append(w.BrittleServices, wireBrittleService{Service: x.Service, Brittle: x.Brittle, MaxRejections: x.MaxRejections, AgeMS: x.AgeMS})
+	}
 	for _, x := range b.StreamOrigins {
 		w.StreamOrigins = append(w.StreamOrigins, wireStreamOrigin{Stream: uint64(x.Stream), Software: x.Software})
 	}
@@ -277,7 +303,7 @@
 		HasOwned: w.HasOwned, Owned: w.Owned, Draining: w.Draining, ConfigRequested: w.ConfigRequested,
 		Config: w.Config, ConfigVersion: w.ConfigVersion, PacedServices: w.PacedServices,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
-		HasCutOff: w.HasCutOff, CutOff: w.CutOff,
+		HasCutOff: w.HasCutOff, CutOff: w.CutOff, Rejections: w.Rejections,
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
 	}
 	for _, x := range w.LoadRequests {
@@ -301,9 +327,7 @@
 	for _, x := range w.PermitRequests {
 		b.PermitRequests = append(b.PermitRequests, PermitRequest{Server: x.Server, ID: x.ID, Rate: x.Rate})
 	}
-	for _, x := range w.PermitResponses {
-		b.PermitResponses = append(b.PermitResponses, PermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
+	b.PermitResponses, b.SlotResponses = decodePermitResponses(w.PermitResponses), decodePermitResponses(w.SlotResponses)
 	for _, x := range w.Prefills {
 		b.Prefills = append(b.Prefills, Prefill{Server: x.Server, Tokens: x.Tokens})
 	}
@@ -323,6 +347,12 @@
 		}
 		b.TableUpdates = append(b.TableUpdates, u)
 	}
+	for _, x := range w.SlotRequests {
+		b.SlotRequests = append(b.SlotRequests, SlotRequest{Server: x.Server, ID: x.ID, Held: x.Held, Slots: x.Slots, Received: x.Received})
+	}
+	for _, x := range w.BrittleServices {
+		b.BrittleServices = append(b.BrittleServices, BrittleService{Service: x.Service, Brittle: x.Brittle, MaxRejections: x.MaxRejections, AgeMS: x.AgeMS})
+	}
 	for _, x := range w.StreamOrigins {
 		b.StreamOrigins = append(b.StreamOrigins, software.Origin{Stream: software.StreamKey(x.Stream), Software: x.Software})
 	}
@@ -355,6 +385,22 @@
 	return out
 }
 
+func encodePermitResponses(responses []PermitResponse) []wirePermitResponse {
+	var out []wirePermitResponse
+	for _, x := range responses {
+		out = append(out, wirePermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
+	}
+	return out
+}
+
+func decodePermitResponses(responses []wirePermitResponse) []PermitResponse {
+	var out []PermitResponse
+	for _, x := range responses {
+		out = append(out, PermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
+	}
+	return out
+}
+
 func encodeEvidence(evidence []TraitEvidence) []wireTraitEvidence {
 	var out []wireTraitEvidence
 	for _, e := range evidence {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -59,6 +59,10 @@
 	PermitResponses  []PermitResponse          // responses to PermitRequests
 	Evidence         []TraitEvidence           // evidence against parts of prompts
 	EvidenceReplies  []TraitEvidence           // what the receiver's Evidence lacked
+	SlotRequests     []SlotRequest             // requests for slots of brittle servers, and reports of those held
+	SlotResponses    []PermitResponse          // responses to SlotRequests
+	BrittleServices  []BrittleService          // services whose servers are brittle, or no longer
+	Rejections       []string                  // brittle servers that have rejected a request of the sender, one entry each
 	HasCutOff        bool                      // CutOff is present, possibly empty
 	CutOff           []string                  // services of which the sender reaches no server
 	SoftwareRows     []chestnutstream.TableRow // software versions of services
@@ -156,6 +160,25 @@
 	Companions []string // IDs of the unknown parts in the same prompts
 }
 
+// SlotRequest requests a slot of a brittle server, to which a PermitResponse responds. With
+// ID 0 it only reports what the sender holds.
+type SlotRequest struct {
+	Server string
+	ID     uint64 // chosen by the sender
+	Held   int    // requests of the sender in progress there, without this one
+	Slots  int    // of the server
+	// Received counts the grants for the server that the sender has received.
+	Received uint64
+}
+
+// BrittleService is what the servers of a service have last signalled.
+type BrittleService struct {
+	Service       string
+	Brittle       bool
+	MaxRejections int   // of one server in a second
+	AgeMS         int64 // age of the signal
+}
+
 // OriginRequest requests the software version that began a stream.
 type OriginRequest struct {
 	ID     uint64 // chosen by the sender
@@ -219,5 +242,5 @@
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
-		!b.HasCutOff && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
+		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
 }
--- /dev/null
+++ b/permit/slots.go
@@ -0,0 +1,122 @@
+package permit
+
+import "time"
+
+// Parameters of slots.
+const (
+	slotRetryInterval   = 8 * time.Millisecond // before the next request of a slot, about the time in which a busy server ends a request
+	rejectionFactor     = 0.75                 // by which a rejection lowers the slots that are granted
+	rejectionInterval   = 250 * time.Millisecond
+	slotRecoveryPerSec  = 0.1 // share of the slots that is granted again each second
+	minSlotShare        = 0.2
+	slotStateIdleExpiry = 10 * time.Minute
+	maxGrantFlight      = 500 * time.Millisecond // after which a grant that was not received counts as lost
+)
+
+// Slots grants the slots of servers whose queues may not be used. The issuer of a server
+// counts the requests that all instances have in progress there. Each instance sends its
+// own number with every request, and how many grants it has received, so that lost and
+// crossing messages and a new issuer correct themselves.
+type Slots struct {
+	servers map[string]*serverSlots
+}
+
+// Holding is what an instance says of its use of a server.
+type Holding struct {
+	Holder   string
+	Held     int    // requests in progress there
+	Received uint64 // grants for the server received so far
+}
+
+// holder is what the issuer knows of an instance's use of a server.
+type holder struct {
+	held      int
+	granted   uint64 // grants sent, counted from the instance's own number
+	received  uint64
+	grantedAt time.Time
+}
+
+// inProgress returns the requests in progress, with those whose grants are on their way.
+func (h *holder) inProgress() int { return h.held + int(h.granted-h.received) }
+
+type serverSlots struct {
+	holders    map[string]*holder
+	share      float64 // of the slots that is granted
+	updatedAt  time.Time
+	rejectedAt time.Time
+}
+
+// NewSlots returns an empty record.
+func NewSlots() *Slots { return &Slots{servers: map[string]*serverSlots{}} }
+
+func (s *Slots) server(now time.Time, id string) *serverSlots {
+	state := s.servers[id]
+	if state == nil {
+		for other, o := range s.servers {
+			if now.Sub(o.updatedAt) > slotStateIdleExpiry {
+				delete(s.servers, other)
+			}
+		}
+		state = &serverSlots{holders: map[string]*holder{}, share: 1, updatedAt: now}
+		s.servers[id] = state
+	}
+	state.share = min(state.share+slotRecoveryPerSec*now.Sub(state.updatedAt).Seconds(), 1)
+	state.updatedAt = now
+	return state
+}
+
+// Request requests a slot of a server for an instance. If it is denied, wait is the time
+// until the next try. The instances that reach one another grant their share of the slots,
+// at least one.
+func (s *Slots) Request(now time.Time, server string, h Holding, slots int, v View) (ok bool, wait time.Duration) {
+	state := s.server(now, server)
+	asking := state.update(now, h)
+	total := 0
+	for _, other := range state.holders {
+		total += other.inProgress()
+	}
+	granted := float64(slots) * state.share
+	if v.All > 0 {
+		granted *= min(float64(v.Reached)/float64(v.All), 1)
+	}
+	if total >= max(int(granted), 1) {
+		return false, slotRetryInterval
+	}
+	asking.granted++
+	asking.grantedAt = now
+	return true, 0
+}
+
+// Report records what an instance says of its use of a server.
+func (s *Slots) Report(now time.Time, server string, h Holding) { s.server(now, server).update(now, h) }
+
+func (s *serverSlots) update(now time.Time, h Holding) *holder {
+	known := s.holders[h.Holder]
+	if known == nil {
+		known = &holder{granted: h.Received}
+		s.holders[h.Holder] = known
+	}
+	known.held, known.received = h.Held, h.Received
+	if known.granted < h.Received || now.Sub(known.grantedAt) > maxGrantFlight {
+		known.granted = h.Received // another issuer has granted slots, or grants were lost
+	}
+	return known
+}
+
+// Forget drops what an instance holds: its requests end with its process.
+func (s *Slots) Forget(holder string) {
+	for _, state := range s.servers {
+		delete(state.holders, holder)
+	}
+}
+
+// RecordRejection records that a server had no room for a request: not all that use it
+// have asked for a slot.
+func (s *Slots) RecordRejection(now time.Time, server string) {
+	state := s.server(now, server)
+	if now.Sub(state.rejectedAt) < rejectionInterval {
+		return
+	}
+	state.rejectedAt = now
+	state.share = max(state.share*rejectionFactor, minSlotShare)
+}
--- /dev/null
+++ b/permit/slots_test.go
@@ -0,0 +1,131 @@
+package permit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Instances hold slots, release them, end, and lose reports. The requests in progress stay
+// within the slots, except for those that an ended instance or a new issuer no longer
+// knows of until their instances ask again.
+func TestSlotsInProgressStayWithinTheServer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const holders = 4
+		slots := rapid.IntRange(1, 20).Draw(rt, "slots")
+		view := View{Reached: holders, All: holders}
+		now := time.Unix(0, 0)
+		issuer := NewSlots()
+		held, received := map[string]int{}, map[string]uint64{}
+		inFlight := map[string]int{} // grants on their way
+		holding := func(in string) Holding { return Holding{in, held[in], received[in]} }
+		total := func() int {
+			n := 0
+			for _, h := range held {
+				n += h
+			}
+			return n
+		}
+		name := func() string { return fmt.Sprint("edge-", rapid.IntRange(0, holders-1).Draw(rt, "instance")) }
+		rt.Repeat(map[string]func(*rapid.T){
+			"request": func(rt *rapid.T) {
+				in := name()
+				ok, wait := issuer.Request(now, "i-1", holding(in), slots, view)
+				if ok {
+					inFlight[in]++
+				} else if wait <= 0 {
+					rt.Fatalf("denied without a wait")
+				}
+			},
+			"grant arrives": func(*rapid.T) {
+				if in := name(); inFlight[in] > 0 {
+					inFlight[in]--
+					held[in]++
+					received[in]++
+				}
+			},
+			"release": func(rt *rapid.T) {
+				in := name()
+				if held[in] == 0 {
+					return
+				}
+				held[in]--
+				if rapid.Bool().Draw(rt, "report arrives") {
+					issuer.Report(now, "i-1", holding(in))
+				}
+			},
+			"end": func(*rapid.T) {
+				in := name()
+				held[in], received[in], inFlight[in] = 0, 0, 0
+				issuer.Forget(in)
+			},
+			"reject": func(*rapid.T) { issuer.RecordRejection(now, "i-1") },
+			"time": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(rt, "ms")) * time.Millisecond)
+				for in, n := range inFlight { // no grant takes longer than that
+					held[in], received[in], inFlight[in] = held[in]+n, received[in]+uint64(n), 0
+				}
+			},
+			"": func(*rapid.T) {
+				if total() > slots {
+					rt.Fatalf("%d requests in progress at a server with %d slots: %v", total(), slots, held)
+				}
+			},
+		})
+	})
+}
+
+func TestLostReportsDoNotBlockSlots(t *testing.T) {
+	issuer, now, view := NewSlots(), time.Unix(0, 0), View{Reached: 1, All: 1}
+	request := func(held int, received uint64) bool {
+		ok, _ := issuer.Request(now, "i-1", Holding{"edge-a", held, received}, 4, view)
+		return ok
+	}
+	for i := range 4 {
+		assert.Assert(t, request(i, uint64(i)))
+	}
+	assert.Assert(t, !request(4, 4), "more requests than slots")
+	assert.Assert(t, request(2, 4), "two reports of releases were lost")
+	assert.Assert(t, request(2, 4), "crosses the grant before")
+	assert.Assert(t, !request(2, 4), "two grants are on their way")
+	now = now.Add(2 * maxGrantFlight)
+	assert.Assert(t, request(2, 4), "the grants were lost")
+}
+
+func TestRejectionsLowerTheSlotsForAWhile(t *testing.T) {
+	issuer, now, view := NewSlots(), time.Unix(0, 0), View{Reached: 1, All: 1}
+	grants := func() int {
+		n := 0
+		for ok := true; ok; {
+			if ok, _ = issuer.Request(now, "i-1", Holding{"edge-a", n, uint64(n)}, 20, view); ok {
+				n++
+			}
+		}
+		issuer.Forget("edge-a")
+		return n
+	}
+	assert.Equal(t, grants(), 20)
+	issuer.RecordRejection(now, "i-1")
+	assert.Equal(t, grants(), 15)
+	issuer.RecordRejection(now.Add(rejectionInterval/2), "i-1") // of the same moment
+	now = now.Add(3 * time.Second)
+	assert.Equal(t, grants(), 20)
+}
+
+// Groups of instances that do not reach one another share the slots.
+func TestPartitionedInstancesShareSlots(t *testing.T) {
+	now := time.Unix(0, 0)
+	granted := 0
+	for _, reached := range []int{2, 3} {
+		issuer, view := NewSlots(), View{Reached: reached, All: 5}
+		for held := range 30 {
+			if ok, _ := issuer.Request(now, "i-1", Holding{"edge-a", held, uint64(held)}, 20, view); ok {
+				granted++
+			}
+		}
+	}
+	assert.Equal(t, granted, 20)
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -50,8 +50,11 @@
 	// These have an effect only where OnCrash is set.
 	CrashPart, CrashAdapter, CrashLoad string
 
-	Limit   string  // requests per second, sent in responses as the server's limit; empty for none
-	Leaving bool    // responses announce that the server is leaving
+	Limit   string // requests per second, sent in responses as the server's limit; empty for none
+	Leaving bool   // responses announce that the server is leaving
+	// Brittle makes the process end when it rejects more than this many requests in a second
+	// because it is full; responses say so. 0 for a sturdy server. A crash needs OnCrash.
+	Brittle int
 	Pause   float64 // seconds: requests are refused with this Retry-After; 0 for none
 }
 
@@ -109,6 +112,7 @@
 	running         int
 	served          int
 	orderRequests   int
+	rejections      []time.Time // of the last second
 }
 
 // NewBackend returns a backend server. Heartbeat registers it in store.
@@ -165,6 +169,9 @@
 	if f.Limit != "" {
 		h.Set("X-Chestnutstream-Server-Limit", f.Limit)
 	}
+	if f.Brittle > 0 {
+		h.Set("X-Chestnutstream-Server-Brittle", strconv.Itoa(f.Brittle))
+	}
 	if f.Leaving {
 		h.Set("X-Chestnutstream-Server-Leaving", "1")
 	}
@@ -418,6 +425,7 @@
 		adapter = a
 	}
 	if b.running >= b.cfg.Slots {
+		b.rejected()
 		return nil, http.StatusServiceUnavailable, false
 	}
 	if adapter != nil {
@@ -429,6 +437,15 @@
 	return adapter, 0, b.faults.FailEvery > 0 && b.served%b.faults.FailEvery == 0
 }
 
+// rejected counts a rejection for want of room. Callers hold mu.
+func (b *Backend) rejected() {
+	now := time.Now()
+	b.rejections = append(slices.DeleteFunc(b.rejections, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
+	if n := b.faults.Brittle; n > 0 && len(b.rejections) > n && b.crash != nil {
+		go b.crash()
+	}
+}
+
 func (b *Backend) request(w http.ResponseWriter, r *http.Request) {
 	adapter, status, fail := b.admit(r)
 	h := w.Header()
