ingress: connections outlast a server's silence of 1.5 s

What callers saw: a request sent while a sound server was silent for a second or so got 502. Cause: TCP_USER_TIMEOUT of 1.2 s fails a connection whose bytes are not acknowledged for so long. Keep-alive probes are off on these connections, so the option decides nothing else there. The other places: orders to engines (platform, 1.5 s, each has 45 ms), engine/client.go (2 s, for orders). TestConnectionsOutlastTheSilenceOfASoundServer failed before. The cost: an order on a connection that has lost its path gets its 502 0.8 s later.

--- a/ingress/send.go
+++ b/ingress/send.go
@@ -24,10 +24,10 @@
 
 // Limits of connections to backend servers.
 const (
-	dialTimeout              = 160 * time.Millisecond  // servers of the region accept within milliseconds, and an instance may be paused for up to 100 ms
-	idleTimeoutNonRepeatable = 700 * time.Millisecond  // servers drop idle connections without notice, and a non-repeatable request cannot be sent again
-	idleTimeoutRepeatable    = 4 * time.Second         // a repeatable request that meets a dropped connection is sent again
-	unackedTimeout           = 1200 * time.Millisecond // bytes unacknowledged for so long: the network path is cut or the connection lost
+	dialTimeout              = 160 * time.Millisecond // servers of the region accept within milliseconds, and an instance may be paused for up to 100 ms
+	idleTimeoutNonRepeatable = 700 * time.Millisecond // servers drop idle connections without notice, and a non-repeatable request cannot be sent again
+	idleTimeoutRepeatable    = 4 * time.Second        // a repeatable request that meets a dropped connection is sent again
+	unackedTimeout           = 2 * time.Second        // bytes unacknowledged for so long: the network path is cut or the connection lost; a sound server may be silent for a second or so
 	maxIdleConnsPerServer    = 32
 	maxHeaderBytes           = 64 << 10 // header size of a response
 )
