edge: the wait for a reader's update counts from the age of the view

What callers saw: requests reached a server 2.0 to 2.4 s after its leaving was acknowledged (DRAIN, bound 2 s), with the store stable, mostly while instances restart in turn. Cause: an instance that had been its zone's reader paused for its interval after its last read, then found that another instance ranks first, and waited the full time after which a reader counts as silent: 1,050 + 1,400 ms. An update that had waited in its queue meanwhile counted as new when it was taken from it. Fix: the wait ends when the view is as old as that time allows, wherever it begins; updates count from their arrival; after a failed read the wait is as long as before, so that calls to a store that is away do not multiply.

--- a/edge/node.go
+++ b/edge/node.go
@@ -43,7 +43,7 @@
 	engineClient *platform.EngineClient
 	dial         chestnutstream.DialFunc // connects to backend servers, and to other instances to forward requests
 	mesh         *instance.Mesh
-	updates      map[string]chan instance.TableUpdate // by table: changes received from the zone's readers
+	updates      map[string]chan queuedUpdate // by table: changes received from the zone's readers
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -158,10 +158,10 @@
 		cutOff: map[string]bool{}, probing: map[string]bool{}, originStore: originStore{loaded: make(chan struct{})},
 	}
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
-	n.updates = map[string]chan instance.TableUpdate{}
+	n.updates = map[string]chan queuedUpdate{}
 	watches := n.watches()
 	for _, w := range watches {
-		n.updates[w.table] = make(chan instance.TableUpdate, maxQueuedUpdates)
+		n.updates[w.table] = make(chan queuedUpdate, maxQueuedUpdates)
 	}
 	n.registerViewGauges(watches)
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -62,6 +62,12 @@
 	return (instances + perReader - 1) / perReader
 }
 
+// queuedUpdate is a reader's update that waits for the loop that watches its table.
+type queuedUpdate struct {
+	instance.TableUpdate
+	receivedAt time.Time
+}
+
 // awaitUpdate waits for a reader's update of a table and applies it. It returns the
 // version up to which the table is now known. It reports false when this instance is to
 // read the table itself: it is a reader, the readers do not send updates, or an update
@@ -76,7 +82,10 @@
 		clear(n.sentEntries) // another reader sends the updates now, and what it sends is not recorded here
 		n.mu.Unlock()
 	}
-	timeout := time.NewTimer(w.readerTimeout())
+	n.mu.Lock()
+	wait := n.view(w.table).updateTimeout(n.now(), w)
+	n.mu.Unlock()
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		select {
@@ -84,7 +93,8 @@
 			return version, false
 		case <-timeout.C:
 			return version, false
-		case update := <-n.updates[w.table]:
+		case queued := <-n.updates[w.table]:
+			update := queued.TableUpdate
 			if update.After > version {
 				return version, false // an update was missed
 			}
@@ -92,7 +102,7 @@
 				continue
 			}
 			w.applyUpdate(update.Rows)
-			n.recordUpdate(update)
+			n.recordUpdate(update, queued.receivedAt)
 			n.cancelUnansweredPolls()
 			n.wakeControl()
 			return max(version, update.To), true
@@ -186,10 +196,10 @@
 func (n *Node) handleUpdate(update instance.TableUpdate) {
 	if update.Table == platform.TableOperator {
 		n.applyOperatorRows(update.Rows)
-		n.recordUpdate(update)
+		n.recordUpdate(update, n.now())
 	}
 	select {
-	case n.updates[update.Table] <- update:
+	case n.updates[update.Table] <- queuedUpdate{update, n.now()}:
 	default:
 	}
 }
--- a/edge/views.go
+++ b/edge/views.go
@@ -16,6 +16,7 @@
 	version   uint64    // up to which it is known
 	readAt    time.Time // when it was last read here
 	updatedAt time.Time // when a reader's update last came with no gap before it
+	failedAt  time.Time // when a read here last failed
 }
 
 // maxViewAge is the age above which a view is first refreshed by a poll that does not
@@ -50,6 +51,17 @@
 	return now.Sub(v.updatedAt) > w.readerTimeout()
 }
 
+// updateTimeout returns how long to wait for a reader's update before the table is read
+// here. It counts from the age of the view, wherever the wait begins, and after a failed
+// read from that.
+func (v *view) updateTimeout(now time.Time, w tableWatch) time.Duration {
+	since := v.asOf()
+	if v.failedAt.After(since) {
+		since = v.failedAt
+	}
+	return max(w.readerTimeout()-now.Sub(since), 0)
+}
+
 // pollWait returns how long a poll may wait for changes. The store may hold a poll to
 // the end of its wait although there are changes, so only an instance that receives the
 // reader's updates polls with a long wait, and one with an old view does not wait at
@@ -81,11 +93,11 @@
 	n.view(table).recordRead(n.now(), version)
 }
 
-// recordUpdate records a reader's update of a table.
-func (n *Node) recordUpdate(update instance.TableUpdate) {
+// recordUpdate records a reader's update of a table that was received at receivedAt.
+func (n *Node) recordUpdate(update instance.TableUpdate, receivedAt time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.view(update.Table).recordUpdate(n.now(), update.After, update.To)
+	n.view(update.Table).recordUpdate(receivedAt, update.After, update.To)
 }
 
 // pollWait returns how long the next poll of a table may wait.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -224,6 +224,7 @@
 func (n *Node) recordStoreFailure(table string, err error) {
 	n.mu.Lock()
 	now := n.now()
+	n.view(table).failedAt = now
 	if table == platform.TableServers {
 		n.fleet.RecordStoreFailure()
 	}
