--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -202,6 +202,7 @@
 	assert.Equal(t, fields["status"], 504)
 	assert.Equal(t, fields["may-have-run"], true)
 	assert.Assert(t, fmt.Sprint(fields["servers"]) != "")
+	assert.Assert(t, fields["view-ms"].(int64) >= 0 && fields["view-ms"].(int64) < 5000, "view of %v ms", fields["view-ms"])
 }
 
 func TestDumpAndMetrics(t *testing.T) {
--- a/edge/place.go
+++ b/edge/place.go
@@ -221,7 +221,7 @@
 	n.markUsageChanged(k)
 	now := n.now()
 	assignment := ingress.Assignment{
-		Server: s.Backend, Target: p.Target, Version: version, LoadStall: stall, Prompt: p.Prompt,
+		Server: s.Backend, Target: p.Target, Version: version, LoadStall: stall, Prompt: p.Prompt, ViewAge: n.recordViewAge(),
 		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, p.Prompt),
 	}
 	if n.prefillPaced(p.Service) {
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -38,7 +38,7 @@
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
-		return ingress.Assignment{Server: s.Backend}, nil
+		return ingress.Assignment{Server: s.Backend, ViewAge: n.recordViewAge()}, nil
 	}
 	return ingress.Assignment{}, fmt.Errorf("place on %s: %w", p.Service, ctx.Err())
 }
--- a/edge/views.go
+++ b/edge/views.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // view records up to which version, and as of when, an instance knows a table of the
@@ -133,6 +134,14 @@
 // viewAge returns the time since a table was last known to be current. Callers hold mu.
 func (n *Node) viewAge(table string) time.Duration { return n.now().Sub(n.view(table).asOf()) }
 
+// recordViewAge records the age of the list of servers that a request is placed by, and
+// returns it. Callers hold mu.
+func (n *Node) recordViewAge() time.Duration {
+	age := n.viewAge(platform.TableServers)
+	n.metrics.GetOrCreateHistogram(`chestnutstream_placement_view_age_seconds`).Update(age.Seconds())
+	return age
+}
+
 // registerViewGauges registers a metric with the age of each table's view.
 func (n *Node) registerViewGauges(watches []tableWatch) {
 	for _, w := range watches {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -62,6 +62,7 @@
 	Prompt      chestnutstream.Prompt
 	PrefillWait time.Duration // estimated time until the engine has prefilled the prompts queued before
 	FirstEvent  time.Duration // estimated time from sending to the first event; 0: no estimate
+	ViewAge     time.Duration // age of the list of servers that the choice rests on
 }
 
 // NoServerError reports why no backend server can take a request now.
@@ -198,6 +199,7 @@
 	connectedServers  []string // that gave the request a connection, here or at another instance
 	avoid             map[string]bool
 	stall             time.Duration
+	viewAge           time.Duration // of the latest placement
 	timeToFirstByte   time.Duration // from the request to the start of the relayed response; 0: none started
 	maxPause          time.Duration // longest one between two events of the relayed stream
 	status            int
@@ -451,7 +453,7 @@
 	fields := log.Fields{
 		"request-id": x.header.ID, "route": route, "service": x.service, "target": x.header.Target.String(),
 		"servers": strings.Join(x.servers, ","), "software": strings.Join(x.software, ","), "sends": x.attempts, "status": x.status, "ms": took.Milliseconds(),
-		"stall-ms": x.stall.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
+		"stall-ms": x.stall.Milliseconds(), "view-ms": x.viewAge.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 	}
 	if x.stream != nil {
 		fields["pause-ms"], fields["events"] = x.maxPause.Milliseconds(), x.stream.events
