Read-through: forwarding and origins

- Requests are forwarded only to instances that have said that they take them, so not to those of the build before, whose 404 would read as 'may have run'.
- A request that no server may take is forwarded only if this instance reaches less than half of its service's servers; else the others have no more room.
- Origins whose write failed are queued again (TestOriginsAreWrittenAfterTheStoreWasAway).

--- a/edge/cutoff.go
+++ b/edge/cutoff.go
@@ -38,10 +38,11 @@
 	return n.forward(p)
 }
 
-// forwardUnplaced returns an instance for a request that no server may take, if there are
-// servers that this instance does not reach. Callers hold mu.
-func (n *Node) forwardUnplaced(p ingress.PlacementRequest, excluded map[string]bool) (ingress.Assignment, bool) {
-	if p.Forwarded || len(n.fleet.Unreachable(p.Service, excluded)) == 0 {
+// forwardUnplaced returns an instance for a request that no server may take, if this
+// instance reaches less than half of them. While it reaches most, the others have no more
+// room than it finds itself. Callers hold mu.
+func (n *Node) forwardUnplaced(p ingress.PlacementRequest) (ingress.Assignment, bool) {
+	if unreachable, usable := n.fleet.Reachability(p.Service); 2*unreachable <= usable {
 		return ingress.Assignment{}, false
 	}
 	return n.forward(p)
@@ -57,7 +58,7 @@
 	var near, far []*peer
 	for _, name := range n.mesh.Peers() {
 		peer := n.peers[name]
-		if peer == nil || peer.draining || p.AvoidPeers[name] || peer.cutOff[p.Service] || now.Before(peer.forwardAfter) || now.Before(peer.forwardServiceAfter[p.Service]) {
+		if peer == nil || peer.cutOff == nil || peer.draining || p.AvoidPeers[name] || peer.cutOff[p.Service] || now.Before(peer.forwardAfter) || now.Before(peer.forwardServiceAfter[p.Service]) {
 			continue
 		}
 		if peer.member.Zone == n.cfg.Zone {
@@ -115,11 +116,11 @@
 			continue
 		}
 		n.cutOff[service] = true
+		n.metrics.GetOrCreateCounter(`chestnutstream_cut_off_total{service="` + service + `"}`).Inc()
 		if n.probing[service] {
 			continue
 		}
 		n.probing[service] = true
-		n.metrics.GetOrCreateCounter(`chestnutstream_cut_off_total{service="` + service + `"}`).Inc()
 		go n.probeServers(service)
 	}
 	if changed {
@@ -135,7 +136,7 @@
 	for i := 0; n.ctx.Err() == nil; i++ {
 		n.sleep(probeInterval)
 		n.mu.Lock()
-		servers, cut := n.fleet.Unreachable(service, nil), n.cutOff[service]
+		servers, cut := n.fleet.Unreachable(service), n.cutOff[service]
 		n.mu.Unlock()
 		if !cut || len(servers) == 0 {
 			n.mu.Lock()
--- a/edge/node.go
+++ b/edge/node.go
@@ -118,7 +118,7 @@
 	draining    bool
 	incarnation uint64 // of the peer's process
 	owned       map[string]bool
-	cutOff      map[string]bool // services of which it reaches no server
+	cutOff      map[string]bool // services of which it reaches no server; nil: it takes no forwarded requests
 
 	forwarded           int // requests in progress that this instance has forwarded to it
 	forwardAfter        time.Time
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -21,6 +21,7 @@
 // writer, writes them, in a ring of rows; an instance that starts reads those of all.
 const (
 	originWriteInterval = 100 * time.Millisecond // streams that began since the last write are lost with all instances
+	originWriteRetry    = 500 * time.Millisecond // after a failed write
 	originRowsPerWriter = 200                    // so that a stream is kept for 20 s at least
 	originLoadTimeout   = 400 * time.Millisecond // wait of a request for the rows that are read after the start
 	originLoadRetry     = 300 * time.Millisecond // between two reads, and checks whether they are needed
@@ -85,23 +86,38 @@
 		t.Writes = append(t.Writes, chestnutstream.TableRow{Table: software.OriginTable, Key: fmt.Sprintf("%s%02d", n.originRowPrefix(), s.next), Value: value})
 		s.next = (s.next + 1) % originRowsPerWriter
 	}
+	queued := s.queue
 	s.queue, s.writing = nil, true
-	go n.writeOrigins(t)
+	go n.writeOrigins(t, queued)
 }
 
 // originRowPrefix returns the prefix of the keys of this instance's rows, which the number
 // of the row in the ring follows.
 func (n *Node) originRowPrefix() string { return n.cfg.Instance + "/" }
 
-func (n *Node) writeOrigins(t chestnutstream.RowTransaction) {
+// writeOrigins writes rows with queued origins. If that fails, those that no later record
+// of their stream replaces are queued again.
+func (n *Node) writeOrigins(t chestnutstream.RowTransaction, queued map[software.StreamKey]string) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	if _, err := n.store.Apply(ctx, t); err != nil {
-		n.log.WithError(err).WithField("rows", len(t.Writes)).Warn("origins of streams not kept in the store")
-	}
+	_, err := n.store.Apply(ctx, t)
 	n.mu.Lock()
 	n.originStore.writing = false
+	if err != nil {
+		later := n.originStore.queue
+		n.originStore.queue = nil
+		for stream, version := range queued {
+			n.queueOrigin(software.Origin{Stream: stream, Software: version})
+		}
+		for stream, version := range later {
+			n.queueOrigin(software.Origin{Stream: stream, Software: version})
+		}
+		n.originStore.writeAt = n.now().Add(originWriteRetry)
+	}
 	n.mu.Unlock()
+	if err != nil {
+		n.log.WithError(err).WithField("rows", len(t.Writes)).Warn("origins of streams not kept in the store")
+	}
 }
 
 // loadOrigins reads the origins that were kept before this instance started, if there
--- /dev/null
+++ b/edge/outcomes.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/ingress"
+)
+
+// RecordResult implements ingress.Dispatcher.
+func (n *Node) RecordResult(a ingress.Assignment, target chestnutstream.ModelAdapter, r ingress.Result) {
+	n.mu.Lock()
+	if a.Peer != "" {
+		n.recordForward(a, r.Outcome)
+		n.mu.Unlock()
+		return
+	}
+	now := n.now()
+	changes := n.recordBackpressure(now, now.Add(-r.Took), a.Server, r.Backpressure)
+	if r.NoRoom {
+		n.recordRejection(a.Server.ID)
+	}
+	n.recordResponse(now, a, target, r)
+	n.mu.Unlock()
+	n.logBackpressure(changes, "")
+}
+
+// recordResponse passes a response to the fleet. Callers hold mu.
+func (n *Node) recordResponse(now time.Time, a ingress.Assignment, target chestnutstream.ModelAdapter, r ingress.Result) {
+	n.fleet.RecordOutcome(now, a.Server.ID, r.Outcome, r.Took)
+	if r.Connected {
+		n.fleet.RecordConnection(now, a.Server.ID, true)
+	}
+	if r.Outcome == fleet.Responded && a.FirstEvent > 0 {
+		n.recordFirstEvent(a, r.Took)
+	}
+	if r.Load != nil {
+		n.fleet.RecordLoad(now, a.Server.ID, r.Load.Running, r.Load.Waiting)
+	}
+	switch {
+	case r.WrongServer:
+		n.fleet.RecordMisplaced(now, a.Server.ID)
+	case r.NotLoaded:
+		n.fleet.RecordNotLoaded(a.Server.ID, target)
+	case r.Outcome == fleet.Responded && target.Model != "":
+		n.fleet.RecordLoaded(now, a.Server.ID, target, max(a.Version, 0))
+	}
+}
+
+// recordFirstEvent compares the estimated time to the first event with the measured
+// one. Callers hold mu.
+func (n *Node) recordFirstEvent(a ingress.Assignment, took time.Duration) {
+	if a.PrefillWait == 0 {
+		n.fleet.RecordFirstEvent(a.Server.ID, a.Prompt, took)
+	}
+	sign, diff := "under", took-a.FirstEvent
+	if diff < 0 {
+		sign, diff = "over", -diff
+	}
+	n.metrics.GetOrCreateHistogram(`chestnutstream_first_event_estimate_error_seconds{estimate="` + sign + `"}`).Update(diff.Seconds())
+}
+
+// Release implements ingress.Dispatcher.
+func (n *Node) Release(a ingress.Assignment) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a.Peer != "" {
+		if p := n.peers[a.Peer]; p != nil && p.forwarded > 0 {
+			p.forwarded--
+		}
+		return
+	}
+	n.fleet.RecordDone(a.Server.ID)
+	n.reportHeld(a.Server.ID)
+	k := adapterKey{a.Server.ID, a.Target}
+	if u := n.usage[k]; u != nil && u.inProgress > 0 {
+		u.inProgress--
+		n.markUsageChanged(k)
+	}
+}
+
+// AllowRetry implements ingress.Dispatcher.
+func (n *Node) AllowRetry(service string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.retryBudget(service).AllowRetry(n.now())
+}
+
+// CanRetry implements ingress.Dispatcher.
+func (n *Node) CanRetry(service string, avoid map[string]bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	alternative := n.fleet.HasAlternative(now, service, avoid) || (n.cutOff[service] && len(n.mesh.Peers()) > 0)
+	return n.retryBudget(service).CanRetry(now) && alternative
+}
+
+// IsUnreachable implements ingress.Dispatcher.
+func (n *Node) IsUnreachable(a ingress.Assignment) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return a.Peer == "" && n.fleet.IsUnreachable(a.Server.ID)
+}
+
+// RecordRequest implements ingress.Dispatcher.
+func (n *Node) RecordRequest(service string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.retryBudget(service).RecordRequest(n.now())
+}
+
+// retryBudget returns the retry budget of a service. Callers hold mu.
+func (n *Node) retryBudget(service string) *fleet.Budget {
+	b := n.budgets[service]
+	if b == nil {
+		b = fleet.NewBudget(n.cfg.RetryRatio, n.cfg.RetryExtra, n.cfg.RetryWindow, n.leases.Instances(n.boot()))
+		n.budgets[service] = b
+	}
+	return b
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -25,7 +25,7 @@
 		b.EngineLoads = append(b.EngineLoads, instance.EngineLoad{Server: id, Requests: requests})
 	}
 	n.addBackpressure(&b)
-	b.HasCutOff, b.CutOff = len(n.cutOff) > 0, slices.Sorted(maps.Keys(n.cutOff))
+	b.HasCutOff, b.CutOff = true, slices.Sorted(maps.Keys(n.cutOff))
 	b.SoftwareRows = n.knownSoftwareRows()
 	b.Evidence = evidenceMessages(n.now(), n.quarantine.Evidence(maxFirstEvidence))
 	n.log.WithField("peer", to.Name).Info("peer linked")
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -20,7 +20,7 @@
 		p.Avoid = n.excludedServers(p)
 		s := n.fleet.PickPlain(now, p.Service, p.Avoid)
 		if s == nil {
-			if a, ok := n.forwardUnplaced(p, p.Avoid); ok {
+			if a, ok := n.forwardUnplaced(p); ok {
 				return a, nil
 			}
 		}
--- a/edge/software_test.go
+++ b/edge/software_test.go
@@ -226,3 +226,24 @@
 		})
 	}
 }
+
+func TestOriginsAreWrittenAfterTheStoreWasAway(t *testing.T) {
+	s, all := mixedSite(t, 1)
+	s.storeGate.setUnavailable(true)
+	for i := range 4 {
+		_, _, err := sendRequest(all[0], "POST", "/ask/1", fmt.Sprintf("m/a%d", i))
+		assert.NilError(t, err)
+	}
+	eventually(t, "a write has failed", func() bool { return len(all[0].log.with("origins of streams not kept in the store")) > 0 })
+	s.storeGate.setUnavailable(false)
+	eventually(t, "the origins are in the store", func() bool {
+		rows, _ := s.store.Rows(software.OriginTable, "", "", "")
+		count := 0
+		for _, r := range rows {
+			origins, err := software.DecodeOrigins(r.Value)
+			assert.NilError(t, err)
+			count += len(origins)
+		}
+		return count >= 4
+	})
+}
--- a/fleet/reachability.go
+++ b/fleet/reachability.go
@@ -19,24 +19,30 @@
 
 // CutOff reports whether a service has usable servers and this instance reaches none.
 func (f *Fleet) CutOff(service string) bool {
-	usable := false
+	unreachable, usable := f.Reachability(service)
+	return usable > 0 && unreachable == usable
+}
+
+// Reachability returns how many usable servers a service has, and how many of them this
+// instance does not reach.
+func (f *Fleet) Reachability(service string) (unreachable, usable int) {
 	for _, s := range f.services[service] {
 		if !s.Usable() {
 			continue
 		}
-		if usable = true; !f.unreachable(s) {
-			return false
+		usable++
+		if f.unreachable(s) {
+			unreachable++
 		}
 	}
-	return usable
+	return unreachable, usable
 }
 
-// Unreachable returns the usable servers of a service that this instance does not reach,
-// besides those in exclude.
-func (f *Fleet) Unreachable(service string, exclude map[string]bool) []*Server {
+// Unreachable returns the usable servers of a service that this instance does not reach.
+func (f *Fleet) Unreachable(service string) []*Server {
 	var out []*Server
 	for _, s := range f.services[service] {
-		if s.Usable() && !exclude[s.ID] && f.unreachable(s) {
+		if s.Usable() && f.unreachable(s) {
 			out = append(out, s)
 		}
 	}
