--- a/software/row_test.go
+++ b/software/row_test.go
@@ -49,3 +49,30 @@
 	}
 	assert.Equal(t, len(origins), 0)
 }
+
+func FuzzDecodeRows(f *testing.F) {
+	f.Add([]byte(`{"service":"s","versions":["v1"]}`))
+	f.Add([]byte(`{"v1":["a1","ffffffffffffffff"],"":["0"]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if row, err := DecodeRow(chestnutstream.TableRow{Key: RowKey("s"), Value: value, Version: 1}); err == nil {
+			again, err := EncodeRow(row)
+			assert.NilError(t, err)
+			decoded, err := DecodeRow(chestnutstream.TableRow{Key: RowKey("s"), Value: again, Version: 1})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, decoded, row)
+		}
+		origins, err := DecodeOrigins(value)
+		if err != nil {
+			return
+		}
+		latest := map[StreamKey]string{}
+		for _, o := range origins {
+			latest[o.Stream] = o.Software
+		}
+		again, err := EncodeOrigins(latest)
+		assert.NilError(t, err)
+		decoded, err := DecodeOrigins(again)
+		assert.NilError(t, err)
+		assert.Equal(t, len(decoded), len(latest))
+	})
+}
