--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -152,6 +152,7 @@
 		{"ignores-answers", " after it signaled that it is leaving: "},
 		{"ignores-crashes", "prompts with a part that crashes engines reached them more than"},
 		{"cuts-streams", "not the whole stream"},
+		{"joins-versions", ": taken up by "},
 		{"logs-nothing", "without a log line that gives the reason"},
 		{"keeps-old-routes", " served configuration 2 more than 2s after 4 was acknowledged"},
 		{"takes-no-new-routes", " lacks the route of configuration 4 more than 2s after it was acknowledged"},
@@ -361,6 +362,24 @@
 		}
 		w.Header().Set(platform.HeaderSignature, resp.Header.Get(platform.HeaderSignature))
 		w.WriteHeader(resp.StatusCode)
+		if m.kind == "joins-versions" && service == "assistant" {
+			m.breakStream(w, r, respBody)
+			return
+		}
 		_, _ = w.Write(respBody)
 	}
 }
+
+// breakStream writes a stream as one of the requested adapter. It breaks off after two
+// events, unless the request takes it up, at a server of any version.
+func (m *mutant) breakStream(w http.ResponseWriter, r *http.Request, body []byte) {
+	body = bytes.ReplaceAll(body, []byte(" of m by"), []byte(" of "+r.Header.Get(platform.HeaderModel)+" by"))
+	if r.Header.Get(platform.HeaderLastEventID) != "" {
+		_, _ = w.Write(body)
+		return
+	}
+	events := bytes.SplitAfterN(body, []byte("\n\n"), 3)
+	_, _ = w.Write(bytes.Join(events[:min(2, len(events))], nil))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
