edge, ingress: fewer wake-ups and checks for cuts and hanging streams

A stream's connection was looked at four times a second from its first byte on; now once it has been silent for 750 ms. The checks that look at all servers (reachability, software versions) ran with each step of the control loop, up to 500 times a second under load; now 50 times at most.

--- a/edge/control.go
+++ b/edge/control.go
@@ -18,6 +18,7 @@
 // Time limits and intervals of the control loop.
 const (
 	minControlInterval    = 2 * time.Millisecond   // between two steps
+	slowCheckInterval     = 20 * time.Millisecond  // between checks that look at all servers
 	maxControlInterval    = 250 * time.Millisecond // leases and expired entries are checked at least this often
 	orderTimeout          = 45 * time.Millisecond  // an engine responds within milliseconds, and a lost order delays all later ones
 	usageInterval         = 60 * time.Millisecond  // between usage messages to owners
@@ -53,8 +54,11 @@
 	n.requestConfig(now)
 	verdicts := n.updateQuarantine(now)
 	n.updateVerdictRows(now)
-	n.updateCutOff()
-	n.updateSoftwareRows(now, boot)
+	if now.Sub(n.checkedAt) >= slowCheckInterval {
+		n.checkedAt = now
+		n.updateCutOff()
+		n.updateSoftwareRows(now, boot)
+	}
 	n.updateOriginRows(now)
 	leaseActions := n.leases.Step(boot, n.engines())
 	n.syncLoaders(boot)
--- a/edge/node.go
+++ b/edge/node.go
@@ -94,6 +94,7 @@
 	cutOff         map[string]bool // services of which this instance reaches no server
 	probing        map[string]bool // services whose servers are probed
 	mixedServices  int             // services with several software versions
+	checkedAt      time.Time       // when the checks of the control loop that look at all servers were last made
 	origins        *software.Origins
 	lastOriginID   uint64                 // of the newest origin request
 	originWaits    map[uint64]*originWait // by ID of the origin request
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -9,8 +9,8 @@
 // then resumed elsewhere, before its caller gives it up. A server that is only silent still
 // accepts connections.
 const (
-	stallCheckInterval = 250 * time.Millisecond
 	minStallTime       = 750 * time.Millisecond // without any byte
+	stallCheckInterval = 250 * time.Millisecond // between checks of a stream that has been silent for so long
 )
 
 // stallWatch aborts the response to a stream that hangs.
@@ -36,9 +36,9 @@
 			abort()
 			return
 		}
-		time.AfterFunc(stallCheckInterval, check)
+		time.AfterFunc(max(minStallTime-silent, stallCheckInterval), check)
 	}
-	time.AfterFunc(stallCheckInterval, check)
+	time.AfterFunc(minStallTime, check)
 	return w
 }
 
