--- a/edge/views_age_test.go
+++ b/edge/views_age_test.go
@@ -19,14 +19,14 @@
 // pacedInstance is one instance. It reads the table, pauses for the interval, and then
 // reads again or, if it regards itself as a follower, waits for an update.
 type pacedInstance struct {
-	view     view
-	knownAt  time.Time // when what it knows was read from the store, by whomever
-	follower bool      // regards itself as one
-	stopped  bool
-	deaf     bool // receives no updates
-	waiting  bool
-	until    time.Time // end of the pause or of the wait
-	queue    []pacedUpdate
+	view      view
+	knownAt   time.Time // when what it knows was read from the store, by whomever
+	follower  bool      // regards itself as one
+	stopped   bool
+	noUpdates bool // receives none
+	waiting   bool
+	until     time.Time // end of the pause or of the wait
+	queue     []pacedUpdate
 }
 
 type pacedUpdate struct {
@@ -67,7 +67,7 @@
 	in.view.recordRead(z.now, z.version)
 	in.knownAt, in.waiting, in.until = z.now, false, z.now.Add(z.watch.interval)
 	for _, other := range z.instances {
-		if other != in && !in.follower && !other.deaf && len(other.queue) < maxQueuedUpdates {
+		if other != in && !in.follower && !other.noUpdates && len(other.queue) < maxQueuedUpdates {
 			other.queue = append(other.queue, pacedUpdate{readAt: z.now, receivedAt: z.now, after: after, to: z.version})
 		}
 	}
@@ -90,7 +90,7 @@
 			case 0:
 				in.follower = !in.follower
 			case 1:
-				in.deaf = !in.deaf
+				in.noUpdates = !in.noUpdates
 			case 2:
 				if in.stopped = !in.stopped; !in.stopped {
 					*in = pacedInstance{follower: in.follower}
