--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -20,4 +20,14 @@
 // A response is relayed only if it echoes the request's id and carries the
 // signature of the backend server. If a response ends early, the caller's
 // connection is closed, so that the response does not appear complete.
+//
+// # Streams
+//
+// A stream that breaks off is resumed on another server of the software version that began
+// it, within the response or by a new request of its caller.
+//
+// # Forwarding
+//
+// The dispatcher may place a request on another instance instead of a server. Forwarded is
+// the handler of such requests; forward.go has what is added to them on the way.
 package ingress
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -21,6 +21,12 @@
 // the limit together. An instance may be unresponsive to only some of the others.
 // These send their permit requests to the next candidate, which issues only a
 // quarter of its share if it still reaches that instance: both issue permits then.
+//
+// # Slots
+//
+// Brittle servers crash when they have to reject too many requests. A request to one needs
+// a slot, which Slots grants in the same way: it bounds the requests in progress instead of
+// those in a second.
 package permit
 
 import (
