Read-through: one decoder of Retry-After, one lock in the prober

ingress had written again what platform.ReadBackpressure decodes. The prober of a service that is cut off took the lock twice to end.

--- a/edge/cutoff.go
+++ b/edge/cutoff.go
@@ -136,12 +136,13 @@
 	for i := 0; n.ctx.Err() == nil; i++ {
 		n.sleep(probeInterval)
 		n.mu.Lock()
-		servers, cut := n.fleet.Unreachable(service), n.cutOff[service]
-		n.mu.Unlock()
-		if !cut || len(servers) == 0 {
-			n.mu.Lock()
+		servers := n.fleet.Unreachable(service)
+		done := !n.cutOff[service] || len(servers) == 0
+		if done {
 			delete(n.probing, service)
-			n.mu.Unlock()
+		}
+		n.mu.Unlock()
+		if done {
 			return
 		}
 		if !n.probe(servers[i%len(servers)].Backend) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // An instance that reaches no server forwards requests to another instance, which places
@@ -120,7 +120,7 @@
 	case forwardNotRun:
 		x.reason = fmt.Sprintf("%s has not run it: %d", a.Peer, br.resp.StatusCode)
 		x.recordForward(a, fleet.Refused, took)
-		x.forwardRetryAfter = readRetryAfter(h)
+		x.forwardRetryAfter = platform.ReadBackpressure(br.resp.StatusCode, h).RetryAfter
 		return false
 	case forwardUnknown:
 		x.recordForward(a, fleet.Responded, took)
@@ -166,15 +166,6 @@
 	return true
 }
 
-// readRetryAfter returns the Retry-After of a response, 0 if there is no valid one.
-func readRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > maxResponseTime.Seconds() {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // forwardDeadline returns the time left for an instance that the request is forwarded to,
 // which does not know when the request came.
 func (x *exchange) forwardDeadline() time.Duration {
