--- a/review/build.sh
+++ b/review/build.sh
@@ -2,8 +2,9 @@
 # Builds the stand-ins of the cases. They use the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-GOFLAGS="${GOFLAGS:-} -mod=mod" GOWORK=off go build -o bin/harness ./harness 2>bin-build.log || {
-  cat bin-build.log >&2
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+GOWORK=off go build -mod=mod -buildvcs=false -o bin/harness ./harness 2>"$log" || {
+  cat "$log" >&2
   exit 1
 }
-rm -f bin-build.log
