ingress: log responses that may belong to another request

The record of the incident cannot tell a rejection of another request (hypothesis 1) from a connection out of step (2) or a late copy of the request's own rejection (3): no line names the id in a rejection. Each connection to a server now remembers its latest requests; a response without the request's id, or on a connection that has carried the request before, is logged with the id it bears, and chestnutstream_server_responses_total counts all by kind and attribution. No decision changes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -216,6 +216,7 @@
 // retried.
 func (x *exchange) checkResponse(a Assignment, br *backendResponse, took time.Duration) bool {
 	x.recordConnected(a)
+	x.logAttribution(a, br)
 	h := br.resp.Header
 	r := x.result(a, br.resp, took)
 	r.Connected = br.connected
--- /dev/null
+++ b/ingress/conn.go
@@ -0,0 +1,84 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutstream/chestnutstream/platform"
+)
+
+// maxRecentRequests is the number of requests that a connection remembers.
+const maxRecentRequests = 8
+
+// serverConn is a connection to a backend server or another instance that remembers the
+// latest requests sent on it. A server may send a second response to one of them late, at
+// the point where the response to the next request is expected.
+type serverConn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	requests []string // IDs, the latest one last
+}
+
+// recordRequest records that a request is about to be sent. It returns the IDs of those
+// before it.
+func (c *serverConn) recordRequest(id string) (earlier []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	earlier = c.requests
+	if len(earlier) == maxRecentRequests {
+		earlier = earlier[1:]
+	}
+	c.requests = append(slices.Clone(earlier), id)
+	return earlier
+}
+
+// attribution tells which request a response belongs to, by the ID that it echoes.
+type attribution string
+
+// The attributions.
+const (
+	ownResponse       attribution = "own"
+	earlierResponse   attribution = "earlier" // another request's that was sent on the same connection
+	foreignResponse   attribution = "foreign" // another request's
+	anonymousResponse attribution = "none"    // no ID, or several
+)
+
+// attribute tells which request the response to a request belongs to. earlier are the
+// requests that were sent on its connection before.
+func attribute(h http.Header, id string, earlier []string) attribution {
+	ids := h[platform.HeaderRequestID]
+	switch {
+	case len(ids) != 1 || ids[0] == "":
+		return anonymousResponse
+	case ids[0] == id:
+		return ownResponse
+	case slices.Contains(earlier, ids[0]):
+		return earlierResponse
+	}
+	return foreignResponse
+}
+
+// logAttribution counts a response by the request that it belongs to, and logs one that
+// may not belong to this request.
+func (x *exchange) logAttribution(a Assignment, br *backendResponse) {
+	h := br.resp.Header
+	belongs := attribute(h, x.header.ID, br.earlier)
+	kind := "response"
+	if platform.NotExecuted(br.resp.StatusCode, h) {
+		kind = "rejection"
+	}
+	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_server_responses_total{kind="` + kind + `",belongs_to="` + string(belongs) + `"}`).Inc()
+	resent := slices.Contains(br.earlier, x.header.ID)
+	if belongs == ownResponse && !resent {
+		return
+	}
+	x.server.cfg.Log.WithFields(log.Fields{
+		"request-id": x.header.ID, "server": a.Server.ID, "kind": kind, "belongs-to": string(belongs), "response-id": h.Get(platform.HeaderRequestID),
+		"status": br.resp.StatusCode, "earlier-requests": len(br.earlier), "sent-before": resent,
+	}).Warn("response may belong to another request")
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -47,7 +47,13 @@
 		dial = Dial
 	}
 	return &http.Transport{
-		DialContext:  dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("dial %s: %w", address, err)
+			}
+			return &serverConn{Conn: conn}, nil
+		},
 		MaxIdleConns: 0, MaxIdleConnsPerHost: maxIdleConnsPerServer, IdleConnTimeout: idle,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
@@ -58,7 +64,8 @@
 type backendResponse struct {
 	resp      *http.Response
 	cancel    context.CancelFunc
-	connected bool // on a connection opened for it
+	connected bool     // on a connection opened for it
+	earlier   []string // requests sent on the connection before it
 }
 
 func (br *backendResponse) close() {
@@ -113,9 +120,14 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
 	var gotConn, newConn atomic.Bool
+	var earlier atomic.Pointer[[]string]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		newConn.Store(!i.Reused)
+		if c, ok := i.Conn.(*serverConn); ok {
+			requests := c.recordRequest(x.header.ID)
+			earlier.Store(&requests)
+		}
 	}})
 	req, err := x.request(ctx, a, lastEventID)
 	if err != nil {
@@ -137,7 +149,11 @@
 		stop()
 		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
 	}
-	return &backendResponse{resp: resp, cancel: stop, connected: newConn.Load()}, true, nil
+	br = &backendResponse{resp: resp, cancel: stop, connected: newConn.Load()}
+	if requests := earlier.Load(); requests != nil {
+		br.earlier = *requests
+	}
+	return br, true, nil
 }
 
 // request builds the request for a server. Method, path, query and body are the
