standin: echo the request's id in rejections

The platform's servers echo X-Chestnutstream-Request-Id in every response; the stand-in did so only for requests that it ran. Its 421 and 503 had no id, so an instance that compares the id of a rejection could not be tested against it. The id is now set before the request is handled. The 421 for a request that was meant for another server also gets X-Chestnutstream-Not-Executed, like the other rejections.

TestBackendEchoesRequestID on the code before: the five rejections fail with "(string) != r-1 (string)"; the two responses to requests that ran pass.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -131,14 +131,23 @@
 
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Chestnutstream-Request-Id"); id != "" {
+		w.Header().Set("X-Chestnutstream-Request-Id", id)
+	}
 	if want := r.Header.Get("X-Chestnutstream-Expect-Instance"); want != "" && want != b.cfg.ID {
 		w.Header().Set("X-Chestnutstream-Instance-Id", b.cfg.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		reject(w, http.StatusMisdirectedRequest)
 		return
 	}
 	b.router.ServeHTTP(w, r)
 }
 
+// reject responds to a request that was not executed.
+func reject(w http.ResponseWriter, status int) {
+	w.Header().Set("X-Chestnutstream-Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
 // OnCrash sets the function that ends the process when a fault crashes it. It is set
 // before the first request; a BackendProcess does so itself.
 func (b *Backend) OnCrash(end func()) { b.crash = end }
@@ -455,8 +464,7 @@
 	b.mu.Unlock()
 	f.setHeaders(h)
 	if status != 0 {
-		h.Set("X-Chestnutstream-Not-Executed", "1")
-		w.WriteHeader(status)
+		reject(w, status)
 		return
 	}
 	defer func() {
@@ -468,7 +476,6 @@
 		b.finishUnload()
 		b.mu.Unlock()
 	}()
-	h.Set("X-Chestnutstream-Request-Id", r.Header.Get("X-Chestnutstream-Request-Id"))
 	h.Set("X-Chestnutstream-Server-Signature", b.cfg.ID+"."+r.Header.Get("X-Chestnutstream-Request-Id"))
 	h.Set("X-Chestnutstream-Server-Load", fmt.Sprintf("%d,0,%d", running, b.cfg.Slots))
 	if adapter != nil {
