ingress: believe a rejection only if it bears the request's id

Callers were told "not run, try again" for requests that a server was running, and such requests ran on a second server (REFUSED, TWICE).

Cause: a response was compared with the request's id after its meaning had been taken from it. A rejection by status and X-Chestnutstream-Not-Executed was believed whatever request it belonged to, and so were the load, backpressure and missing adapters that it reports. A server may send a second copy of an earlier rejection late, where the next request's response is due.

Now a response is attributed first. One that does not bear exactly the request's id reports nothing: the request may have run, is repeated only if its route allows it, and otherwise ends with 502. If it bears the id of an earlier request on the connection, the server is not judged by it (outcome "unrelated"). The same holds for "not run" from another instance.

--- a/fleet/outlier.go
+++ b/fleet/outlier.go
@@ -7,13 +7,14 @@
 type Outcome string
 
 // The outcomes. Refused means that the server is full or lacks what the request
-// needs; it does not count as a failure.
+// needs; it does not count as a failure, nor does Unrelated.
 const (
 	Responded    Outcome = "answered"
 	Failed       Outcome = "failed"      // the server's own error, a broken or foreign response, a connection reset
 	Unreachable  Outcome = "unreachable" // no connection could be established
 	Unresponsive Outcome = "silent"      // no response within the timeout
 	Refused      Outcome = "refused"
+	Unrelated    Outcome = "unrelated" // the response to another request came first
 )
 
 // Parameters of outlier detection.
@@ -44,7 +45,7 @@
 
 // record records the outcome of a request.
 func (d *outlierDetector) record(now time.Time, o Outcome, took time.Duration) {
-	if o == Refused {
+	if o == Refused || o == Unrelated {
 		return
 	}
 	d.decay(now)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -217,17 +217,17 @@
 func (x *exchange) checkResponse(a Assignment, br *backendResponse, took time.Duration) bool {
 	x.recordConnected(a)
 	x.logAttribution(a, br)
-	h := br.resp.Header
-	r := x.result(a, br.resp, took)
+	r := x.result(a, br, took)
 	r.Connected = br.connected
-	status := br.resp.StatusCode
+	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	if r.Outcome == fleet.Refused {
-		x.server.dispatcher.RecordResult(a, x.header.Target, r)
 		return x.rejectedBy(a, br, r)
 	}
-	if !x.isValidResponse(br.resp) {
-		x.server.dispatcher.RecordResult(a, x.header.Target, r)
-		x.mayHaveRun, x.avoid[a.Server.ID] = true, true
+	x.mayHaveRun = true
+	status := br.resp.StatusCode
+	if !br.isValid() {
+		h := br.resp.Header
+		x.avoid[a.Server.ID] = true
 		x.reason = fmt.Sprintf("%s: answer %d is of request %q, signed %t", a.Server.ID, status, h.Get(platform.HeaderRequestID), h.Get(platform.HeaderSignature) != "")
 		if x.mayRetry() {
 			return false
@@ -235,20 +235,26 @@
 		x.respond(statusFailed, x.reason)
 		return true
 	}
-	x.mayHaveRun = true
 	if x.stream != nil && status != http.StatusOK {
-		x.server.dispatcher.RecordResult(a, x.header.Target, r)
 		return x.streamFailed(a, fmt.Errorf("resume request got status %d", status))
 	}
-	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	return x.relay(a, br)
 }
 
 // result classifies a response by its header and collects what it reports about
-// its server.
-func (x *exchange) result(a Assignment, resp *http.Response, took time.Duration) Result {
+// its server. A response that may belong to another request reports nothing.
+func (x *exchange) result(a Assignment, br *backendResponse, took time.Duration) Result {
 	r := Result{Took: took, Outcome: fleet.Responded}
-	status, h := resp.StatusCode, resp.Header
+	switch br.belongs {
+	case ownResponse:
+	case earlierResponse:
+		r.Outcome = fleet.Unrelated
+		return r
+	default:
+		r.Outcome = fleet.Failed
+		return r
+	}
+	status, h := br.resp.StatusCode, br.resp.Header
 	if l, ok := platform.ReadServerLoad(h); ok {
 		r.Load = &l
 	}
@@ -264,7 +270,7 @@
 			r.Backpressure.Unlimited, r.Backpressure.Sturdy = false, false // a rejection without a limit does not mean that the server has none
 			r.NoRoom = status == http.StatusServiceUnavailable
 		}
-	case !x.isValidResponse(resp):
+	case !br.isValid():
 		r.Outcome = fleet.Failed
 	default:
 		if status >= http.StatusInternalServerError {
@@ -275,12 +281,6 @@
 	return r
 }
 
-// isValidResponse reports whether a response belongs to this request and carries a
-// server's signature.
-func (x *exchange) isValidResponse(resp *http.Response) bool {
-	return resp.Header.Get(platform.HeaderRequestID) == x.header.ID && resp.Header.Get(platform.HeaderSignature) != ""
-}
-
 // rejectedBy continues after a server reported that it did not run the request.
 // It returns false: the request is to be retried.
 func (x *exchange) rejectedBy(a Assignment, br *backendResponse, r Result) bool {
--- a/ingress/attribution_test.go
+++ b/ingress/attribution_test.go
@@ -165,3 +165,14 @@
 		assert.Assert(t, r.Outcome != fleet.Failed, "%+v", f.dispatcher.results)
 	}
 }
+
+func TestForwardedRequestIsNotRunOnlyByItsOwnResponse(t *testing.T) {
+	peer := newBackend(t, "edge-0", func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nChestnutstream-Outcome: not-run\r\nX-Chestnutstream-Request-Id: r-0\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	f := forwardingServer(t, peer.l.Addr().String())
+	resp, body, err := f.send(t, "POST", "/order/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -67,18 +67,17 @@
 // may not belong to this request.
 func (x *exchange) logAttribution(a Assignment, br *backendResponse) {
 	h := br.resp.Header
-	belongs := attribute(h, x.header.ID, br.earlier)
 	kind := "response"
 	if platform.NotExecuted(br.resp.StatusCode, h) {
 		kind = "rejection"
 	}
-	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_server_responses_total{kind="` + kind + `",belongs_to="` + string(belongs) + `"}`).Inc()
+	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_server_responses_total{kind="` + kind + `",belongs_to="` + string(br.belongs) + `"}`).Inc()
 	resent := slices.Contains(br.earlier, x.header.ID)
-	if belongs == ownResponse && !resent {
+	if br.belongs == ownResponse && !resent {
 		return
 	}
 	x.server.cfg.Log.WithFields(log.Fields{
-		"request-id": x.header.ID, "server": a.Server.ID, "kind": kind, "belongs-to": string(belongs), "response-id": h.Get(platform.HeaderRequestID),
+		"request-id": x.header.ID, "server": a.Server.ID, "kind": kind, "belongs-to": string(br.belongs), "response-id": h.Get(platform.HeaderRequestID),
 		"status": br.resp.StatusCode, "earlier-requests": len(br.earlier), "sent-before": resent,
 	}).Warn("response may belong to another request")
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -116,21 +116,26 @@
 func (x *exchange) checkForwarded(a Assignment, br *backendResponse, took time.Duration) bool {
 	h := br.resp.Header
 	x.addTried(h)
-	switch forwardOutcome(h.Get(headerOutcome)) {
-	case forwardNotRun:
+	outcome := forwardOutcome(h.Get(headerOutcome))
+	switch {
+	case outcome == forwardNotRun && br.belongs == ownResponse:
 		x.reason = fmt.Sprintf("%s has not run it: %d", a.Peer, br.resp.StatusCode)
 		x.recordForward(a, fleet.Refused, took)
 		x.forwardRetryAfter = platform.ReadBackpressure(br.resp.StatusCode, h).RetryAfter
 		return false
-	case forwardUnknown:
+	case outcome != "":
 		x.recordForward(a, fleet.Responded, took)
 		x.mayHaveRun = true
-		x.respond(br.resp.StatusCode, fmt.Sprintf("%s: it may have run", a.Peer))
+		status := statusFailed
+		if br.resp.StatusCode == statusTimeout {
+			status = statusTimeout
+		}
+		x.respond(status, fmt.Sprintf("%s: it may have run", a.Peer))
 		return true
 	}
 	x.connectedAttempts++
 	x.mayHaveRun = true
-	if !x.isValidResponse(br.resp) {
+	if !br.isValid() {
 		x.recordForward(a, fleet.Failed, took)
 		x.respond(statusFailed, fmt.Sprintf("%s: answer %d is of no server", a.Peer, br.resp.StatusCode))
 		return true
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -125,8 +125,8 @@
 
 // The caller receives 503 without a signature only if the request has not run.
 func TestNotRunStatusOnlyIfNotRun(t *testing.T) {
-	full := func(c net.Conn, _ *http.Request, _ string) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Chestnutstream-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	full := func(c net.Conn, r *http.Request, _ string) bool {
+		writeRejection(c, http.StatusServiceUnavailable, r.Header.Get("X-Chestnutstream-Request-Id"))
 		return true
 	}
 	own := func(c net.Conn, r *http.Request, _ string) bool {
@@ -172,8 +172,8 @@
 // Callers that are rejected together must not retry together: Retry-After is
 // jittered around its mean.
 func TestRetryAfterIsJittered(t *testing.T) {
-	f := newTestServer(t, newBackend(t, "i-1", func(c net.Conn, _ *http.Request, _ string) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Chestnutstream-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	f := newTestServer(t, newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+		writeRejection(c, http.StatusServiceUnavailable, r.Header.Get("X-Chestnutstream-Request-Id"))
 		return true
 	}))
 	const rejections = 80
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -108,7 +108,7 @@
 		return true
 	}
 	defer second.close()
-	r := x.result(next, second.resp, took)
+	r := x.result(next, second, took)
 	secondBody, err := readBuffered(second.resp)
 	if err != nil || r.Outcome != fleet.Responded {
 		r.Outcome = fleet.Failed
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -66,6 +66,13 @@
 	cancel    context.CancelFunc
 	connected bool     // on a connection opened for it
 	earlier   []string // requests sent on the connection before it
+	belongs   attribution
+}
+
+// isValid reports whether the response belongs to the request and carries a server's
+// signature.
+func (br *backendResponse) isValid() bool {
+	return br.belongs == ownResponse && br.resp.Header.Get(platform.HeaderSignature) != ""
 }
 
 func (br *backendResponse) close() {
@@ -153,6 +160,7 @@
 	if requests := earlier.Load(); requests != nil {
 		br.earlier = *requests
 	}
+	br.belongs = attribute(resp.Header, x.header.ID, br.earlier)
 	return br, true, nil
 }
 
