ingress: close a connection that is out of step

Cause: a response without a body returns its connection to the pool before anything of it is checked. The response to the request itself, still to come, is then read as the next request's, and so on.

Now the connection is closed as soon as a response turns out to be another request's. The transport may have given it to the next request by then. Each connection knows whether a byte of its latest request was written; if none was, it is closed for good, so none will be, and the request is sent elsewhere as one that has not run, without judging the server.

--- a/fleet/outlier.go
+++ b/fleet/outlier.go
@@ -7,14 +7,14 @@
 type Outcome string
 
 // The outcomes. Refused means that the server is full or lacks what the request
-// needs; it does not count as a failure, nor does Unrelated.
+// needs; it does not count as a failure, nor does Inconclusive.
 const (
 	Responded    Outcome = "answered"
 	Failed       Outcome = "failed"      // the server's own error, a broken or foreign response, a connection reset
 	Unreachable  Outcome = "unreachable" // no connection could be established
 	Unresponsive Outcome = "silent"      // no response within the timeout
 	Refused      Outcome = "refused"
-	Unrelated    Outcome = "unrelated" // the response to another request came first
+	Inconclusive Outcome = "inconclusive" // the response to another request came first, or the connection was closed before the request
 )
 
 // Parameters of outlier detection.
@@ -45,7 +45,7 @@
 
 // record records the outcome of a request.
 func (d *outlierDetector) record(now time.Time, o Outcome, took time.Duration) {
-	if o == Refused || o == Unrelated {
+	if o == Refused || o == Inconclusive {
 		return
 	}
 	d.decay(now)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -173,6 +173,10 @@
 		return true
 	case a.Peer != "":
 		return x.forwardFailed(a, connected, took, err)
+	case errors.Is(err, errNotWritten):
+		r.Outcome = fleet.Inconclusive
+		x.server.dispatcher.RecordResult(a, x.header.Target, r)
+		return false
 	case errors.Is(err, errNoResponse), x.ctx.Err() != nil:
 		r.Outcome = fleet.Unresponsive
 	case !connected:
@@ -248,7 +252,7 @@
 	switch br.belongs {
 	case ownResponse:
 	case earlierResponse:
-		r.Outcome = fleet.Unrelated
+		r.Outcome = fleet.Inconclusive
 		return r
 	default:
 		r.Outcome = fleet.Failed
--- a/ingress/attribution_test.go
+++ b/ingress/attribution_test.go
@@ -176,3 +176,32 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
 }
+
+func TestWithdrawnRequestIsNeverWritten(t *testing.T) {
+	tests := []struct {
+		name      string
+		before    func(c *serverConn)
+		withdrawn bool
+	}{
+		{"nothing written", func(*serverConn) {}, true},
+		{"written", func(c *serverConn) { _, _ = c.Write([]byte("GET")) }, false},
+		{"connection abandoned before", func(c *serverConn) { c.abandon(); _, _ = c.Write([]byte("GET")) }, true},
+		{"abandoned after a byte", func(c *serverConn) { _, _ = c.Write([]byte("G")); c.abandon() }, false},
+		{"only the request before written", func(c *serverConn) { _, _ = c.Write([]byte("GET")); c.recordRequest("r-2") }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server, client := net.Pipe()
+			defer server.Close()
+			go func() { _, _ = io.Copy(io.Discard, server) }()
+			c := &serverConn{Conn: client}
+			c.recordRequest("r-1")
+			tt.before(c)
+			assert.Equal(t, c.withdraw(), tt.withdrawn)
+			if tt.withdrawn {
+				_, err := c.Write([]byte("GET"))
+				assert.ErrorIs(t, err, net.ErrClosed)
+			}
+		})
+	}
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +23,47 @@
 
 	mu       sync.Mutex
 	requests []string // IDs, the latest one last
+	written  bool     // bytes of the latest request were written
+	closed   bool
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return 0, fmt.Errorf("write: %w", net.ErrClosed)
+	}
+	c.written = true
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		err = fmt.Errorf("write: %w", err)
+	}
+	return n, err
+}
+
+// abandon closes the connection, on which a response to an earlier request may still come.
+// The transport may have given it to the next request already.
+func (c *serverConn) abandon() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
+// withdraw reports whether no byte of the latest request was written, and closes the
+// connection in that case, so that none will be.
+func (c *serverConn) withdraw() bool {
+	c.mu.Lock()
+	if c.written {
+		c.mu.Unlock()
+		return false
+	}
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.Close()
+	return true
 }
 
 // recordRequest records that a request is about to be sent. It returns the IDs of those
@@ -33,7 +75,7 @@
 	if len(earlier) == maxRecentRequests {
 		earlier = earlier[1:]
 	}
-	c.requests = append(slices.Clone(earlier), id)
+	c.requests, c.written = append(slices.Clone(earlier), id), false
 	return earlier
 }
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -86,6 +86,10 @@
 // Close implements io.Closer.
 func (oneShotBody) Close() error { return nil }
 
+// errNotWritten is the error of an attempt whose connection was closed before any byte of
+// the request was written.
+var errNotWritten = errors.New("connection closed before the request was written")
+
 // errNoResponse is the cause that cancels an attempt whose wait timeout expired.
 var errNoResponse = errors.New("no answer in time")
 
@@ -127,13 +131,14 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
 	var gotConn, newConn atomic.Bool
-	var earlier atomic.Pointer[[]string]
+	var conn atomic.Pointer[serverConn]
+	var earlier []string // written before conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		newConn.Store(!i.Reused)
 		if c, ok := i.Conn.(*serverConn); ok {
-			requests := c.recordRequest(x.header.ID)
-			earlier.Store(&requests)
+			earlier = c.recordRequest(x.header.ID)
+			conn.Store(c)
 		}
 	}})
 	req, err := x.request(ctx, a, lastEventID)
@@ -154,13 +159,19 @@
 			err = cause
 		}
 		stop()
+		if c := conn.Load(); c != nil && c.withdraw() {
+			return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, errNotWritten, err)
+		}
 		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
 	}
 	br = &backendResponse{resp: resp, cancel: stop, connected: newConn.Load()}
-	if requests := earlier.Load(); requests != nil {
-		br.earlier = *requests
+	if c := conn.Load(); c != nil {
+		br.earlier = earlier
+		br.belongs = attribute(resp.Header, x.header.ID, earlier)
+		if br.belongs != ownResponse {
+			c.abandon()
+		}
 	}
-	br.belongs = attribute(resp.Header, x.header.ID, br.earlier)
 	return br, true, nil
 }
 
