ingress: send a rejected request to its server again on a new connection

A request that its server rejected and then ran on the second try was sent to it a third time, or to another server (TWICE), or answered 503 (REFUSED).

Cause: after 421 a request waits for its adapter and goes to the same server again, as a rule on the same connection. A late copy of the first rejection bears the right id, so no comparison of ids tells it from a second rejection.

Now a server that has rejected a request gets it again only on a connection that is opened for it, on which no copy can come.

TestLateCopyOfOwnRejectionIsNotBelieved failed before on all three routes (3 arrivals, 2 wanted).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -225,7 +225,7 @@
 	r.Connected = br.connected
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	if r.Outcome == fleet.Refused {
-		return x.rejectedBy(a, br, r)
+		return x.rejected(a, br, r)
 	}
 	x.mayHaveRun = true
 	status := br.resp.StatusCode
@@ -285,10 +285,11 @@
 	return r
 }
 
-// rejectedBy continues after a server reported that it did not run the request.
+// rejected continues after a server reported that it did not run the request.
 // It returns false: the request is to be retried.
-func (x *exchange) rejectedBy(a Assignment, br *backendResponse, r Result) bool {
+func (x *exchange) rejected(a Assignment, br *backendResponse, r Result) bool {
 	x.reason = fmt.Sprintf("%s refused: %d", a.Server.ID, br.resp.StatusCode)
+	x.rejectedBy = append(x.rejectedBy, a.Server.ID)
 	if !r.NotLoaded {
 		x.avoid[a.Server.ID] = true
 	}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -149,11 +150,7 @@
 	if waitTimeout > 0 {
 		defer x.startWaitTimer(a, waitTimeout, func() { cancel(errNoResponse) })()
 	}
-	transport := x.server.nonRepeatable
-	if x.route.Repeatable() {
-		transport = x.server.repeatable
-	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := x.transport(a).RoundTrip(req)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -175,6 +172,18 @@
 	return br, true, nil
 }
 
+// transport returns the transport for an attempt. A server that has rejected the request
+// gets it on a new connection, as a late copy of that rejection would bear the right ID.
+func (x *exchange) transport(a Assignment) *http.Transport {
+	switch {
+	case slices.Contains(x.rejectedBy, a.Server.ID):
+		return x.server.singleUse
+	case x.route.Repeatable():
+		return x.server.repeatable
+	}
+	return x.server.nonRepeatable
+}
+
 // request builds the request for a server. Method, path, query and body are the
 // caller's, byte for byte.
 func (x *exchange) request(ctx context.Context, a Assignment, lastEventID string) (*http.Request, error) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -165,13 +165,19 @@
 	dispatcher    Dispatcher
 	nonRepeatable *http.Transport // for requests that must not run twice: reuses no connection that was idle for long
 	repeatable    *http.Transport
+	singleUse     *http.Transport // opens a connection for each request
 	inProgress    atomic.Int64
 	durations     durationHistory
 }
 
 // NewServer returns a server that places its requests with d.
 func NewServer(cfg Settings, d Dispatcher) *Server {
-	return &Server{cfg: cfg, dispatcher: d, nonRepeatable: newTransport(cfg.Dial, idleTimeoutNonRepeatable), repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable)}
+	s := &Server{
+		cfg: cfg, dispatcher: d, nonRepeatable: newTransport(cfg.Dial, idleTimeoutNonRepeatable),
+		repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable), singleUse: newTransport(cfg.Dial, 0),
+	}
+	s.singleUse.DisableKeepAlives = true
+	return s
 }
 
 // InProgress returns the number of requests in progress.
@@ -197,6 +203,7 @@
 	servers           []string // that the request was sent to
 	software          []string // their software versions
 	connectedServers  []string // that gave the request a connection, here or at another instance
+	rejectedBy        []string // servers that have reported not to have run it
 	avoid             map[string]bool
 	stall             time.Duration
 	viewAge           time.Duration // of the latest placement
