ingress: no status of a server promises "not run" unless the server says so

A caller whose order a server had answered 503, 429 or 408 without X-Chestnutstream-Not-Executed got that status, which promises that the order has not run and never will. The server had not said so: only that header, or 421, states it.

Such a response to a non-idempotent request now becomes 502 without a signature; for idempotent requests it is relayed as before.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -129,8 +129,8 @@
 		writeRejection(c, http.StatusServiceUnavailable, r.Header.Get("X-Chestnutstream-Request-Id"))
 		return true
 	}
-	own := func(c net.Conn, r *http.Request, _ string) bool {
-		return writeResponse(c, r, "503 Service Unavailable", "ran and failed")
+	own := func(status string) responder {
+		return func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, status, "ran and failed") }
 	}
 	tests := []struct {
 		name    string
@@ -139,7 +139,11 @@
 		signed  bool
 	}{
 		{"server rejects", full, 503, false},
-		{"server's own 503 is relayed", own, 503, true},
+		{"server's own 503", own("503 Service Unavailable"), 502, false},
+		{"server's own 429", own("429 Too Many Requests"), 502, false},
+		{"server's own 408", own("408 Request Timeout"), 502, false},
+		{"server's own 500 is relayed", own("500 Internal Server Error"), 500, true},
+		{"server's own 504 is relayed", own("504 Gateway Timeout"), 504, true},
 		{"connection lost after sending", func(net.Conn, *http.Request, string) bool { return false }, 502, false},
 		{"no response until the route's timeout", func(net.Conn, *http.Request, string) bool { time.Sleep(3 * time.Second); return false }, 504, false},
 	}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -30,6 +30,12 @@
 // relay passes a response on to the caller. It returns false if the request is to
 // be retried.
 func (x *exchange) relay(a Assignment, br *backendResponse) bool {
+	if status := br.resp.StatusCode; !x.route.Repeatable() && platform.PromisesNotRun(status) {
+		// The server does not state that the request has not run, but its caller would take
+		// the status for that.
+		x.respond(statusFailed, fmt.Sprintf("%s: answer %d does not say whether the request has run", a.Server.ID, status))
+		return true
+	}
 	if x.timeToFirstByte == 0 {
 		x.timeToFirstByte = x.server.cfg.Timer.Now().Sub(x.start)
 	}
