service: a late response to another call is not accepted

What callers saw: an idempotent call of a plain service got another call's body, or another call's refusal, when the server sent a second copy of an earlier response late on a kept connection. A refusal of which the configuration says "did not run" was then reported as not-run of a call that ran.

Cause: idempotent calls shared connections, and a response on one was taken for the response to the call that waits there. Nothing in it was compared: plain services need not echo Request-Id, and callers may use an id twice.

Change: every call uses a new connection, as the others did. ServiceCall.Idempotent had no other use and is gone. The cost is one round trip per idempotent call.

A connection that carries one call has no earlier response to repeat.

--- a/caller/call.go
+++ b/caller/call.go
@@ -68,7 +68,7 @@
 	}
 	resp, err := f.server.deps.Services.Call(ctx, address, chestnutstream.ServiceCall{
 		Method: x.R.Method, Path: x.ServicePath, Header: x.R.Header, Body: x.Body,
-		Idempotent: x.Idempotent, RequestID: x.ID, ResponseTimeout: f.responseTimeout(x, attempt),
+		RequestID: x.ID, ResponseTimeout: f.responseTimeout(x, attempt),
 	})
 	if err == nil {
 		f.server.responseTimes.Observe(f.server.cfg.Timer.Now().Sub(start))
--- a/interfaces.go
+++ b/interfaces.go
@@ -160,7 +160,6 @@
 	Path            string
 	Header          http.Header
 	Body            []byte
-	Idempotent      bool
 	RequestID       string
 	ResponseTimeout time.Duration // wait timeout for the response; 0: no timeout but ctx
 }
--- a/service/client.go
+++ b/service/client.go
@@ -40,13 +40,12 @@
 	maxResponseBytes = 32 << 20 // of one response body
 )
 
-// Client calls plain services. Each non-idempotent call uses a new connection: a
-// pooled one may have become unresponsive, and a call that fails on it cannot be
-// distinguished from a call that ran.
-type Client struct {
-	pooled *http.Client
-	fresh  *http.Client
-}
+// Client calls plain services. Each call uses a new connection: a pooled one may
+// have become unresponsive, and a call that fails on it cannot be distinguished from
+// a call that ran; and a late second response to an earlier call on it cannot be
+// distinguished from the response to this one, since services need not echo
+// Request-Id.
+type Client struct{ http *http.Client }
 
 // ErrResponseTimeout is returned when an idempotent call received no response
 // within its ResponseTimeout, which follows the usual response time of the calls;
@@ -60,14 +59,9 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{
-		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second,
-		}},
-		fresh: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true,
-		}},
-	}
+	return &Client{http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DialContext: dial, DisableKeepAlives: true,
+	}}}
 }
 
 // unforwardedHeaders lists headers that apply to one connection or message, or
@@ -114,14 +108,9 @@
 	req.GetBody = nil // prevents the HTTP library from sending the call again
 	req.Header = ForwardedHeaders(call.Header)
 	req.Header.Set("Request-Id", call.RequestID)
-	client := c.fresh
-	if call.Idempotent {
-		client = c.pooled
-	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), ErrResponseTimeout) {
-			c.pooled.CloseIdleConnections()
 			err = fmt.Errorf("%w after %v: %w", ErrResponseTimeout, time.Since(start).Round(time.Millisecond), err)
 		}
 		if !sent.Load() {
@@ -149,7 +138,7 @@
 	if err != nil {
 		return false, fmt.Errorf("build health request: %w", err)
 	}
-	resp, err := c.fresh.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return false, fmt.Errorf("health of %s: %w", address, err)
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // TestCallDistinguishesNotSentFromUnknownOutcome guards against reporting a call
@@ -41,11 +43,50 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer srv.Close()
 	defer close(release)
-	call := chestnutstream.ServiceCall{Method: http.MethodGet, Path: "/stock/1", Idempotent: true, ResponseTimeout: 20 * time.Millisecond}
+	call := chestnutstream.ServiceCall{Method: http.MethodGet, Path: "/stock/1", ResponseTimeout: 20 * time.Millisecond}
 	_, err := NewClient(nil).Call(context.Background(), strings.TrimPrefix(srv.URL, "http://"), call)
 	assert.Assert(t, errors.Is(err, ErrResponseTimeout), "%v", err)
 }
 
+// TestLateResponseToAnotherCallIsNotAccepted guards against taking a second copy of
+// an earlier call's response for the response to the next call.
+func TestLateResponseToAnotherCallIsNotAccepted(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		status int // of the response to the earlier call
+	}{
+		{"body of another call", http.MethodGet, http.StatusOK},
+		{"refusal of another call", http.MethodGet, http.StatusServiceUnavailable},
+		{"refusal of another call, without a body", http.MethodHead, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/stock/1" {
+					w.WriteHeader(tt.status)
+				}
+				_, _ = io.WriteString(w, "answer to "+r.URL.Path)
+			}))
+			srv.Listener = standin.LateCopies{Listener: srv.Listener}
+			srv.Start()
+			defer srv.Close()
+			c := NewClient(nil)
+			call := chestnutstream.ServiceCall{Method: tt.method, Path: "/stock/1", RequestID: "1"}
+			resp, err := c.Call(context.Background(), srv.Listener.Addr().String(), call)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.Status, tt.status)
+			call.Path, call.RequestID = "/stock/2", "2"
+			resp, err = c.Call(context.Background(), srv.Listener.Addr().String(), call)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.Status, http.StatusOK)
+			if tt.method != http.MethodHead {
+				assert.Equal(t, string(resp.Body), "answer to /stock/2")
+			}
+		})
+	}
+}
+
 func TestForwardedHeadersRemovesConnectionHeaders(t *testing.T) {
 	h := http.Header{"Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Transfer-Encoding": {"chunked"}, "X-Kept": {"1"}}
 	assert.DeepEqual(t, ForwardedHeaders(h), http.Header{"X-Kept": {"1"}})
