engine: a late response to another generation is not accepted

What callers saw: a generation was reported as refused, and so as not-run or retried on another engine, while it ran; or it got another generation's events.

Cause: generations of an engine shared kept connections. An engine that sends a second copy of an earlier response late had it read in place of the next request's own; nothing in it was compared.

Change: each generation and each resumption uses a new connection, as status reads, orders and cancels did. The pool per engine, and dropping it after a stall, are gone. The protocol does not change. The cost is one round trip per generation.

A connection that carries one request has no earlier response to repeat.

--- a/engine/client.go
+++ b/engine/client.go
@@ -36,17 +36,16 @@
 	cancelTimeout    = 500 * time.Millisecond // a cancel is best effort
 )
 
-// Client is an HTTP client for model engines. Orders use a new connection each,
-// so that none waits on a connection that no longer responds; generations share
-// a pool per engine, which is dropped when one of its connections stalls.
+// Client is an HTTP client for model engines. Each request uses a new connection, so
+// that none waits on a connection that no longer responds, or receives a late second
+// response to an earlier request.
 type Client struct {
-	dial   chestnutstream.DialFunc
-	orders *http.Client
-	stall  StallSettings
+	orders      *http.Client
+	generations *http.Client
+	stall       StallSettings
 
-	mu    sync.Mutex
-	pools map[string]*http.Client
-	gaps  map[string]*GapEstimator
+	mu   sync.Mutex
+	gaps map[string]*GapEstimator // by address
 }
 
 // NewClient returns a client for model engines. A nil dial uses net.Dialer.
@@ -57,11 +56,10 @@
 		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: tcp.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	return &Client{
-		dial:   dial,
-		orders: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial}},
-		stall:  DefaultStallSettings(),
-		pools:  map[string]*http.Client{},
-		gaps:   map[string]*GapEstimator{},
+		orders:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial}},
+		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial, ResponseHeaderTimeout: headerTimeout}},
+		stall:       DefaultStallSettings(),
+		gaps:        map[string]*GapEstimator{},
 	}
 }
 
@@ -175,33 +173,16 @@
 	}
 }
 
-// pool returns the connection pool and the gap estimator of an engine.
-func (c *Client) pool(address string) (*http.Client, *GapEstimator) {
+// gapEstimator returns the gap estimator of an engine.
+func (c *Client) gapEstimator(address string) *GapEstimator {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.pools[address]
-	if p == nil {
-		p = &http.Client{Transport: &http.Transport{
-			DialContext:           c.dial,
-			MaxIdleConnsPerHost:   32,
-			IdleConnTimeout:       30 * time.Second,
-			ResponseHeaderTimeout: headerTimeout,
-		}}
-		c.pools[address] = p
-		c.gaps[address] = &GapEstimator{}
+	g := c.gaps[address]
+	if g == nil {
+		g = &GapEstimator{}
+		c.gaps[address] = g
 	}
-	return p, c.gaps[address]
-}
-
-// dropPool drops the connection pool of an engine after one connection has
-// stalled, since the cause often affects the others too.
-func (c *Client) dropPool(address string, stale *http.Client) {
-	c.mu.Lock()
-	if c.pools[address] == stale {
-		delete(c.pools, address)
-	}
-	c.mu.Unlock()
-	stale.CloseIdleConnections()
+	return g
 }
 
 // RefusedError is the engine's refusal of a generation, which did not run.
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -116,9 +116,9 @@
 func (c *Client) Generate(ctx context.Context, address string, g chestnutstream.Generation, emit func(chestnutstream.Chunk) error) error {
 	cur := &streamCursor{}
 	sent := false
+	gaps := c.gapEstimator(address)
 	for attempt := 0; ; attempt++ {
-		pool, gaps := c.pool(address)
-		err := c.openConnection(ctx, pool, address, g, cur, &sent, gaps, emit)
+		err := c.openConnection(ctx, address, g, cur, &sent, gaps, emit)
 		if err == nil {
 			return nil
 		}
@@ -133,7 +133,6 @@
 		if endsStream(err, cur) || attempt >= maxResumes {
 			return fmt.Errorf("generate on %s after %d chunks: %w", address, cur.next, err)
 		}
-		c.dropPool(address, pool)
 		if attempt > 0 {
 			timer.Sleep(ctx, resumePause<<min(attempt, 5))
 		}
@@ -153,11 +152,11 @@
 // later ones request the remaining events. If a later one finds the stream
 // unknown and nothing of it was received, the first request never arrived and
 // is sent again.
-func (c *Client) openConnection(ctx context.Context, pool *http.Client, address string, g chestnutstream.Generation,
+func (c *Client) openConnection(ctx context.Context, address string, g chestnutstream.Generation,
 	cur *streamCursor, sent *bool, gaps *GapEstimator, emit func(chestnutstream.Chunk) error,
 ) error {
 	if *sent {
-		err := c.receive(ctx, pool, resumeRequest(address, g, cur.next), cur, nil, gaps, emit)
+		err := c.receive(ctx, resumeRequest(address, g, cur.next), cur, nil, gaps, emit)
 		var refused *RefusedError
 		if !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
 			return err
@@ -166,7 +165,7 @@
 			return fmt.Errorf("%w: %w", ErrStreamLost, err)
 		}
 	}
-	err := c.receive(ctx, pool, firstRequest(address, g), cur, sent, gaps, emit)
+	err := c.receive(ctx, firstRequest(address, g), cur, sent, gaps, emit)
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Code == "request-id-in-use" {
 		return errStalled // our earlier request did arrive: resume it
@@ -197,7 +196,7 @@
 
 // receive sends one request and passes on the events of its response. It sets
 // sent, unless nil, when the request is handed to a connection.
-func (c *Client) receive(ctx context.Context, pool *http.Client, build func(context.Context) (*http.Request, error),
+func (c *Client) receive(ctx context.Context, build func(context.Context) (*http.Request, error),
 	cur *streamCursor, sent *bool, gaps *GapEstimator, emit func(chestnutstream.Chunk) error,
 ) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -209,7 +208,7 @@
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
-	resp, err := pool.Do(req)
+	resp, err := c.generations.Do(req)
 	if err != nil {
 		return fmt.Errorf("send: %w", err)
 	}
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -1,11 +1,18 @@
 package engine
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // Repeated, reordered or missing events of a stream's connections must not
@@ -71,3 +78,44 @@
 		})
 	}
 }
+
+// TestLateResponseToAnotherGenerationIsNotAccepted guards against taking a second
+// copy of an earlier response for the response to the next generation, which would
+// be reported as not run, or relayed with the other's events.
+func TestLateResponseToAnotherGenerationIsNotAccepted(t *testing.T) {
+	tests := []struct {
+		name        string
+		first       string // id of the earlier generation
+		wantRefused bool   // the earlier generation is refused
+	}{
+		{"refusal of another request", "refused", true},
+		{"events of another request", "first", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get("Request-Id")
+				if id == "refused" {
+					http.Error(w, `{"code":"queue-full"}`, http.StatusServiceUnavailable)
+					return
+				}
+				_, _ = fmt.Fprintf(w, "id: 0\ndata: of %s\n\nid: 1\ndata: %s\n\n", id, endMarker)
+			}))
+			srv.Listener = standin.LateCopies{Listener: srv.Listener}
+			srv.Start()
+			defer srv.Close()
+			c := NewClient(nil)
+			var got []string
+			generate := func(id string) error {
+				return c.Generate(context.Background(), srv.Listener.Addr().String(), chestnutstream.Generation{RequestID: id, Path: "/v1/completions"}, func(chunk chestnutstream.Chunk) error {
+					got = append(got, string(chunk.Data))
+					return nil
+				})
+			}
+			assert.Equal(t, generate(tt.first) != nil, tt.wantRefused)
+			got = nil
+			assert.NilError(t, generate("next"))
+			assert.DeepEqual(t, got, []string{"of next"})
+		})
+	}
+}
