engine: a refused resumption does not mean "not run"

What callers saw: a generation whose stream broke, because the engine restarted for example, was answered as not-run, though it had begun to run, when no other engine took it.

Cause: the refusal of a later request for the stream was taken for the refusal of the generation: of its resumption, or of its second send, which follows when the engine does not know the stream.

Change: a refusal after the first send wraps ErrStreamLost, and DidNotRun, which package caller asks in place of its own function, is false for it. The attempt is retried on another engine as before.

Evidence: TestRefusedResumptionDoesNotMeanThatGenerationDidNotRun, with the former condition: three of four cases fail ("true != false: ... after 1 chunks: stream lost: engine refused: 404 unknown-stream", "404 unknown-model", "503 unknown-stream"); now none in 20 runs.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -100,19 +100,12 @@
 		RequestID: dispatch.ID, Path: x.R.URL.Path, Body: body, Priority: x.Class.Urgency,
 	}, out.writeChunk)
 	f.server.deps.Placer.Finish(dispatch.ID, failureOf(err))
-	if err != nil && provablyNotRun(err) {
+	if engine.DidNotRun(err) {
 		x.Outcome = previous
 	}
 	return err
 }
 
-// provablyNotRun reports whether err means that the attempt was not sent or that
-// the server reported refusing it.
-func provablyNotRun(err error) bool {
-	var refused *engine.RefusedError
-	return errors.Is(err, engine.ErrNotSent) || errors.As(err, &refused)
-}
-
 func failureOf(err error) engine.Failure {
 	var wrongAdapter *wrongAdapterError
 	var refused *engine.RefusedError
--- a/engine/client.go
+++ b/engine/client.go
@@ -185,7 +185,8 @@
 	return g
 }
 
-// RefusedError is the engine's refusal of a generation, which did not run.
+// RefusedError is the engine's refusal of a request. The generation did not run
+// unless the error also wraps ErrStreamLost.
 type RefusedError struct {
 	Status int
 	Code   string // the engine's code, such as "unknown-model" or "queue-full"
@@ -198,7 +199,8 @@
 // connection.
 var ErrNotSent = errors.New("not sent")
 
-// ErrStreamLost is returned when a stream broke and cannot be resumed.
+// ErrStreamLost is returned when a stream broke and cannot be resumed: it is unknown
+// whether the generation ran.
 var ErrStreamLost = errors.New("stream lost")
 
 // IsUnknownModel reports whether the engine refused because the load name is not
@@ -208,6 +210,13 @@
 	return errors.As(err, &refused) && refused.Code == "unknown-model"
 }
 
+// DidNotRun reports whether err of Generate means that the request was not sent, or
+// that the engine refused it when it was first sent.
+func DidNotRun(err error) bool {
+	var refused *RefusedError
+	return errors.Is(err, ErrNotSent) || errors.As(err, &refused) && !errors.Is(err, ErrStreamLost)
+}
+
 func parseRefusal(resp *http.Response) error {
 	var body struct {
 		Code string `json:"code"`
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -110,9 +110,8 @@
 
 // Generate implements chestnutstream.Generator. A connection that breaks or
 // stalls is abandoned, and the stream is resumed from its offset on a new one.
-// Generate returns nil only after the end marker; a *RefusedError or ErrNotSent
-// when the request did not run; ErrStreamLost when the engine no longer has the
-// stream.
+// Generate returns nil only after the end marker. DidNotRun tells whether the
+// request of a failed call did not run.
 func (c *Client) Generate(ctx context.Context, address string, g chestnutstream.Generation, emit func(chestnutstream.Chunk) error) error {
 	cur := &streamCursor{}
 	sent := false
@@ -125,6 +124,10 @@
 		if !sent {
 			return fmt.Errorf("generate on %s: %w: %w", address, ErrNotSent, err)
 		}
+		var refused *RefusedError
+		if attempt > 0 && errors.As(err, &refused) {
+			err = fmt.Errorf("%w: %w", ErrStreamLost, err) // the first send may have run
+		}
 		var emitErr *emitError
 		if errors.As(err, &emitErr) || ctx.Err() != nil {
 			c.cancel(address, g.RequestID)
@@ -145,25 +148,22 @@
 // endsStream reports whether err ends the stream and not only its connection.
 func endsStream(err error, cur *streamCursor) bool {
 	var refused *RefusedError
-	return errors.As(err, &refused) || errors.Is(err, ErrStreamLost) || cur.done
+	return errors.As(err, &refused) || cur.done
 }
 
 // openConnection opens one connection of a stream: the first sends the request,
 // later ones request the remaining events. If a later one finds the stream
-// unknown and nothing of it was received, the first request never arrived and
-// is sent again.
+// unknown and nothing of it was received, the first request never arrived, or the
+// engine has restarted, and it is sent again.
 func (c *Client) openConnection(ctx context.Context, address string, g chestnutstream.Generation,
 	cur *streamCursor, sent *bool, gaps *GapEstimator, emit func(chestnutstream.Chunk) error,
 ) error {
 	if *sent {
 		err := c.receive(ctx, resumeRequest(address, g, cur.next), cur, nil, gaps, emit)
 		var refused *RefusedError
-		if !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
+		if !errors.As(err, &refused) || refused.Status != http.StatusNotFound || cur.next > 0 {
 			return err
 		}
-		if cur.next > 0 {
-			return fmt.Errorf("%w: %w", ErrStreamLost, err)
-		}
 	}
 	err := c.receive(ctx, firstRequest(address, g), cur, sent, gaps, emit)
 	var refused *RefusedError
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,6 +81,44 @@
 	}
 }
 
+// TestRefusedResumptionDoesNotMeanThatGenerationDidNotRun guards against taking the
+// refusal of a later request for a broken stream for the refusal of the generation.
+func TestRefusedResumptionDoesNotMeanThatGenerationDidNotRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  string // response to the first send; "": a refusal
+		resume int    // status of the response to the resumption
+		want   bool
+	}{
+		{"refused when first sent", "", http.StatusNotFound, true},
+		{"engine restarted during the stream", "id: 0\ndata: x\n\n", http.StatusNotFound, false},
+		{"engine restarted before the first event", ": accepted\n\n", http.StatusNotFound, false},
+		{"resumption refused", ": accepted\n\n", http.StatusServiceUnavailable, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var sends atomic.Int32
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.Method == http.MethodGet:
+					http.Error(w, `{"code":"unknown-stream"}`, tt.resume)
+				case sends.Add(1) > 1 || tt.first == "":
+					http.Error(w, `{"code":"unknown-model"}`, http.StatusNotFound)
+				default:
+					_, _ = io.WriteString(w, tt.first)
+					assert.Check(t, http.NewResponseController(w).Flush())
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer srv.Close()
+			g := chestnutstream.Generation{RequestID: "g", Path: "/v1/completions"}
+			err := NewClient(nil).Generate(context.Background(), srv.Listener.Addr().String(), g, func(chestnutstream.Chunk) error { return nil })
+			assert.Assert(t, err != nil)
+			assert.Equal(t, DidNotRun(err), tt.want, "%v", err)
+		})
+	}
+}
+
 // TestLateResponseToAnotherGenerationIsNotAccepted guards against taking a second
 // copy of an earlier response for the response to the next generation, which would
 // be reported as not run, or relayed with the other's events.
