--- a/backend.go
+++ b/backend.go
@@ -129,6 +129,7 @@
 	Holder     string
 	Fence      uint64
 	NotAfter   time.Duration
+	Poll       bool // it was sent before, and its response only tells whether it is complete
 }
 
 // OrderResult is the outcome of an order.
--- a/edge/control.go
+++ b/edge/control.go
@@ -240,7 +240,7 @@
 		return
 	}
 	o := a.Order
-	o.Holder, o.Fence, o.NotAfter = n.cfg.Instance, fence, until
+	o.Holder, o.Fence, o.NotAfter, o.Poll = n.cfg.Instance, fence, until, a.Poll
 	a.Order = o
 	go n.sendOrder(id, e.Server, a)
 }
