ingress: do not take the next request on a connection for this one

A caller could be told "not run" (503) for an order that had run, if its time ended just when its response had been read.

Cause: net/http returns the connection of a response without a body to the pool before it delivers the response. If the request ends in between, withdraw asks whether bytes of the connection's latest request were written, which is then the next request; that is closed unwritten, so the answer is no, and the request that has run counts as never sent.

Now each request is known by its number on the connection. The transport gives a connection to the next request only when this one has been written, so a later number means that it was.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -23,6 +23,7 @@
 
 	mu       sync.Mutex
 	requests []string // IDs, the latest one last
+	sent     int      // number of requests
 	written  bool     // bytes of the latest request were written
 	closed   bool
 }
@@ -52,11 +53,12 @@
 	_ = c.Close()
 }
 
-// withdraw reports whether no byte of the latest request was written, and closes the
-// connection in that case, so that none will be.
-func (c *serverConn) withdraw() bool {
+// withdraw reports whether no byte of a request was written, and closes the connection in
+// that case, so that none will be. seq is the request's number on the connection, which is
+// given to the next request only when this one has been written.
+func (c *serverConn) withdraw(seq int) bool {
 	c.mu.Lock()
-	if c.written {
+	if c.written || c.sent != seq {
 		c.mu.Unlock()
 		return false
 	}
@@ -66,9 +68,9 @@
 	return true
 }
 
-// recordRequest records that a request is about to be sent. It returns the IDs of those
-// before it.
-func (c *serverConn) recordRequest(id string) (earlier []string) {
+// recordRequest records that a request is about to be sent. It returns its number on the
+// connection and the IDs of those before it.
+func (c *serverConn) recordRequest(id string) (seq int, earlier []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	earlier = c.requests
@@ -76,7 +78,8 @@
 		earlier = earlier[1:]
 	}
 	c.requests, c.written = append(slices.Clone(earlier), id), false
-	return earlier
+	c.sent++
+	return c.sent, earlier
 }
 
 // attribution tells which request a response belongs to, by the ID that it echoes.
--- /dev/null
+++ b/ingress/review_test.go
@@ -0,0 +1,53 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// traced replaces the front of a server by one that adds the hooks of trace to the contexts
+// of requests.
+func (f *testServer) traced(t *testing.T, trace func(requestID string) *httptrace.ClientTrace) {
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hooks := trace(r.Header.Get("X-Chestnutstream-Request-Id"))
+		f.handler.ServeHTTP(w, r.WithContext(httptrace.WithClientTrace(r.Context(), hooks)))
+	}))
+	t.Cleanup(f.Close)
+}
+
+// The time of r-0 ends when its response has been read and its connection is r-1's already.
+func TestRequestThatRanIsNotWithdrawnWithTheNextOneOnItsConnection(t *testing.T) {
+	b := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, "200 OK", "") })
+	f := newTestServer(t, b)
+	next, first := make(chan struct{}), make(chan struct{})
+	var given sync.Once
+	f.traced(t, func(id string) *httptrace.ClientTrace {
+		if id == "r-0" {
+			return &httptrace.ClientTrace{PutIdleConn: func(error) {
+				go func() { _, _, _ = f.send(t, "POST", "/order/1", "x") }()
+				<-next
+				<-first
+			}}
+		}
+		return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+			given.Do(func() {
+				assert.Check(t, i.Reused)
+				close(next)
+				<-first
+			})
+		}}
+	})
+	resp, body, err := f.send(t, "POST", "/order/1", "x", "X-Chestnutstream-Request-Id", "r-0", "X-Chestnutstream-Deadline-Ms", "300")
+	ran := b.requestCount()
+	close(first)
+	assert.NilError(t, err)
+	assert.Equal(t, ran, 1)
+	assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, body)
+	awaitDone(t, f.handler)
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -133,12 +133,13 @@
 	stop := func() { cancel(nil) }
 	var gotConn, newConn atomic.Bool
 	var conn atomic.Pointer[serverConn]
-	var earlier []string // written before conn
+	var seq int // written before conn, like earlier
+	var earlier []string
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		newConn.Store(!i.Reused)
 		if c, ok := i.Conn.(*serverConn); ok {
-			earlier = c.recordRequest(x.header.ID)
+			seq, earlier = c.recordRequest(x.header.ID)
 			conn.Store(c)
 		}
 	}})
@@ -156,7 +157,7 @@
 			err = cause
 		}
 		stop()
-		if c := conn.Load(); c != nil && c.withdraw() {
+		if c := conn.Load(); c != nil && c.withdraw(seq) {
 			return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, errNotWritten, err)
 		}
 		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
