ingress: avoid a server that closes new connections at once

A request to a server that resets new connections, as one with maxConnections connections does, could be sent to it five times at once and end with 503, though another server could serve it; idempotent requests were served by another one before.

Cause: an attempt whose connection was closed before a byte was written neither judges nor avoids its server, as the cause is taken to be a connection abandoned here. It may also be the server's reset of a connection that was just opened.

Now only a kept connection counts so. A server that closes one opened for the request has failed and is avoided, as before withdraw; the request has still not run.

TestServerThatResetsNewConnectionsIsAvoided on the code before: 503 "not taken by 5 servers" on all four routes, 3 of 3; now passes 10 of 10. It delays the write by 20 ms.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -179,6 +179,7 @@
 		return false
 	case errors.Is(err, errNoResponse), x.ctx.Err() != nil:
 		r.Outcome = fleet.Unresponsive
+	case errors.Is(err, errNotAccepted):
 	case !connected:
 		r.Outcome = fleet.Unreachable // also when the dial timed out
 	}
--- a/ingress/review_test.go
+++ b/ingress/review_test.go
@@ -6,9 +6,13 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
 )
 
 // traced replaces the front of a server by one that adds the hooks of trace to the contexts
@@ -51,3 +55,39 @@
 	assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, body)
 	awaitDone(t, f.handler)
 }
+
+// resettingBackend accepts connections and resets them soon after.
+func resettingBackend(t *testing.T, id string, accepted *atomic.Int32) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			time.AfterFunc(2*time.Millisecond, func() { _ = conn.Close() })
+		}
+	}()
+	return &backend{id: id, l: l}
+}
+
+func TestServerThatResetsNewConnectionsIsAvoided(t *testing.T) {
+	for _, path := range []string{"/order/1", "/once/1", "/look/1", "/ask/1"} {
+		t.Run(path, func(t *testing.T) {
+			var accepted atomic.Int32
+			f := newTestServer(t, resettingBackend(t, "i-1", &accepted), newBackend(t, "i-2", respondOK))
+			f.traced(t, func(string) *httptrace.ClientTrace {
+				return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { time.Sleep(20 * time.Millisecond) }}
+			})
+			resp, body, err := f.send(t, "POST", path, "x")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+			assert.Equal(t, accepted.Load(), int32(1))
+			assert.Equal(t, f.dispatcher.results[0].Outcome, fleet.Failed)
+		})
+	}
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -87,9 +87,11 @@
 // Close implements io.Closer.
 func (oneShotBody) Close() error { return nil }
 
-// errNotWritten is the error of an attempt whose connection was closed before any byte of
-// the request was written.
-var errNotWritten = errors.New("connection closed before the request was written")
+// Errors of attempts whose connection was closed before any byte of the request was written.
+var (
+	errNotWritten  = errors.New("connection closed before the request was written")
+	errNotAccepted = errors.New("new connection closed by the server") // the same for a connection opened for the request
+)
 
 // errNoResponse is the cause that cancels an attempt whose wait timeout expired.
 var errNoResponse = errors.New("no answer in time")
@@ -153,12 +155,17 @@
 	}
 	resp, err := x.transport(a).RoundTrip(req)
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
+		cause := context.Cause(ctx)
+		if cause != nil {
 			err = cause
 		}
 		stop()
 		if c := conn.Load(); c != nil && c.withdraw(seq) {
-			return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, errNotWritten, err)
+			notSent := errNotWritten
+			if newConn.Load() && cause == nil {
+				notSent = errNotAccepted
+			}
+			return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, notSent, err)
 		}
 		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
 	}
