ingress: judge the server of a retry after 5xx by its own response

A sound server could get only probe requests for a while: it counted as failing when it rejected the retry of a request that another server had answered 5xx, or when a late copy of an earlier response came in place of its response.

Cause: relayRetry recorded every response that it does not relay as failed, and an attempt whose kept connection was closed before the request was written as a server that cannot be reached.

Now the outcome of the response stays as result has found it, and attempts without a response are judged by sendOutcome, like all others.

TestRetryAfterServerErrorJudgesItsServerByItsOwnResponse before: "failed != refused" and "failed != inconclusive" in the first two of four rows; now all pass. The attempt that was not written has no test of its own here.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -161,7 +161,6 @@
 
 func (x *exchange) sendFailed(a Assignment, connected bool, took time.Duration, err error) bool {
 	x.reason = err.Error()
-	r := Result{Took: took, Outcome: fleet.Failed}
 	aborted := x.aborted()
 	switch {
 	case x.r.Context().Err() != nil:
@@ -173,17 +172,12 @@
 		return true
 	case a.Peer != "":
 		return x.forwardFailed(a, connected, took, err)
-	case errors.Is(err, errNotWritten):
-		r.Outcome = fleet.Inconclusive
-		x.server.dispatcher.RecordResult(a, x.header.Target, r)
-		return false
-	case errors.Is(err, errNoResponse), x.ctx.Err() != nil:
-		r.Outcome = fleet.Unresponsive
-	case errors.Is(err, errNotAccepted):
-	case !connected:
-		r.Outcome = fleet.Unreachable // also when the dial timed out
 	}
+	r := Result{Took: took, Outcome: x.sendOutcome(connected, err)}
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
+	if r.Outcome == fleet.Inconclusive {
+		return false
+	}
 	x.avoid[a.Server.ID] = true
 	if !connected {
 		x.unreachable++
@@ -199,6 +193,19 @@
 	return true
 }
 
+// sendOutcome returns what an attempt without a response tells about its server.
+func (x *exchange) sendOutcome(connected bool, err error) fleet.Outcome {
+	switch {
+	case errors.Is(err, errNotWritten):
+		return fleet.Inconclusive
+	case errors.Is(err, errNoResponse), x.ctx.Err() != nil:
+		return fleet.Unresponsive
+	case !connected && !errors.Is(err, errNotAccepted):
+		return fleet.Unreachable // also when the dial timed out
+	}
+	return fleet.Failed
+}
+
 // mayRetry reports whether a request that may have run may be sent to another
 // server.
 func (x *exchange) mayRetry() bool {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -104,11 +104,7 @@
 	second, connected, err := x.send(next, "", 0)
 	took := x.server.cfg.Timer.Now().Sub(start)
 	if err != nil {
-		r := Result{Took: took, Outcome: fleet.Failed}
-		if !connected {
-			r.Outcome = fleet.Unreachable
-		}
-		x.server.dispatcher.RecordResult(next, x.header.Target, r)
+		x.server.dispatcher.RecordResult(next, x.header.Target, Result{Took: took, Outcome: x.sendOutcome(connected, err)})
 		x.recordBroken(next, chestnutstream.ResponseNone, err)
 		x.writeResponse(br.resp, body)
 		return true
@@ -117,7 +113,9 @@
 	r := x.result(next, second, took)
 	secondBody, err := readBuffered(second.resp)
 	if err != nil || r.Outcome != fleet.Responded {
-		r.Outcome = fleet.Failed
+		if r.Outcome == fleet.Responded {
+			r.Outcome = fleet.Failed
+		}
 		x.server.dispatcher.RecordResult(next, x.header.Target, r)
 		x.recordBroken(next, chestnutstream.ResponseBegun, err)
 		x.writeResponse(br.resp, body)
--- a/ingress/review_test.go
+++ b/ingress/review_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -91,3 +92,48 @@
 		})
 	}
 }
+
+func TestRetryAfterServerErrorJudgesItsServerByItsOwnResponse(t *testing.T) {
+	tests := []struct {
+		name   string
+		second responder
+		want   fleet.Outcome
+	}{
+		{"rejection", func(c net.Conn, r *http.Request, _ string) bool {
+			writeRejection(c, http.StatusServiceUnavailable, r.Header.Get("X-Chestnutstream-Request-Id"))
+			return true
+		}, fleet.Refused},
+		{"late copy of an earlier rejection", func(c net.Conn, _ *http.Request, _ string) bool {
+			writeRejection(c, http.StatusServiceUnavailable, "r-0")
+			return true
+		}, fleet.Inconclusive},
+		{"foreign response", func(c net.Conn, _ *http.Request, _ string) bool {
+			writeRejection(c, http.StatusServiceUnavailable, "r-9")
+			return true
+		}, fleet.Failed},
+		{"broken response", func(c net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\nContent-Length: 9\r\n\r\n", r.Header.Get("X-Chestnutstream-Request-Id"))
+			return false
+		}, fleet.Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			failing := newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+				return writeResponse(c, r, "500 Internal Server Error", "broken")
+			})
+			second := newBackend(t, "i-2", func(c net.Conn, r *http.Request, id string) bool {
+				if r.Header.Get("X-Chestnutstream-Request-Id") == "r-0" {
+					return respondOK(c, r, id)
+				}
+				return tt.second(c, r, id)
+			})
+			f := newTestServer(t, failing, second)
+			for i := range 2 {
+				_, _, err := f.send(t, "POST", "/look/1", "x", "X-Chestnutstream-Request-Id", fmt.Sprintf("r-%d", i))
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, len(f.dispatcher.results), 4)
+			assert.Equal(t, f.dispatcher.results[3].Outcome, tt.want)
+		})
+	}
+}
