--- a/ingress/review_test.go
+++ b/ingress/review_test.go
@@ -137,3 +137,40 @@
 		})
 	}
 }
+
+func TestEachRejectionMovesTheRequestToANewConnection(t *testing.T) {
+	var mu sync.Mutex
+	arrivals := 0
+	used := map[net.Conn]bool{}
+	b := newBackend(t, "i-1", func(c net.Conn, r *http.Request, id string) bool {
+		mu.Lock()
+		arrivals++
+		rejects, usedBefore := arrivals <= 3, used[c]
+		used[c] = true
+		mu.Unlock()
+		assert.Check(t, !usedBefore)
+		if rejects {
+			writeRejection(c, http.StatusMisdirectedRequest, "r-1")
+			return true
+		}
+		return respondOK(c, r, id)
+	})
+	f := newTestServer(t, b)
+	resp, body, err := f.send(t, "POST", "/order/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	assert.Equal(t, b.requestCount(), 4)
+}
+
+func TestOwnStatusOfServerIsRelayedIfTheRequestMayBeRepeated(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		f := newTestServer(t, newBackend(t, "i-1", func(c net.Conn, r *http.Request, _ string) bool {
+			return writeResponse(c, r, status, "ran and failed")
+		}))
+		resp, body, err := f.send(t, "POST", "/look/1", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, status)
+		assert.Equal(t, body, "ran and failed")
+		assert.Equal(t, resp.Header.Get("X-Chestnutstream-Server-Signature"), "sig")
+	}
+}
