ingress: do not count a server that the request was not sent to

An idempotent request whose kept connection was closed before it was written waited for a silent server until its time limit, though another server could be tried.

Cause: the withdrawn attempt counted as one of the maxAttempts servers of its route, so the next one had no wait timeout.

Now the server is taken off the list of those that the request was sent to. The attempt still counts towards maxAttempts of the package, which bounds the loop.

TestWithdrawnSendDoesNotCountAsAServerTried before: "from i-1 != from i-2" after 1.1 s (the server's pause), 3 of 3; now passes 5 of 5.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -176,6 +176,7 @@
 	r := Result{Took: took, Outcome: x.sendOutcome(connected, err)}
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	if r.Outcome == fleet.Inconclusive {
+		x.servers, x.software = x.servers[:len(x.servers)-1], x.software[:len(x.software)-1]
 		return false
 	}
 	x.avoid[a.Server.ID] = true
--- a/ingress/review_test.go
+++ b/ingress/review_test.go
@@ -174,3 +174,30 @@
 		assert.Equal(t, resp.Header.Get("X-Chestnutstream-Server-Signature"), "sig")
 	}
 }
+
+func TestWithdrawnSendDoesNotCountAsAServerTried(t *testing.T) {
+	var requests atomic.Int32
+	b := newBackend(t, "i-1", func(c net.Conn, r *http.Request, id string) bool {
+		if requests.Add(1) > 1 {
+			time.Sleep(time.Second)
+		}
+		_ = respondOK(c, r, id)
+		time.Sleep(50 * time.Millisecond)
+		return false // without Connection: close
+	})
+	f := newTestServer(t, b, newBackend(t, "i-2", respondOK))
+	f.traced(t, func(string) *httptrace.ClientTrace {
+		return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+			if i.Reused {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}}
+	})
+	_, _, err := f.send(t, "POST", "/look/1", "x", "X-Chestnutstream-Request-Id", "r-0")
+	assert.NilError(t, err)
+	start := time.Now()
+	resp, body, err := f.send(t, "POST", "/look/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "from i-2", "after %v, results %+v", time.Since(start), f.dispatcher.results)
+}
