standin: a server that sends a rejection a second time, late

A faulty server may send a second copy of an earlier response at the point where the response to the next request on the connection is expected. Nothing here could play that for a rejection, so no test showed that instances believe it. BackendFaults gains RepeatRejections, for connections of Backend.Server, and RejectEvery, which makes rejections happen without a race for the last slot. A copy also precedes the response to the rejected request itself when it is sent again on the connection, as after a 421.

--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -73,8 +73,9 @@
 	return l
 }
 
-func serve(t *testing.T, l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h}
+func serve(t *testing.T, l net.Listener, h http.Handler) { startServer(t, l, &http.Server{Handler: h}) }
+
+func startServer(t *testing.T, l net.Listener, srv *http.Server) {
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 }
@@ -140,7 +141,7 @@
 		cfg.Zone = "zone-a"
 	}
 	b := standin.NewBackend(cfg, s.store)
-	serve(s.t, l, b)
+	startServer(s.t, l, b.Server())
 	b.Heartbeat()
 	s.backends = append(s.backends, b)
 	return b
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -56,6 +56,14 @@
 	// because it is full; responses say so. 0 for a sturdy server. A crash needs OnCrash.
 	Brittle int
 	Pause   float64 // seconds: requests are refused with this Retry-After; 0 for none
+
+	// Every n-th request that could run is rejected, by an engine as if its adapter were
+	// not loaded. 0 for none.
+	RejectEvery int
+	// Every n-th request that runs on a connection whose previous response was a rejection
+	// is preceded by a second copy of that rejection. 0 for none. It has an effect only on
+	// connections of Server.
+	RepeatRejections int
 }
 
 // signalsBackpressure reports whether a fault makes responses signal backpressure.
@@ -77,6 +85,8 @@
 	CrashArrivals             []time.Time   // arrival times of prompts on which the process crashes
 	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
+	RepeatedRejections        int           // rejections that were sent a second time
+	RepeatedToSameRequest     int           // those of them that preceded the response to the rejected request itself
 }
 
 type backendAdapter struct {
@@ -111,6 +121,8 @@
 	unloading       string // adapter whose unload waits for requests in progress; empty for none
 	running         int
 	served          int
+	admitted        int // requests that could run, including those that a fault rejects
+	repeatable      int // requests that ran on a connection whose previous response was a rejection
 	orderRequests   int
 	rejections      []time.Time // of the last second
 }
@@ -136,15 +148,16 @@
 	}
 	if want := r.Header.Get("X-Chestnutstream-Expect-Instance"); want != "" && want != b.cfg.ID {
 		w.Header().Set("X-Chestnutstream-Instance-Id", b.cfg.ID)
-		reject(w, http.StatusMisdirectedRequest)
+		reject(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	b.router.ServeHTTP(w, r)
 }
 
 // reject responds to a request that was not executed.
-func reject(w http.ResponseWriter, status int) {
+func reject(w http.ResponseWriter, r *http.Request, status int) {
 	w.Header().Set("X-Chestnutstream-Not-Executed", "1")
+	recordRejection(r, status, w.Header())
 	w.WriteHeader(status)
 }
 
@@ -437,6 +450,13 @@
 		b.rejected()
 		return nil, http.StatusServiceUnavailable, false
 	}
+	b.admitted++
+	if n := b.faults.RejectEvery; n > 0 && b.admitted%n == 0 {
+		if adapter != nil {
+			return nil, http.StatusMisdirectedRequest, false
+		}
+		return nil, http.StatusServiceUnavailable, false
+	}
 	if adapter != nil {
 		adapter.activeRequests++
 	}
@@ -464,7 +484,7 @@
 	b.mu.Unlock()
 	f.setHeaders(h)
 	if status != 0 {
-		reject(w, status)
+		reject(w, r, status)
 		return
 	}
 	defer func() {
@@ -476,6 +496,7 @@
 		b.finishUnload()
 		b.mu.Unlock()
 	}()
+	b.repeatRejection(r, f.RepeatRejections)
 	h.Set("X-Chestnutstream-Server-Signature", b.cfg.ID+"."+r.Header.Get("X-Chestnutstream-Request-Id"))
 	h.Set("X-Chestnutstream-Server-Load", fmt.Sprintf("%d,0,%d", running, b.cfg.Slots))
 	if adapter != nil {
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -1,6 +1,10 @@
 package standin
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -45,3 +49,41 @@
 		})
 	}
 }
+
+func TestBackendRepeatsRejections(t *testing.T) {
+	b := NewBackend(BackendSettings{ID: "i-1", Slots: 1}, NewStore())
+	b.SetFaults(BackendFaults{RejectEvery: 2, RepeatRejections: 1})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := b.Server()
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	steps := []struct {
+		id   string
+		want []string
+	}{
+		{"r-1", []string{"200 r-1"}},
+		{"r-2", []string{"503 r-2"}},
+		{"r-3", []string{"503 r-2", "200 r-3"}},
+		{"r-4", []string{"503 r-4"}},
+		{"r-4", []string{"503 r-4", "200 r-4"}},
+	}
+	for _, step := range steps {
+		_, err := fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Chestnutstream-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", step.id)
+		assert.NilError(t, err)
+		for _, want := range step.want {
+			resp, err := http.ReadResponse(in, nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprint(resp.StatusCode, " ", resp.Header.Get("X-Chestnutstream-Request-Id")), want)
+		}
+	}
+	c := b.Counts()
+	assert.Equal(t, c.RepeatedRejections, 2)
+	assert.Equal(t, c.RepeatedToSameRequest, 1)
+}
--- a/standin/process.go
+++ b/standin/process.go
@@ -77,7 +77,7 @@
 	b := NewBackend(cfg, p.store)
 	b.OnCrash(func() { p.end(b) })
 	b.SetFaults(p.faults)
-	srv := &http.Server{Handler: b}
+	srv := b.Server()
 	go func() { _ = srv.Serve(l) }()
 	p.backends, p.srv, p.running = append(p.backends, b), srv, true
 	b.Heartbeat()
