soak: servers that repeat their rejections late

The soak played no second copy of an earlier response, so its checks, which compare promised statuses and single runs with what the servers ran, could not find that instances believe a rejection of another request. The new fault servers-repeat-rejections makes all servers reject some requests and repeat each rejection on its connection. The planted fault believes-rejections shows that the checks find an instance that sends a request again after such a copy.

--- /dev/null
+++ b/soak/rejections.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream/standin"
+	"github.com/chestnutstream/chestnutstream/timer"
+)
+
+// repeatRejections makes the servers reject some requests and send each rejection a second
+// time, late, for a duration. Servers that signal backpressure are left out.
+func (r *run) repeatRejections(ctx context.Context, duration time.Duration) {
+	r.mu.Lock()
+	backends := slices.Clone(r.backends)
+	r.mu.Unlock()
+	for _, b := range backends {
+		if r.markBackpressured(b) {
+			defer r.clearBackpressured(b)
+			defer b.setFaults(standin.BackendFaults{})
+			b.setFaults(standin.BackendFaults{RejectEvery: 4, RepeatRejections: 1})
+		}
+	}
+	timer.Sleep(ctx, duration)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -138,12 +138,35 @@
 	assert.Assert(t, crashes > 0)
 }
 
+// Guards against believing a late second copy of a rejection. Random runs rarely draw this
+// fault, and then for a short time.
+func TestRepeatedRejectionsAreNotBelieved(t *testing.T) {
+	d, r := startFaultFreeRun(t, buildProgram(t), "edge")
+	time.Sleep(warmUpDuration)
+	stop := r.startClients(1)
+	r.beginFault()
+	r.repeatRejections(context.Background(), 5*time.Second)
+	r.endFault()
+	r.checkRecovery()
+	stop()
+	r.checkServerCounts()
+	d.close()
+	repeated := 0
+	for _, b := range d.backends {
+		repeated += b.Current().Counts().RepeatedRejections
+	}
+	t.Logf("%d rejections repeated", repeated)
+	assert.Assert(t, len(r.violations) == 0, strings.Join(r.violations, "\n"))
+	assert.Assert(t, repeated > 0)
+}
+
 // Guards against checks that pass on a faulty instance: each planted fault must be
 // found.
 func TestChecksFindPlantedFaults(t *testing.T) {
 	tests := []struct{ mutant, want string }{
 		{"retries-orders", " was executed 2 times"},
 		{"says-not-run", "promised that the request was not executed, but it was"},
+		{"believes-rejections", " was executed 2 times"},
 		{"loads-without-asking", "more adapters than it has slots"},
 		{"trusts-its-lease", "received orders from two lease holders within"},
 		{"sends-to-leaving", "after it began to drain"},
@@ -166,6 +189,8 @@
 			r.putConfiguration()
 			stop := r.startClients(1)
 			switch tt.mutant {
+			case "believes-rejections":
+				r.repeatRejections(context.Background(), 3*time.Second)
 			case "sends-to-leaving":
 				r.drainPlainServer()
 			case "ignores-limits":
@@ -334,7 +359,7 @@
 	}
 	s := list[rand.IntN(len(list))]
 	attempts := 1
-	if m.kind == "retries-orders" {
+	if m.kind == "retries-orders" || m.kind == "believes-rejections" {
 		attempts = 2
 	}
 	for i := range attempts {
@@ -350,7 +375,7 @@
 		}
 		respBody, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		if i+1 < attempts {
+		if i+1 < attempts && (m.kind == "retries-orders" || platform.NotExecuted(resp.StatusCode, resp.Header)) {
 			continue
 		}
 		if m.kind == "says-not-run" {
