--- a/standin/backend.go
+++ b/standin/backend.go
@@ -86,6 +86,7 @@
 	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
 	RepeatedRejections        int           // rejections that were sent a second time
+	RunsAfterRejection        int           // executions of requests that were rejected before
 	RepeatedToSameRequest     int           // those of them that preceded the response to the rejected request itself
 }
 
@@ -114,6 +115,7 @@
 	modelReadyAt    time.Time
 	adapters        map[string]*backendAdapter
 	loadedBefore    map[string]bool
+	rejectedIDs     map[string]bool
 	orders          int // accepted orders, compared with an order's expectedRev
 	maxFencingToken uint64
 	lastOrderAt     time.Time // time of the latest order
@@ -131,7 +133,7 @@
 func NewBackend(cfg BackendSettings, store *Store) *Backend {
 	b := &Backend{
 		cfg: cfg, store: store, startedMS: time.Now().UnixMilli(), state: "ready", model: cfg.Model,
-		adapters: map[string]*backendAdapter{}, loadedBefore: map[string]bool{}, counts: BackendCounts{Runs: map[string]int{}},
+		adapters: map[string]*backendAdapter{}, loadedBefore: map[string]bool{}, rejectedIDs: map[string]bool{}, counts: BackendCounts{Runs: map[string]int{}},
 	}
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/report", b.report).Methods(http.MethodGet)
@@ -148,16 +150,16 @@
 	}
 	if want := r.Header.Get("X-Chestnutstream-Expect-Instance"); want != "" && want != b.cfg.ID {
 		w.Header().Set("X-Chestnutstream-Instance-Id", b.cfg.ID)
-		reject(w, r, http.StatusMisdirectedRequest)
+		b.reject(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	b.router.ServeHTTP(w, r)
 }
 
 // reject responds to a request that was not executed.
-func reject(w http.ResponseWriter, r *http.Request, status int) {
+func (b *Backend) reject(w http.ResponseWriter, r *http.Request, status int) {
 	w.Header().Set("X-Chestnutstream-Not-Executed", "1")
-	recordRejection(r, status, w.Header())
+	b.recordRejection(r, status, w.Header())
 	w.WriteHeader(status)
 }
 
@@ -462,7 +464,11 @@
 	}
 	b.running++
 	b.served++
-	b.counts.Runs[r.Header.Get("X-Chestnutstream-Request-Id")]++
+	id := r.Header.Get("X-Chestnutstream-Request-Id")
+	b.counts.Runs[id]++
+	if b.rejectedIDs[id] {
+		b.counts.RunsAfterRejection++
+	}
 	return adapter, 0, b.faults.FailEvery > 0 && b.served%b.faults.FailEvery == 0
 }
 
@@ -484,7 +490,7 @@
 	b.mu.Unlock()
 	f.setHeaders(h)
 	if status != 0 {
-		reject(w, r, status)
+		b.reject(w, r, status)
 		return
 	}
 	defer func() {
--- a/standin/repeat.go
+++ b/standin/repeat.go
@@ -25,7 +25,10 @@
 }
 
 // recordRejection records the response to a request that is rejected.
-func recordRejection(r *http.Request, status int, h http.Header) {
+func (b *Backend) recordRejection(r *http.Request, status int, h http.Header) {
+	b.mu.Lock()
+	b.rejectedIDs[r.Header.Get("X-Chestnutstream-Request-Id")] = true
+	b.mu.Unlock()
 	c, ok := r.Context().Value(backendConnKey{}).(*backendConn)
 	if !ok {
 		return
