ingress: relay no text of the next server into a stream

A stream broke off, before or after its first event, and the next server answered the resume request with a signed 200 and text without events. Callers found the text in their stream, under the first server's header, and the stream ended as if it were complete; through another instance as well.

Cause: endsEarly looked only at the present server's events, and took the text for a whole response that is no event stream. That it can be only with its own header, so text from a later server than the one whose header the caller has is now an early end: another server is tried, or the connection aborted.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -169,6 +169,7 @@
 	lastID      string    // of the last complete event that was relayed
 	partial     []byte    // beginning of the next event
 	events      int       // complete events from the present server
+	resumed     bool      // the caller has the header of an earlier server's response
 	eventSent   bool      // an event was relayed
 	lastEventAt time.Time // when the newest complete event arrived
 }
@@ -192,7 +193,9 @@
 // resumed on another server if its route allows it.
 func (x *exchange) relayStream(a Assignment, br *backendResponse) bool {
 	flusher := http.NewResponseController(x.w)
-	if x.stream == nil {
+	if x.stream != nil {
+		x.stream.resumed = true
+	} else {
 		x.stream = &stream{}
 		x.copyHeader(br.resp)
 		x.status, x.responseStarted = br.resp.StatusCode, true
@@ -240,11 +243,11 @@
 
 // endsEarly reports whether the end of a server's response cannot be the end of the
 // stream: it is inside an event, or nothing but the end of the connection shows that
-// there are no events.
+// there are no events. Text without events is a whole response only with its own header.
 func (s *stream) endsEarly(resp *http.Response) bool {
 	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if len(s.partial) > 0 {
-		return endsWithConnection || s.events > 0
+		return endsWithConnection || s.events > 0 || s.resumed
 	}
 	return endsWithConnection && s.events == 0
 }
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -123,3 +124,72 @@
 		})
 	}
 }
+
+// breakingBackend returns a backend server whose streams break off after some events and
+// part of the next one.
+func breakingBackend(t *testing.T, events int) *backend {
+	return newBackend(t, "i-breaks", func(c net.Conn, r *http.Request, _ string) bool {
+		writeStreamHeader(c, r)
+		writeEvents(c, 0, events)
+		_, _ = io.WriteString(c, "c\r\nid: 9\ndata: \r\n")
+		time.Sleep(20 * time.Millisecond)
+		return false
+	})
+}
+
+// rawResponse responds with a signed status 200 of the request, headers and a body.
+func rawResponse(headers, body string) responder {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\n%s\r\n\r\n%s", r.Header.Get("X-Chestnutstream-Request-Id"), headers, body)
+		return false
+	}
+}
+
+// framings are the ways in which a response states where its body ends.
+func framings(body string) map[string][2]string {
+	return map[string][2]string{
+		"length":  {fmt.Sprintf("Content-Length: %d", len(body)), body},
+		"chunked": {"Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		"closed":  {"Connection: close", body},
+	}
+}
+
+// assertBrokenOff asserts that a stream that breaks off after some events, and whose
+// resumption gets a response, is broken off after these events, here and through instances.
+func assertBrokenOff(t *testing.T, events int, respond responder) {
+	breaks, resumes := breakingBackend(t, events), newBackend(t, "i-resumes", respond)
+	servers := []*testServer{
+		newTestServer(t, breaks, resumes),
+		forwardingServer(t, newTestServer(t, breaks).peerAddress(t), newTestServer(t, resumes).peerAddress(t)),
+		forwardingServer(t, newTestServer(t, breaks, resumes).peerAddress(t)),
+	}
+	for i, f := range servers {
+		_, body, err := f.send(t, "POST", "/ask/1", "x")
+		assert.Equal(t, resumes.requestCount(), i+1)
+		assert.Assert(t, err != nil, "looks complete: %q", body)
+		assert.Equal(t, strings.Count(body, "\n"), 3*events, "%q", body)
+	}
+}
+
+// A caller that has a stream's header, or events, must not get the text of the next server.
+func TestTextInsteadOfEventsIsNotRelayedIntoStream(t *testing.T) {
+	const head = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 5\r\n\r\nsorry"
+	tests := []struct {
+		name   string
+		events int // before the break
+		text   string
+	}{
+		{"after events", 2, "sorry"},
+		{"before the first event", 0, "sorry"},
+		{"a head", 2, head},
+	}
+	for _, tt := range tests {
+		for framing, f := range framings(tt.text) {
+			for _, mediaType := range []string{"", "Content-Type: text/plain\r\n", "Content-Type: text/event-stream\r\n"} {
+				t.Run(fmt.Sprint(tt.name, ", ", framing, ", ", mediaType), func(t *testing.T) {
+					assertBrokenOff(t, tt.events, rawResponse(mediaType+f[0], f[1]))
+				})
+			}
+		}
+	}
+}
