ingress: a stream goes on only with events that follow

Where a stream broke off and the next server answered with events that the caller had already, events without an id, or text with blank lines (an error, a whole head), callers found these in their stream: pieces twice, or text between them.

Cause: all that ends with a blank line was relayed. Now the ids of a stream must increase, the first piece of a server that resumes must bear one, and a block without a field of an event is relayed only in a response that has no events and its own header. Gaps in the ids are allowed, as the protocol only lets them increase. What does not follow breaks the server's response off, so that another one is tried or the connection aborted. After a piece without an id a stream is no longer resumed, since the next server would send that piece again.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -23,8 +21,6 @@
 	maxEventBytes    = 1 << 20 // a larger event breaks its stream off
 )
 
-var errEventTooLong = errors.New("event exceeds the size limit")
-
 var chunkPool = sync.Pool{New: func() any { b := make([]byte, relayChunkBytes); return &b }}
 
 // relay passes a response on to the caller. It returns false if the request is to
@@ -166,10 +162,11 @@
 
 // stream is the state of a relayed stream.
 type stream struct {
-	lastID      string    // of the last complete event that was relayed
+	lastID      string    // of the last piece that was relayed; "": it has none
 	partial     []byte    // beginning of the next event
 	events      int       // complete events from the present server
 	resumed     bool      // the caller has the header of an earlier server's response
+	joined      bool      // the present server's response goes on with the stream
 	eventSent   bool      // an event was relayed
 	lastEventAt time.Time // when the newest complete event arrived
 }
@@ -201,7 +198,7 @@
 		x.status, x.responseStarted = br.resp.StatusCode, true
 		x.w.WriteHeader(br.resp.StatusCode)
 	}
-	x.stream.partial, x.stream.events = x.stream.partial[:0], 0
+	x.stream.partial, x.stream.events, x.stream.joined = x.stream.partial[:0], 0, !x.stream.resumed
 	buf := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(buf)
 	stall := x.watchStall(a, br.cancel)
@@ -210,17 +207,16 @@
 		n, err := br.resp.Body.Read(*buf)
 		stall.recordRead(x.server.cfg.Timer.Now())
 		if n > 0 {
-			writeErr := x.relayEvents(a, (*buf)[:n])
-			if errors.Is(writeErr, errEventTooLong) {
-				return x.streamFailed(a, writeErr)
+			badEvent, writeErr := x.relayEvents(a, (*buf)[:n])
+			if writeErr == nil {
+				writeErr = flusher.Flush()
 			}
 			if writeErr != nil {
 				x.status, x.reason = statusCallerClosed, "caller: "+writeErr.Error()
 				return true
 			}
-			if flushErr := flusher.Flush(); flushErr != nil {
-				x.status, x.reason = statusCallerClosed, "caller: "+flushErr.Error()
-				return true
+			if badEvent != nil {
+				return x.streamFailed(a, badEvent)
 			}
 		}
 		if err == io.EOF && x.stream.endsEarly(br.resp) {
@@ -262,22 +258,23 @@
 	x.maxPause = max(x.maxPause, pause)
 }
 
-// relayEvents takes the next bytes of a stream and relays complete events.
-func (x *exchange) relayEvents(a Assignment, b []byte) error {
+// relayEvents takes the next bytes of a stream and relays complete events. It stops at one
+// that cannot be relayed, with badEvent, or at an error of the caller's connection.
+func (x *exchange) relayEvents(a Assignment, b []byte) (badEvent, writeErr error) {
 	s := x.stream
 	s.partial = append(s.partial, b...)
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
 	if end < 0 {
 		if len(s.partial) >= maxEventBytes {
-			return fmt.Errorf("%w: %d bytes", errEventTooLong, len(s.partial))
+			return fmt.Errorf("event of %d bytes exceeds the size limit", len(s.partial)), nil
 		}
-		return nil
+		return nil, nil
 	}
-	whole := s.partial[:end+2]
-	x.countEvents(a, bytes.Count(whole, []byte("\n\n")))
-	if id := lastID(whole); id != "" {
-		s.lastID = id
+	whole, badEvent := s.accept(s.partial[:end+2])
+	if len(whole) == 0 {
+		return badEvent, nil
 	}
+	x.countEvents(a, bytes.Count(whole, []byte("\n\n")))
 	now := x.server.cfg.Timer.Now()
 	if s.eventSent {
 		x.recordPause(a, now.Sub(s.lastEventAt))
@@ -287,11 +284,66 @@
 	_, err := x.w.Write(whole)
 	s.partial = append(s.partial[:0], s.partial[end+2:]...)
 	if err != nil {
-		return fmt.Errorf("write: %w", err)
+		return nil, fmt.Errorf("write: %w", err)
+	}
+	return badEvent, nil
+}
+
+// accept returns those of some complete events that go on with the stream, and an error if
+// one does not.
+func (s *stream) accept(events []byte) ([]byte, error) {
+	for n := 0; n < len(events); {
+		end := n + bytes.Index(events[n:], []byte("\n\n")) + 2
+		if err := s.follow(events[n:end]); err != nil {
+			return events[:n], err
+		}
+		n = end
+	}
+	return events, nil
+}
+
+// follow checks that an event goes on with the stream. IDs may have gaps but increase. The
+// first piece of a server that resumes has one, and text is no event; only a response that
+// has no event at all may be text.
+func (s *stream) follow(event []byte) error {
+	id := eventID(event)
+	isPiece := id != "" || hasField(event, "data:")
+	switch {
+	case len(bytes.TrimSpace(event)) == 0:
+		return nil
+	case (s.lastID != "" || !s.joined) && !isPiece && !hasField(event, ":", "event:", "retry:"):
+		return fmt.Errorf("no event: %.40q", event)
+	case s.lastID != "" && (id == "" && isPiece && !s.joined || id != "" && !increases(s.lastID, id)):
+		return fmt.Errorf("event %.40q after %q", id, s.lastID)
+	}
+	if isPiece {
+		s.lastID, s.joined = id, true
 	}
 	return nil
 }
 
+// increases reports whether the ID of an event may follow on that of the last one.
+func increases(last, id string) bool {
+	m, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return id != last
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && n > m
+}
+
+// hasField reports whether a line of an event begins with one of the names.
+func hasField(event []byte, names ...string) bool {
+	for line := range bytes.Lines(event) {
+		for _, name := range names {
+			if bytes.HasPrefix(line, []byte(name)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // recordBeginning records which software version began the stream, when the caller gets
 // its first event.
 func (x *exchange) recordBeginning(a Assignment) {
@@ -310,22 +362,14 @@
 	}
 }
 
-// lastID returns the id of the last event that has one.
-func lastID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte("id:")):
-		i = 0
-	default:
-		return ""
-	}
-	line := events[i+len("id:"):]
-	if j := bytes.IndexByte(line, '\n'); j >= 0 {
-		line = line[:j]
-	}
-	return string(bytes.TrimSpace(line))
+// eventID returns the id of an event, "" if it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
 }
 
 // relayRemainder relays a body without events.
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -182,6 +182,10 @@
 		{"after events", 2, "sorry"},
 		{"before the first event", 0, "sorry"},
 		{"a head", 2, head},
+		{"lines after events", 2, "sorry\n\ntry again\n\n"},
+		{"lines before the first event", 0, "sorry\n\ntry again\n\n"},
+		{"a head and lines", 2, head + "\n\n"},
+		{"a head and lines before the first event", 0, head + "\n\n"},
 	}
 	for _, tt := range tests {
 		for framing, f := range framings(tt.text) {
@@ -193,3 +197,54 @@
 		}
 	}
 }
+
+// Pieces that the caller has, or that are not known to follow on those that it has, must not
+// be joined to them.
+func TestEventsThatDoNotFollowAreNotRelayed(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: piece\n\n" }
+	tests := []struct {
+		name    string
+		resumed string // follows on the events 0 and 1
+		events  int    // of it that are relayed
+		broken  bool
+	}{
+		{"next", event("2") + event("3"), 2, false},
+		{"next, after a comment", ": ping\n\n" + event("2"), 2, false},
+		{"next, after a field of the version", "x-chestnutstream-weight-versions: 7\n" + event("2"), 1, false},
+		{"next, then an event without an id", event("2") + "data: end\n\n", 2, false},
+		{"ids with a gap", event("7") + event("10"), 2, false},
+		{"the last one again", event("1") + event("2"), 0, true},
+		{"from the beginning", event("0") + event("1") + event("2"), 0, true},
+		{"one twice", event("2") + event("2"), 1, true},
+		{"a step back", event("2") + event("3") + event("2"), 2, true},
+		{"no id", "data: piece\n\n" + event("2"), 0, true},
+		{"no number", event("x"), 0, true},
+		{"text after an event", event("2") + "sorry\n\n", 1, true},
+	}
+	for _, tt := range tests {
+		for framing, f := range framings(tt.resumed) {
+			t.Run(tt.name+", "+framing, func(t *testing.T) {
+				resumes := newBackend(t, "i-resumes", rawResponse(f[0], f[1]))
+				_, body, err := newTestServer(t, breakingBackend(t, 2), resumes).send(t, "POST", "/ask/1", "x")
+				assert.Equal(t, err != nil, tt.broken, "%q", body)
+				assert.Equal(t, strings.Count(body, "\n\n"), 2+tt.events, "%q", body)
+			})
+		}
+	}
+}
+
+// An event without an id cannot be named to the next server, which would send it again.
+func TestStreamIsNotResumedAfterEventWithoutID(t *testing.T) {
+	breaks := newBackend(t, "i-breaks", func(c net.Conn, r *http.Request, _ string) bool {
+		writeStreamHeader(c, r)
+		writeEvents(c, 0, 2)
+		_, _ = io.WriteString(c, "d\r\ndata: piece\n\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		return false
+	})
+	resumes := newStreamBackend(t, "i-resumes", "", 0)
+	_, body, err := newTestServer(t, breaks, resumes).send(t, "POST", "/ask/1", "x")
+	assert.Assert(t, err != nil, "%q", body)
+	assert.Equal(t, strings.Count(body, "\n\n"), 3, "%q", body)
+	assert.Equal(t, resumes.requestCount(), 0)
+}
