ingress: an empty response does not end a stream that broke off

A stream broke off and the next server answered with an empty signed 200. The stream ended as if it were complete, also one of which no piece had arrived.

Cause: an end with a length of 0 or a final chunk was taken for the stream's, though the server had sent no event. It may be the true end: the last piece had arrived and only the end was lost. That is known only if the caller has a piece and the response says that it is an event stream, unencoded and with a length or chunks; any other empty end breaks the response off.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync"
@@ -239,15 +240,24 @@
 
 // endsEarly reports whether the end of a server's response cannot be the end of the
 // stream: it is inside an event, or nothing but the end of the connection shows that
-// there are no events. Text without events is a whole response only with its own header.
+// there are no events. Text without events is a whole response only with its own header. A
+// server that resumes may have no more pieces, in a response that is a stream.
 func (s *stream) endsEarly(resp *http.Response) bool {
 	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if len(s.partial) > 0 {
+	switch {
+	case len(s.partial) > 0:
 		return endsWithConnection || s.events > 0 || s.resumed
+	case !s.joined:
+		return endsWithConnection || !s.eventSent || !isEventStream(resp.Header)
 	}
 	return endsWithConnection && s.events == 0
 }
 
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && h.Get("Content-Encoding") == ""
+}
+
 // recordPause records a pause between two events. The first one that is too long is
 // reported at once, because the stream may continue for seconds.
 func (x *exchange) recordPause(a Assignment, pause time.Duration) {
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -248,3 +248,37 @@
 	assert.Equal(t, strings.Count(body, "\n\n"), 3, "%q", body)
 	assert.Equal(t, resumes.requestCount(), 0)
 }
+
+// All pieces may have arrived before the break, and the server that resumes has no more. Its
+// response shows that only if it is a stream; any other empty one may leave pieces out.
+func TestStreamDoesNotEndWithEmptyResponse(t *testing.T) {
+	tests := []struct {
+		name     string
+		events   int // before the break
+		headers  string
+		body     string
+		complete bool
+	}{
+		{"no type, length", 2, "Content-Length: 0", "", false},
+		{"no type, chunked", 2, "Transfer-Encoding: chunked", "0\r\n\r\n", false},
+		{"text, length", 2, "Content-Type: text/plain\r\nContent-Length: 0", "", false},
+		{"stream, length", 2, "Content-Type: text/event-stream\r\nContent-Length: 0", "", true},
+		{"stream, chunked", 2, "Content-Type: text/event-stream; charset=utf-8\r\nTransfer-Encoding: chunked", "0\r\n\r\n", true},
+		{"stream, closed", 2, "Content-Type: text/event-stream", "", false},
+		{"stream, a comment", 2, "Content-Type: text/event-stream\r\nContent-Length: 5", ": x\n\n", true},
+		{"encoded", 2, "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\nContent-Length: 0", "", false},
+		{"no event yet", 0, "Content-Type: text/event-stream\r\nContent-Length: 0", "", false},
+		{"no event yet, no type", 0, "Content-Length: 0", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if !tt.complete {
+				assertBrokenOff(t, tt.events, rawResponse(tt.headers, tt.body))
+				return
+			}
+			f := newTestServer(t, breakingBackend(t, tt.events), newBackend(t, "i-resumes", rawResponse(tt.headers, tt.body)))
+			_, body, err := f.send(t, "POST", "/ask/1", "x")
+			assert.NilError(t, err, "%q", body)
+		})
+	}
+}
