ingress: relay a stream as a stream also after a server's own failure

Cause: relayRetry read and wrote each second response as if it were plain. A second response that is a stream now takes the way of any other: event by event, resumed where its route allows a third server, else broken off.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -36,12 +36,16 @@
 	if x.timeToFirstByte == 0 {
 		x.timeToFirstByte = x.server.cfg.Timer.Now().Sub(x.start)
 	}
-	if x.route.Kind == chestnutstream.RouteStreaming && br.resp.StatusCode == http.StatusOK {
+	if x.isStream(br.resp) {
 		return x.relayStream(a, br)
 	}
 	return x.relayBuffered(a, br)
 }
 
+func (x *exchange) isStream(resp *http.Response) bool {
+	return x.route.Kind == chestnutstream.RouteStreaming && resp.StatusCode == http.StatusOK
+}
+
 // relayBuffered reads the response, up to maxBufferedBytes, before it relays it, so
 // that the request can be retried, or reported as failed, if the response breaks off.
 func (x *exchange) relayBuffered(a Assignment, br *backendResponse) bool {
@@ -87,7 +91,7 @@
 
 // relayRetry handles a server error as the response to a repeatable request. It
 // sends the request to another server, and relays the first response (br and body)
-// if that fails, too.
+// if that fails, too. It returns false if a stream of that server is to be resumed.
 func (x *exchange) relayRetry(a Assignment, br *backendResponse, body []byte) bool {
 	x.avoid[a.Server.ID] = true
 	next, err := x.server.dispatcher.Place(x.ctx, x.placement(time.Time{}))
@@ -108,6 +112,12 @@
 	}
 	defer second.close()
 	r := x.result(next, second, took)
+	if r.Outcome == fleet.Responded && x.isStream(second.resp) {
+		if next.Peer != "" {
+			return x.checkForwarded(next, second, took)
+		}
+		return x.checkResponse(next, second, took)
+	}
 	secondBody, err := readBuffered(second.resp)
 	if err != nil || r.Outcome != fleet.Responded {
 		if r.Outcome == fleet.Responded {
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -282,3 +282,68 @@
 		})
 	}
 }
+
+// After a server's own failure, a stream is relayed like one that has met none: event by
+// event, and resumed or broken off.
+func TestStreamAfterServerErrorIsRelayedAsStream(t *testing.T) {
+	const event0 = "id: 0\ndata: piece 0\n\n"
+	fails := func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, "500 Oops", "sorry") }
+	tests := []struct {
+		name     string
+		second   responder
+		resumed  bool // at a third server
+		viaPeers int  // events that the caller gets if other instances reach the second and third server; 0: the failure
+	}{
+		{"ends inside an event", rawResponse("Connection: close", event0+"id: 1\nda"), true, 6},
+		{"ends before its first event", rawResponse("Connection: close", ""), true, 0},
+		{"breaks off", rawResponse("Content-Length: 99", event0), true, 6},
+		{"ends", rawResponse("Connection: close", event0), false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second, third := newBackend(t, "i-fails", fails), newBackend(t, "i-second", tt.second), newStreamBackend(t, "i-third", "", 0)
+			_, body, err := newTestServer(t, first, second).send(t, "POST", "/ask/1", "x")
+			assert.Equal(t, err != nil, tt.resumed, "%q", body)
+			assert.Assert(t, !strings.Contains(body, "sorry"), "%q", body)
+			_, body, err = newTestServer(t, first, second, third).send(t, "POST", "/ask/1", "x")
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(body, "\n\n") == 6, tt.resumed, "%q", body)
+			assert.Equal(t, third.requestCount() == 1, tt.resumed)
+			f := newTestServer(t, first)
+			f.dispatcher.peers = forwardingServer(t, newTestServer(t, second).peerAddress(t), newTestServer(t, third).peerAddress(t)).dispatcher.peers
+			_, body, err = f.send(t, "POST", "/ask/1", "x")
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(body, "\n\n"), tt.viaPeers, "%q", body)
+			assert.Equal(t, strings.Contains(body, "sorry"), tt.viaPeers == 0, "%q", body)
+		})
+	}
+}
+
+func TestStreamAfterServerErrorIsFlushed(t *testing.T) {
+	more := make(chan struct{})
+	fails := newBackend(t, "i-fails", func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, "500 Oops", "") })
+	streams := newBackend(t, "i-streams", func(c net.Conn, r *http.Request, _ string) bool {
+		writeStreamHeader(c, r)
+		writeEvents(c, 0, 1)
+		select {
+		case <-more:
+		case <-time.After(time.Second):
+			return false
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	})
+	f := newTestServer(t, fails, streams)
+	req, err := http.NewRequest("POST", f.URL+"/ask/1", strings.NewReader("x"))
+	assert.NilError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Chestnutstream-Request-Id", "r-1")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	_, err = resp.Body.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	close(more)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+}
