ingress: abort the connection of a caller that has closed it

A caller that closes only its sending side still reads. When its request was given up it got a 200 of ours, empty and unsigned, or the end of its stream as if that were complete.

Cause: net/http reports the closed direction as a caller that has gone, and the handler then returned, which sends an empty 200 or the final chunk. finish now aborts the connection.

TestAnswerToHalfClosedConnectionDoesNotLookComplete before: all 3 cases failed, e.g. looks complete: "HTTP/1.1 200 OK\r\n...Content-Length: 0\r\n\r\n", and two events followed by the final chunk. They pass now.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -436,12 +436,18 @@
 	_, _ = x.w.Write([]byte(reason + "\n"))
 }
 
-// finish logs and counts a request, and records the duration of a successful one.
+// finish logs and counts a request, and records the duration of a successful one. It aborts
+// the connection of a caller that has closed it, who may have closed only one direction and
+// would read a response that looks complete.
 func (x *exchange) finish() {
 	if p := recover(); p != nil {
 		x.log()
 		panic(p)
 	}
+	if x.status == statusCallerClosed {
+		x.log()
+		panic(http.ErrAbortHandler)
+	}
 	if x.status > 0 && x.status < 300 {
 		x.server.durations.record(x.route.Name, x.header.Prompt, x.server.cfg.Timer.Now().Sub(x.start))
 	}
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -347,3 +349,49 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	assert.NilError(t, err)
 }
+
+// A caller that closes only its sending side still reads, and must not take for an answer, or
+// for the end of its stream, what is there when the instance gives its request up.
+func TestAnswerToHalfClosedConnectionDoesNotLookComplete(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		respond responder
+	}{
+		{"stream", "/ask/1", func(c net.Conn, r *http.Request, _ string) bool {
+			writeStreamHeader(c, r)
+			writeEvents(c, 0, 2)
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		}},
+		{"no response yet", "/look/1", func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		}},
+		{"part of a response", "/look/1", func(c net.Conn, r *http.Request, id string) bool {
+			_ = rawResponse("Content-Length: 99", "part")(c, r, id)
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestServer(t, newBackend(t, "i-1", tt.respond))
+			conn, err := net.Dial("tcp", f.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Chestnutstream-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n", tt.path)
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			answer, _ := io.ReadAll(conn)
+			resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(answer)), nil)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			_, err = io.ReadAll(resp.Body)
+			assert.Assert(t, err != nil, "looks complete: %q", answer)
+		})
+	}
+}
