caller: abort the connection of a caller that has closed it

As in the package ingress: a caller that had closed only its sending side got an empty 200 when its generation or call was given up, since the handler returned without a response. It aborts the connection now.

--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -194,6 +194,9 @@
 		}
 		p.Run(x)
 		s.end(x)
+		if x.Status == statusClientClosedRequest {
+			panic(http.ErrAbortHandler) // a return would send an empty response
+		}
 	})
 }
 
