ingress: relay no head inside an event

Where a head and its text stood in the middle of a server's event (a chunk that was broken off and filled by what came next), callers found both in their stream, as part of that event.

Cause: an event ended only at a pair of line feeds, though a head ends with an empty line of CR LF, which ends an event as well. An event with such a line breaks the response off.

Before: the case "inside a chunk" of TestHeadInsideStreamIsNotRelayed failed ("id: 1\ndaHTTP/1.1 502 Bad Gateway..."); three more cases fail without the check that events follow. TestErrorOfNextServerIsNotRelayedIntoStream (failures, rejections, 204, 206, other and unsigned answers, here and through instances) passed before and guards the rest.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -333,6 +333,8 @@
 		return nil
 	case (s.lastID != "" || !s.joined) && !isPiece && !hasField(event, ":", "event:", "retry:"):
 		return fmt.Errorf("no event: %.40q", event)
+	case isPiece && bytes.Contains(event, []byte("\r\n\r\n")):
+		return fmt.Errorf("text inside an event: %.40q", event)
 	case s.lastID != "" && (id == "" && isPiece && !s.joined || id != "" && !increases(s.lastID, id)):
 		return fmt.Errorf("event %.40q after %q", id, s.lastID)
 	}
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -164,7 +164,9 @@
 		newTestServer(t, breaks, resumes),
 		forwardingServer(t, newTestServer(t, breaks).peerAddress(t), newTestServer(t, resumes).peerAddress(t)),
 		forwardingServer(t, newTestServer(t, breaks, resumes).peerAddress(t)),
+		newTestServer(t, breaks),
 	}
+	servers[3].dispatcher.peers = servers[1].dispatcher.peers[1:]
 	for i, f := range servers {
 		_, body, err := f.send(t, "POST", "/ask/1", "x")
 		assert.Equal(t, resumes.requestCount(), i+1)
@@ -200,6 +202,58 @@
 	}
 }
 
+func TestErrorOfNextServerIsNotRelayedIntoStream(t *testing.T) {
+	const id, signature = "X-Chestnutstream-Request-Id: r-1\r\n", "X-Chestnutstream-Server-Signature: sig\r\n"
+	tests := []struct{ name, head string }{
+		{"its own failure", "500 Oops\r\n" + id + signature},
+		{"its own failure, unsigned", "502 Bad Gateway\r\n" + id},
+		{"a rejection", "503 Full\r\n" + id + "X-Chestnutstream-Not-Executed: 1\r\n"},
+		{"a request that is not allowed", "403 Forbidden\r\n" + id + signature},
+		{"no content", "204 No Content\r\n" + id + signature},
+		{"partial content", "206 Partial Content\r\nContent-Type: text/event-stream\r\n" + id + signature},
+		{"of another request", "200 OK\r\nContent-Type: text/event-stream\r\nX-Chestnutstream-Request-Id: r-0\r\n" + signature},
+		{"unsigned", "200 OK\r\nContent-Type: text/event-stream\r\n" + id},
+		{"no head", ""},
+	}
+	for _, tt := range tests {
+		for framing, f := range framings("id: 2\ndata: sorry\n\n") {
+			for _, events := range []int{0, 2} {
+				t.Run(fmt.Sprintf("%s, %s, after %d events", tt.name, framing, events), func(t *testing.T) {
+					assertBrokenOff(t, events, func(c net.Conn, _ *http.Request, _ string) bool {
+						if tt.head == "" {
+							_, _ = io.WriteString(c, f[1])
+						} else {
+							_, _ = fmt.Fprintf(c, "HTTP/1.1 %s%s\r\n\r\n%s", tt.head, f[0], f[1])
+						}
+						return false
+					})
+				})
+			}
+		}
+	}
+}
+
+// A server, or what is between it and the instance, may write a head where the next event is
+// due.
+func TestHeadInsideStreamIsNotRelayed(t *testing.T) {
+	const event, head = "id: 0\ndata: piece\n\n", "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\n\r\nsorry\n\n"
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	tests := []struct{ name, framing, body string }{
+		{"closed", "Connection: close", event + head},
+		{"length", fmt.Sprintf("Content-Length: %d", len(event+head)), event + head},
+		{"a chunk", "Transfer-Encoding: chunked", chunk(event) + chunk(head) + "0\r\n\r\n"},
+		{"between chunks", "Transfer-Encoding: chunked", chunk(event) + head},
+		{"inside a chunk", "Transfer-Encoding: chunked", chunk(event) + "ff\r\nid: 1\nda" + head},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, body, err := newTestServer(t, newBackend(t, "i-1", rawResponse(tt.framing, tt.body))).send(t, "POST", "/once/1", "x")
+			assert.Assert(t, err != nil, "looks complete: %q", body)
+			assert.Assert(t, !strings.HasPrefix(body, event) || body == event, "%q", body)
+		})
+	}
+}
+
 // Pieces that the caller has, or that are not known to follow on those that it has, must not
 // be joined to them.
 func TestEventsThatDoNotFollowAreNotRelayed(t *testing.T) {
