--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,3 +160,43 @@
 		})
 	}
 }
+
+// What an engine sends in place of the next chunk must neither reach the caller nor end the
+// stream.
+func TestOnlyNextChunksAreReadFromStream(t *testing.T) {
+	tests := []struct {
+		name     string
+		body     string // after chunk 0
+		chunks   string
+		complete bool
+	}{
+		{"the next chunk and the end", "id: 1\ndata: b\n\nid: 2\ndata: [DONE]\n\n", "ab", true},
+		{"a chunk again", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", "ab", false},
+		{"a chunk is missing", "id: 2\ndata: c\n\n", "a", false},
+		{"the end is too early", "id: 2\ndata: [DONE]\n\n", "a", false},
+		{"an event without an id", "data: sorry\n\n", "a", false},
+		{"the end without an id", "data: [DONE]\n\n", "a", false},
+		{"text", "sorry", "a", false},
+		{"lines", "sorry\n\ntry again\n\n", "a", false},
+		{"a head", "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 5\r\n\r\nsorry", "a", false},
+		{"nothing", "", "a", false},
+		{"part of an event", "id: 1\ndata: b", "a", false},
+		{"part of an event, a whole line", "id: 1\ndata: b\n", "a", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, resumed := range []bool{false, true} {
+				cur, chunks, body := &streamCursor{}, "", "id: 0\ndata: a\n\n"+tt.body
+				if resumed {
+					cur.next, chunks, body = 1, "a", tt.body
+				}
+				err := readEvents(strings.NewReader(body), cur, func(c chestnutstream.Chunk) error {
+					chunks += string(c.Data)
+					return nil
+				}, func(time.Duration, bool) {})
+				assert.Equal(t, err == nil, tt.complete, "%v", err)
+				assert.Equal(t, chunks, tt.chunks)
+			}
+		})
+	}
+}
