ingress: count and log every response of a server by its request

The attribution is logged where it is made, and the list is read only from the request's own response. No decision changes otherwise. What an attempt knows of its connection is one type, so that send stays short.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -229,7 +229,6 @@
 // retried.
 func (x *exchange) checkResponse(a Assignment, br *backendResponse, took time.Duration) bool {
 	x.recordConnected(a)
-	x.logAttribution(a, br)
 	r := x.result(a, br, took)
 	r.Connected = br.connected
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -122,7 +123,7 @@
 		return
 	}
 	x.server.cfg.Log.WithFields(log.Fields{
-		"request-id": x.header.ID, "server": a.Server.ID, "kind": kind, "belongs-to": string(br.belongs), "response-id": h.Get(platform.HeaderRequestID),
+		"request-id": x.header.ID, "server": cmp.Or(a.Peer, a.Server.ID), "kind": kind, "belongs-to": string(br.belongs), "response-id": h.Get(platform.HeaderRequestID),
 		"status": br.resp.StatusCode, "earlier-requests": len(br.earlier), "sent-before": resent,
 	}).Warn("response may belong to another request")
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -115,15 +115,20 @@
 // be retried.
 func (x *exchange) checkForwarded(a Assignment, br *backendResponse, took time.Duration) bool {
 	h := br.resp.Header
-	x.addTried(h)
 	outcome := forwardOutcome(h.Get(headerOutcome))
 	switch {
-	case outcome == forwardNotRun && br.belongs == ownResponse:
+	case br.belongs == ownResponse:
+		x.addTried(h)
+	case outcome == forwardNotRun:
+		outcome = forwardUnknown
+	}
+	switch outcome {
+	case forwardNotRun:
 		x.reason = fmt.Sprintf("%s has not run it: %d", a.Peer, br.resp.StatusCode)
 		x.recordForward(a, fleet.Refused, took)
 		x.forwardRetryAfter = platform.ReadBackpressure(br.resp.StatusCode, h).RetryAfter
 		return false
-	case outcome != "":
+	case forwardUnknown:
 		x.recordForward(a, fleet.Responded, took)
 		x.mayHaveRun = true
 		status := statusFailed
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,25 +125,33 @@
 	}
 }
 
+// connTrace records the connection that the transport gives to an attempt. The transport
+// does so in the goroutine of the round trip.
+type connTrace struct {
+	requestID string
+	conn      *serverConn // nil: none was given
+	isNew     bool        // opened for the attempt
+	seq       int         // number of the request on the connection
+	earlier   []string    // IDs of the requests before it
+}
+
+func (t *connTrace) gotConn(i httptrace.GotConnInfo) {
+	t.conn, t.isNew = i.Conn.(*serverConn), !i.Reused
+	t.seq, t.earlier = t.conn.recordRequest(t.requestID)
+}
+
+// withdraw reports whether the request was never written to a connection that it was given.
+func (t *connTrace) withdraw() bool { return t.conn != nil && t.conn.withdraw(t.seq) }
+
 // send sends the request to one server and waits for the header of its response,
 // up to waitTimeout if another server can be tried (0: until the deadline). connected
 // reports whether the request got a connection, so that the server may have
 // received it.
 func (x *exchange) send(a Assignment, lastEventID string, waitTimeout time.Duration) (br *backendResponse, connected bool, err error) {
+	t := &connTrace{requestID: x.header.ID}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
-	var gotConn, newConn atomic.Bool
-	var conn atomic.Pointer[serverConn]
-	var seq int // written before conn, like earlier
-	var earlier []string
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		gotConn.Store(true)
-		newConn.Store(!i.Reused)
-		if c, ok := i.Conn.(*serverConn); ok {
-			seq, earlier = c.recordRequest(x.header.ID)
-			conn.Store(c)
-		}
-	}})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	req, err := x.request(ctx, a, lastEventID)
 	if err != nil {
 		stop()
@@ -154,30 +161,27 @@
 		defer x.startWaitTimer(a, waitTimeout, func() { cancel(errNoResponse) })()
 	}
 	resp, err := x.transport(a).RoundTrip(req)
-	if err != nil {
-		cause := context.Cause(ctx)
-		if cause != nil {
-			err = cause
-		}
-		stop()
-		if c := conn.Load(); c != nil && c.withdraw(seq) {
-			notSent := errNotWritten
-			if newConn.Load() && cause == nil {
-				notSent = errNotAccepted
-			}
-			return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, notSent, err)
-		}
-		return nil, gotConn.Load(), fmt.Errorf("send to %s: %w", a.Server.ID, err)
-	}
-	br = &backendResponse{resp: resp, cancel: stop, connected: newConn.Load()}
-	if c := conn.Load(); c != nil {
-		br.earlier = earlier
-		br.belongs = attribute(resp.Header, x.header.ID, earlier)
+	if err == nil {
+		br = &backendResponse{resp: resp, cancel: stop, connected: t.isNew, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
 		if br.belongs != ownResponse {
-			c.abandon()
+			t.conn.abandon()
 		}
+		x.logAttribution(a, br)
+		return br, true, nil
+	}
+	cause := context.Cause(ctx)
+	stop()
+	if cause != nil {
+		err = cause
+	}
+	if !t.withdraw() {
+		return nil, t.conn != nil, fmt.Errorf("send to %s: %w", a.Server.ID, err)
+	}
+	notSent := errNotWritten
+	if t.isNew && cause == nil {
+		notSent = errNotAccepted
 	}
-	return br, true, nil
+	return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, notSent, err)
 }
 
 // transport returns the transport for an attempt. A server that has rejected the request
