quarantine: bound the number of probes in rows of the store

An instance that read a row of a verdict with probes ended at the next order to load or request under that verdict, and again after each start, as it reads the row again: the probe raised the number to a negative one, by which nextProbe shifts.

TestRowWithHugeNumberOfProbesIsProbed failed before with "panic: runtime error: negative shift amount" in nextProbe, called from Check. Merge and Check now count up to maxProbes, far above the number at which the interval stops to grow, so that the number cannot overflow; the row is then written again with it.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -317,10 +317,29 @@
 	}
 }
 
+// Guards against a foreign row whose number of probes overflows with the next probe: the
+// process ended with "negative shift amount".
+func TestRowWithHugeNumberOfProbesIsProbed(t *testing.T) {
+	for _, probes := range []string{"-1", "-9223372036854775808", "9223372036854775807"} {
+		now, tracker := simStart, NewTracker(DefaultSettings())
+		row := fmt.Sprintf(`{"service":%q,"trait":"t","crashes":[{"server":"i-1","at-ms":%d,"weight":1},{"server":"i-2","at-ms":%d,"weight":1}],"probes":%s}`,
+			simService, now.Add(-2*time.Second).UnixMilli(), now.Add(-time.Second).UnixMilli(), probes)
+		e, err := DecodeRow(now, []byte(row))
+		assert.NilError(t, err)
+		tracker.Merge(e)
+		tracker.Update(now)
+		for range 3 {
+			now = now.Add(maxProbeInterval + probeTimeout)
+			assert.Assert(t, tracker.Check(now, simService, []string{"t"}, firstInstance).Probe, probes)
+		}
+	}
+}
+
 // Guards against rows and messages that others have written.
 func FuzzDecodeRow(f *testing.F) {
 	f.Add([]byte(`{"service":"s","trait":"t","crashes":[{"server":"i","born":1,"at-ms":1800000000000,"weight":1,"companions":["b","a"]}],"probes":1}`))
 	f.Add([]byte(`{"service":"s","trait":"t","crashes":[{"weight":1e300,"companions":["a","a","a"]},{"weight":-5,"at-ms":-1}],"survived-ms":9e18}`))
+	f.Add([]byte(`{"service":"s","trait":"t","crashes":[{"server":"i","weight":1},{"server":"j","at-ms":1700000000000,"weight":1}],"probes":9223372036854775807}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		tracker, now := NewTracker(DefaultSettings()), simStart
 		e, err := DecodeRow(now, value)
@@ -342,6 +361,9 @@
 				t.Fatalf("companions %q", c.Companions)
 			}
 		}
-		tracker.Check(now, e.Trait.Service, []string{e.Trait.ID}, firstInstance)
+		for range 2 {
+			tracker.Check(now, e.Trait.Service, []string{e.Trait.ID}, firstInstance)
+			now = now.Add(maxProbeInterval + probeTimeout)
+		}
 	})
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -24,6 +24,7 @@
 	probeInterval     = time.Minute // after a crash, until the first probe; doubles with each probe
 	maxProbeInterval  = time.Hour
 	maxProbeDoublings = 12
+	maxProbes         = 1 << 20          // further ones are not counted
 	probeSlot         = 2 * time.Second  // the instance that is next in a trait's order may probe this much later
 	probeTimeout      = 10 * time.Second // within which the result of a probe is expected
 )
@@ -172,7 +173,7 @@
 	if received.ProbedAt.After(e.ProbedAt) {
 		e.ProbedAt = received.ProbedAt
 	}
-	e.Probes = max(e.Probes, received.Probes)
+	e.Probes = max(e.Probes, min(received.Probes, maxProbes))
 	return r
 }
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -131,7 +131,7 @@
 		return Decision{Blocked: true, Verdict: *v, RetryAfter: at.Sub(now)}
 	}
 	e.ProbedAt = now
-	e.Probes++
+	e.Probes = min(e.Probes+1, maxProbes)
 	return Decision{Probe: true, Verdict: *v, Report: e.clone()}
 }
 
