edge: log an unusable row when its problem begins or changes

An entry by another writer that is written again every 1.2 s brought a warning each time on each instance, 50 a minute, with up to 60 KB of the entry in the error; 3000 such entries filled the queue of the log, which then drops other lines.

Each row's problem is now logged when it begins, when it changes (not more often than every 10 s) and again every 10 minutes, with at most 300 bytes of the error, and 30 lines a minute over all rows. At most 1024 problems are kept, as a hash. The same holds for unusable configurations, versions of adapters, leases, owners, verdicts, versions of software and origins.

Before, TestUnusableRowsAreLoggedOnce failed with 50 lines instead of 1 in all cases, TestLoggedProblemsAreBounded with 60, 30 and 180000 instead of 6, 1 and 30.

--- a/edge/control.go
+++ b/edge/control.go
@@ -199,7 +199,7 @@
 		l.WithField("fence", version).Info("engines acquired")
 	}
 	if rowErr != nil {
-		l.WithError(rowErr).Warn("malformed or foreign row in the leases table")
+		n.logForeignRow(lease.Table, "", rowErr)
 	}
 	n.wakeControl()
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -82,6 +82,7 @@
 	started           time.Time
 	views             map[string]*view // by table
 	crashChecks       map[processKey]*crashCheck
+	problems          rowProblems
 
 	quarantine          *quarantine.Tracker
 	quarantineUpdatedAt time.Time
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -164,7 +164,7 @@
 		}
 		origins, err := software.DecodeOrigins(r.Value)
 		if err != nil {
-			n.log.WithError(err).WithField("row", r.Key).Warn("malformed or foreign row in the table of origins")
+			n.logForeignRow(software.OriginTable, r.Key, err)
 			continue
 		}
 		for _, o := range origins {
--- /dev/null
+++ b/edge/problems_test.go
@@ -0,0 +1,109 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/lease"
+	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/quarantine"
+	"github.com/chestnutstream/chestnutstream/software"
+	"github.com/chestnutstream/chestnutstream/timer"
+)
+
+// loggedNode returns a node that is not started, with its clock and its log.
+func loggedNode(t *testing.T) (*Node, *timer.Manual, *memory.Handler) {
+	clock, lines := timer.NewManual(time.Unix(1_800_000_000, 0)), memory.New()
+	n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: lines, Level: log.InfoLevel}, clock, timer.Boot)
+	t.Cleanup(n.cancel)
+	return n, clock, lines
+}
+
+// Guards against a log line for every time that a row which cannot be used is written.
+func TestUnusableRowsAreLoggedOnce(t *testing.T) {
+	nested := strings.Repeat(`{"a":`, 20000) + "1" + strings.Repeat("}", 20000)
+	long := `{"service":"s","slots":1` + strings.Repeat("0", 60000) + `}`
+	apply := map[string]func(n *Node, r chestnutstream.TableRow){
+		platform.TableServers:  func(n *Node, r chestnutstream.TableRow) { n.applyServerRows([]chestnutstream.TableRow{r}, false, 0) },
+		platform.TableOperator: func(n *Node, r chestnutstream.TableRow) { n.applyOperatorRows([]chestnutstream.TableRow{r}) },
+		lease.Table:            func(n *Node, r chestnutstream.TableRow) { n.applyLeaseRows([]chestnutstream.TableRow{r}, false) },
+	}
+	tests := []struct{ name, table, key, value string }{
+		{"server, nested", platform.TableServers, "i-1", nested},
+		{"server, long number", platform.TableServers, "i-1", long},
+		{"server, port", platform.TableServers, "i-1", `{"service":"s","state":"ready","address":"10.0.0.1:99999999"}`},
+		{"configuration", platform.TableOperator, platform.KeyConfig, nested},
+		{"adapter version", platform.TableOperator, "version/m.a", `{"model":"m","adapter":"a","version":1e30}`},
+		{"lease", lease.Table, "instance/b", nested},
+		{"owner", lease.Table, "owner/i-1", `{"r":-1}`},
+		{"verdict", lease.Table, quarantine.RowPrefix + "1", `{"service":"s","trait":"t","probes":1e30}`},
+		{"software", lease.Table, software.RowKey("s"), nested},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n, clock, lines := loggedNode(t)
+			for i := range 50 { // a minute
+				apply[tt.table](n, chestnutstream.TableRow{Table: tt.table, Key: tt.key, Value: []byte(tt.value), Version: uint64(i + 1)})
+				clock.Advance(1200 * time.Millisecond)
+			}
+			assert.Equal(t, len(lines.Entries), 1)
+			for name, value := range lines.Entries[0].Fields {
+				assert.Check(t, len(fmt.Sprint(value)) <= maxLoggedError, name)
+			}
+		})
+	}
+}
+
+// A problem is logged when it changes, but not often, also if sound entries come between
+// and if there are many rows.
+func TestLoggedProblemsAreBounded(t *testing.T) {
+	odd := func(i int) string {
+		return fmt.Sprintf(`{"service":"s","state":"ready","address":"10.0.0.1:%d"}`, 70000+i)
+	}
+	sound := `{"service":"s","state":"ready","address":"10.0.0.1:80"}`
+	tests := []struct {
+		name  string
+		value func(i int) string
+		rows  int
+		want  int // lines in a minute
+	}{
+		{"another problem each time", odd, 1, 6},
+		{"same problem between sound entries", func(i int) string {
+			if i%2 == 0 {
+				return odd(0)
+			}
+			return sound
+		}, 1, 1},
+		{"many rows", odd, 3000, maxProblemsPerMinute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n, clock, lines := loggedNode(t)
+			version := uint64(0)
+			for i := range 60 {
+				var rows []chestnutstream.TableRow
+				for key := range tt.rows {
+					version++
+					rows = append(rows, chestnutstream.TableRow{Table: platform.TableServers, Key: fmt.Sprint(key), Value: []byte(tt.value(i)), Version: version})
+				}
+				n.applyServerRows(rows, false, 0)
+				clock.Advance(time.Second)
+			}
+			unreadable := 0
+			for _, l := range lines.Entries {
+				if l.Level == log.WarnLevel {
+					unreadable++
+				}
+			}
+			assert.Equal(t, unreadable, tt.want)
+			assert.Assert(t, len(n.problems.byRow) <= maxRememberedProblems)
+		})
+	}
+}
--- a/edge/software_rows.go
+++ b/edge/software_rows.go
@@ -26,7 +26,7 @@
 		}
 		row, err := software.DecodeRow(r)
 		if err != nil {
-			n.log.WithError(err).WithField("row", r.Key).Warn("malformed or foreign row in the leases table")
+			n.logForeignRow(lease.Table, r.Key, err)
 			continue
 		}
 		n.mu.Lock()
--- a/edge/verdicts.go
+++ b/edge/verdicts.go
@@ -46,7 +46,7 @@
 		}
 		e, err := quarantine.DecodeRow(now, r.Value)
 		if err != nil {
-			n.log.WithError(err).WithField("row", r.Key).Warn("malformed or foreign row in the leases table")
+			n.logForeignRow(lease.Table, r.Key, err)
 			continue
 		}
 		n.verdictRows[r.Key] = newVerdictRow(e)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -276,7 +276,9 @@
 func (n *Node) adoptConfig(value []byte, rowVersion uint64, from string) {
 	t, err := platform.DecodeRouteTable(value)
 	if err != nil {
-		n.log.WithError(err).WithField("row", rowVersion).Error("configuration rejected")
+		if l, ok := n.rowProblem(platform.TableOperator, platform.KeyConfig, err); ok {
+			l.WithField("row", rowVersion).Error("configuration rejected")
+		}
 		return
 	}
 	n.mu.Lock()
@@ -297,7 +299,9 @@
 func (n *Node) declareVersion(key string, value []byte, rowVersion uint64) {
 	target, version, ok, err := platform.DecodeAdapterVersion(key, value)
 	if err != nil {
-		n.log.WithError(err).WithField("key", key).Warn("adapter version declaration rejected")
+		if l, ok := n.rowProblem(platform.TableOperator, key, err); ok {
+			l.WithField("row", rowVersion).Warn("adapter version declaration rejected")
+		}
 		return
 	}
 	if !ok {
@@ -369,12 +373,14 @@
 
 func (n *Node) logServerChanges(changes []fleet.Change) {
 	for _, c := range changes {
-		l := n.log.WithFields(log.Fields{"server": c.Server, "change": c.What, "row": c.RowVersion})
-		if c.Err != nil {
-			l.WithError(c.Err).Warn("server entry unreadable")
+		fields := log.Fields{"server": c.Server, "change": c.What, "row": c.RowVersion}
+		if c.Err == nil {
+			n.log.WithFields(fields).Info("server entry changed")
 			continue
 		}
-		l.Info("server entry changed")
+		if l, ok := n.rowProblem(platform.TableServers, c.Server, c.Err); ok {
+			l.WithFields(fields).Warn("server entry unreadable")
+		}
 	}
 }
 
@@ -395,7 +401,7 @@
 	}
 	n.mu.Unlock()
 	if err != nil {
-		n.log.WithError(err).Warn("malformed or foreign row in the leases table")
+		n.logForeignRow(lease.Table, "", err)
 	}
 	if len(far) > 0 {
 		n.mesh.Drop(far)
