edge: keep no unusable entries of servers for other instances

An instance that starts while it cannot read the store asks the others for the configuration and the servers. They sent all rows of the list as read, also those by other writers that name no server. With 150 of these of 64 KB the message has 9.8 MB, above the 8 MB at which a receiver ends the connection (maxFrameBytes), so the configuration in it cannot arrive.

The rows kept for others are now those that could be decoded; of a server whose newest entry is unusable that is the one before, as this instance itself goes on with it. TestCachedRowsFitAMessage failed before: "len(frame) is >= 8 << 20: 9832700 bytes" and 151 rows instead of 1.

--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/quarantine"
@@ -107,3 +108,24 @@
 		})
 	}
 }
+
+// Guards against entries by another writer among the rows for an instance that cannot read
+// the store: with 150 of them the message exceeds what the instance accepts, so it got no
+// configuration.
+func TestCachedRowsFitAMessage(t *testing.T) {
+	n := idleNode(t, "a")
+	n.adoptConfig([]byte(`{"version":1}`), 1, "store")
+	rows := []chestnutstream.TableRow{{Key: "sound", Version: 1, Value: []byte(`{"service":"s","state":"ready","address":"10.0.0.1:80"}`)}}
+	for i := range 150 {
+		rows = append(rows, chestnutstream.TableRow{Key: fmt.Sprintf("odd-%d", i), Version: uint64(i + 2), Value: []byte(strings.Repeat("[", 64<<10))})
+	}
+	rows = append(rows, chestnutstream.TableRow{Key: "sound", Version: 200, Value: []byte("?")})
+	n.applyServerRows(rows, false, 0)
+	frame, err := instance.Encode(n.rows.bundle())
+	assert.NilError(t, err)
+	assert.Check(t, len(frame) < 8<<20, "%d bytes", len(frame))
+	received, err := instance.Decode(frame)
+	assert.NilError(t, err)
+	assert.Equal(t, len(received.Servers), 1)
+	assert.Equal(t, received.Servers[0].Version, uint64(1))
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -339,12 +339,13 @@
 	} else {
 		changes = n.fleet.ApplyUpdates(now, entries)
 	}
-	for _, r := range rows {
-		if r.Removed {
+	for i, r := range rows {
+		switch {
+		case r.Removed:
 			delete(n.rows.servers, r.Key)
-			continue
+		case entries[i].Err == nil: // others need no entry that names no server
+			n.rows.servers[r.Key] = r
 		}
-		n.rows.servers[r.Key] = r
 	}
 	changes = append(changes, n.fleet.Tick(now)...)
 	n.handleServerChanges(changes)
