edge: send followers an entry that names no server once

A reader sent each entry that names no server to all its followers each time it was written, and with all entries every 16 s, as the digest by which it leaves out unchanged entries is only kept for known servers.

Such an entry is now sent when it appears, so that a follower that knows the server sees it, and not again until it is removed or names a server. TestReaderSendsChangedEntriesOnly failed before at "malformed entry written again" ("c " instead of ""); TestFollowerStateMatchesReader now draws malformed entries too.

--- a/edge/readers.go
+++ b/edge/readers.go
@@ -169,15 +169,21 @@
 	if sendAll {
 		n.allSentAt = now
 	}
-	changed := map[string]bool{}
+	changed, removed := map[string]bool{}, map[string]bool{}
 	for _, r := range rows {
 		changed[r.Key] = changed[r.Key] || r.Removed || sendAll
+		removed[r.Key] = removed[r.Key] || r.Removed
 	}
 	for key := range changed {
 		s := n.fleet.Server(key)
 		if s == nil {
-			delete(n.sentEntries, key)
-			changed[key] = true
+			// Entries that name no server are sent once, and not with all entries.
+			old, ok := n.sentEntries[key]
+			changed[key] = removed[key] || !ok || old != entryDigest{}
+			n.sentEntries[key] = entryDigest{}
+			if removed[key] {
+				delete(n.sentEntries, key)
+			}
 			continue
 		}
 		e := digestEntry(s.Backend)
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -114,9 +114,12 @@
 			for range rapid.IntRange(0, 5).Draw(t, "rows") {
 				version++
 				r := chestnutstream.TableRow{Table: platform.TableServers, Key: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), Version: version}
-				if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				switch rapid.IntRange(0, 5).Draw(t, "kind") {
+				case 0:
 					r.Removed = true
-				} else {
+				case 1:
+					r.Value = []byte("?")
+				default:
 					r.Value = fmt.Appendf(nil, `{"born":%d,"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q}`,
 						rapid.IntRange(1, 2).Draw(t, "born"), rapid.SampledFrom([]string{"ready", "ready", "draining"}).Draw(t, "state"))
 				}
@@ -163,12 +166,23 @@
 		{"removed", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "a", Version: 28, Removed: true}}, "a "},
 		{"restarted", []chestnutstream.TableRow{row(29, "a", "ready", "")}, "a "},
 		{"malformed entry", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 30, Value: []byte("?")}}, "c "},
+		{"malformed entry written again", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 31, Value: []byte("??")}}, ""},
+		{"entry of a removed server", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "b", Version: 32, Removed: true}, row(26, "b", "ready", "")}, "b b "},
+		{"first sound entry", []chestnutstream.TableRow{row(33, "c", "ready", "")}, "c "},
+		{"malformed entry of a server", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 34, Value: []byte("?")}}, ""},
+		{"removed and malformed", []chestnutstream.TableRow{{Table: platform.TableServers, Key: "c", Version: 35, Removed: true}, {Table: platform.TableServers, Key: "c", Version: 36, Value: []byte("?")}}, "c c "},
+		{"back", []chestnutstream.TableRow{row(37, "c", "ready", ""), row(38, "b", "ready", "")}, "c b "},
 	}
 	for _, s := range steps {
 		assert.Equal(t, sent(s.rows...), s.want, s.name)
 	}
 	n.allSentAt = n.now().Add(-fullUpdateInterval)
-	assert.Equal(t, sent(row(31, "a", "ready", ""), row(32, "b", "ready", "")), "a b ")
+	assert.Equal(t, sent(row(41, "a", "ready", ""), row(42, "b", "ready", "")), "a b ")
+	odd := chestnutstream.TableRow{Table: platform.TableServers, Key: "d", Version: 43, Value: []byte("?")}
+	assert.Equal(t, sent(odd), "d ")
+	n.allSentAt = n.now().Add(-fullUpdateInterval)
+	odd.Version++
+	assert.Equal(t, sent(odd, row(45, "a", "ready", "")), "a ", "an entry that names no server is not sent with all entries")
 }
 
 // What a reader sends has to fit its link: after an outage it sends all entries of the
