--- a/edge/readers.go
+++ b/edge/readers.go
@@ -148,6 +148,7 @@
 	slots            int
 	state            chestnutstream.BackendState
 	models           string
+	unreadable       bool
 }
 
 func digestEntry(b chestnutstream.Backend) entryDigest {
@@ -187,6 +188,7 @@
 			continue
 		}
 		e := digestEntry(s.Backend)
+		e.unreadable = !s.UnreadableSince.IsZero()
 		if old, ok := n.sentEntries[key]; !ok || old != e {
 			changed[key] = true
 		}
