instance: accept messages with texts that are not UTF-8

Names of models and adapters and parts of prompts go from callers' headers into messages between instances, and a header may hold any bytes from 0x80 on. CBOR's decoder refused a message with such a text, and receiveLoop ends the connection of a message that is refused: all else in the message is lost, and the sender treats the peer as lost.

Decode now accepts such texts. TestNamesOfAnyBytesAreSent failed before with "cbor: invalid UTF-8 string". TestNestedFramesAreRefused (passed before) shows that deeply nested frames, in known and unknown fields, and arrays of 2^63-1 elements are refused.

--- a/instance/codec.go
+++ b/instance/codec.go
@@ -292,10 +292,18 @@
 	return frame, nil
 }
 
+// decoding accepts texts that are not UTF-8: names of models and parts of prompts are
+// callers' headers.
+var decoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}
+
 // Decode returns the bundle of a frame.
 func Decode(frame []byte) (Bundle, error) {
+	mode, err := decoding.DecMode()
+	if err != nil {
+		return Bundle{}, fmt.Errorf("decoding options: %w", err)
+	}
 	var w wireBundle
-	if err := cbor.Unmarshal(frame, &w); err != nil {
+	if err := mode.Unmarshal(frame, &w); err != nil {
 		return Bundle{}, fmt.Errorf("decode bundle: %w", err)
 	}
 	b := Bundle{
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,12 +53,45 @@
 	}
 }
 
+// Guards against a caller's header that ends the connections between instances: its bytes
+// need not be UTF-8.
+func TestNamesOfAnyBytesAreSent(t *testing.T) {
+	for _, name := range []string{"a\xff", "\xc3", "\x00", "a/b\n", "ä", strings.Repeat("n", 64<<10)} {
+		b := Bundle{
+			LoadRequests: []LoadRequest{{Server: "i-1", Target: modelAdapter("m", name), Waiting: 1}},
+			Evidence:     []TraitEvidence{{Service: "s", ID: "part:" + name}},
+		}
+		frame, err := Encode(b)
+		assert.NilError(t, err)
+		got, err := Decode(frame)
+		assert.NilError(t, err, "%.20q", name)
+		assert.DeepEqual(t, got, b)
+	}
+}
+
+// Guards against a frame that ends the process: it is refused.
+func TestNestedFramesAreRefused(t *testing.T) {
+	for _, item := range []string{"\x81", "\xa1\x01", "\xc1", "\x9f"} {
+		for _, prefix := range []string{"", "\xa1\x06", "\xa1\x18\xc8"} { // the whole frame, a known key, an unknown key
+			for _, depth := range []int{40, 100_000} {
+				_, err := Decode([]byte(prefix + strings.Repeat(item, depth) + "\x01"))
+				assert.Check(t, err != nil, "%q %q %d", prefix, item, depth)
+			}
+		}
+	}
+	_, err := Decode([]byte("\xa1\x06\x9b\x7f\xff\xff\xff\xff\xff\xff\xff\x01")) // an array of 2^63-1 elements
+	assert.Check(t, err != nil)
+}
+
 func FuzzDecode(f *testing.F) {
 	frame, err := Encode(sample)
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(frame)
+	f.Add([]byte("\xa1\x06" + strings.Repeat("\x81", 40) + "\x01"))
+	f.Add([]byte("\xa1\x06\x9b\x7f\xff\xff\xff\xff\xff\xff\xff\x01"))
+	f.Add([]byte("\xa1\x06\x81\x62a\xff"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		bundle, err := Decode(b)
 		if err != nil {
