lease: bound the duration that a lease row states

A foreign row in place of an instance's lease may state any duration.

A row now counts for twice the longest duration that this release states at most.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -210,7 +210,9 @@
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return fmt.Errorf("decode lease of %s: %w", name, err)
 	}
-	duration := max(time.Duration(w.DurationMS)*time.Millisecond, m.cfg.BaseDuration)
+	// No instance states more than MaxDuration, but one of another release may.
+	longest := 2 * max(m.cfg.MaxDuration, m.cfg.BaseDuration)
+	duration := max(time.Duration(max(min(w.DurationMS, longest.Milliseconds()), 0))*time.Millisecond, m.cfg.BaseDuration)
 	m.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Incarnation: w.Incarnation, version: r.Version, duration: duration, seenAt: boot}
 	return nil
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -203,6 +203,20 @@
 	assert.Equal(t, fmt.Sprint(m.Holders(0)), "[]")
 }
 
+// Guards against a foreign row in place of a lease whose duration overflows: the lease
+// counted as ended at once, or never.
+func TestLeaseOfOddDurationEndsInTime(t *testing.T) {
+	cfg := DefaultSettings(minHandover)
+	for _, ms := range []string{"0", "-1", "10000", "9223372036854", "9223372036855", "18446744073709", "9223372036854775807", "-9223372036855", "-9223372036854775808"} {
+		m := NewManager(Holder{Name: "a"}, cfg)
+		row := chestnutstream.TableRow{Table: Table, Key: "instance/b", Value: []byte(`{"a":"10.0.0.1:1","r":1,"d":` + ms + `}`), Version: 3}
+		assert.NilError(t, m.ApplySnapshot(0, []chestnutstream.TableRow{row}))
+		h := m.holders["b"]
+		assert.Check(t, m.alive(cfg.BaseDuration-1, h) && !m.expired(cfg.BaseDuration, h), ms)
+		assert.Check(t, m.expired(time.Minute, h) && !m.alive(time.Minute, h), ms)
+	}
+}
+
 // Renewals of many instances would be most of the calls to the store, so their
 // leases last longer and are renewed less often. If the store becomes unavailable
 // just before a renewal, as much of the lease is left as with few instances.
