--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -129,3 +129,63 @@
 	assert.Equal(t, len(received.Servers), 1)
 	assert.Equal(t, received.Servers[0].Version, uint64(1))
 }
+
+// Guards against odd entries that hide the other entries of the same read, or the next
+// sound entry of their server, here or on an instance that receives them from a reader.
+func TestOddEntriesLeaveTheOthers(t *testing.T) {
+	entry := func(fields string) []byte {
+		return []byte(`{"service":"s","state":"ready","address":"10.0.0.1:80","zone":"z",` + fields + `}`)
+	}
+	odd := map[string][]byte{
+		"nested":        entry(`"odd":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000)),
+		"nested-field":  entry(`"slots":` + strings.Repeat("[", 200) + strings.Repeat("]", 200)),
+		"open":          []byte(strings.Repeat(`{"a":`, 10000)),
+		"slots":         entry(`"slots":1e400`),
+		"born":          entry(`"born":9223372036854775807`),
+		"port":          entry(`"address":"10.0.0.1:70000"`),
+		"not-utf-8":     []byte("\xff\xfe"),
+		"empty":         nil,
+		"large":         []byte(`"` + strings.Repeat("x", 1<<20)),
+		"odd id\n":      entry(`"slots":4`),
+		"":              entry(`"slots":4`),
+		"unknown-state": entry(`"state":"sleepy"`),
+	}
+	reader, follower := idleNode(t, "a"), idleNode(t, "b")
+	version := uint64(0)
+	read := func(values map[string][]byte) {
+		rows := []chestnutstream.TableRow{}
+		for key, value := range values {
+			version++
+			rows = append(rows, chestnutstream.TableRow{Table: platform.TableServers, Key: key, Value: value, Version: version})
+		}
+		version++
+		rows = append(rows, chestnutstream.TableRow{Table: platform.TableServers, Key: "sound", Value: entry(`"slots":4,"born":1796435200000`), Version: version})
+		reader.applyServerRows(rows, false, 0)
+		frame, err := instance.Encode(instance.Bundle{TableUpdates: []instance.TableUpdate{{Table: platform.TableServers, Rows: reader.changedEntries(rows)}}})
+		assert.NilError(t, err)
+		received, err := instance.Decode(frame)
+		assert.NilError(t, err)
+		follower.applyServerRows(received.TableUpdates[0].Rows, false, 0)
+	}
+	usable := func(n *Node) int {
+		count := 0
+		for _, s := range n.fleet.Service("s") {
+			if s.Usable() {
+				count++
+			}
+		}
+		return count
+	}
+	for range 3 {
+		read(odd)
+		assert.Equal(t, usable(reader), 1)
+		assert.Equal(t, usable(follower), 1)
+	}
+	next := map[string][]byte{}
+	for key := range odd {
+		next[key] = entry(`"slots":4,"born":1796435200000`)
+	}
+	read(next)
+	assert.Equal(t, usable(reader), 1+len(odd)-2, "all but those whose ID cannot be used")
+	assert.Equal(t, usable(follower), 1+len(odd)-2)
+}
