software: replace a malformed row of a service's versions

A foreign row that cannot be decoded, in place of the row with a service's software versions, was never replaced: an instance checked for the version of the row that it knew, got the foreign row as the conflict, could not apply it and wrote again at its next check, every 20 ms. So new versions of software were not registered, and all instances may make only some writes a second together.

The version of such a row is now known and the next write replaces it; what the row says still counts as not known.

--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
@@ -16,6 +19,7 @@
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/quarantine"
 	"github.com/chestnutstream/chestnutstream/software"
+	"github.com/chestnutstream/chestnutstream/standin"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
 
@@ -189,3 +193,33 @@
 	assert.Equal(t, usable(reader), 1+len(odd)-2, "all but those whose ID cannot be used")
 	assert.Equal(t, usable(follower), 1+len(odd)-2)
 }
+
+// Guards against a foreign row in place of one of this system's that is never replaced,
+// while the store is called over and over.
+func TestMalformedSoftwareRowIsReplaced(t *testing.T) {
+	key := software.RowKey("s")
+	for _, value := range []string{"?", "", `{"service":"t","versions":["v1"]}`, `{"service":"s","versions":[]}`, strings.Repeat("[", 20_000)} {
+		store := standin.NewStore()
+		srv := httptest.NewServer(store)
+		n := newNode(platform.Settings{Instance: "a", Zone: "z", Store: strings.TrimPrefix(srv.URL, "http://")}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
+		foreign := chestnutstream.TableRow{Table: lease.Table, Key: key, Value: []byte(value)}
+		_, err := n.store.Apply(n.ctx, chestnutstream.RowTransaction{Writes: []chestnutstream.TableRow{foreign}})
+		assert.NilError(t, err)
+		for range 50 {
+			n.mu.Lock()
+			n.versions.Observe(n.boot(), map[string]map[string]bool{"s": {"v1": true}})
+			n.updateSoftwareRows(n.now(), n.boot())
+			n.mu.Unlock()
+			time.Sleep(2 * time.Millisecond)
+		}
+		rows, _, err := n.store.Rows(n.ctx, lease.Table)
+		assert.NilError(t, err)
+		row, err := software.DecodeRow(rows[0])
+		assert.Check(t, err, "%.20q", value)
+		assert.Check(t, slices.Equal(row.Versions, []string{"v1"}), "%.20q: %v", value, row)
+		_, writes := n.store.Operations()
+		assert.Check(t, writes <= 3, "%.20q: %d writes", value, writes)
+		n.cancel()
+		srv.Close()
+	}
+}
--- a/edge/software_rows.go
+++ b/edge/software_rows.go
@@ -27,6 +27,9 @@
 		row, err := software.DecodeRow(r)
 		if err != nil {
 			n.logForeignRow(lease.Table, r.Key, err)
+			n.mu.Lock()
+			n.versions.ApplyMalformed(strings.TrimPrefix(r.Key, software.RowPrefix), r.Version)
+			n.mu.Unlock()
 			continue
 		}
 		n.mu.Lock()
--- a/software/versions.go
+++ b/software/versions.go
@@ -23,6 +23,7 @@
 
 type serviceVersions struct {
 	row         Row                      // as last read or written
+	malformed   uint64                   // revision of a malformed or foreign row in its place; 0: there is none
 	listed      map[string]bool          // versions of the listed servers
 	seenAt      map[string]time.Duration // by version: when a server of it was last listed
 	absentSince map[string]time.Duration // by version of the row that no listed server has
@@ -77,11 +78,22 @@
 
 // ApplyRow records a row as it was read or written. Older ones are ignored.
 func (v *Versions) ApplyRow(r Row) {
-	if s := v.service(r.Service); r.Revision > s.row.Revision {
-		s.row, s.changeSince = r, 0
+	if s := v.service(r.Service); r.Revision > s.revision() {
+		s.row, s.malformed, s.changeSince = r, 0, 0
 	}
 }
 
+// ApplyMalformed records that the row of a service cannot be decoded. It says nothing of
+// the service, and is to be replaced.
+func (v *Versions) ApplyMalformed(service string, revision uint64) {
+	if s := v.service(service); revision > s.revision() {
+		s.malformed = revision
+	}
+}
+
+// revision returns the version of the row in the store, as far as it is known.
+func (s *serviceVersions) revision() uint64 { return max(s.row.Revision, s.malformed) }
+
 // Rows returns the known rows, in the order of their services.
 func (v *Versions) Rows() []Row {
 	var out []Row
@@ -133,7 +145,7 @@
 	for _, name := range slices.Sorted(maps.Keys(v.services)) {
 		s := v.services[name]
 		versions := s.wanted(now, v.retention)
-		if slices.Equal(versions, s.row.Versions) {
+		if len(versions) == 0 || (slices.Equal(versions, s.row.Versions) && s.malformed == 0) {
 			s.changeSince = 0
 			continue
 		}
@@ -141,7 +153,7 @@
 			s.changeSince = now
 		}
 		if now-s.changeSince >= time.Duration(slot(name))*writeStagger {
-			out = append(out, Row{Service: name, Versions: versions, Revision: s.row.Revision})
+			out = append(out, Row{Service: name, Versions: versions, Revision: s.revision()})
 		}
 	}
 	return out
