lease: replace malformed rows of leases and owners

A row that cannot be decoded, in place of a lease or of an engine's owner, left the known version as it was, so that each later transaction that checks that row conflicted. An owner kept its engine, but its row was never mended, and the engines of an instance that ended under such a lease row got no owner any more: no orders, so no loads.

The version of such a row is now known. A lease row of which only that is known counts for the longest accepted duration, since its holder may have renewed it just before, and can then be ended as any other; its holder is no candidate for engines meanwhile. The row of an engine's owner is replaced by that owner alone, at its next step: another instance may have taken the engine over just before the row was written.

Not mended: if the owner ends before it has replaced the row, the engine has no owner until the row is removed.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -124,7 +124,7 @@
 		}
 		value, _ := json.Marshal(wireOwner{Name: m.self.Name, Incarnation: m.self.Incarnation})
 		a.Servers = append(a.Servers, s.ID)
-		a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: ownerKey(s.ID), Version: o.version})
+		a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: ownerKey(s.ID), Version: o.rowVersion()})
 		a.Transaction.Writes = append(a.Transaction.Writes, chestnutstream.TableRow{Table: Table, Key: ownerKey(s.ID), Value: value})
 	}
 	if len(a.Servers) == 0 {
@@ -160,7 +160,7 @@
 	for _, s := range servers {
 		o, owned := m.owners[s.ID]
 		switch {
-		case o.name == m.self.Name && o.incarnation != m.self.Incarnation:
+		case o.name == m.self.Name && m.reacquisitionAllowed(o):
 			acquire = append(acquire, s)
 		case !owned || m.takeoverAllowed(boot, o):
 			unowned = append(unowned, s)
@@ -182,9 +182,16 @@
 	return acquire
 }
 
+// reacquisitionAllowed reports whether this process may acquire a server of its instance
+// again: one of an earlier process, or its own whose row was replaced by a malformed one.
+// Nobody else has acquired the latter while the own lease has not ended.
+func (m *Manager) reacquisitionAllowed(o owner) bool {
+	return (o.malformed > 0) == (o.incarnation == m.self.Incarnation)
+}
+
 // takeoverAllowed reports whether an owner's lease has ended or may be ended now.
 func (m *Manager) takeoverAllowed(boot time.Duration, o owner) bool {
-	if o.name == m.self.Name {
+	if o.name == m.self.Name || o.malformed > 0 {
 		return false
 	}
 	h := m.holders[o.name]
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -85,14 +85,22 @@
 	version     uint64
 	duration    time.Duration // from before the renewal that wrote this version
 	seenAt      time.Duration // when this version was first seen, on the boot clock
+	malformed   bool          // a malformed or foreign row has replaced it, of which only the version is known
 }
 
 type owner struct {
 	name        string
 	incarnation uint64
 	version     uint64 // of the row, which is also the fencing token
+	// malformed is the version of a malformed or foreign row that has replaced it; 0: there
+	// is none. Only the owner itself replaces such a row: another may have become the owner
+	// just before it was written.
+	malformed uint64
 }
 
+// rowVersion returns the version of the row in the store, as far as it is known.
+func (o owner) rowVersion() uint64 { return max(o.version, o.malformed) }
+
 // Manager is the lease manager of one instance: it knows all leases and owners, and
 // decides about this instance's own lease and acquisitions.
 type Manager struct {
@@ -169,8 +177,8 @@
 // renew, or this instance could not see the renewals.
 const maxReadGap = 5 * time.Second
 
-// ApplyUpdates handles updates of the table. A row that cannot be decoded leaves
-// the known state unchanged; the error names the first such row.
+// ApplyUpdates handles updates of the table. Of a row that cannot be decoded only the
+// version is used; the error names the first such row.
 func (m *Manager) ApplyUpdates(boot time.Duration, rows []chestnutstream.TableRow) error {
 	if boot-m.updatedAt > maxReadGap {
 		for _, h := range m.holders {
@@ -208,17 +216,24 @@
 	}
 	var w wireHolder
 	if err := json.Unmarshal(r.Value, &w); err != nil {
+		// The holder may have renewed its lease just before.
+		m.holders[name] = &Holder{Name: name, version: r.Version, duration: m.longestDuration(), seenAt: boot, malformed: true}
 		return fmt.Errorf("decode lease of %s: %w", name, err)
 	}
-	// No instance states more than MaxDuration, but one of another release may.
-	longest := 2 * max(m.cfg.MaxDuration, m.cfg.BaseDuration)
-	duration := max(time.Duration(max(min(w.DurationMS, longest.Milliseconds()), 0))*time.Millisecond, m.cfg.BaseDuration)
+	duration := max(time.Duration(max(min(w.DurationMS, m.longestDuration().Milliseconds()), 0))*time.Millisecond, m.cfg.BaseDuration)
 	m.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Incarnation: w.Incarnation, version: r.Version, duration: duration, seenAt: boot}
 	return nil
 }
 
+// longestDuration returns the longest duration of a lease that is accepted. No instance
+// states more than MaxDuration, but one of another release may.
+func (m *Manager) longestDuration() time.Duration {
+	return 2 * max(m.cfg.MaxDuration, m.cfg.BaseDuration)
+}
+
 func (m *Manager) applyOwnerRow(server string, r chestnutstream.TableRow) error {
-	if r.Version <= m.owners[server].version {
+	o := m.owners[server]
+	if r.Version <= o.rowVersion() {
 		return nil
 	}
 	if r.Removed {
@@ -227,6 +242,8 @@
 	}
 	var w wireOwner
 	if err := json.Unmarshal(r.Value, &w); err != nil {
+		o.malformed = r.Version
+		m.owners[server] = o
 		return fmt.Errorf("decode owner of %s: %w", server, err)
 	}
 	m.owners[server] = owner{name: w.Name, incarnation: w.Incarnation, version: r.Version}
@@ -259,7 +276,9 @@
 	return n
 }
 
-func (m *Manager) alive(boot time.Duration, h *Holder) bool { return boot-h.seenAt < h.duration }
+func (m *Manager) alive(boot time.Duration, h *Holder) bool {
+	return !h.malformed && boot-h.seenAt < h.duration
+}
 
 // expired reports whether a holder's lease may be ended: the same version was seen
 // for the duration that its row states, and its last orders have arrived.
