--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -223,3 +223,53 @@
 		srv.Close()
 	}
 }
+
+// Guards against more foreign rows of verdicts than a transaction may delete: it failed
+// each time.
+func TestForeignVerdictRowsAreDeletedInParts(t *testing.T) {
+	n := idleNode(t, "a")
+	var rows []chestnutstream.TableRow
+	for i := range 250 {
+		rows = append(rows, chestnutstream.TableRow{
+			Table: lease.Table, Key: fmt.Sprint(quarantine.RowPrefix, i), Version: uint64(i + 1),
+			Value: []byte(fmt.Sprintf(`{"service":"s","trait":"t%d","crashes":[]}`, i)),
+		})
+	}
+	n.applyVerdictRows(rows, true)
+	for _, want := range []int{100, 100, 50, 0} {
+		n.mu.Lock()
+		deletes := n.verdictTransaction().Deletes
+		for _, d := range deletes {
+			delete(n.verdictRows, d.Key)
+		}
+		n.mu.Unlock()
+		assert.Equal(t, len(deletes), want)
+	}
+}
+
+// Guards against a configuration or version of an adapter that cannot be used and replaces
+// the one in force, or hides the next one.
+func TestUnusableConfigurationIsFollowedByTheNext(t *testing.T) {
+	n := idleNode(t, "a")
+	row := func(key, value string, version uint64) chestnutstream.TableRow {
+		return chestnutstream.TableRow{Table: platform.TableOperator, Key: key, Value: []byte(value), Version: version}
+	}
+	config := func(version int) string {
+		return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/","type":"idempotent","service":"s"}]}`, version)
+	}
+	nested := strings.Repeat(`[`, 20_000)
+	n.applyOperatorRows([]chestnutstream.TableRow{row(platform.KeyConfig, config(1), 1), row("version/m.a", `{"model":"m","adapter":"a","version":2}`, 2)})
+	odd := []string{
+		nested, "null", "7", "", `{"version":1e30}`, `{"version":-1}`, `{"version":2.5}`, `{"version":9,"routes":[null]}`, `{"version":9,"routes":{}}`,
+		`{"version":9,"routes":[{"type":"idempotent","maxAttempts":1e400}]}`, `{"version":9,"services":[{"engine":{"slots":64.5}}]}`, `{"version":9,"odd":` + nested,
+	}
+	for i, value := range odd {
+		n.applyOperatorRows([]chestnutstream.TableRow{row(platform.KeyConfig, value, uint64(10+i)), row("version/m.a", value, uint64(40+i)), row("version/m.b", `{"model":"m","adapter":"b","version":3}`, uint64(70+i))})
+		assert.Equal(t, n.Routes().Version, uint64(1), "%.20q", value)
+		assert.Equal(t, n.fleet.Version(adapterOf("m/a")), 2, "%.20q", value)
+		assert.Equal(t, n.fleet.Version(adapterOf("m/b")), 3, "%.20q", value)
+	}
+	n.applyOperatorRows([]chestnutstream.TableRow{row(platform.KeyConfig, nested, 100), row(platform.KeyConfig, config(2), 101), row("version/m.a", `{"model":"m","adapter":"a","version":3}`, 102)})
+	assert.Equal(t, n.Routes().Version, uint64(2))
+	assert.Equal(t, n.fleet.Version(adapterOf("m/a")), 3)
+}
