--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -122,3 +124,23 @@
 		t.Fatalf("invalid replica of %s on %s", r.Target, c.Replica.ID)
 	}
 }
+
+// Guards against an odd number of slots that leaves a service without a server.
+func TestServersWithOddSlotsAreUsed(t *testing.T) {
+	for _, slots := range []int{math.MinInt, -1, 0, 1, math.MaxInt} {
+		f := newFleet()
+		f.ApplySnapshot(start, 0, []Entry{entry("a", 1, func(b *chestnutstream.Backend) { b.Slots = slots }), entry("b", 2)})
+		plain, loads := map[string]int{}, map[string]int{}
+		for i := range 200 {
+			s := f.PickPlain(start, testService, nil)
+			assert.Assert(t, s != nil, "%d slots", slots)
+			plain[s.ID]++
+			r := Request{Service: testService, Target: chestnutstream.ModelAdapter{Model: "m", Adapter: fmt.Sprintf("a%d", i)}, Version: 1}
+			c := f.PickEngine(start, r, nil, anyLoadable)
+			assert.Assert(t, c.Server != nil, "%d slots", slots)
+			loads[c.Server.ID]++
+			f.RecordSent(s.ID)
+		}
+		assert.Check(t, plain["b"] > 0 && loads["b"] > 0, "%d slots: %v, %v", slots, plain, loads)
+	}
+}
