edge: quote the names in labels of metrics

An instance ended by itself when the connections to an availability zone failed in a row and the list held an entry by another writer, in that zone, whose service had a quote, a newline or a backslash at its end: updateCutOff counts the services that are cut off, and the library panics at a metric with such a label, in the control loop. An instance that is started again reads the entry again.

Names of services and routes are now quoted in labels; others stay as they were. TestOddServiceNamesInMetrics failed before with "panic: BUG: invalid metric name \"chestnutstream_cut_off_total{service=\"a\nb\"}\": metric cannot contain line breaks" in updateCutOff.

--- a/edge/crash.go
+++ b/edge/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -113,7 +114,7 @@
 		l.WithField("check", checkResult(err)).Info("connections of a server broke")
 		return
 	}
-	n.metrics.GetOrCreateCounter(`chestnutstream_server_crashes_total{service="` + c.server.Service + `"}`).Inc()
+	n.metrics.GetOrCreateCounter(`chestnutstream_server_crashes_total{service=` + strconv.Quote(c.server.Service) + `}`).Inc()
 	l.WithField("begun", begunRequests(broken)).Warn("server crashed")
 	time.AfterFunc(crashMemory, func() {
 		n.mu.Lock()
--- a/edge/cutoff.go
+++ b/edge/cutoff.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -79,7 +80,7 @@
 		chosen = other
 	}
 	chosen.forwarded++
-	n.metrics.GetOrCreateCounter(`chestnutstream_forwarded_requests_total{service="` + p.Service + `"}`).Inc()
+	n.metrics.GetOrCreateCounter(`chestnutstream_forwarded_requests_total{service=` + strconv.Quote(p.Service) + `}`).Inc()
 	return ingress.Assignment{Peer: chosen.member.Name, Server: chestnutstream.Backend{Service: p.Service, Address: chosen.member.Address}, Target: p.Target}, true
 }
 
@@ -116,7 +117,7 @@
 			continue
 		}
 		n.cutOff[service] = true
-		n.metrics.GetOrCreateCounter(`chestnutstream_cut_off_total{service="` + service + `"}`).Inc()
+		n.metrics.GetOrCreateCounter(`chestnutstream_cut_off_total{service=` + strconv.Quote(service) + `}`).Inc()
 		if n.probing[service] {
 			continue
 		}
--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -273,3 +275,29 @@
 	assert.Equal(t, n.Routes().Version, uint64(2))
 	assert.Equal(t, n.fleet.Version(adapterOf("m/a")), 3)
 }
+
+// Guards against names that end the process when they become labels of metrics: when the
+// connections to an availability zone fail, each listed service gets one.
+func TestOddServiceNamesInMetrics(t *testing.T) {
+	n := idleNode(t, "a")
+	names := []string{"s", `a"b`, "a\nb", `a\`, "a,b={}", "\x00", "é", strings.Repeat("s", 60_000)}
+	var rows []chestnutstream.TableRow
+	for i, name := range names {
+		value, err := json.Marshal(map[string]any{"service": name, "state": "ready", "address": "127.0.0.1:1", "zone": "y"})
+		assert.NilError(t, err)
+		rows = append(rows, chestnutstream.TableRow{Table: platform.TableServers, Key: fmt.Sprintf("i-%d", i), Value: value, Version: uint64(i + 1)})
+	}
+	n.applyServerRows(rows, false, 0)
+	n.cancel() // no probes
+	n.mu.Lock()
+	for range 20 {
+		n.fleet.RecordOutcome(n.now(), "i-0", fleet.Unreachable, time.Millisecond)
+	}
+	n.updateCutOff()
+	cutOff := len(n.cutOff)
+	n.mu.Unlock()
+	assert.Equal(t, cutOff, len(names))
+	var out strings.Builder
+	n.metrics.WritePrometheus(&out)
+	assert.Check(t, strings.Contains(out.String(), `chestnutstream_cut_off_total{service="a\"b"} 1`), "%.2000s", out.String())
+}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,7 +48,7 @@
 	}
 	d := n.quarantine.Check(now, a.Service, f.traits, n.probeSlot)
 	if d.Blocked {
-		n.metrics.GetOrCreateCounter(`chestnutstream_quarantine_rejections_total{service="` + a.Service + `"}`).Inc()
+		n.metrics.GetOrCreateCounter(`chestnutstream_quarantine_rejections_total{service=` + strconv.Quote(a.Service) + `}`).Inc()
 		return nil, quarantineError(now, d.Verdict, d.RetryAfter)
 	}
 	if d.Probe {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -462,7 +462,7 @@
 	}
 	set := x.server.cfg.Metrics
 	set.GetOrCreateCounter(`chestnutstream_routed_requests_total{status="` + strconv.Itoa(x.status) + `"}`).Inc()
-	set.GetOrCreateHistogram(`chestnutstream_routed_seconds{service="` + x.service + `"}`).Update(took.Seconds())
+	set.GetOrCreateHistogram(`chestnutstream_routed_seconds{service=` + strconv.Quote(x.service) + `}`).Update(took.Seconds())
 	fields := log.Fields{
 		"request-id": x.header.ID, "route": route, "service": x.service, "target": x.header.Target.String(),
 		"servers": strings.Join(x.servers, ","), "software": strings.Join(x.software, ","), "sends": x.attempts, "status": x.status, "ms": took.Milliseconds(),
@@ -470,7 +470,7 @@
 	}
 	if x.stream != nil {
 		fields["pause-ms"], fields["events"] = x.maxPause.Milliseconds(), x.stream.events
-		set.GetOrCreateHistogram(`chestnutstream_stream_pause_seconds{route="` + route + `"}`).Update(x.maxPause.Seconds())
+		set.GetOrCreateHistogram(`chestnutstream_stream_pause_seconds{route=` + strconv.Quote(route) + `}`).Update(x.maxPause.Seconds())
 	}
 	if x.header.Prompt.Tokens > 0 {
 		fields["prompt"] = x.header.Prompt.Tokens
