--- a/edge/readers.go
+++ b/edge/readers.go
@@ -148,7 +148,6 @@
 	slots            int
 	state            chestnutstream.BackendState
 	models           string
-	unreadable       bool
 }
 
 func digestEntry(b chestnutstream.Backend) entryDigest {
@@ -188,7 +187,6 @@
 			continue
 		}
 		e := digestEntry(s.Backend)
-		e.unreadable = !s.UnreadableSince.IsZero()
 		if old, ok := n.sentEntries[key]; !ok || old != e {
 			changed[key] = true
 		}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -366,9 +366,6 @@
 			n.failServerWaits(c.Server, "server "+c.What)
 			delete(n.slotGrants, c.Server)
 			delete(n.unusedGrants, c.Server)
-			if n.fleet.Server(c.Server) == nil {
-				delete(n.rows.servers, c.Server)
-			}
 		case "draining", fleet.ChangeLeaving:
 			n.failServerWaits(c.Server, "server draining")
 		}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -16,10 +16,6 @@
 	// may have expired because of the outage rather than because the server left.
 	// The first read after the recovery shows the entries that expired meanwhile.
 	storeRecoveryWindow = time.Second
-	// unreadableTimeout is how long a server is kept whose entry cannot be read. The
-	// platform removes the entry of a silent server after three of the intervals at which
-	// servers write theirs, which are about 1.2 s.
-	unreadableTimeout = 4 * time.Second
 )
 
 // Entry is a decoded row of the platform's list of servers.
@@ -100,12 +96,8 @@
 		c := Change{Server: e.Key, What: "unreadable", RowVersion: e.RowVersion, Err: e.Err}
 		if s != nil {
 			// A malformed or foreign row has replaced the server's entry. It gives no
-			// information on the server, which stays as it is until its next entry, for
-			// unreadableTimeout.
+			// information on the server, which stays as it is until its next entry.
 			s.RowVersion = e.RowVersion
-			if s.UnreadableSince.IsZero() {
-				s.UnreadableSince = now
-			}
 		}
 		return []Change{c}
 	case s == nil:
@@ -132,7 +124,7 @@
 		s.MissingSince = time.Time{}
 		changes = append(changes, Change{Server: s.ID, What: "back", RowVersion: e.RowVersion})
 	}
-	s.RowVersion, s.Misplaced, s.UnreadableSince = e.RowVersion, false, time.Time{}
+	s.RowVersion, s.Misplaced = e.RowVersion, false
 	if s.State == chestnutstream.BackendReady && e.Backend.State == chestnutstream.BackendDraining {
 		s.State = chestnutstream.BackendDraining
 		changes = append(changes, Change{Server: s.ID, What: "draining", RowVersion: e.RowVersion})
@@ -177,16 +169,15 @@
 	f.removed[s.ID] = s.RowVersion
 }
 
-// Tick removes servers whose missing or unreadable entries did not come back in time, and
-// ends the exclusion of misplaced servers after misplacedTimeout.
+// Tick removes servers whose missing entries did not come back in time, and ends
+// the exclusion of misplaced servers after misplacedTimeout.
 func (f *Fleet) Tick(now time.Time) []Change {
 	var changes []Change
 	for _, s := range f.servers {
 		if s.Misplaced && now.Sub(s.misplacedAt) > misplacedTimeout {
 			s.Misplaced = false
 		}
-		missing := !s.MissingSince.IsZero() && now.Sub(s.MissingSince) > reappearTimeout
-		if missing || f.unreadableTooLong(now, s) {
+		if !s.MissingSince.IsZero() && now.Sub(s.MissingSince) > reappearTimeout {
 			f.remove(s)
 			changes = append(changes, Change{Server: s.ID, What: "gone", RowVersion: s.RowVersion})
 		}
@@ -196,16 +187,3 @@
 	}
 	return changes
 }
-
-// unreadableTooLong reports whether a server's entry could not be read for
-// unreadableTimeout, in which the list was read.
-func (f *Fleet) unreadableTooLong(now time.Time, s *Server) bool {
-	since := s.UnreadableSince
-	if since.IsZero() || f.storeUnavailable {
-		return false
-	}
-	if f.storeRecoveredAt.After(since) {
-		since = f.storeRecoveredAt
-	}
-	return now.Sub(since) > unreadableTimeout
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,9 +17,6 @@
 	MissingSince time.Time // when the store recovered, if the entry was missing after that; it may come back. Zero: the entry is present
 	Misplaced    bool      // another server responded at its address
 	misplacedAt  time.Time
-	// UnreadableSince is when its entry was replaced by one that cannot be read. Zero: its
-	// latest entry could be read.
-	UnreadableSince time.Time
 
 	InFlight               int // requests of this instance in progress
 	detector               outlierDetector
