--- a/instance/codec.go
+++ b/instance/codec.go
@@ -294,16 +294,15 @@
 
 // decoding accepts texts that are not UTF-8: names of models and parts of prompts are
 // callers' headers.
-var decoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}
+var decoding, errDecoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 
 // Decode returns the bundle of a frame.
 func Decode(frame []byte) (Bundle, error) {
-	mode, err := decoding.DecMode()
-	if err != nil {
-		return Bundle{}, fmt.Errorf("decoding options: %w", err)
+	if errDecoding != nil {
+		return Bundle{}, fmt.Errorf("decoding options: %w", errDecoding)
 	}
 	var w wireBundle
-	if err := mode.Unmarshal(frame, &w); err != nil {
+	if err := decoding.Unmarshal(frame, &w); err != nil {
 		return Bundle{}, fmt.Errorf("decode bundle: %w", err)
 	}
 	b := Bundle{
