loader: load no more weights than an engine holds

Callers saw streams break off and 503s while engines crashed one after another: their owners ordered adapters beyond weightsMb. Adapters were counted against adapterSlots only, and adapterSizeMb was decoded and not used, so wherever the weights of an engine are reached before its slots, the next load crashed it, and again after its restart.

What fits now follows from slots and sizes in one place, loader/room.go. It counts base models, and adapters loaded, loading or unloading; while a newer version is loaded, both. Loads, evictions, replacements and the choice of a base model go by it. A new configuration reaches the loaders that exist, and an order without a response is then not sent again. An adapter that fits on no engine is refused at once by its instance and by the owner. The stand-in counts weights, and edge tests and the soak check the count.

--- a/edge/place.go
+++ b/edge/place.go
@@ -82,7 +82,9 @@
 		}
 		version := n.fleet.Version(p.Target)
 		c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), avoid, n.loadable)
-		if c.Replica != nil {
+		spec := n.engineSpec(p.Service)
+		fits := spec == nil || spec.Fits(p.Target)
+		if c.Replica != nil && fits {
 			n.requestReplica(c.Replica.ID, p.Target, version)
 		}
 		if c.Server != nil && c.Loaded {
@@ -132,6 +134,11 @@
 			timer.Sleep(ctx, placeRetryInterval)
 			continue
 		}
+		if !fits {
+			n.mu.Unlock()
+			last = placeResult{retryAfter: noServerRetryAfter, reason: "too large for its engines"}
+			break
+		}
 		ch := n.requestLoad(c.Server.ID, p.Target, version)
 		n.mu.Unlock()
 		last = n.awaitLoad(ctx, c.Server.ID, p.Target, ch)
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -32,6 +32,7 @@
 	storeGate *storeGate
 	backends  []*standin.Backend
 	version   uint64
+	adapterMB float64 // size of an adapter in the configuration
 	stop      chan struct{}
 
 	mu        sync.Mutex
@@ -80,24 +81,32 @@
 	t.Cleanup(func() { _ = srv.Close() })
 }
 
+// testRoutes are the routes of the first configuration.
+const testRoutes = `{"name":"ask","host":"h.example","prefix":"/ask/","type":"streaming","resumable":true,"maxAttempts":2,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
+		{"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
+		{"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"},
+		{"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"}`
+
 // newTestSite starts the stand-ins of the platform with a first configuration.
 func newTestSite(t *testing.T, engines, slots int) *testSite {
-	s := &testSite{t: t, store: standin.NewStore(), stop: make(chan struct{}), addresses: map[string]bool{}}
+	return newSizedTestSite(t, engines, slots, 1)
+}
+
+// newSizedTestSite is newTestSite with a size of the adapters. Engines hold 10 MB of them.
+func newSizedTestSite(t *testing.T, engines, slots int, adapterMB float64) *testSite {
+	s := &testSite{t: t, adapterMB: adapterMB, store: standin.NewStore(), stop: make(chan struct{}), addresses: map[string]bool{}}
 	s.storeGate = &storeGate{next: s.store}
 	t.Cleanup(func() { close(s.stop) })
 	for i := range engines {
 		s.backend(standin.BackendSettings{
-			ID: fmt.Sprintf("i-engine-%d", i), Service: "assistant", Slots: 16, AdapterSlots: slots, Model: "m",
+			ID: fmt.Sprintf("i-engine-%d", i), Service: "assistant", Slots: 16, AdapterSlots: slots, Model: "m", WeightsMB: 100, ModelMB: 90, AdapterMB: adapterMB,
 			ServiceTime: 5 * time.Millisecond, Events: 5, LoadTime: 100 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
 		})
 	}
 	for i := range 2 {
 		s.backend(standin.BackendSettings{ID: fmt.Sprintf("i-desk-%d", i), Service: "desk", Slots: 6, ServiceTime: 5 * time.Millisecond})
 	}
-	s.configure(`{"name":"ask","host":"h.example","prefix":"/ask/","type":"streaming","resumable":true,"maxAttempts":2,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
-		{"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"service":"assistant"},
-		{"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"},
-		{"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2000,"targetLatencyMs":200,"service":"desk"}`)
+	s.configure(testRoutes)
 	return s
 }
 
@@ -120,7 +129,7 @@
 func (s *testSite) process(id string) *standin.BackendProcess {
 	p, err := standin.StartProcess(standin.ProcessSettings{
 		Backend: standin.BackendSettings{
-			ID: id, Service: "assistant", Zone: "zone-a", Slots: 16, AdapterSlots: 4, Model: "m",
+			ID: id, Service: "assistant", Zone: "zone-a", Slots: 16, AdapterSlots: 4, Model: "m", WeightsMB: 100, ModelMB: 90, AdapterMB: 1,
 			ServiceTime: 10 * time.Millisecond, Events: 5, LoadTime: 100 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
 		},
 		Heartbeat: 300 * time.Millisecond, RestartTime: 2 * time.Second,
@@ -150,8 +159,8 @@
 func (s *testSite) configure(routes string) {
 	s.version += 3
 	s.store.Put(platform.TableOperator, "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[
-		{"name":"assistant","healthPath":"/health","maxConnections":100,"engine":{"slots":16,"weightsMb":100,"adapterSlots":3,"models":[{"name":"m","weightsMb":90,"loadTimeS":0.3,"adapters":50,"adapterSizeMb":1}]}},
-		{"name":"desk","healthPath":"/health","maxConnections":100}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, s.version, routes)))
+		{"name":"assistant","healthPath":"/health","maxConnections":100,"engine":{"slots":16,"weightsMb":100,"adapterSlots":3,"models":[{"name":"m","weightsMb":90,"loadTimeS":0.3,"adapters":50,"adapterSizeMb":%g}]}},
+		{"name":"desk","healthPath":"/health","maxConnections":100}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, s.version, routes, s.adapterMB)))
 }
 
 // serverGate opens the connections of an instance to the backend servers of its site, and
@@ -414,6 +423,7 @@
 	for _, b := range s.backends {
 		c := b.Counts()
 		assert.Assert(s.t, !c.SlotsExceeded, "more adapters than slots")
+		assert.Assert(s.t, !c.WeightsExceeded, "more weights than the engine holds")
 		assert.Assert(s.t, !c.FencingTokenDecreased, "a fencing token decreased")
 		assert.Assert(s.t, len(c.Holders) <= 1, "more than one holder gave orders: %v", c.Holders)
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -288,6 +288,11 @@
 		return
 	}
 	n.routes.Store(t)
+	for _, e := range n.loaders {
+		if spec := n.engineSpec(e.Server.Service); spec != nil {
+			e.SetSpec(n.boot(), *spec)
+		}
+	}
 	n.versions.SetRetention(streamRetention(t))
 	n.origins.SetRetention(streamRetention(t))
 	n.rows.config, n.rows.configRowVersion = value, rowVersion
--- a/loader/choose.go
+++ b/loader/choose.go
@@ -11,15 +11,6 @@
 	return ok
 }
 
-// hasRoom reports whether a slot is free or can be freed.
-func (e *Engine) hasRoom(boot time.Duration) bool {
-	if len(e.slots) < e.spec.AdapterSlots {
-		return true
-	}
-	_, ok := e.victim(boot)
-	return ok
-}
-
 // nextCall selects the next call to the engine.
 func (e *Engine) nextCall(boot time.Duration) (Action, bool) {
 	if !e.synced {
@@ -69,8 +60,9 @@
 // whose weights fit; the first one if no request waits.
 func (e *Engine) chooseModel() string {
 	best, waiting := "", -1
+	free := e.free()
 	for _, m := range e.spec.Models {
-		if m.WeightsMB > e.spec.WeightsMB {
+		if !free.fits(room{weightsMB: m.WeightsMB}) {
 			continue
 		}
 		n := 0
@@ -136,33 +128,40 @@
 	if r == nil {
 		return Action{}, false
 	}
-	if s := e.slots[target]; s != nil || len(e.slots) < e.spec.AdapterSlots {
+	s, free, need := e.slots[target], e.free(), e.need(target)
+	if free.fits(need) {
 		why := "wanted"
 		if s != nil {
 			why = "newer version wanted"
 		}
 		return Action{Kind: GiveOrder, Why: why, Order: e.loadOrder(target, r.version)}, true
 	}
-	victim, ok := e.victim(boot)
-	if !ok {
-		return Action{}, false
+	victim, why := target, "room for a newer version" // the older version itself makes room
+	if free.plus(e.evictable(boot)).fits(need) {
+		victim, why = e.victim(boot), "room for "+target.String()
 	}
-	return Action{Kind: GiveOrder, Why: "room for " + target.String(), Order: e.unloadOrder(victim)}, true
+	return Action{Kind: GiveOrder, Why: why, Order: e.unloadOrder(victim)}, true
 }
 
-// nextRequest returns the load request to serve next.
+// nextRequest returns the load request to serve next, among those for which there is
+// room, or will be after unloads.
 func (e *Engine) nextRequest(boot time.Duration) (chestnutstream.ModelAdapter, *loadRequest) {
 	var best chestnutstream.ModelAdapter
 	var found *loadRequest
 	cold, all := e.loadsInProgress()
-	if all >= maxConcurrentLoads {
+	if len(e.requests) == 0 || all >= maxConcurrentLoads {
 		return best, nil
 	}
+	available := e.free().plus(e.evictable(boot))
 	for target, r := range e.requests {
 		if e.isCold(target) && float64(cold) >= e.coldLimit {
 			continue
 		}
-		if s := e.slots[target]; s != nil && s.state != slotLoaded {
+		s := e.slots[target]
+		if s != nil && s.state != slotLoaded {
+			continue
+		}
+		if !available.fits(e.need(target)) && (s == nil || s.inUse(boot)) {
 			continue
 		}
 		if !e.hasModel(target.Model) {
@@ -208,18 +207,23 @@
 	e.coldLimit = min(e.coldLimit+coldLoadIncrease, maxColdLoads)
 }
 
-// victim returns the slot to evict: the least used one that is neither in use nor
-// waited for.
-func (e *Engine) victim(boot time.Duration) (chestnutstream.ModelAdapter, bool) {
+// isVictim reports whether a slot may be evicted: it is neither in use nor waited
+// for.
+func (e *Engine) isVictim(boot time.Duration, target chestnutstream.ModelAdapter, s *slot) bool {
+	return s.state == slotLoaded && !s.inUse(boot) && e.requests[target] == nil && !e.throttle.waitsFor(target)
+}
+
+// victim returns the adapter to evict, the least used one.
+func (e *Engine) victim(boot time.Duration) chestnutstream.ModelAdapter {
 	var best chestnutstream.ModelAdapter
 	found, least := false, 0.0
 	for target, s := range e.slots {
-		if s.state != slotLoaded || s.inUse(boot) || e.requests[target] != nil || e.throttle.waitsFor(target) {
+		if !e.isVictim(boot, target, s) {
 			continue
 		}
 		if score := s.scoreAt(boot); !found || score < least || (score == least && target.Adapter < best.Adapter) {
 			best, least, found = target, score, true
 		}
 	}
-	return best, found
+	return best
 }
--- a/loader/fakeengine_test.go
+++ b/loader/fakeengine_test.go
@@ -10,10 +10,13 @@
 
 // fakeEngine simulates an engine as the platform's documentation describes it. It
 // records a violation when it is ordered to load more adapters than it has slots
-// for, or more than maxConcurrentLoads at once.
+// for, more weights than it holds, or more than maxConcurrentLoads at once.
 type fakeEngine struct {
 	now              time.Duration
 	slots            int
+	weightsMB        float64 // that it holds
+	modelMB          float64 // of each base model
+	adapterMB        float64 // of each adapter
 	orderCount       int
 	models           map[string]bool
 	modelReadyAt     time.Duration // when loadingModel is loaded
@@ -48,10 +51,12 @@
 	testModel     = "m"
 	fakeReportLag = 200 * time.Millisecond
 	fakeLoadTime  = 250 * time.Millisecond
+	testWeightsMB = 100.0 // that an engine holds
+	testModelMB   = 90.0
 )
 
 func newFakeEngine(slots int) *fakeEngine {
-	f := &fakeEngine{now: time.Minute, slots: slots, models: map[string]bool{testModel: true}, adapters: map[string]*fakeAdapter{}}
+	f := &fakeEngine{now: time.Minute, slots: slots, weightsMB: testWeightsMB, modelMB: testModelMB, models: map[string]bool{testModel: true}, adapters: map[string]*fakeAdapter{}}
 	f.recordReport()
 	return f
 }
@@ -176,12 +181,14 @@
 	f.loads++
 	if a != nil {
 		a.nextVersion, a.readyAt = version, f.now+fakeLoadTime
+		f.checkWeights()
 		return chestnutstream.OrderAccepted
 	}
 	f.adapters[o.Target.Adapter] = &fakeAdapter{nextVersion: version, readyAt: f.now + fakeLoadTime}
 	if len(f.adapters) > f.slots {
 		f.violation = fmt.Sprintf("%d adapters in %d slots at %v", len(f.adapters), f.slots, f.now)
 	}
+	f.checkWeights()
 	loading := 0
 	for _, a := range f.adapters {
 		if a.readyAt > 0 {
@@ -194,6 +201,24 @@
 	return chestnutstream.OrderAccepted
 }
 
+// checkWeights records a violation if the engine has been ordered to load more weights
+// than it holds. While an adapter is replaced it holds both versions.
+func (f *fakeEngine) checkWeights() {
+	mb := float64(len(f.models)) * f.modelMB
+	if f.loadingModel != "" {
+		mb += f.modelMB
+	}
+	for _, a := range f.adapters {
+		mb += f.adapterMB
+		if a.version > 0 && a.readyAt > 0 {
+			mb += f.adapterMB
+		}
+	}
+	if mb > f.weightsMB {
+		f.violation = fmt.Sprintf("%.0f MB of weights in %.0f MB at %v", mb, f.weightsMB, f.now)
+	}
+}
+
 func (f *fakeEngine) loadModel(o chestnutstream.BackendOrder) chestnutstream.OrderResult {
 	switch {
 	case f.models[o.Target.Model]:
@@ -203,6 +228,7 @@
 	}
 	f.orderCount++
 	f.loadingModel, f.modelReadyAt = o.Target.Model, f.now+1300*time.Millisecond
+	f.checkWeights()
 	return chestnutstream.OrderAccepted
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -14,7 +14,7 @@
 //
 // loader.go holds the engine's state and the actions due now, choose.go selects
 // the next call, responses.go handles reports and responses to orders, slots.go
-// defines slots and load requests, prefill.go limits the rate of prompts.
+// defines slots and load requests, room.go computes what fits, prefill.go limits the rate of prompts.
 //
 // All times are durations on the boot clock.
 //
@@ -26,9 +26,9 @@
 // report has been read that is recent enough to show the order's effect.
 //
 // A slot counts as occupied from the load order until the engine has reported that
-// it is empty. So there are never more adapters than slots, including those that
-// are loading or in an unknown state: an engine that is ordered to load one more
-// crashes.
+// it is empty. So there are never more adapters than slots, nor more weights than
+// the engine holds, including those that are loading or in an unknown state: an
+// engine that is ordered to load one more crashes. room.go computes what fits.
 package loader
 
 import (
@@ -108,6 +108,15 @@
 	}
 }
 
+// SetSpec replaces the engine's configuration. An order without a response is not sent
+// again, since it may no longer fit.
+func (e *Engine) SetSpec(boot time.Duration, spec chestnutstream.EngineSpec) {
+	e.spec = spec
+	if e.resend != nil {
+		e.invalidate(boot + reportLag)
+	}
+}
+
 // ActionKind is the kind of an action.
 type ActionKind string
 
@@ -296,21 +305,27 @@
 
 // rejectOverdue rejects the load requests that have waited too long for a slot.
 func (e *Engine) rejectOverdue(boot time.Duration) []Action {
+	if len(e.requests) == 0 {
+		return nil
+	}
 	var actions []Action
+	available := e.free().plus(e.evictable(boot))
 	for target, r := range e.requests {
 		if e.slots[target] != nil {
 			continue
 		}
-		limit, why := slotWaitTimeout, "all slots in use"
+		limit, why := slotWaitTimeout, "all slots or weights in use"
 		switch {
+		case !e.spec.Fits(target):
+			limit, why = 0, "too large for the engine"
 		case !e.synced && e.failures > 0:
 			limit, why = 0, "the engine does not answer"
 		case !e.synced:
 			why = "state of the engine not known"
 		case !e.hasModel(target.Model):
 			limit, why = noModelWaitTimeout, "base model not loaded"
-		case e.hasRoom(boot):
-			continue // a slot will be available
+		case available.fits(e.need(target)):
+			continue // there will be room
 		}
 		if boot-r.since < limit {
 			continue
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -21,8 +21,8 @@
 
 func testSpec(slots int) chestnutstream.EngineSpec {
 	return chestnutstream.EngineSpec{
-		Slots: 64, WeightsMB: 100, AdapterSlots: slots,
-		Models: []chestnutstream.ModelSpec{{Name: testModel, WeightsMB: 90, LoadTime: 1300 * time.Millisecond}},
+		Slots: 64, WeightsMB: testWeightsMB, AdapterSlots: slots,
+		Models: []chestnutstream.ModelSpec{{Name: testModel, WeightsMB: testModelMB, LoadTime: 1300 * time.Millisecond}},
 	}
 }
 
@@ -44,6 +44,12 @@
 	}
 }
 
+// setAdapterSize sets the size of the adapters, at the engine and in its configuration.
+func (s *simulation) setAdapterSize(mb float64) {
+	s.engine.adapterMB = mb
+	s.loader.spec.Models[0].AdapterMB = mb
+}
+
 // step calls the loader once and executes its actions.
 func (s *simulation) step() {
 	for _, a := range s.loader.Step(s.engine.now) {
@@ -196,12 +202,19 @@
 }
 
 // Under any sequence of load requests, usage and lost or late orders there are
-// never more adapters than slots and never more than four loading, and requested
+// never more adapters than slots, never more weights than the engine holds and never more than four loading, and requested
 // adapters are loaded once the faults end.
 func TestEngineIsNeverOverloaded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 6).Draw(t, "slots")
 		s := newSimulation(slots)
+		adapterMB := rapid.SampledFrom([]float64{0, 1, 2, 3, 6}).Draw(t, "size")
+		spec := func() chestnutstream.EngineSpec {
+			spec := testSpec(slots)
+			spec.Models[0].AdapterMB = adapterMB
+			return spec
+		}
+		s.setAdapterSize(adapterMB)
 		faults := rapid.IntRange(0, 6).Draw(t, "faults")
 		outcomes := []string{"answered", "answered", "answered", "answered", "late", "unanswered", "lost"}
 		s.outcome = func() string { return rapid.SampledFrom(outcomes[:max(faults, 1)]).Draw(t, "outcome") }
@@ -228,12 +241,12 @@
 			case "restart":
 				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
 					s.engine.restart()
-					s.loader = NewEngine(chestnutstream.Backend{ID: "i-1", Born: int64(s.engine.now)}, testSpec(slots), s.engine.now)
+					s.loader = NewEngine(chestnutstream.Backend{ID: "i-1", Born: int64(s.engine.now)}, spec(), s.engine.now)
 				}
 			case "owner":
 				// Another instance takes over; orders of the previous one may arrive late.
 				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
-					s.loader = NewEngine(chestnutstream.Backend{ID: "i-1"}, testSpec(slots), s.engine.now)
+					s.loader = NewEngine(chestnutstream.Backend{ID: "i-1"}, spec(), s.engine.now)
 				}
 			}
 			if s.engine.violation != "" {
--- a/loader/responses.go
+++ b/loader/responses.go
@@ -48,10 +48,11 @@
 		}
 	}
 	for _, p := range r.Pending {
+		loaded := reported[p.ModelAdapter]
 		reported[p.ModelAdapter] = true
 		s := e.ensureSlot(boot, p.ModelAdapter)
 		if s.state != slotLoading {
-			s.state, s.version, s.since, s.pollAt, s.pollDelay = slotLoading, p.Version, boot, boot+minPollInterval, minPollInterval
+			s.state, s.version, s.since, s.pollAt, s.pollDelay, s.replaces = slotLoading, p.Version, boot, boot+minPollInterval, minPollInterval, loaded
 		}
 	}
 	var actions []Action
--- a/route.go
+++ b/route.go
@@ -91,6 +91,21 @@
 	return nil
 }
 
+// Fits reports whether an engine that holds nothing else can load a base model, or an
+// adapter with its base model. A model that is not declared counts as of size 0.
+func (e *EngineSpec) Fits(target ModelAdapter) bool {
+	m := e.Model(target.Model)
+	switch {
+	case target.Adapter != "" && e.AdapterSlots < 1:
+		return false
+	case m == nil:
+		return true
+	case target.Adapter == "":
+		return m.WeightsMB <= e.WeightsMB
+	}
+	return m.WeightsMB+m.AdapterMB <= e.WeightsMB
+}
+
 // ModelSpec describes a base model that engines may load.
 type ModelSpec struct {
 	Name      string
--- a/soak/check.go
+++ b/soak/check.go
@@ -277,6 +277,9 @@
 	if c.SlotsExceeded {
 		r.reportViolation("%s received orders to load more adapters than it has slots", id)
 	}
+	if c.WeightsExceeded {
+		r.reportViolation("%s received orders to load more weights than it holds", id)
+	}
 	if c.FencingTokenDecreased {
 		r.reportViolation("%s received an order with a lower fencing token than an earlier order", id)
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -146,7 +146,7 @@
 	d.faultyStore = &faultyStore{next: d.store, rng: rng}
 	for i := range engineCount {
 		if err := d.addBackend(standin.BackendSettings{
-			ID: fmt.Sprintf("i-engine-%d", i), Service: "assistant", Slots: 24, AdapterSlots: adapterSlots, Model: "m",
+			ID: fmt.Sprintf("i-engine-%d", i), Service: "assistant", Slots: 24, AdapterSlots: adapterSlots, Model: "m", WeightsMB: 100, ModelMB: 90, AdapterMB: 1,
 			Software: softwareVersions[i%len(softwareVersions)], ServiceTime: 6 * time.Millisecond, Events: eventsPerStream, LoadTime: 120 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
 		}); err != nil {
 			return nil, err
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -27,6 +27,9 @@
 	Software      string // version of its software, named in the events of its streams; empty: "v1", not named
 	Slots         int
 	AdapterSlots  int           // 0 for a plain service
+	WeightsMB     float64       // that an engine holds
+	ModelMB       float64       // size of a base model
+	AdapterMB     float64       // size of an adapter
 	Model         string        // base model that an engine has loaded at the start; empty for none
 	ServiceTime   time.Duration // duration of a plain request, or interval between the events of a stream
 	Events        int           // number of events in a stream
@@ -77,6 +80,7 @@
 	Holders                   []string       // instances that sent orders, in sequence, without immediate repeats
 	FencingTokenDecreased     bool           // an order had a lower fencing token than an earlier one
 	SlotsExceeded             bool           // orders loaded more adapters than AdapterSlots
+	WeightsExceeded           bool           // orders loaded more than WeightsMB
 	UnloadsInUse              int            // unload orders for an adapter with requests in progress
 	Unloads                   int
 	Orders                    int
@@ -93,6 +97,7 @@
 type backendAdapter struct {
 	version        int
 	readyAt        time.Time
+	replaces       bool // an older version stays loaded until readyAt
 	activeRequests int
 }
 
@@ -359,6 +364,7 @@
 		}
 		b.orders++
 		b.crashDuringLoad(o.Model, b.cfg.ModelLoadTime)
+		b.counts.WeightsExceeded = b.counts.WeightsExceeded || (b.model != "" && 2*b.cfg.ModelMB > b.cfg.WeightsMB)
 		b.model, b.modelReadyAt = o.Model, now.Add(b.cfg.ModelLoadTime)
 		return http.StatusAccepted
 	}
@@ -399,11 +405,32 @@
 		load /= 10
 	}
 	b.crashDuringLoad(o.Adapter, load)
-	b.adapters[o.Adapter] = &backendAdapter{version: version, readyAt: now.Add(load)}
+	b.adapters[o.Adapter] = &backendAdapter{version: version, readyAt: now.Add(load), replaces: a != nil}
+	b.counts.WeightsExceeded = b.counts.WeightsExceeded || b.weightsMB(now) > b.cfg.WeightsMB
 	b.counts.SlotsExceeded = b.counts.SlotsExceeded || len(b.adapters) > b.cfg.AdapterSlots
 	return http.StatusAccepted
 }
 
+// weightsMB returns the size of what is loaded and loading, with both versions of an
+// adapter that is being replaced. Callers hold mu.
+func (b *Backend) weightsMB(now time.Time) float64 {
+	mb := b.cfg.ModelMB
+	for _, a := range b.adapters {
+		mb += b.cfg.AdapterMB
+		if a.replaces && now.Before(a.readyAt) {
+			mb += b.cfg.AdapterMB
+		}
+	}
+	return mb
+}
+
+// SetAdapterSize changes the size of the adapters, as a new configuration declares it.
+func (b *Backend) SetAdapterSize(mb float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.AdapterMB = mb
+}
+
 // crashDuringLoad ends the process in the middle of a load, if the fault is in force.
 // Callers hold mu.
 func (b *Backend) crashDuringLoad(name string, load time.Duration) {
