lease: acquire many engines in several transactions

An instance that had 49 engines or more to acquire at once (50 at a first start) sent them in one transaction, two entries each and two for the lease that it ends. The store refuses transactions with more than 100 entries, and the next try was the same transaction, so the last instance of a large zone could never take over, and callers whose adapter was not loaded waited for nothing. The stand-in's store accepted any number.

An acquisition now stops before the limit; the rest follows when it has succeeded. The later transactions must not check a lease row that the first one has removed, so Acquired drops the leases that it ended: those of the last owners whose known version is older than the acquisition. A row that the holder has written since is newer and is kept, and the transaction checks the row in any case. The stand-in enforces the limit.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -43,6 +43,13 @@
 	s.checkBackends()
 }
 
+// Guards against acquisitions that the store refuses because they have too many entries.
+func TestSingleInstanceAcquiresManyEngines(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 60, 3)
+	s.awaitOwners(60, s.instance("edge-a"))
+}
+
 func TestPlainRequestsAndRoutes(t *testing.T) {
 	t.Parallel()
 	s := newTestSite(t, 1, 3)
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -25,7 +25,6 @@
 	originRowsPerWriter = 200                    // so that a stream is kept for 20 s at least
 	originLoadTimeout   = 400 * time.Millisecond // wait of a request for the rows that are read after the start
 	originLoadRetry     = 300 * time.Millisecond // between two reads, and checks whether they are needed
-	maxRowsPerCall      = 100                    // limit of a transaction of the store
 	maxRowsPerWrite     = 10                     // of 40 KB each, so that a transaction stays below 1 MB
 	maxQueuedOrigins    = maxRowsPerWrite * software.MaxOriginsPerRow
 )
@@ -198,7 +197,7 @@
 		return fmt.Errorf("read origins: %w", err)
 	}
 	for len(rows) > 0 {
-		batch := rows[:min(maxRowsPerCall, len(rows))]
+		batch := rows[:min(chestnutstream.MaxTransactionEntries, len(rows))]
 		rows = rows[len(batch):]
 		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 		_, err := n.store.Apply(ctx, chestnutstream.RowTransaction{Deletes: batch})
--- a/edge/verdicts.go
+++ b/edge/verdicts.go
@@ -94,7 +94,7 @@
 		t.Writes = append(t.Writes, chestnutstream.TableRow{Table: lease.Table, Key: key, Value: value})
 	}
 	for key, row := range n.verdictRows {
-		if !kept[key] && n.probeSlot(row.trait) == 0 && len(t.Writes)+len(t.Deletes) < maxRowsPerCall {
+		if !kept[key] && n.probeSlot(row.trait) == 0 && len(t.Writes)+len(t.Deletes) < chestnutstream.MaxTransactionEntries {
 			t.Deletes = append(t.Deletes, chestnutstream.TableRow{Table: lease.Table, Key: key})
 		}
 	}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -104,9 +104,14 @@
 	m.version, m.validUntil = 0, 0
 }
 
+// maxEntriesPerServer is the number of entries that acquire a server and end the lease
+// of its last owner.
+const maxEntriesPerServer = 4
+
 // nextAcquisition selects the servers that this instance should own: those that
 // its earlier process owned, and those without a live owner for which it is the
-// preferred owner.
+// preferred owner. Servers that exceed the limit of a transaction are left to the next
+// acquisition.
 func (m *Manager) nextAcquisition(boot time.Duration, servers []Server) (Action, bool) {
 	if !m.Valid(boot) || m.acquisitionStopped || len(m.acquiring) > 0 {
 		return Action{}, false
@@ -117,6 +122,9 @@
 		if boot < m.retryAt[s.ID] {
 			continue
 		}
+		if a.Transaction.Entries()+maxEntriesPerServer+1 > chestnutstream.MaxTransactionEntries {
+			break
+		}
 		o := m.owners[s.ID]
 		if o.name != "" && o.name != m.self.Name && !ended[o.name] {
 			m.endLease(&a.Transaction, o.name)
@@ -240,10 +248,15 @@
 	return c.rank > o.rank
 }
 
-// Acquired records that an acquisition succeeded; version is that of its rows.
+// Acquired records that an acquisition succeeded; version is that of its rows. The
+// leases of the last owners, which it ended, are dropped.
 func (m *Manager) Acquired(servers []string, version uint64) {
 	for _, s := range servers {
 		delete(m.acquiring, s)
+		o := m.owners[s]
+		if h := m.holders[o.name]; h != nil && o.name != m.self.Name && o.version < version && h.version < version {
+			delete(m.holders, o.name)
+		}
 		m.owners[s] = owner{name: m.self.Name, incarnation: m.self.Incarnation, version: version}
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -36,6 +36,99 @@
 	}
 }
 
+// deliverWithinLimit delivers the calls in flight as the store does: it refuses
+// transactions with too many entries.
+func deliverWithinLimit(sim *simulation) {
+	for len(sim.inFlight) > 0 {
+		c := sim.inFlight[0]
+		if c.action.Transaction.Entries() > chestnutstream.MaxTransactionEntries {
+			sim.inFlight = sim.inFlight[1:]
+			sim.fail(c)
+			continue
+		}
+		sim.deliver(0)
+	}
+}
+
+// Guards against acquisitions that the store refuses because they have too many
+// entries: a single survivor could never take over many engines.
+func TestSingleSurvivorAcquiresManyEngines(t *testing.T) {
+	tests := []struct {
+		name       string
+		contenders int
+		servers    int
+	}{
+		{"first start", 1, 120},
+		{"one lost instance", 2, 120},
+		{"many lost instances", 26, 120},
+		{"49 engines of one lost instance", 2, 98},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := newSimulation(tt.contenders, tt.servers, noMutant)
+			run := func(d time.Duration) {
+				for end := sim.now + d; sim.now < end; sim.now += 100 * time.Millisecond {
+					for i := range sim.managers {
+						if sim.now%(400*time.Millisecond) == 0 {
+							sim.read(i)
+						}
+						sim.step(i)
+					}
+					deliverWithinLimit(sim)
+					for i, m := range sim.managers {
+						for _, s := range m.Owned(sim.now) {
+							sim.order(i, s)
+						}
+					}
+				}
+			}
+			run(5 * time.Second)
+			owned := 0
+			for _, m := range sim.managers {
+				owned += len(m.Owned(sim.now))
+			}
+			assert.Equal(t, owned, tt.servers)
+			for i := range sim.managers[1:] {
+				sim.pause(i + 1)
+			}
+			cfg := DefaultSettings(minHandover)
+			run(cfg.MaxDuration + cfg.HandoverDelay + 2*time.Second)
+			assert.Equal(t, len(sim.managers[0].Owned(sim.now)), tt.servers)
+			sim.restart(0)
+			run(2 * time.Second)
+			assert.Equal(t, len(sim.managers[0].Owned(sim.now)), tt.servers, "after a restart")
+			assert.Equal(t, sim.violation, "")
+		})
+	}
+}
+
+// An acquisition that takes several transactions ends the lease of the last owner in
+// the first one; the later ones must not conflict because that lease has ended.
+func TestLaterAcquisitionsDoNotConflictWithTheFirst(t *testing.T) {
+	sim := newSimulation(2, 200, noMutant)
+	for range 12 {
+		for i := range sim.managers {
+			sim.read(i)
+			sim.step(i)
+		}
+		deliverWithinLimit(sim)
+		sim.now += 400 * time.Millisecond
+	}
+	sim.pause(1)
+	for len(sim.managers[0].Owned(sim.now)) <= 100 {
+		sim.now += 400 * time.Millisecond
+		sim.read(0)
+		sim.step(0)
+		deliverWithinLimit(sim)
+		assert.Assert(t, sim.now < 2*time.Minute, "no takeover")
+	}
+	for range 2 { // without a read
+		sim.step(0)
+		deliverWithinLimit(sim)
+	}
+	assert.Equal(t, len(sim.managers[0].Owned(sim.now)), 200)
+}
+
 func TestTakeoverWaitsForPreviousHolder(t *testing.T) {
 	sim := newSimulation(2, 1, noMutant)
 	runUntilOwned(sim)
--- a/rows.go
+++ b/rows.go
@@ -26,6 +26,10 @@
 	Version uint64
 }
 
+// MaxTransactionEntries is the store's limit on the checks, writes and deletes of a
+// transaction, together.
+const MaxTransactionEntries = 100
+
 // RowTransaction is a transaction, applied atomically if all checks hold.
 type RowTransaction struct {
 	Checks  []RowCheck
@@ -33,6 +37,9 @@
 	Deletes []TableRow
 }
 
+// Entries returns the number of entries that count towards MaxTransactionEntries.
+func (t RowTransaction) Entries() int { return len(t.Checks) + len(t.Writes) + len(t.Deletes) }
+
 // RowStore is the platform's metadata store.
 type RowStore interface {
 	// Apply applies a transaction and returns its version. It fails with a
--- a/standin/store.go
+++ b/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -37,12 +38,13 @@
 	NowMS   int64      `json:"nowMs"`
 }
 
-// Limits of the store: rows in a response, age of changes that are kept, and
-// longest wait of a watch.
+// Limits of the store: rows in a response, entries of a transaction, age of changes
+// that are kept, and longest wait of a watch.
 const (
-	maxPageRows      = 500
-	historyRetention = 20 * time.Second
-	maxWatchWait     = 30 * time.Second
+	maxPageRows           = 500
+	maxTransactionEntries = 100
+	historyRetention      = 20 * time.Second
+	maxWatchWait          = 30 * time.Second
 )
 
 type storeKey struct{ table, part, key string }
@@ -187,6 +189,10 @@
 	if !readJSON(w, r, &t) {
 		return
 	}
+	if n := len(t.Expected) + len(t.Writes) + len(t.Remove); n > maxTransactionEntries {
+		http.Error(w, fmt.Sprintf("%d entries: want at most %d", n, maxTransactionEntries), http.StatusBadRequest)
+		return
+	}
 	version, rows, ok := s.Apply(t)
 	if !ok {
 		writeJSON(w, http.StatusPreconditionFailed, s.response(rows, version))
