table: keep claim transactions within the store's limit

The store refuses more than 100 entries. Callers that sent more than 50 keyed orders at once waited until their deadline and got no claim, and a partition with more than 50 old claims was never swept. The fake table accepted any number; it now has the limit.

Before: TestManyClaimsAreCommittedAndSwept with the limit in the fake table, 220 claims at once: 192 failed with "claim: platform gave no answer: insert claim: context deadline", and "28 claims deleted, want 200".

--- a/table/claims.go
+++ b/table/claims.go
@@ -29,8 +29,8 @@
 
 // Times and limits of claims.
 const (
-	groupCommitDelay       = 3 * time.Millisecond // claims that arrive within this time share one transaction
-	maxGroupCommitClaims   = 64                   // claims per transaction
+	groupCommitDelay       = 3 * time.Millisecond                     // claims that arrive within this time share one transaction
+	maxClaimsPerWrite      = chestnutstream.MaxTransactionEntries / 2 // each is checked and written
 	claimRetryDelay        = 50 * time.Millisecond
 	backgroundWriteTimeout = 2 * time.Minute // total time for which a background write is retried
 	backgroundRetryDelay   = 500 * time.Millisecond
@@ -217,7 +217,7 @@
 	var group, rest []*pendingClaim
 	seen := map[string]bool{}
 	for _, p := range c.pending {
-		if seen[p.key] || len(group) >= maxGroupCommitClaims {
+		if seen[p.key] || len(group) >= maxClaimsPerWrite {
 			rest = append(rest, p)
 			continue
 		}
@@ -344,11 +344,11 @@
 		checks = append(checks, chestnutstream.Check{Key: row.Key, Version: row.Version})
 		writes = append(writes, chestnutstream.Write{Key: row.Key, Delete: true})
 	}
-	if len(writes) == 0 {
-		return 0, nil
-	}
-	if _, err := c.table.Transact(ctx, checks, writes); err != nil {
-		return 0, fmt.Errorf("sweep claims: %w", err)
+	for i := 0; i < len(writes); i += maxClaimsPerWrite {
+		end := min(i+maxClaimsPerWrite, len(writes))
+		if _, err := c.table.Transact(ctx, checks[i:end], writes[i:end]); err != nil {
+			return i, fmt.Errorf("sweep claims: %w", err)
+		}
 	}
 	return len(writes), nil
 }
--- a/table/claims_test.go
+++ b/table/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -149,6 +150,36 @@
 	})
 }
 
+// Guards against transactions that the store refuses because they have too many entries.
+func TestManyClaimsAreCommittedAndSwept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		c := NewClaims(table, time.Now)
+		ctx, cancel := contextWithTimeout(5 * time.Second)
+		defer cancel()
+		var keys []string // of one partition
+		for i := 0; len(keys) < maxSweepDeletes+20; i++ {
+			if k := ClaimKey("caller", "desk", fmt.Sprint(i)); strings.HasPrefix(k, ClaimPrefix+"07/") {
+				keys = append(keys, k)
+			}
+		}
+		var wg sync.WaitGroup
+		for _, k := range keys {
+			wg.Go(func() {
+				verdict, _, _, err := c.Claim(ctx, k, "a", "h")
+				assert.Check(t, err == nil && verdict == ClaimGranted, "%v: %v", verdict, err)
+			})
+		}
+		wg.Wait()
+		time.Sleep(ClaimRetention)
+		for _, want := range []int{maxSweepDeletes, 20, 0} {
+			deleted, err := c.Sweep(t.Context(), 7)
+			assert.Check(t, err == nil && deleted == want, "%d claims deleted, want %d: %v", deleted, want, err)
+		}
+		assert.Equal(t, len(table.rows), 0)
+	})
+}
+
 // A lease is valid after a renewal whose response was lost. After another
 // instance has deleted its row, it is invalid and can only be acquired again
 // under a new incarnation.
--- a/table/fake_test.go
+++ b/table/fake_test.go
@@ -21,6 +21,8 @@
 	loseResponse func() bool // whether the response of this write is lost; may be nil
 }
 
+var errTooManyEntries = errors.New("too many entries")
+
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]chestnutstream.Row{}} }
 
 func (f *fakeTable) Transact(_ context.Context, checks []chestnutstream.Check, writes []chestnutstream.Write) (map[string]uint64, error) {
@@ -29,6 +31,9 @@
 	if f.down {
 		return nil, chestnutstream.ErrUnavailable
 	}
+	if len(checks)+len(writes) > chestnutstream.MaxTransactionEntries {
+		return nil, errTooManyEntries
+	}
 	var conflict chestnutstream.ConflictError
 	for _, c := range checks {
 		if f.rows[c.Key].Version != c.Version {
