loader: order no base model beside one that reports do not show yet

Where the configuration has two models, callers saw streams break off as engines crashed again and again after a restart: an engine that had just got one model was ordered to load the other beside it. The entry with the new start makes the owner begin anew with the engine. The first report it reads then is some hundred milliseconds old: no model, but one accepted order, which the next order rightly expects, so the engine accepts it once it has loaded the first model.

A report without a model that says busy, or counts accepted orders, now leaves open what the engine holds. Reports are read until one shows the model, or until they have shown an idle engine without one for reportLag. An engine that has accepted no order gets its model at the first report, as before: an order that it accepts meanwhile changes the count.

--- a/loader/choose.go
+++ b/loader/choose.go
@@ -27,7 +27,7 @@
 		e.resend = nil
 		return Action{Kind: GiveOrder, Why: "no answer", Order: o}, true
 	}
-	if e.loadingModel != "" || boot < e.blockedUntil {
+	if e.awaitsModel() || boot < e.blockedUntil {
 		return Action{}, false
 	}
 	if a, ok := e.nextReport(boot); ok {
@@ -38,7 +38,7 @@
 
 // nextModel loads a base model onto an engine that has none.
 func (e *Engine) nextModel(boot time.Duration) (Action, bool) {
-	if e.loadingModel != "" {
+	if e.awaitsModel() {
 		if boot < e.reportAt {
 			return Action{}, false
 		}
--- a/loader/fakeengine_test.go
+++ b/loader/fakeengine_test.go
@@ -27,6 +27,8 @@
 	delayed          []delayedOrder
 	violation        string
 	loads            int
+	modelLoadTime    time.Duration
+	reportLag        time.Duration
 	ignoreOrderCount bool // mutant: the order count that an order expects is not checked
 }
 
@@ -48,15 +50,16 @@
 }
 
 const (
-	testModel     = "m"
-	fakeReportLag = 200 * time.Millisecond
-	fakeLoadTime  = 250 * time.Millisecond
-	testWeightsMB = 100.0 // that an engine holds
-	testModelMB   = 90.0
+	testModel         = "m"
+	fakeReportLag     = 200 * time.Millisecond
+	fakeLoadTime      = 250 * time.Millisecond
+	fakeModelLoadTime = 1300 * time.Millisecond
+	testWeightsMB     = 100.0 // that an engine holds
+	testModelMB       = 90.0
 )
 
 func newFakeEngine(slots int) *fakeEngine {
-	f := &fakeEngine{now: time.Minute, slots: slots, weightsMB: testWeightsMB, modelMB: testModelMB, models: map[string]bool{testModel: true}, adapters: map[string]*fakeAdapter{}}
+	f := &fakeEngine{now: time.Minute, slots: slots, weightsMB: testWeightsMB, modelMB: testModelMB, modelLoadTime: fakeModelLoadTime, reportLag: fakeReportLag, models: map[string]bool{testModel: true}, adapters: map[string]*fakeAdapter{}}
 	f.recordReport()
 	return f
 }
@@ -117,11 +120,11 @@
 	}
 }
 
-// report returns the engine's state as of fakeReportLag ago.
+// report returns the engine's state as of reportLag ago.
 func (f *fakeEngine) report() chestnutstream.BackendReport {
 	best := f.history[0]
 	for _, s := range f.history {
-		if s.at <= f.now-fakeReportLag {
+		if s.at <= f.now-f.reportLag {
 			best = s
 		}
 	}
@@ -227,7 +230,7 @@
 		return chestnutstream.OrderConflict
 	}
 	f.orderCount++
-	f.loadingModel, f.modelReadyAt = o.Target.Model, f.now+1300*time.Millisecond
+	f.loadingModel, f.modelReadyAt = o.Target.Model, f.now+f.modelLoadTime
 	f.checkWeights()
 	return chestnutstream.OrderAccepted
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -85,6 +85,8 @@
 
 	models       map[string]int // loaded base models and their versions
 	loadingModel string         // the base model that is being loaded
+	mayHoldModel bool           // the engine may load or hold a base model that no report shows yet
+	idle         idleEngine     // as of the latest reports, if they say so
 	modelRetryAt time.Duration  // earliest next base model load; the last one has failed if it is not loaded by then
 	slots        map[chestnutstream.ModelAdapter]*slot
 	requests     map[chestnutstream.ModelAdapter]*loadRequest
@@ -97,6 +99,13 @@
 	Running, Queued int // as of the newest report
 }
 
+// idleEngine is the state of an engine that holds no base model and loads none.
+type idleEngine struct {
+	since      time.Duration // the first of the reports in a row that showed it
+	born       int64
+	orderCount int
+}
+
 // NewEngine returns the loader of an engine in an unknown state. An earlier
 // process of this instance may have sent orders up to now, so the first report is
 // read after reportLag, when reports show the effect of those orders.
@@ -344,7 +353,7 @@
 			at, ok = t, true
 		}
 	}
-	if !e.synced || e.loadingModel != "" {
+	if !e.synced || e.awaitsModel() {
 		earliest(e.reportAt)
 	}
 	for _, s := range e.slots {
@@ -359,7 +368,7 @@
 		// After noModelWaitTimeout a load request waits for an idle slot.
 		earliest(max(r.since+noModelWaitTimeout, boot+slotCheckInterval))
 	}
-	if e.synced && len(e.models) == 0 && e.loadingModel == "" {
+	if e.synced && len(e.models) == 0 && !e.awaitsModel() {
 		earliest(e.modelRetryAt)
 	}
 	if due, waits := e.throttle.nextAt(boot); waits {
--- a/loader/responses.go
+++ b/loader/responses.go
@@ -18,17 +18,36 @@
 	}
 	e.orderCount, e.synced = r.OrderCount, true
 	notices := e.reconcile(boot, r)
-	if e.loadingModel != "" {
-		if _, ok := e.models[e.loadingModel]; ok {
-			e.loadingModel = ""
-		} else if !r.Busy && boot > e.modelRetryAt {
-			e.loadingModel = "" // the load failed and is ordered again
-		}
+	e.updateModelLoad(boot, r)
+	if e.awaitsModel() {
 		e.reportAt = boot + modelReportInterval
 	}
 	return notices
 }
 
+// updateModelLoad updates the base model load that is in progress or may be. An engine
+// that has accepted orders, though its report shows no model, may be loading one or have
+// loaded it since: an owner before this one ordered it. It gets no other model until
+// reports over reportLag show that it is idle and holds none.
+func (e *Engine) updateModelLoad(boot time.Duration, r chestnutstream.BackendReport) {
+	if r.Busy || len(e.models) > 0 {
+		e.idle = idleEngine{}
+	} else if e.idle.since == 0 || e.idle.born != r.Born || e.idle.orderCount != r.OrderCount {
+		e.idle = idleEngine{since: boot, born: r.Born, orderCount: r.OrderCount}
+	}
+	e.mayHoldModel = len(e.models) == 0 && (r.Busy || (r.OrderCount > 0 && boot-e.idle.since < reportLag))
+	if e.loadingModel == "" {
+		return
+	}
+	if _, ok := e.models[e.loadingModel]; ok || (!r.Busy && boot > e.modelRetryAt) {
+		e.loadingModel = "" // loaded, or failed and ordered again
+	}
+}
+
+// awaitsModel reports whether the engine loads a base model, or may load or hold one that
+// its reports do not show yet.
+func (e *Engine) awaitsModel() bool { return e.loadingModel != "" || e.mayHoldModel }
+
 // reconcile updates models and slots from a report.
 func (e *Engine) reconcile(boot time.Duration, r chestnutstream.BackendReport) []Action {
 	e.models = map[string]int{}
