ingress: respond to requests that wait when a drain begins

The wait for a server ended with the request's own placement deadline, which knows nothing of a drain, and Instance.Drain closed all connections at its end. Now a wait ends after half of the time left when the drain began, or when the request arrived during it, with 503 and Retry-After; the other half is left for the responses of those that are placed. A request that was sent to a server or another instance keeps its time until the end of the drain. If it has no response by then, it gets 502, before the connections are closed. Instances that requests are forwarded to get no more time than is left.

--- a/cmd/chestnutstream/process_test.go
+++ b/cmd/chestnutstream/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -332,3 +333,32 @@
 		})
 	}
 }
+
+// A second SIGTERM must not cut a drain short.
+func TestSecondSIGTERMDoesNotEndADrain(t *testing.T) {
+	f := &fleet{t: t, binary: filepath.Join(t.TempDir(), "chestnutstream")}
+	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	var addresses []any
+	for range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+		if len(addresses) < 4 { // nothing responds at the store's
+			assert.NilError(t, l.Close())
+		}
+	}
+	settings := filepath.Join(t.TempDir(), "boot.yaml")
+	text := fmt.Sprintf("nodeName: edge-a\nzone: zone-a\nip: 127.0.0.1\nlisten: {frontend: %q, readiness: %q, control: %q}\nbounds: {graceS: 6, drainMs: 2000, leaseMs: 3000}\nplatform: {address: %q}\n", addresses...)
+	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
+	p := f.start(`"callers":"`, "edge", "-settings", settings)
+	begun := time.Now()
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(500 * time.Millisecond)
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	state, err := p.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, state.ExitCode(), 0)
+	assert.Assert(t, time.Since(begun) > 3*time.Second, "ended after %v", time.Since(begun))
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	gcPercent         = 200                     // heap growth between collections: processor time is billed at a higher rate than memory
 	drainDelay        = 3200 * time.Millisecond // from SIGTERM until idle connections are closed: the balancer needs two failed readiness checks
 	drainMargin       = 400 * time.Millisecond  // before the end of the grace period
+	lastResponseTime  = 150 * time.Millisecond  // from there, for the responses to requests that have none
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -149,6 +150,7 @@
 	n.draining.Store(&drainState{startedAt: start, end: end})
 	n.leases.StopAcquiring()
 	n.mu.Unlock()
+	in.ingress.StartDrain()
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Draining = true })
 	for n.now().Sub(start) < drainDelay && n.now().Before(end) {
 		n.sleep(drainPollInterval)
@@ -161,6 +163,9 @@
 		err = ctx.Err()
 	}
 	left := in.ingress.InProgress()
+	if err != nil {
+		n.sleep(lastResponseTime)
+	}
 	in.Close()
 	if err != nil {
 		return fmt.Errorf("%d requests in progress at the end of the grace period: %w", left, err)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -29,9 +29,6 @@
 func (x *exchange) run() {
 	for {
 		a, err := x.place()
-		if aborted := x.aborted(); aborted != nil && err != nil {
-			err = aborted
-		}
 		if err != nil {
 			x.respondUnplaced(err)
 			return
@@ -48,7 +45,12 @@
 	if x.attempts >= maxAttempts {
 		return Assignment{}, &NoServerError{Reason: fmt.Sprintf("not taken by %d servers: %s", x.attempts, x.reason), RetryAfter: retryAfterDefault}
 	}
-	a, err := x.server.dispatcher.Place(x.ctx, x.placement(x.placementDeadline()))
+	ctx, cancel := x.waitContext()
+	defer cancel()
+	a, err := x.server.dispatcher.Place(ctx, x.placement(x.placementDeadline()))
+	if aborted := abortedBy(ctx); aborted != nil && err != nil {
+		return Assignment{}, aborted
+	}
 	if err != nil {
 		return Assignment{}, fmt.Errorf("place: %w", err)
 	}
--- a/ingress/draining.go
+++ b/ingress/draining.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -32,6 +33,68 @@
 	retryAfterDraining = 10 * time.Millisecond
 )
 
+// drainStages are the points of a drain at which requests get a response all the same.
+type drainStages struct {
+	waitsEnd     context.Context // for requests that wait for a server since before the drain
+	responsesEnd context.Context // for all that have got no response
+	endWaits     context.CancelFunc
+	endResponses context.CancelFunc
+}
+
+func newDrainStages() drainStages {
+	var s drainStages
+	s.waitsEnd, s.endWaits = context.WithCancel(context.Background())
+	s.responsesEnd, s.endResponses = context.WithCancel(context.Background())
+	return s
+}
+
+// StartDrain is to be called when the dispatcher begins to drain: requests that wait for a
+// server get a response while there is time to be served by another instance, and those
+// without a response at the end of the drain get one then.
+func (s *Server) StartDrain() {
+	d, _ := s.dispatcher.Draining()
+	time.AfterFunc(d.maxWait(), s.drain.endWaits)
+	time.AfterFunc(d.Remaining, s.drain.endResponses)
+}
+
+// maxWait returns how long a request may wait for a server from now on: half of the
+// time that is left, so that the other half is left for the response.
+func (d Drain) maxWait() time.Duration { return d.Remaining / 2 }
+
+// waitsEnd returns the context that ends the waits of a request that arrives now.
+func (s *Server) waitsEnd() (context.Context, context.CancelFunc) {
+	drain, draining := s.dispatcher.Draining()
+	if !draining {
+		return s.drain.waitsEnd, func() {}
+	}
+	return context.WithTimeout(context.Background(), drain.maxWait())
+}
+
+// errDraining returns the error for a request that this instance can no longer serve.
+func errDraining() *NoServerError {
+	return &NoServerError{Reason: "this instance stops before the answer would end", RetryAfter: retryAfterDraining}
+}
+
+// waitContext returns the context for the wait for a server. A request that may have run
+// cannot be served by another instance, so it waits until the end of the drain.
+func (x *exchange) waitContext() (context.Context, context.CancelFunc) {
+	end := x.waitsEnd
+	if x.mayHaveRun {
+		end = x.server.drain.responsesEnd
+	}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	stop := context.AfterFunc(end, func() { cancel(errDraining()) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
+// abortUnanswered aborts the request at the end of a drain, unless a server has begun to
+// respond.
+func (x *exchange) abortUnanswered() {
+	if !x.responseBegun.Load() {
+		x.abort(errDraining())
+	}
+}
+
 // durationHistory keeps the durations of recent responses of each route. The zero
 // value is ready for use.
 type durationHistory struct {
--- a/ingress/draining_test.go
+++ b/ingress/draining_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -130,3 +131,130 @@
 	}
 	assert.Check(t, simCutOff < simGracePeriod)
 }
+
+// startDrain begins a drain of a server, and returns when.
+func (f *testServer) startDrain(remaining time.Duration) time.Time {
+	f.dispatcher.setDrain(Drain{Since: time.Millisecond, Remaining: remaining})
+	f.handler.StartDrain()
+	return time.Now()
+}
+
+// sendAsync sends a request and returns the channel that receives its outcome.
+func (f *testServer) sendAsync(t *testing.T, path string) <-chan drainResponse {
+	ch := make(chan drainResponse, 1)
+	go func() {
+		resp, _, err := f.send(t, "POST", path, "")
+		r := drainResponse{err: err, at: time.Now()}
+		if err == nil {
+			r.status, r.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
+		}
+		ch <- r
+	}()
+	return ch
+}
+
+type drainResponse struct {
+	status     int
+	retryAfter string
+	err        error
+	at         time.Time
+}
+
+// Requests that waited for a server when a drain began, or arrived during it, got no response.
+func TestDrainRespondsToRequestsThatWaitForAServer(t *testing.T) {
+	t.Parallel()
+	const remaining = 1200 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		path   string
+		during time.Duration // since the begin of the drain, when it arrives; 0: it waits already
+	}{
+		{"stream", "/ask/1", 0},
+		{"order", "/order/1", 0},
+		{"stream that arrives during the drain", "/ask/1", 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestServer(t)
+			f.dispatcher.setPlaceBlocks(true)
+			var response <-chan drainResponse
+			if c.during == 0 {
+				response = f.sendAsync(t, c.path)
+				time.Sleep(100 * time.Millisecond)
+			}
+			begun := f.startDrain(remaining)
+			if c.during > 0 {
+				time.Sleep(c.during)
+				f.dispatcher.setDrain(Drain{Since: c.during, Remaining: remaining - c.during})
+				response = f.sendAsync(t, c.path)
+			}
+			r := <-response
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, http.StatusServiceUnavailable)
+			assert.Assert(t, r.retryAfter != "")
+			took := r.at.Sub(begun)
+			assert.Assert(t, took >= remaining/3 && took < remaining*9/10, "%v after the begin of the drain", took)
+		})
+	}
+}
+
+// A drain must not end a request early because its server is silent.
+func TestDrainLeavesTimeToRequestsAtServers(t *testing.T) {
+	t.Parallel()
+	const remaining = 800 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		takes    time.Duration
+		status   int
+		from, to time.Duration // when it gets its response
+	}{
+		{"responds after the wait for servers has ended", 600 * time.Millisecond, http.StatusOK, 400 * time.Millisecond, 790 * time.Millisecond},
+		{"responds too late", 1500 * time.Millisecond, http.StatusBadGateway, 750 * time.Millisecond, 1200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, "i-1", func(conn net.Conn, r *http.Request, id string) bool {
+				time.Sleep(c.takes)
+				return respondOK(conn, r, id)
+			})
+			f := newTestServer(t, b)
+			response := f.sendAsync(t, "/order/1")
+			for b.requestCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			begun := f.startDrain(remaining)
+			r := <-response
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, c.status)
+			took := r.at.Sub(begun)
+			assert.Assert(t, took >= c.from && took < c.to, "%v after the begin of the drain", took)
+		})
+	}
+}
+
+// An order at another instance must not be reported as not run when the drain ends.
+func TestDrainEndsForwardedRequestAsUnknown(t *testing.T) {
+	t.Parallel()
+	waits := newTestServer(t)
+	waits.dispatcher.setPlaceBlocks(true)
+	f := forwardingServer(t, waits.peerAddress(t))
+	response := f.sendAsync(t, "/order/1")
+	time.Sleep(100 * time.Millisecond)
+	f.startDrain(500 * time.Millisecond)
+	r := <-response
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusBadGateway)
+}
+
+// A request that is forwarded during a drain is not run, and its caller is told in time.
+func TestForwardedRequestEndsWithinTheDrain(t *testing.T) {
+	t.Parallel()
+	waits := newTestServer(t)
+	waits.dispatcher.setPlaceBlocks(true)
+	f := forwardingServer(t, waits.peerAddress(t))
+	f.dispatcher.allowRetry = false
+	begun := f.startDrain(600 * time.Millisecond)
+	r := <-f.sendAsync(t, "/order/1")
+	assert.NilError(t, r.err)
+	assert.Assert(t, r.status >= 500 && r.at.Sub(begun) < 700*time.Millisecond, "%d after %v", r.status, r.at.Sub(begun))
+}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -132,7 +132,10 @@
 func (d *fakeDispatcher) AwaitRoutes(context.Context) *chestnutstream.RouteTable { return d.table }
 
 func (d *fakeDispatcher) Place(ctx context.Context, p PlacementRequest) (Assignment, error) {
-	if d.placeBlocks {
+	d.mu.Lock()
+	blocks := d.placeBlocks
+	d.mu.Unlock()
+	if blocks {
 		<-ctx.Done()
 		return Assignment{}, ctx.Err()
 	}
@@ -217,7 +220,23 @@
 	return d.unreachable[a.Server.ID]
 }
 
-func (d *fakeDispatcher) Draining() (Drain, bool) { return d.drain, d.drain != Drain{} }
+func (d *fakeDispatcher) Draining() (Drain, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drain, d.drain != Drain{}
+}
+
+func (d *fakeDispatcher) setDrain(drain Drain) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drain = drain
+}
+
+func (d *fakeDispatcher) setPlaceBlocks(blocks bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placeBlocks = blocks
+}
 
 // awaitDone waits until a server has no requests in progress.
 func awaitDone(t *testing.T, s *Server) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -177,7 +177,11 @@
 }
 
 // forwardDeadline returns the time left for an instance that the request is forwarded to,
-// which does not know when the request came.
+// which knows neither when the request came nor of a drain here.
 func (x *exchange) forwardDeadline() time.Duration {
-	return min(x.remaining(), x.deadline.Sub(x.server.cfg.Timer.Now()))
+	left := min(x.remaining(), x.deadline.Sub(x.server.cfg.Timer.Now()))
+	if drain, draining := x.server.dispatcher.Draining(); draining {
+		left = min(left, drain.Remaining)
+	}
+	return left
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -94,7 +94,9 @@
 // if that fails, too. It returns false if a stream of that server is to be resumed.
 func (x *exchange) relayRetry(a Assignment, br *backendResponse, body []byte) bool {
 	x.avoid[a.Server.ID] = true
-	next, err := x.server.dispatcher.Place(x.ctx, x.placement(time.Time{}))
+	ctx, cancel := x.waitContext()
+	next, err := x.server.dispatcher.Place(ctx, x.placement(time.Time{}))
+	cancel()
 	if err != nil {
 		x.writeResponse(br.resp, body)
 		return true
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -168,13 +168,14 @@
 	singleUse     *http.Transport // opens a connection for each request
 	inProgress    atomic.Int64
 	durations     durationHistory
+	drain         drainStages
 }
 
 // NewServer returns a server that places its requests with d.
 func NewServer(cfg Settings, d Dispatcher) *Server {
 	s := &Server{
 		cfg: cfg, dispatcher: d, nonRepeatable: newTransport(cfg.Dial, idleTimeoutNonRepeatable),
-		repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable), singleUse: newTransport(cfg.Dial, 0),
+		repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable), singleUse: newTransport(cfg.Dial, 0), drain: newDrainStages(),
 	}
 	s.singleUse.DisableKeepAlives = true
 	return s
@@ -224,6 +225,7 @@
 	forwardRetryAfter time.Duration // of the latest instance that has not run the request
 	responseBegun     atomic.Bool   // the server of the latest attempt has begun to respond
 	abort             context.CancelCauseFunc
+	waitsEnd          context.Context // ends when a drain ends the wait for a server
 }
 
 // Statuses that this package generates. statusNotRun is sent only if the request
@@ -366,7 +368,7 @@
 	if !draining || x.server.durations.endsInTime(drain, x.route.Name, x.header.Prompt, x.timeLimit()) {
 		return true
 	}
-	x.reject(retryAfterDraining, "this instance stops before the answer would end")
+	x.respondUnplaced(errDraining())
 	return false
 }
 
@@ -389,13 +391,19 @@
 	x.deadline = x.start.Add(x.timeLimit() - deadlineMargin)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	ctx, x.abort = context.WithCancelCause(ctx)
-	return ctx, func() { x.abort(nil); cancel() }
+	var cancelWaits context.CancelFunc
+	x.waitsEnd, cancelWaits = x.server.waitsEnd()
+	stop := context.AfterFunc(x.server.drain.responsesEnd, x.abortUnanswered)
+	return ctx, func() { stop(); cancelWaits(); x.abort(nil); cancel() }
 }
 
-// aborted returns the error with which the dispatcher has aborted the request, or nil.
-func (x *exchange) aborted() *NoServerError {
+// aborted returns the error with which the dispatcher or a drain has aborted the request,
+// or nil.
+func (x *exchange) aborted() *NoServerError { return abortedBy(x.ctx) }
+
+func abortedBy(ctx context.Context) *NoServerError {
 	var err *NoServerError
-	if errors.As(context.Cause(x.ctx), &err) {
+	if errors.As(context.Cause(ctx), &err) {
 		return err
 	}
 	return nil
