ingress: release the assignment of a stream that is broken off

Each stream that was broken off left its server counted as busier for as long as the instance ran, and its adapter counted as in use at the server's owner.

exchange.run released the assignment after attempt returned, but a stream is broken off by a panic (http.ErrAbortHandler). attempt now releases it on each way out.

Without the fix TestAssignmentsAreReleasedOnEachWayOut failed for a stream that may not be resumed ("1 (openPlacements) != 0"). The tests of edge now check at their end that each instance counts nothing as in progress; without the fix TestStreamsTakenUpByCallersContinueOnTheirSoftwareVersion failed there ("edge-a: 3 requests in progress at i-new-0").

--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -288,9 +288,41 @@
 	in, err := startOnFreePorts(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel}, servers.dial)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
+	s.t.Cleanup(func() { checkNothingInProgress(s.t, in) })
 	return &testInstance{Instance: in, cfg: cfg, log: h, storeGate: own, servers: servers}
 }
 
+// checkNothingInProgress checks that an instance counts nothing as in progress once all its
+// requests have ended.
+func checkNothingInProgress(t *testing.T, in *Instance) {
+	t.Helper()
+	if t.Failed() {
+		return
+	}
+	eventually(t, "no requests in progress", func() bool { return in.ingress.InProgress() == 0 })
+	n := in.Node()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.fleet.Servers() {
+		assert.Check(t, s.InFlight == 0, "%s: %d requests in progress at %s", n.cfg.Instance, s.InFlight, s.ID)
+	}
+	for k, u := range n.usage {
+		assert.Check(t, u.inProgress == 0, "%s: %d requests in progress for %s at %s", n.cfg.Instance, u.inProgress, k.target, k.server)
+	}
+	for name, p := range n.peers {
+		assert.Check(t, p.forwarded == 0, "%s: %d requests forwarded to %s", n.cfg.Instance, p.forwarded, name)
+	}
+	for server, grants := range n.unusedGrants {
+		assert.Check(t, grants == 0, "%s: %d unused slots of %s", n.cfg.Instance, grants, server)
+	}
+	for k, w := range n.loadWaits {
+		assert.Check(t, len(w.waiters) == 0, "%s: %d requests wait for %s at %s", n.cfg.Instance, len(w.waiters), k.target, k.server)
+	}
+	assert.Check(t, len(n.permitWaiters) == 0, "%s: %d requests wait for permits", n.cfg.Instance, len(n.permitWaiters))
+	assert.Check(t, len(n.prefillWaits) == 0, "%s: %d requests wait for prefill grants", n.cfg.Instance, len(n.prefillWaits))
+	assert.Check(t, len(n.flights) == 0, "%s: %d requests with traits", n.cfg.Instance, len(n.flights))
+}
+
 // idleNode returns a node that watches no table and has no store.
 func idleNode(t interface{ Cleanup(func()) }, name string) *Node {
 	n := newNode(platform.Settings{Instance: name, Zone: "z", Store: "127.0.0.1:1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -33,9 +33,7 @@
 			x.respondUnplaced(err)
 			return
 		}
-		done := x.attempt(a)
-		x.server.dispatcher.Release(a)
-		if done {
+		if x.attempt(a) {
 			return
 		}
 	}
@@ -100,9 +98,11 @@
 	return until
 }
 
-// attempt sends the request to one server. It returns true if the caller has a
-// response or the request cannot be retried.
+// attempt sends the request to one server and releases its assignment, also when it
+// panics to break the response off. It returns true if the caller has a response or the
+// request cannot be retried.
 func (x *exchange) attempt(a Assignment) bool {
+	defer x.server.dispatcher.Release(a)
 	start := x.server.cfg.Timer.Now()
 	x.recordSend(a)
 	x.responseBegun.Store(false)
