soak: check that nothing stays counted as in progress

A request that is never released makes its server count as busier for good, which callers see only as uneven load. At the end of a run the dump of each instance must show no request in progress. TestRequestsThatStayCountedAreReported shows that the check reports one.

--- a/soak/check.go
+++ b/soak/check.go
@@ -208,18 +208,41 @@
 // fetchConfigVersion returns the configuration version in an instance's dump, and
 // false if the dump cannot be read.
 func fetchConfigVersion(client *http.Client, inst *instance) (uint64, bool) {
+	d, ok := fetchDump(client, inst)
+	return d.Version, ok
+}
+
+// stateDump is what the checks read of an instance's dump.
+type stateDump struct {
+	Version uint64 `json:"configuration-version"`
+	Servers []struct {
+		ID       string `json:"id"`
+		InFlight int    `json:"in-flight"`
+	} `json:"servers"`
+}
+
+func fetchDump(client *http.Client, inst *instance) (d stateDump, ok bool) {
 	resp, err := client.Get("http://" + inst.metricsAddr + "/dump")
 	if err != nil {
-		return 0, false
+		return d, false
 	}
 	defer resp.Body.Close()
-	var dump struct {
-		Version uint64 `json:"configuration-version"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
-		return 0, false
+	err = json.NewDecoder(resp.Body).Decode(&d)
+	return d, err == nil
+}
+
+// checkNothingInProgress checks that no instance counts requests as in progress after all
+// have ended.
+func (r *run) checkNothingInProgress() {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for _, inst := range r.instances {
+		d, _ := fetchDump(client, inst)
+		for _, s := range d.Servers {
+			if s.InFlight > 0 {
+				r.reportViolation("%s counts %d requests as in progress at %s after all have ended", inst.name, s.InFlight, s.ID)
+			}
+		}
 	}
-	return dump.Version, true
 }
 
 // checkRecovery checks that after the last fault at least 9 of 10 requests are
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,6 +76,7 @@
 	stopWatch()
 	time.Sleep(coolDownDuration / 2)
 	r.checkServerCounts()
+	r.checkNothingInProgress()
 	d.close()
 	report := r.report(cfg)
 	if len(report.Violations) == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -408,3 +409,21 @@
 	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
+
+func TestRequestsThatStayCountedAreReported(t *testing.T) {
+	for _, c := range []struct {
+		inFlight int
+		want     []string
+	}{
+		{0, nil},
+		{2, []string{"edge-a counts 2 requests as in progress at i-1 after all have ended"}},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"servers":[{"id":"i-1","in-flight":%d}]}`, c.inFlight)
+		}))
+		r := &run{deployment: &deployment{instances: []*instance{{name: "edge-a", metricsAddr: srv.Listener.Addr().String()}}}}
+		r.checkNothingInProgress()
+		srv.Close()
+		assert.DeepEqual(t, r.violations, c.want)
+	}
+}
