loader: an engine without stated weights is limited by its slots

With weights counted, a configuration that states no weightsMb would have let engines load no model and no adapter that has a size. A limit that is not stated now limits nothing, as before for adapters. TestEngineWithoutStatedWeightsIsLimitedBySlots fails without it.

--- a/loader/room.go
+++ b/loader/room.go
@@ -24,7 +24,7 @@
 // free returns the room that is left beside all that the engine holds or may hold:
 // base models and adapters that are loaded, loading or unloading.
 func (e *Engine) free() room {
-	r := room{e.spec.AdapterSlots - len(e.slots), e.spec.WeightsMB}
+	r := room{e.spec.AdapterSlots - len(e.slots), e.spec.MaxWeightsMB()}
 	for model := range e.models {
 		r.weightsMB -= e.modelMB(model)
 	}
--- a/loader/room_test.go
+++ b/loader/room_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream"
 )
 
 // Guards against counting adapters only against the slots, which loaded more weights
@@ -133,3 +135,13 @@
 	assert.Equal(t, s.notified["a"], string(RejectLoad))
 	assert.Equal(t, s.engine.loads, 0)
 }
+
+// Guards against engines that load nothing because the configuration states no weights.
+func TestEngineWithoutStatedWeightsIsLimitedBySlots(t *testing.T) {
+	for _, weightsMB := range []float64{0, -1} {
+		spec := chestnutstream.EngineSpec{WeightsMB: weightsMB, AdapterSlots: 2, Models: []chestnutstream.ModelSpec{{Name: "m", WeightsMB: 90, AdapterMB: 1}}}
+		assert.Assert(t, spec.Fits(adapter("a1")) && spec.Fits(chestnutstream.ModelAdapter{Model: "m"}))
+		e := NewEngine(chestnutstream.Backend{ID: "i"}, spec, 0)
+		assert.Assert(t, e.free().fits(e.need(adapter("a1"))))
+	}
+}
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package chestnutstream
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -75,7 +76,7 @@
 type EngineSpec struct {
 	Slots               int // batch size in requests
 	KVCacheTokens       int // KV cache capacity
-	WeightsMB           float64
+	WeightsMB           float64 // of base models and adapters together, in MB; 0: no limit is stated
 	AdapterSlots        int
 	Models              []ModelSpec
 	StoreLoadsPerSecond float64 // model loads from the weight store, over all servers
@@ -101,9 +102,18 @@
 	case m == nil:
 		return true
 	case target.Adapter == "":
-		return m.WeightsMB <= e.WeightsMB
+		return m.WeightsMB <= e.MaxWeightsMB()
 	}
-	return m.WeightsMB+m.AdapterMB <= e.WeightsMB
+	return m.WeightsMB+m.AdapterMB <= e.MaxWeightsMB()
+}
+
+// MaxWeightsMB returns the weights that an engine holds, in MB; without a limit in the
+// configuration it is infinite.
+func (e *EngineSpec) MaxWeightsMB() float64 {
+	if e.WeightsMB <= 0 {
+		return math.Inf(1)
+	}
+	return e.WeightsMB
 }
 
 // ModelSpec describes a base model that engines may load.
