--- a/route.go
+++ b/route.go
@@ -74,8 +74,8 @@
 
 // EngineSpec describes the model engines of a service.
 type EngineSpec struct {
-	Slots               int // batch size in requests
-	KVCacheTokens       int // KV cache capacity
+	Slots               int     // batch size in requests
+	KVCacheTokens       int     // KV cache capacity
 	WeightsMB           float64 // of base models and adapters together, in MB; 0: no limit is stated
 	AdapterSlots        int
 	Models              []ModelSpec
