engine: only a stated refusal means that a generation did not run

Callers of the product's own interface were told "not run" (503) when an engine had failed at their generation: each response without a stream, a 500 too, was taken for a refusal.

Now only the codes with which an engine refuses count, unknown-model and queue-full; after any other response the outcome is unknown. Retries on other engines are as before.

TestOnlyStatedRefusalsMeanThatGenerationDidNotRun failed in three of five cases before (503 and 500 without a code, 500 with another one).

--- a/engine/client.go
+++ b/engine/client.go
@@ -185,13 +185,19 @@
 	return g
 }
 
-// RefusedError is the engine's refusal of a request. The generation did not run
-// unless the error also wraps ErrStreamLost.
+// RefusedError is the engine's refusal of a request, or another response without a
+// stream. DidNotRun tells them apart.
 type RefusedError struct {
 	Status int
-	Code   string // the engine's code, such as "unknown-model" or "queue-full"
+	Code   string // the engine's code, or the beginning of the body if it has none
 }
 
+// The codes with which an engine refuses a generation that it does not run.
+const (
+	codeUnknownModel = "unknown-model"
+	codeQueueFull    = "queue-full"
+)
+
 // Error implements error.
 func (e *RefusedError) Error() string { return fmt.Sprintf("engine refused: %d %s", e.Status, e.Code) }
 
@@ -207,14 +213,17 @@
 // loaded.
 func IsUnknownModel(err error) bool {
 	var refused *RefusedError
-	return errors.As(err, &refused) && refused.Code == "unknown-model"
+	return errors.As(err, &refused) && refused.Code == codeUnknownModel
 }
 
 // DidNotRun reports whether err of Generate means that the request was not sent, or
 // that the engine refused it when it was first sent.
 func DidNotRun(err error) bool {
 	var refused *RefusedError
-	return errors.Is(err, ErrNotSent) || errors.As(err, &refused) && !errors.Is(err, ErrStreamLost)
+	if errors.Is(err, ErrNotSent) {
+		return true
+	}
+	return errors.As(err, &refused) && !errors.Is(err, ErrStreamLost) && (refused.Code == codeUnknownModel || refused.Code == codeQueueFull)
 }
 
 func parseRefusal(resp *http.Response) error {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -120,6 +120,34 @@
 	}
 }
 
+// TestOnlyStatedRefusalsMeanThatGenerationDidNotRun guards against taking an engine's
+// failure for its refusal.
+func TestOnlyStatedRefusalsMeanThatGenerationDidNotRun(t *testing.T) {
+	tests := []struct {
+		status int
+		body   string
+		want   bool
+	}{
+		{http.StatusServiceUnavailable, `{"code":"queue-full"}`, true},
+		{http.StatusNotFound, `{"code":"unknown-model"}`, true},
+		{http.StatusServiceUnavailable, "", false},
+		{http.StatusInternalServerError, "out of memory", false},
+		{http.StatusInternalServerError, `{"code":"failed"}`, false},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.status, " ", tt.body), func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer srv.Close()
+			g := chestnutstream.Generation{RequestID: "g", Path: "/v1/completions"}
+			err := NewClient(nil).Generate(context.Background(), srv.Listener.Addr().String(), g, func(chestnutstream.Chunk) error { return nil })
+			assert.Equal(t, DidNotRun(err), tt.want, "%v", err)
+		})
+	}
+}
+
 // TestLateResponseToAnotherGenerationIsNotAccepted guards against taking a second
 // copy of an earlier response for the response to the next generation, which would
 // be reported as not run, or relayed with the other's events.
