edge: a slot that is granted at the end of the wait is used

Brittle servers served less than they could: a slot could stay counted as about to be used, until the server's entry went.

Cause: a request for a slot looked for a late response once more before it held the lock again. A response in between was counted as a grant, and the request went on as if none had come.

Now the last look is under the lock, under which responses are counted. TestSlotGrantedAtTheEndOfTheWaitIsUsed failed in 5 of 5 runs before and passes in 10 of 10 with -race.

--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
@@ -123,3 +124,22 @@
 		})
 	}
 }
+
+// Guards against grants that stay counted for good because they come at the end of the wait.
+func TestSlotGrantedAtTheEndOfTheWaitIsUsed(t *testing.T) {
+	n := idleNode(t, "edge-a")
+	ch, responded := make(chan instance.PermitResponse, 1), make(chan bool)
+	n.permitWaiters[1] = ch
+	go func() {
+		n.mu.Lock()
+		_, ok := n.awaitPermit(context.Background(), ch)
+		n.mu.Unlock()
+		responded <- ok
+	}()
+	time.Sleep(permitTimeout / 2) // it waits
+	n.mu.Lock()
+	time.Sleep(2 * permitTimeout) // its wait has ended, and it needs mu
+	n.handleSlotResponse(instance.PermitResponse{ID: 1, Server: "i-1", OK: true})
+	n.mu.Unlock()
+	assert.Assert(t, <-responded)
+}
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -74,18 +74,28 @@
 	if !n.mesh.Send(issuer, func(b *instance.Bundle) { add(b, id) }) {
 		return p, false
 	}
+	return n.awaitPermit(ctx, ch)
+}
+
+// awaitPermit waits for an issuer's response, for permitTimeout at most. Callers hold mu,
+// which is released meanwhile. A response that comes before mu is held again counts, as
+// its grant has been counted.
+func (n *Node) awaitPermit(ctx context.Context, ch <-chan instance.PermitResponse) (p instance.PermitResponse, responded bool) {
 	n.mu.Unlock()
-	defer n.mu.Lock()
 	timeout := time.NewTimer(permitTimeout)
 	defer timeout.Stop()
 	select {
 	case p = <-ch:
-		return p, true
+		responded = true
 	case <-ctx.Done():
 	case <-timeout.C:
 	}
+	n.mu.Lock()
+	if responded {
+		return p, true
+	}
 	select {
-	case p = <-ch: // it came at the last moment
+	case p = <-ch:
 		return p, true
 	default:
 		return p, false
