--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -175,7 +175,7 @@
 
 // stream is the state of a relayed stream.
 type stream struct {
-	lastID      string    // of the last piece that was relayed; "": it has none
+	lastID      string    // of the last event with data that was relayed; "": it has none
 	partial     []byte    // beginning of the next event
 	events      int       // complete events from the present server
 	resumed     bool      // the caller has the header of an earlier server's response
@@ -253,7 +253,7 @@
 // endsEarly reports whether the end of a server's response cannot be the end of the
 // stream: it is inside an event, or nothing but the end of the connection shows that
 // there are no events. Text without events is a whole response only with its own header. A
-// server that resumes may have no more pieces, in a response that is a stream.
+// server that resumes may have no more events, in a response that is a stream.
 func (s *stream) endsEarly(resp *http.Response) bool {
 	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	switch {
@@ -325,22 +325,22 @@
 }
 
 // follow checks that an event goes on with the stream. IDs may have gaps but increase. The
-// first piece of a server that resumes has one, and text is no event; only a response that
+// first event of a server that resumes has one, and text is no event; only a response that
 // has no event at all may be text.
 func (s *stream) follow(event []byte) error {
 	id := eventID(event)
-	isPiece := id != "" || hasField(event, "data:")
+	hasData := id != "" || hasField(event, "data:")
 	switch {
 	case len(bytes.TrimSpace(event)) == 0:
 		return nil
-	case (s.lastID != "" || !s.joined) && !isPiece && !hasField(event, ":", "event:", "retry:"):
+	case (s.lastID != "" || !s.joined) && !hasData && !hasField(event, ":", "event:", "retry:"):
 		return fmt.Errorf("no event: %.40q", event)
-	case isPiece && bytes.Contains(event, []byte("\r\n\r\n")):
+	case hasData && bytes.Contains(event, []byte("\r\n\r\n")):
 		return fmt.Errorf("text inside an event: %.40q", event)
-	case s.lastID != "" && (id == "" && isPiece && !s.joined || id != "" && !increases(s.lastID, id)):
+	case s.lastID != "" && (id == "" && hasData && !s.joined || id != "" && !increases(s.lastID, id)):
 		return fmt.Errorf("event %.40q after %q", id, s.lastID)
 	}
-	if isPiece {
+	if hasData {
 		s.lastID, s.joined = id, true
 	}
 	return nil
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -254,7 +254,7 @@
 	}
 }
 
-// Pieces that the caller has, or that are not known to follow on those that it has, must not
+// Events that the caller has, or that are not known to follow on those that it has, must not
 // be joined to them.
 func TestEventsThatDoNotFollowAreNotRelayed(t *testing.T) {
 	event := func(id string) string { return "id: " + id + "\ndata: piece\n\n" }
@@ -305,8 +305,8 @@
 	assert.Equal(t, resumes.requestCount(), 0)
 }
 
-// All pieces may have arrived before the break, and the server that resumes has no more. Its
-// response shows that only if it is a stream; any other empty one may leave pieces out.
+// All events may have arrived before the break, and the server that resumes has no more. Its
+// response shows that only if it is a stream; any other empty one may leave events out.
 func TestStreamDoesNotEndWithEmptyResponse(t *testing.T) {
 	tests := []struct {
 		name     string
