--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -21,6 +21,13 @@
 // signature of the backend server. If a response ends early, the caller's
 // connection is closed, so that the response does not appear complete.
 //
+// # Attribution
+//
+// A server may send a second response to an earlier request late, where the response to the
+// next request on the connection is due. A response says something of a request, or of its
+// server, only if it bears the request's ID; conn.go decides that and closes the connection
+// otherwise.
+//
 // # Streams
 //
 // A stream that breaks off is resumed on another server of the software version that began
