ingress: what the rejections of a request rest on, in its log line and as a metric

Cause: a log line names the latest rejection only, and not why it was believed, so that the hypotheses of requests that ran after a promise can't be told apart. Change: the line of a request lists its rejections with what shows that it has not run (the server's statement, another server's 421, the status alone) and how many requests the connection had carried. No decision changes; the servers that a request is sent to on a new connection are taken from the same list.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -274,9 +274,11 @@
 	}
 	id := h.Get(platform.HeaderServerID)
 	otherServer := id != "" && id != a.Server.ID
+	basis, rejected := platform.ReadRejection(status, h, a.Server.ID)
 	switch {
-	case platform.NotExecuted(status, h):
+	case rejected:
 		r.Outcome = fleet.Refused
+		x.rejections = append(x.rejections, rejection{server: a.Server.ID, status: status, basis: basis, requestsBefore: br.seq - 1})
 		r.WrongServer = otherServer && status == http.StatusMisdirectedRequest
 		r.NotLoaded = !r.WrongServer && status == http.StatusMisdirectedRequest
 		if !otherServer {
@@ -299,7 +301,6 @@
 // It returns false: the request is to be retried.
 func (x *exchange) rejected(a Assignment, br *backendResponse, r Result) bool {
 	x.reason = fmt.Sprintf("%s refused: %d", a.Server.ID, br.resp.StatusCode)
-	x.rejectedBy = append(x.rejectedBy, a.Server.ID)
 	if !r.NotLoaded {
 		x.avoid[a.Server.ID] = true
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -83,6 +83,19 @@
 	return c.sent, earlier
 }
 
+// rejection is a server's response to a request that it has not run.
+type rejection struct {
+	server         string
+	status         int
+	basis          platform.RejectionBasis
+	requestsBefore int // on the connection
+}
+
+// String returns the text for logs.
+func (r rejection) String() string {
+	return fmt.Sprintf("%s %d by %s after %d requests", r.server, r.status, r.basis, r.requestsBefore)
+}
+
 // attribution tells which request a response belongs to, by the ID that it echoes.
 type attribution string
 
@@ -114,8 +127,9 @@
 func (x *exchange) logAttribution(a Assignment, br *backendResponse) {
 	h := br.resp.Header
 	kind := "response"
-	if platform.NotExecuted(br.resp.StatusCode, h) {
+	if basis, ok := platform.ReadRejection(br.resp.StatusCode, h, a.Server.ID); ok {
 		kind = "rejection"
+		x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_server_rejections_total{basis="` + string(basis) + `"}`).Inc()
 	}
 	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_server_responses_total{kind="` + kind + `",belongs_to="` + string(br.belongs) + `"}`).Inc()
 	resent := slices.Contains(br.earlier, x.header.ID)
--- a/ingress/respond.go
+++ b/ingress/respond.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -116,6 +117,9 @@
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
+	if len(x.rejections) > 0 {
+		fields["rejections"] = fmt.Sprint(x.rejections)
+	}
 	if x.status >= 400 || x.reason != "" {
 		fields["may-have-run"] = x.mayHaveRun
 		if x.serverCrashed {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -65,6 +65,7 @@
 	resp      *http.Response
 	cancel    context.CancelFunc
 	connected bool     // on a connection opened for it
+	seq       int      // number of the request on its connection
 	earlier   []string // requests sent on the connection before it
 	belongs   attribution
 }
@@ -162,7 +163,7 @@
 	}
 	resp, err := x.transport(a).RoundTrip(req)
 	if err == nil {
-		br = &backendResponse{resp: resp, cancel: stop, connected: t.isNew, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
+		br = &backendResponse{resp: resp, cancel: stop, connected: t.isNew, seq: t.seq, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
 		if br.belongs != ownResponse {
 			t.conn.abandon()
 		}
@@ -188,7 +189,7 @@
 // gets it on a new connection, as a late copy of that rejection would bear the right ID.
 func (x *exchange) transport(a Assignment) *http.Transport {
 	switch {
-	case slices.Contains(x.rejectedBy, a.Server.ID):
+	case slices.ContainsFunc(x.rejections, func(r rejection) bool { return r.server == a.Server.ID }):
 		return x.server.singleUse
 	case x.route.Repeatable():
 		return x.server.repeatable
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -205,11 +205,11 @@
 	deadline          time.Time // for the whole response
 	mayHaveRun        bool      // the request may have run, or may still run
 	attempts          int
-	connectedAttempts int      // attempts that got a connection
-	servers           []string // that the request was sent to
-	software          []string // their software versions
-	connectedServers  []string // that gave the request a connection, here or at another instance
-	rejectedBy        []string // servers that have reported not to have run it
+	connectedAttempts int         // attempts that got a connection
+	servers           []string    // that the request was sent to
+	software          []string    // their software versions
+	connectedServers  []string    // that gave the request a connection, here or at another instance
+	rejections        []rejection // by servers that have not run it
 	avoid             map[string]bool
 	stall             time.Duration
 	viewAge           time.Duration // of the latest placement
