ingress: the status 421 alone does not mean that a request has not run

What callers saw: 503 (a promise) for a request that had run, or a request that may run once run on several servers. Cause: platform.NotExecuted took 421 for a rejection whether or not the response stated it. Class: a promise read from what does not make it. Change: a rejection proves that the request did not run if the response states it, or if it is 421 of one other server that has not signed it (the wire examples of the users show that one without a statement). After another 421 a request that may run once ends with 502; what the status tells of the server (adapter not loaded) is still used. A signed 421 is the server's own response.

--- a/edge/rejection_test.go
+++ b/edge/rejection_test.go
@@ -50,7 +50,7 @@
 						status, _, h, err := sendHeaders(instances[c%len(instances)], http.MethodPost, tt.path, id, headers)
 						mu.Lock()
 						statuses[status]++
-						notRun[id] = err == nil && (status == http.StatusServiceUnavailable || platform.NotExecuted(status, h))
+						notRun[id] = err == nil && (platform.PromisesNotRun(status) || h.Get(platform.HeaderNotExecuted) != "")
 						mu.Unlock()
 						time.Sleep(20 * time.Millisecond)
 					}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -235,7 +235,7 @@
 	r.Connected = br.connected
 	x.server.dispatcher.RecordResult(a, x.header.Target, r)
 	if r.Outcome == fleet.Refused {
-		return x.rejected(a, br, r)
+		return x.rejected(a, r)
 	}
 	x.mayHaveRun = true
 	status := br.resp.StatusCode
@@ -297,13 +297,21 @@
 	return r
 }
 
-// rejected continues after a server reported that it did not run the request.
-// It returns false: the request is to be retried.
-func (x *exchange) rejected(a Assignment, br *backendResponse, r Result) bool {
-	x.reason = fmt.Sprintf("%s refused: %d", a.Server.ID, br.resp.StatusCode)
+// rejected continues after a server rejected the request. It returns false if the request
+// is to be sent again.
+func (x *exchange) rejected(a Assignment, r Result) bool {
+	last := x.rejections[len(x.rejections)-1]
+	x.reason = fmt.Sprintf("%s refused: %d", a.Server.ID, last.status)
 	if !r.NotLoaded {
 		x.avoid[a.Server.ID] = true
 	}
+	if !last.basis.ProvesNotRun() {
+		x.mayHaveRun = true
+		if !x.mayRetry() {
+			x.respondUnstated(a, last.status)
+			return true
+		}
+	}
 	if x.ctx.Err() == nil && len(x.servers) > 1 {
 		timer.Sleep(x.ctx, rejectionPause)
 	}
@@ -341,3 +349,9 @@
 	}
 	x.respond(statusFailed, err.Error())
 }
+
+// respondUnstated responds to a request whose server did not state whether it has run, with
+// a status that its caller would take for that.
+func (x *exchange) respondUnstated(a Assignment, status int) {
+	x.respond(statusFailed, fmt.Sprintf("%s: answer %d does not say whether the request has run", a.Server.ID, status))
+}
--- a/ingress/attribution_test.go
+++ b/ingress/attribution_test.go
@@ -220,3 +220,41 @@
 		})
 	}
 }
+
+func TestMisdirectedStatusAloneDoesNotMeanNotRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		header   string
+		rejected bool
+	}{
+		{"nothing else", "", false},
+		{"of the server itself", "X-Chestnutstream-Instance-Id: i-1\r\n", false},
+		{"signed", "X-Chestnutstream-Server-Signature: sig\r\n", false},
+		{"signed by another server", "X-Chestnutstream-Instance-Id: i-9\r\nX-Chestnutstream-Server-Signature: sig\r\n", false},
+		{"two servers", "X-Chestnutstream-Instance-Id: i-9\r\nX-Chestnutstream-Instance-Id: i-1\r\n", false},
+		{"of another server", "X-Chestnutstream-Instance-Id: i-9\r\n", true},
+		{"stated", "X-Chestnutstream-Not-Executed: 1\r\n", true},
+	}
+	for _, tt := range tests {
+		for _, path := range []string{"/order/1", "/once/1", "/look/1"} {
+			t.Run(tt.name+" "+path, func(t *testing.T) {
+				b := newBackend(t, "i-1", func(c net.Conn, _ *http.Request, _ string) bool {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Chestnutstream-Request-Id: r-1\r\n%sContent-Length: 0\r\n\r\n", tt.header)
+					return true
+				})
+				f := newTestServer(t, b)
+				resp, body, err := f.send(t, "POST", path, "x")
+				assert.NilError(t, err)
+				switch {
+				case tt.rejected:
+					assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, body)
+				case path == "/look/1":
+					assert.Assert(t, resp.StatusCode >= 400, body)
+				default:
+					assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
+					assert.Equal(t, b.requestCount(), 1, "sent again after it may have run")
+				}
+			})
+		}
+	}
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -30,7 +30,7 @@
 	if status := br.resp.StatusCode; !x.route.Repeatable() && platform.PromisesNotRun(status) {
 		// The server does not state that the request has not run, but its caller would take
 		// the status for that.
-		x.respond(statusFailed, fmt.Sprintf("%s: answer %d does not say whether the request has run", a.Server.ID, status))
+		x.respondUnstated(a, status)
 		return true
 	}
 	if x.timeToFirstByte == 0 {
--- a/soak/rejections.go
+++ b/soak/rejections.go
@@ -15,6 +15,11 @@
 	r.failServers(ctx, duration, standin.BackendFaults{RejectEvery: 4, RepeatRejections: 1})
 }
 
+// misdirect makes servers respond 421 to some requests that they have run.
+func (r *run) misdirect(ctx context.Context, duration time.Duration) {
+	r.failServers(ctx, duration, standin.BackendFaults{MisdirectEvery: 5})
+}
+
 // endStreamsEarly makes servers fail some requests, and end some streams inside an event.
 func (r *run) endStreamsEarly(ctx context.Context, duration time.Duration) {
 	r.failServers(ctx, duration, standin.BackendFaults{FailEvery: 5, EndEarlyEvery: 7})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -145,6 +145,11 @@
 	playServerFault(t, func(r *run) { r.repeatRejections(context.Background(), 5*time.Second) }, func(c standin.BackendCounts) int { return c.RepeatedRejections })
 }
 
+// Guards against believing the status 421 of a server that has run the request.
+func TestMisdirectedResponsesAreNotBelieved(t *testing.T) {
+	playServerFault(t, func(r *run) { r.misdirect(context.Background(), 5*time.Second) }, func(c standin.BackendCounts) int { return c.Misdirected })
+}
+
 // Guards against relaying a stream that ended inside an event as whole, also after a retry
 // of a request that its first server failed.
 func TestStreamsThatEndEarlyAreNotRelayedAsWhole(t *testing.T) {
@@ -389,7 +394,7 @@
 		}
 		respBody, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		if i+1 < attempts && (m.kind == "retries-orders" || platform.NotExecuted(resp.StatusCode, resp.Header)) {
+		if _, rejected := platform.ReadRejection(resp.StatusCode, resp.Header, s.id); i+1 < attempts && (m.kind == "retries-orders" || rejected) {
 			continue
 		}
 		if m.kind == "says-not-run" {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -44,6 +44,7 @@
 // at run time.
 type BackendFaults struct {
 	FailEvery      int // every n-th request fails with status 500; 0 for none
+	MisdirectEvery int // every n-th request runs and gets status 421, without a statement and signature; 0 for none
 	Hang           bool
 	BreakAfter     int // number of events after which a stream is aborted; 0 for never
 	EndEarlyEvery  int // every n-th stream has no length, and ends with its connection inside its third event; 0 for none
@@ -92,6 +93,7 @@
 	CrashArrivals             []time.Time   // arrival times of prompts on which the process crashes
 	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
+	Misdirected               int           // executions that got status 421
 	RepeatedRejections        int           // rejections that were sent a second time
 	RunsAfterRejection        int           // executions of requests that were rejected before
 	RepeatedToSameRequest     int           // those of them that preceded the response to the rejected request itself
@@ -429,9 +431,12 @@
 		<-r.Context().Done()
 		return
 	}
-	if fail {
+	if status := b.failure(f, fail); status != 0 {
+		if status == http.StatusMisdirectedRequest {
+			h.Del("X-Chestnutstream-Server-Signature")
+		}
 		timer.Sleep(r.Context(), b.cfg.ServiceTime)
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(status)
 		return
 	}
 	if b.cfg.AdapterSlots == 0 {
@@ -442,6 +447,20 @@
 	b.stream(w, r, f)
 }
 
+// failure returns the status with which a request that runs is to end; 0: it does not fail.
+func (b *Backend) failure(f BackendFaults, fail bool) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case fail:
+		return http.StatusInternalServerError
+	case f.MisdirectEvery > 0 && b.served%f.MisdirectEvery == 0:
+		b.counts.Misdirected++
+		return http.StatusMisdirectedRequest
+	}
+	return 0
+}
+
 // event returns an event of a stream.
 func (b *Backend) event(i int, model string) string {
 	text := fmt.Sprintf("piece %d of %s", i, model)
