ingress: a connection that has rejected an ID does not carry it again

What callers saw: 503 (a promise) for a request that had run, or one that may run once ran twice. Cause: a response is attributed by its ID, and the late copy of a rejection bears the right ID where the same ID is sent again on its connection. What had been rejected was known to the exchange, by the ID of the server: not to the next exchange of a caller that uses its ID again, and not where a server has started under another ID at its address, since connections are pooled by address. Class: what one message says, believed as the response to another. Change: the connection itself remembers all IDs that were rejected on it, and is closed instead of carrying one again; the request goes on a new one. It is closed after 64 rejections, so that it never has to forget one.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -278,6 +278,7 @@
 	switch {
 	case rejected:
 		r.Outcome = fleet.Refused
+		br.conn.recordRejection(x.header.ID)
 		x.rejections = append(x.rejections, rejection{server: a.Server.ID, status: status, basis: basis, requestsBefore: br.seq - 1})
 		r.WrongServer = otherServer && status == http.StatusMisdirectedRequest
 		r.NotLoaded = !r.WrongServer && status == http.StatusMisdirectedRequest
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -9,21 +9,26 @@
 	"sync"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutstream/chestnutstream/platform"
 )
 
-// maxRecentRequests is the number of requests that a connection remembers.
-const maxRecentRequests = 8
+// Limits of what a connection remembers.
+const (
+	maxRecentRequests = 8
+	maxRejections     = 64 // a connection with as many is closed, since it must not forget any
+)
 
 // serverConn is a connection to a backend server or another instance that remembers the
-// latest requests sent on it. A server may send a second response to one of them late, at
-// the point where the response to the next request is expected.
+// latest requests sent on it, and all that were rejected. A server may send a second response
+// to one of them late, at the point where the response to the next request is expected.
 type serverConn struct {
 	net.Conn
 
 	mu       sync.Mutex
 	requests []string // IDs, the latest one last
+	rejected []uint64 // hashes of the IDs of rejected requests
 	sent     int      // number of requests
 	written  bool     // bytes of the latest request were written
 	closed   bool
@@ -69,6 +74,25 @@
 	return true
 }
 
+// recordRejection records that the server has rejected a request.
+func (c *serverConn) recordRejection(id string) {
+	c.mu.Lock()
+	c.rejected = append(c.rejected, xxhash.Sum64String(id))
+	full := len(c.rejected) >= maxRejections
+	c.mu.Unlock()
+	if full {
+		c.abandon()
+	}
+}
+
+// hasRejected reports whether the server has rejected a request with an ID. A late copy of
+// that rejection would bear the right ID if the request were sent here again.
+func (c *serverConn) hasRejected(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rejected) > 0 && slices.Contains(c.rejected, xxhash.Sum64String(id))
+}
+
 // recordRequest records that a request is about to be sent. It returns its number on the
 // connection and the IDs of those before it.
 func (c *serverConn) recordRequest(id string) (seq int, earlier []string) {
--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -26,7 +26,7 @@
 // A server may send a second response to an earlier request late, where the response to the
 // next request on the connection is due. A response says something of a request, or of its
 // server, only if it bears the request's ID; conn.go decides that and closes the connection
-// otherwise.
+// otherwise. A connection on which a server has rejected an ID never carries that ID again.
 //
 // # Streams
 //
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -63,6 +62,7 @@
 // backendResponse is the response of one attempt whose header has arrived.
 type backendResponse struct {
 	resp      *http.Response
+	conn      *serverConn
 	cancel    context.CancelFunc
 	connected bool     // on a connection opened for it
 	seq       int      // number of the request on its connection
@@ -134,10 +134,15 @@
 	isNew     bool        // opened for the attempt
 	seq       int         // number of the request on the connection
 	earlier   []string    // IDs of the requests before it
+	refused   bool        // the connection has rejected the request before, and is closed
 }
 
 func (t *connTrace) gotConn(i httptrace.GotConnInfo) {
 	t.conn, t.isNew = i.Conn.(*serverConn), !i.Reused
+	t.refused = t.conn.hasRejected(t.requestID)
+	if t.refused {
+		t.conn.abandon()
+	}
 	t.seq, t.earlier = t.conn.recordRequest(t.requestID)
 }
 
@@ -153,17 +158,12 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
-	req, err := x.request(ctx, a, lastEventID)
-	if err != nil {
-		stop()
-		return nil, false, err
-	}
 	if waitTimeout > 0 {
 		defer x.startWaitTimer(a, waitTimeout, func() { cancel(errNoResponse) })()
 	}
-	resp, err := x.transport(a).RoundTrip(req)
+	resp, err := x.roundTrip(ctx, t, a, lastEventID)
 	if err == nil {
-		br = &backendResponse{resp: resp, cancel: stop, connected: t.isNew, seq: t.seq, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
+		br = &backendResponse{resp: resp, conn: t.conn, cancel: stop, connected: t.isNew, seq: t.seq, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
 		if br.belongs != ownResponse {
 			t.conn.abandon()
 		}
@@ -185,13 +185,34 @@
 	return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, notSent, err)
 }
 
-// transport returns the transport for an attempt. A server that has rejected the request
-// gets it on a new connection, as a late copy of that rejection would bear the right ID.
-func (x *exchange) transport(a Assignment) *http.Transport {
-	switch {
-	case slices.ContainsFunc(x.rejections, func(r rejection) bool { return r.server == a.Server.ID }):
-		return x.server.singleUse
-	case x.route.Repeatable():
+// roundTrip sends the request. If it is given a connection that has rejected it before, it
+// goes on a new one instead.
+func (x *exchange) roundTrip(ctx context.Context, t *connTrace, a Assignment, lastEventID string) (*http.Response, error) {
+	resp, err := x.roundTripOn(ctx, x.transport(), a, lastEventID)
+	if !t.refused {
+		return resp, err
+	}
+	if err == nil {
+		_ = resp.Body.Close() // a late copy that had arrived already
+	}
+	*t = connTrace{requestID: t.requestID}
+	return x.roundTripOn(ctx, x.server.singleUse, a, lastEventID)
+}
+
+func (x *exchange) roundTripOn(ctx context.Context, t *http.Transport, a Assignment, lastEventID string) (*http.Response, error) {
+	req, err := x.request(ctx, a, lastEventID)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return nil, fmt.Errorf("round trip: %w", err)
+	}
+	return resp, nil
+}
+
+func (x *exchange) transport() *http.Transport {
+	if x.route.Repeatable() {
 		return x.server.repeatable
 	}
 	return x.server.nonRepeatable
--- a/soak/check.go
+++ b/soak/check.go
@@ -66,6 +66,7 @@
 				res := request(client, rng, fmt.Sprintf("c%d-%d-%d", seed, c, n))
 				r.checkResult(res)
 				r.takeUp(client, rng, res)
+				r.repeat(client, rng, res)
 				time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 			}
 		}()
@@ -73,6 +74,36 @@
 	return func() { cancel(); wg.Wait() }
 }
 
+// repeat sends some requests again that may run once and were promised not to have run,
+// under the same ID.
+func (r *run) repeat(client *http.Client, rng *rand.Rand, res result) {
+	if !res.atMostOnce() || res.err != nil || !statesNotExecuted(res.status) || rng.IntN(2) > 0 {
+		return
+	}
+	if n := r.executions(res.id); n > 0 {
+		r.reportViolation("%s: status %d promised that the request was not executed, but it was", res.id, res.status)
+	}
+	again := r.newResult(res.instance, res.id)
+	again.route, again.adapter, again.parts = res.route, res.adapter, res.parts
+	r.checkResult(r.send(client, again))
+}
+
+// executions returns how often a request has been executed until now.
+func (r *run) executions(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, b := range r.backends {
+		for _, s := range b.Backends() {
+			n += s.Runs(id)
+		}
+	}
+	return n
+}
+
+// atMostOnce reports whether the request must not run twice.
+func (res result) atMostOnce() bool { return res.route != "look" && res.route != "ask" }
+
 // requestRandomRoute sends a request to a random route of a random instance.
 func (r *run) requestRandomRoute(client *http.Client, rng *rand.Rand, id string) result {
 	res := r.newResult(r.instances[rng.IntN(len(r.instances))], id)
@@ -281,13 +312,16 @@
 		}
 	}
 	loggedFailures := r.loggedFailures()
+	mayHaveRun := map[string]bool{} // by ID: some result does not promise that the request was not executed
+	for _, res := range r.results {
+		mayHaveRun[res.id] = mayHaveRun[res.id] || res.err != nil || res.signed || !statesNotExecuted(res.status)
+	}
 	for _, res := range r.results {
 		n := executions[res.id]
-		atMostOnce := res.route != "look" && res.route != "ask"
 		switch {
-		case atMostOnce && n > 1:
+		case res.atMostOnce() && n > 1:
 			r.reportViolation("%s: %s was executed %d times", res.id, res.route, n)
-		case statesNotExecuted(res.status) && !res.signed && n > 0 && atMostOnce:
+		case n > 0 && res.atMostOnce() && !mayHaveRun[res.id]:
 			r.reportViolation("%s: status %d promised that the request was not executed, but it was", res.id, res.status)
 		case res.status >= 500 && !res.signed && !loggedFailures[res.id] && !r.killedBeforeLogging(res):
 			r.reportViolation("%s: status %d without a log line that gives the reason", res.id, res.status)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -243,6 +243,13 @@
 	return c
 }
 
+// Runs returns how often a request has been executed.
+func (b *Backend) Runs(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts.Runs[id]
+}
+
 type backendModel struct {
 	Name     string   `json:"name"`
 	Version  int      `json:"version"`
