ingress: requests that come again are known by a hash in the log

Change: request-hash in the lines of failed requests, of all that the caller sent but its ID and deadline. No decision uses it.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -49,3 +52,15 @@
 	}
 	return body, 0, nil
 }
+
+// requestHash returns a hash of what the caller sent, without what differs where the same
+// request comes again: its ID and its deadline.
+func (x *exchange) requestHash() string {
+	h := xxhash.New()
+	target := x.header.Target
+	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.r.Header.Get("Authorization"), target.Model, target.Adapter, strings.Join(x.header.PartIDs, ",")} {
+		_, _ = h.WriteString(s + "\x00")
+	}
+	_, _ = h.Write(x.body)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
--- a/ingress/respond.go
+++ b/ingress/respond.go
@@ -121,7 +121,7 @@
 		fields["rejections"] = fmt.Sprint(x.rejections)
 	}
 	if x.status >= 400 || x.reason != "" {
-		fields["may-have-run"] = x.mayHaveRun
+		fields["may-have-run"], fields["request-hash"] = x.mayHaveRun, x.hash
 		if x.serverCrashed {
 			fields["server-crashed"] = true
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -200,6 +200,7 @@
 	table   *chestnutstream.RouteTable
 	service string
 	body    []byte
+	hash    string // of what the caller sent; a request that comes again has the same
 
 	reserved          int64     // bytes of bodies, of Settings.HeldBytes
 	deadline          time.Time // for the whole response
@@ -366,6 +367,7 @@
 		return false
 	}
 	x.body = body
+	x.hash = x.requestHash()
 	return true
 }
 
