--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/standin"
+	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // A poll that the store held to the end of its wait although there were rows is counted,
@@ -110,3 +115,38 @@
 		citest.CheckDuration(s.t, took, 2*time.Second)
 	}
 }
+
+// A read says what the store had when it was sent, however late its response comes.
+func TestReadsOfPacedTablesCountFromTheirBegin(t *testing.T) {
+	t.Parallel()
+	const delay = 250 * time.Millisecond
+	store := standin.NewStore()
+	store.Put(platform.TableServers, "i-1", []byte("{}"))
+	l := listen(t)
+	serve(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		store.ServeHTTP(w, r)
+	}))
+	n := newNode(platform.Settings{Instance: "edge-a", Zone: "z", Store: l.Addr().String()}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), timer.Boot)
+	t.Cleanup(n.cancel)
+	var w tableWatch
+	for _, w = range n.watches() {
+		if w.table == platform.TableServers {
+			break
+		}
+	}
+	go n.watch(w)
+	known := func() (readAt time.Time) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if v := n.view(w.table); v.version > 0 {
+			return v.readAt
+		}
+		return time.Time{}
+	}
+	eventually(t, "the table is read", func() bool { return !known().IsZero() })
+	snapshotAt := known()
+	assert.Assert(t, n.now().Sub(snapshotAt) >= delay)
+	eventually(t, "its changes are read", func() bool { return known().After(snapshotAt) })
+	assert.Assert(t, n.now().Sub(known()) >= delay)
+}
