--- a/edge/traits.go
+++ b/edge/traits.go
@@ -8,15 +8,14 @@
 	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
-// Prefixes of the traits by which requests and loads that crash servers are known.
+// Prefixes of the traits by which requests and loads that crash servers are known. A request
+// has one of its own besides: quarantine.RequestPrefix with its hash.
 const (
 	traitPart    = "part:"    // of a prompt
 	traitAdapter = "adapter:" // version that generates the response
 	traitLoad    = "load:"    // of an adapter version, or of a model
 )
 
-// Another trait is the request itself: quarantine.RequestPrefix with its hash.
-
 // requestTraits returns the traits of a request that a server responds to.
 func requestTraits(target chestnutstream.ModelAdapter, version int, f ingress.Fingerprint) []string {
 	var traits []string
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -256,7 +256,8 @@
 }
 
 // result classifies a response by its header and collects what it reports about
-// its server. A response that may belong to another request reports nothing.
+// its server. A response that may belong to another request reports nothing. A rejection is
+// recorded, here and with its connection.
 func (x *exchange) result(a Assignment, br *backendResponse, took time.Duration) Result {
 	r := Result{Took: took, Outcome: fleet.Responded}
 	switch br.belongs {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -4,12 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-
-	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // defaultMaxBodyBytes limits a body if the configuration sets no limit.
@@ -53,15 +49,3 @@
 	}
 	return body, 0, nil
 }
-
-// requestHash returns a hash of what the caller sent, without what differs where the same
-// request comes again: its ID and its deadline.
-func (x *exchange) requestHash() string {
-	h := xxhash.New()
-	header := x.r.Header
-	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, header.Get("Authorization"), header.Get(platform.HeaderModel), header.Get(platform.HeaderPromptParts)} {
-		_, _ = h.WriteString(s + "\x00")
-	}
-	_, _ = h.Write(x.body)
-	return strconv.FormatUint(h.Sum64(), 16)
-}
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -35,10 +35,6 @@
 	}
 }
 
-func (x *exchange) fingerprint() Fingerprint {
-	return Fingerprint{Hash: x.hash, PartIDs: x.header.PartIDs}
-}
-
 // progress returns how far the server's response to the relayed stream has got.
 func (s *stream) progress() chestnutstream.ResponseProgress {
 	if s.events >= chestnutstream.MinEventsUnderWay {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -87,12 +87,6 @@
 	Connected    bool                        // a new connection to the server was opened
 }
 
-// Fingerprint is what a request may have in common with others that crash servers.
-type Fingerprint struct {
-	Hash    string   // of what the caller sent; a request that comes again has the same
-	PartIDs []string // of the prompt
-}
-
 // BrokenResponse is a response whose connection ended before it was complete.
 type BrokenResponse struct {
 	RequestID   string
