soak: one order that crashes plain servers, sent again and again

The soak crashed engines by parts of prompts only. Now a fault sends one order, at random instances, that ends each plain server that runs it; at most three may arrive later than 3 s after the third crash.

--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 	route             string
 	adapter           string
 	parts             string // of the prompt
+	path              string // below the route's prefix; "": any
 	headers           map[string]string
 	sentAt            time.Time
 	status            int
@@ -142,7 +144,7 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("x") // net/http does not retry a request with a body that it cannot rewind
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+res.instance.callerAddr+prefix+"1", body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+res.instance.callerAddr+prefix+cmp.Or(res.path, "1"), body)
 	if err != nil {
 		res.err = err
 		return res
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -9,28 +9,51 @@
 	"time"
 )
 
-// Engines end when they begin to respond to a prompt with crashPart, and start again
-// empty and under another ID.
+// Engines end when they begin to respond to a prompt with crashPart, and plain servers when
+// they have run an order with crashPath. They start again empty and under another ID.
 const (
 	crashPart            = "dead"
+	crashPath            = "dead"
 	restartTime          = 1500 * time.Millisecond
 	crashPromptInterval  = 120 * time.Millisecond
 	crashPromptDuration  = 9 * time.Second
 	crashesUntilBound    = 5
+	repeatsUntilBound    = 3 // the same for a single request that comes again
 	maxLateCrashArrivals = 3 // later than recoveryBound after the crash number crashesUntilBound
 )
 
 // sendCrashPrompts sends prompts with crashPart to random instances, and checks how many
 // reach engines after recoveryBound, unless a fault was in effect.
 func (r *run) sendCrashPrompts(seed uint64) {
+	startedAt := r.sendCrashing(seed, func(rng *rand.Rand, res *result) {
+		res.route, res.adapter = "once", fmt.Sprintf("a%d", rng.IntN(adapterCount))
+		res.parts = fmt.Sprintf("first:100,caller-%d:40,%s:60,%s:150", rng.IntN(5), crashPart, res.id)
+	})
+	r.mu.Lock()
+	engines := slices.Clone(r.backends[:engineCount])
+	r.mu.Unlock()
+	r.checkCrashArrivals(startedAt, engines, crashesUntilBound, "prompts with a part that crashes engines")
+}
+
+// sendCrashRequests is sendCrashPrompts for one order that comes again and again.
+func (r *run) sendCrashRequests(seed uint64) {
+	startedAt := r.sendCrashing(seed, func(_ *rand.Rand, res *result) { res.route, res.path = "order", crashPath })
+	r.mu.Lock()
+	plain := slices.Clone(r.backends[engineCount:])
+	r.mu.Unlock()
+	r.checkCrashArrivals(startedAt, plain, repeatsUntilBound, "requests that crash plain servers")
+}
+
+// sendCrashing sends requests to random instances; set fills them in. It returns when it
+// began.
+func (r *run) sendCrashing(seed uint64, set func(rng *rand.Rand, res *result)) time.Time {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	startedAt := time.Now()
 	var wg sync.WaitGroup
 	for n := 0; time.Since(startedAt) < crashPromptDuration; n++ {
 		res := r.newResult(r.instances[rng.IntN(len(r.instances))], fmt.Sprintf("crash-%d-%d-%d", seed, startedAt.UnixNano(), n))
-		res.route, res.adapter = "once", fmt.Sprintf("a%d", rng.IntN(adapterCount))
-		res.parts = fmt.Sprintf("first:100,caller-%d:40,%s:60,%s:150", rng.IntN(5), crashPart, res.id)
+		set(rng, &res)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -39,17 +62,14 @@
 		time.Sleep(crashPromptInterval)
 	}
 	wg.Wait()
-	r.checkCrashArrivals(startedAt)
+	return startedAt
 }
 
-// checkCrashArrivals checks the arrivals of prompts with crashPart that were sent from a
-// moment on.
-func (r *run) checkCrashArrivals(startedAt time.Time) {
+// checkCrashArrivals checks the arrivals at servers of what crashes them, sent from a moment
+// on. After untilBound crashes only a few may follow.
+func (r *run) checkCrashArrivals(startedAt time.Time, servers []*backend, untilBound int, what string) {
 	var crashes, arrivals []time.Time
-	r.mu.Lock()
-	engines := slices.Clone(r.backends[:engineCount])
-	r.mu.Unlock()
-	for _, b := range engines {
+	for _, b := range servers {
 		crashes = append(crashes, b.Crashes()...)
 		for _, s := range b.Backends() {
 			arrivals = append(arrivals, s.Counts().CrashArrivals...)
@@ -61,7 +81,8 @@
 		return
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	bound := crashes[min(len(crashes), crashesUntilBound)-1].Add(recoveryBound)
+	untilBound = min(len(crashes), untilBound)
+	bound := crashes[untilBound-1].Add(recoveryBound)
 	late := 0
 	for _, at := range arrivals {
 		if at.After(bound) {
@@ -69,6 +90,6 @@
 		}
 	}
 	if late > maxLateCrashArrivals {
-		r.reportViolation("%d prompts with a part that crashes engines reached them more than %v after crash %d of %d", late, recoveryBound, min(len(crashes), crashesUntilBound), len(crashes))
+		r.reportViolation("%d %s reached them more than %v after crash %d of %d", late, what, recoveryBound, untilBound, len(crashes))
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -54,7 +54,7 @@
 
 // setFaults replaces the faults in force.
 func (b *backend) setFaults(f standin.BackendFaults) {
-	f.CrashPart = crashPart
+	f.CrashPart, f.CrashPath = crashPart, "/order/"+crashPath
 	b.SetFaults(f)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -208,6 +208,7 @@
 		{"drain", r.drainPlainServer, nil},
 		{"server-crashes", func() { engine.Crash() }, nil},
 		{"crash-prompts", func() { r.sendCrashPrompts(seed) }, nil},
+		{"crash-requests", func() { r.sendCrashRequests(seed) }, nil},
 		{"server-limit", func() { r.signalLimit(b) }, nil},
 		{"server-pause", func() { r.signalPause(b) }, nil},
 		{"server-says-it-leaves", r.signalLeaving, nil},
@@ -221,7 +222,7 @@
 	r.resultsMu.Unlock()
 	disruptive := true
 	switch kind.name {
-	case "configuration", "version", "drain", "reload", "crash-prompts", "server-limit", "server-pause", "server-says-it-leaves":
+	case "configuration", "version", "drain", "reload", "crash-prompts", "crash-requests", "server-limit", "server-pause", "server-says-it-leaves":
 		disruptive = false
 	default:
 		r.extendEffects(duration)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,14 +119,23 @@
 	assert.Assert(t, served >= len(r.results)*9/10, "%d of %d requests served", served, len(r.results))
 }
 
-// Prompts that crash engines must stop reaching them. Random runs are rarely free of
-// other faults for long enough to check this.
+// What crashes servers must stop reaching them. Random runs are rarely free of other faults
+// for long enough to check this.
 func TestCrashPromptsAreContained(t *testing.T) {
+	playCrashes(t, func(r *run) { r.sendCrashPrompts(1) })
+}
+
+func TestCrashRequestsAreContained(t *testing.T) {
+	playCrashes(t, func(r *run) { r.sendCrashRequests(1) })
+}
+
+func playCrashes(t *testing.T, send func(r *run)) {
+	t.Helper()
 	d, r := startFaultFreeRun(t, buildProgram(t), "edge")
 	time.Sleep(warmUpDuration)
 	stop := r.startClients(1)
 	time.Sleep(time.Second)
-	r.sendCrashPrompts(1)
+	send(r)
 	r.checkRecovery()
 	stop()
 	r.checkServerCounts()
@@ -193,6 +202,7 @@
 		{"ignores-pauses", " while paused by Retry-After: "},
 		{"ignores-answers", " after it signaled that it is leaving: "},
 		{"ignores-crashes", "prompts with a part that crashes engines reached them more than"},
+		{"ignores-repeated-crashes", "requests that crash plain servers reached them more than"},
 		{"cuts-streams", "not the whole stream"},
 		{"joins-versions", ": taken up by "},
 		{"logs-nothing", "without a log line that gives the reason"},
@@ -220,6 +230,8 @@
 				r.signalLeaving()
 			case "ignores-crashes":
 				r.sendCrashPrompts(1)
+			case "ignores-repeated-crashes":
+				r.sendCrashRequests(1)
 			}
 			time.Sleep(3 * time.Second)
 			stop()
