--- a/standin/backend.go
+++ b/standin/backend.go
@@ -40,40 +40,6 @@
 // defaultSoftware is the software version of backend servers whose settings name none.
 const defaultSoftware = "v1"
 
-// BackendFaults are the faults that a Backend injects; SetFaults replaces them
-// at run time.
-type BackendFaults struct {
-	FailEvery      int // every n-th request fails with status 500; 0 for none
-	MisdirectEvery int // every n-th request runs and gets status 421, without a statement and signature; 0 for none
-	Hang           bool
-	BreakAfter     int // number of events after which a stream is aborted; 0 for never
-	EndEarlyEvery  int // every n-th stream has no length, and ends with its connection inside its third event; 0 for none
-	LoseOrderEvery int // every n-th order gets no response and is not executed; 0 for none
-
-	// The process ends when it begins to respond to a prompt with the part CrashPart, for
-	// the adapter CrashAdapter, or to a request with the path CrashPath, and while it loads
-	// the adapter or model CrashLoad. These have an effect only where OnCrash is set.
-	CrashPart, CrashAdapter, CrashPath, CrashLoad string
-
-	Limit   string // requests per second, sent in responses as the server's limit; empty for none
-	Leaving bool   // responses announce that the server is leaving
-	// Brittle makes the process end when it rejects more than this many requests in a second
-	// because it is full; responses say so. 0 for a sturdy server. A crash needs OnCrash.
-	Brittle int
-	Pause   float64 // seconds: requests are refused with this Retry-After; 0 for none
-
-	// Every n-th request that could run is rejected, by an engine as if its adapter were
-	// not loaded. 0 for none.
-	RejectEvery int
-	// Every n-th request that runs on a connection whose previous response was a rejection
-	// is preceded by a second copy of that rejection. 0 for none. It has an effect only on
-	// connections of Server.
-	RepeatRejections int
-}
-
-// signalsBackpressure reports whether a fault makes responses signal backpressure.
-func (f BackendFaults) signalsBackpressure() bool { return f.Limit != "" || f.Leaving || f.Pause > 0 }
-
 // BackendCounts holds what a Backend observed.
 type BackendCounts struct {
 	Arrivals                  int            // requests received, including refused ones
@@ -179,46 +145,6 @@
 // before the first request; a BackendProcess does so itself.
 func (b *Backend) OnCrash(end func()) { b.crash = end }
 
-// SetFaults replaces the faults in force and clears ArrivalsUnderBackpressure.
-func (b *Backend) SetFaults(f BackendFaults) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.faults, b.counts.ArrivalsUnderBackpressure = f, nil
-}
-
-// crashesOn reports whether the process ends when it begins to respond to a request.
-func (f BackendFaults) crashesOn(r *http.Request) bool {
-	if _, adapter, _ := strings.Cut(r.Header.Get("X-Chestnutstream-Model"), "/"); f.CrashAdapter != "" && adapter == f.CrashAdapter {
-		return true
-	}
-	if f.CrashPath != "" && r.URL.Path == f.CrashPath {
-		return true
-	}
-	if f.CrashPart == "" {
-		return false
-	}
-	parts := strings.Split(r.Header.Get("X-Chestnutstream-Prefix-Hash"), ",")
-	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
-		return strings.HasPrefix(part, f.CrashPart+":")
-	})
-}
-
-// setHeaders sets the backpressure headers of a response.
-func (f BackendFaults) setHeaders(h http.Header) {
-	if f.Limit != "" {
-		h.Set("X-Chestnutstream-Server-Limit", f.Limit)
-	}
-	if f.Brittle > 0 {
-		h.Set("X-Chestnutstream-Server-Brittle", strconv.Itoa(f.Brittle))
-	}
-	if f.Leaving {
-		h.Set("X-Chestnutstream-Server-Leaving", "1")
-	}
-	if f.Pause > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.Pause, 'f', -1, 64))
-	}
-}
-
 // MaxInWindow returns the largest number of times within any window of length
 // span. times must be in ascending order.
 func MaxInWindow(times []time.Time, span time.Duration) int {
@@ -461,20 +387,6 @@
 	b.stream(w, r, f)
 }
 
-// failure returns the status with which a request that runs is to end; 0: it does not fail.
-func (b *Backend) failure(f BackendFaults, fail bool) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case fail:
-		return http.StatusInternalServerError
-	case f.MisdirectEvery > 0 && b.served%f.MisdirectEvery == 0:
-		b.counts.Misdirected++
-		return http.StatusMisdirectedRequest
-	}
-	return 0
-}
-
 // event returns an event of a stream.
 func (b *Backend) event(i int, model string) string {
 	text := fmt.Sprintf("piece %d of %s", i, model)
@@ -518,38 +430,3 @@
 		}
 	}
 }
-
-// endsEarly reports whether the next stream is to end inside an event.
-func (b *Backend) endsEarly(f BackendFaults) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.streams++
-	if f.EndEarlyEvery == 0 || b.streams%f.EndEarlyEvery != 0 {
-		return false
-	}
-	b.counts.EarlyEnds++
-	return true
-}
-
-// endEarly writes a stream without a length that ends with its connection inside an event.
-func (b *Backend) endEarly(w http.ResponseWriter, r *http.Request, from int) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(fmt.Sprintf("hijack: %v", err)) // the server is one of HTTP/1.1
-	}
-	defer conn.Close()
-	head := "HTTP/1.1 200 OK\r\n"
-	for name, values := range w.Header() {
-		head += name + ": " + values[0] + "\r\n"
-	}
-	model := r.Header.Get("X-Chestnutstream-Model")
-	text := head + "Connection: close\r\n\r\n"
-	for i := from; i < min(from+earlyEndEvents, b.cfg.Events); i++ {
-		text += b.event(i, model)
-	}
-	last := b.event(min(from+earlyEndEvents, b.cfg.Events), model)
-	_, _ = io.WriteString(conn, text+last[:len(last)/2])
-}
-
-// earlyEndEvents is the number of whole events of a stream that ends early.
-const earlyEndEvents = 2
