rows: versions with the era of the store

The store may return from a copy some seconds old. Its counter of transactions then goes back, and versions of two histories cannot be compared. Nothing uses the functions yet.

--- a/rows.go
+++ b/rows.go
@@ -7,6 +7,20 @@
 	"github.com/pkg/errors"
 )
 
+// Versions of rows consist of the store's era and, below it, its counter of transactions.
+// The era rises when the store returns from an older copy; the counter then goes back. So
+// versions of all eras can be compared. A store that states no era has era 0.
+const eraShift = 40
+
+// RowVersion returns the version of a transaction of an era.
+func RowVersion(era, counter uint64) uint64 { return era<<eraShift | counter }
+
+// VersionEra returns the era of a version.
+func VersionEra(version uint64) uint64 { return version >> eraShift }
+
+// VersionCounter returns the store's own number of a version, which is unique in its era only.
+func VersionCounter(version uint64) uint64 { return version & (1<<eraShift - 1) }
+
 // TableRow is a row of the platform's metadata store. Version is the version of the
 // transaction that last changed it. The store numbers all transactions with one
 // counter, so versions of different rows can be compared.
@@ -69,6 +83,9 @@
 	// ErrStoreRefused is returned when the store responded that it did nothing.
 	ErrStoreRefused = errors.New("the store refused the call")
 	// ErrHistoryLost is returned when Watch requests changes that the store no longer
-	// keeps.
+	// keeps, or that were made in an earlier era.
 	ErrHistoryLost = errors.New("the store no longer has these changes")
+	// ErrStoreRestored is returned when a transaction checks versions of an earlier era than
+	// the store's. If the store was asked, it is unknown what it has applied.
+	ErrStoreRestored = errors.New("the store has returned from a copy")
 )
