platform, edge: the era of the store is logged and counted

No log line or metric told that the store had returned from an older copy, or that entries of servers were ignored as older than what is known, so a server whose entry has a lower version than before could not be told from one that does not write.

The era is a gauge and in the dump. Nothing acts on it yet.

go test -race -count=1 ./platform ./fleet: ok

--- a/edge/dump.go
+++ b/edge/dump.go
@@ -15,6 +15,7 @@
 	Ready    bool             `json:"ready"`
 	Lease    bool             `json:"lease-valid"`
 	Peers    []string         `json:"peers"`
+	Era      uint64           `json:"store-era"`
 	Views    map[string]int64 `json:"view-ages-ms"` // by table of the platform's store
 	Servers  []wireServer     `json:"servers"`
 	Verdicts []wireVerdict    `json:"quarantine"`
@@ -47,7 +48,7 @@
 
 // dump serves the state of the instance as JSON.
 func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
-	d := wireDump{Instance: n.cfg.Instance, Zone: n.cfg.Zone, Ready: n.Ready(), Peers: n.mesh.Peers()}
+	d := wireDump{Instance: n.cfg.Instance, Zone: n.cfg.Zone, Ready: n.Ready(), Era: n.store.Era(), Peers: n.mesh.Peers()}
 	if t := n.routes.Load(); t != nil {
 		d.Config = t.Version
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -173,6 +173,7 @@
 		n.updates[w.table] = make(chan instance.TableUpdate, maxQueuedUpdates)
 	}
 	n.registerViewGauges(watches)
+	n.watchEra()
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	leaseSettings := lease.DefaultSettings(cfg.MinHandoverDelay)
 	leaseSettings.Regions = cfg.Regions
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -373,6 +373,7 @@
 		}
 	}
 	changes = append(changes, n.fleet.Tick(now)...)
+	n.metrics.GetOrCreateCounter(`chestnutstream_entries_ignored_total`).Set(n.fleet.IgnoredEntries())
 	n.handleServerChanges(changes)
 	n.observeSoftware()
 	n.mu.Unlock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -83,10 +83,12 @@
 func (f *Fleet) applyEntry(now time.Time, e Entry) []Change {
 	s := f.servers[e.Key]
 	if s == nil && e.RowVersion <= max(f.removed[e.Key], f.snapshotVersion) {
+		f.ignoredEntries++
 		return nil // read before the server was removed
 	}
 	switch {
 	case s != nil && e.RowVersion < s.RowVersion:
+		f.ignoredEntries++
 		return nil // an older read
 	case s != nil && e.RowVersion == s.RowVersion && s.MissingSince.IsZero():
 		return nil
@@ -109,6 +111,7 @@
 		return append([]Change{{Server: e.Key, What: "new", RowVersion: e.RowVersion}}, f.applyLeaving(f.servers[e.Key])...)
 	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
 		if e.Backend.Born < s.Born {
+			f.ignoredEntries++
 			return nil // a late entry of an earlier start
 		}
 		restarted := newServer(e.Backend, e.RowVersion)
@@ -159,6 +162,10 @@
 	return f.storeUnavailable || (!f.storeRecoveredAt.IsZero() && now.Sub(f.storeRecoveredAt) < storeRecoveryWindow)
 }
 
+// IgnoredEntries returns the number of entries that were ignored since they are older than
+// what is known.
+func (f *Fleet) IgnoredEntries() uint64 { return f.ignoredEntries }
+
 // maxRememberedServers bounds the records of removed and of leaving servers.
 const maxRememberedServers = 4096
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,6 +95,7 @@
 	brittle          map[string]brittleness // by service
 	storeUnavailable bool                   // the latest read of the list failed
 	storeRecoveredAt time.Time              // first successful read after failures
+	ignoredEntries   uint64
 }
 
 // New returns an empty fleet as seen from an availability zone. inRegion reports
--- a/rows.go
+++ b/rows.go
@@ -10,7 +10,11 @@
 // Versions of rows consist of the store's era and, below it, its counter of transactions.
 // The era rises when the store returns from an older copy; the counter then goes back. So
 // versions of all eras can be compared. A store that states no era has era 0.
-const eraShift = 40
+const (
+	eraShift   = 40
+	MaxEra     = 1<<(64-eraShift) - 1
+	MaxCounter = 1<<eraShift - 1
+)
 
 // RowVersion returns the version of a transaction of an era.
 func RowVersion(era, counter uint64) uint64 { return era<<eraShift | counter }
@@ -19,7 +23,7 @@
 func VersionEra(version uint64) uint64 { return version >> eraShift }
 
 // VersionCounter returns the store's own number of a version, which is unique in its era only.
-func VersionCounter(version uint64) uint64 { return version & (1<<eraShift - 1) }
+func VersionCounter(version uint64) uint64 { return version & MaxCounter }
 
 // TableRow is a row of the platform's metadata store. Version is the version of the
 // transaction that last changed it. The store numbers all transactions with one
