standin: a store that returns from a copy

The stand-in's store only ever counted up and kept all rows, so no test or soak could show what the system does when the platform's store returns from a copy some seconds old.

The store now has an era, stated in the header Store-Era of each response (HideEra leaves it out, as stores do that are never restored). A call that was under way when the store went away or was restored gets no response, so no response mixes two eras. A watch from a version above the counter gets status 410; one from a version that was given out again is served.

Backend records its orders; OrderViolations returns lower fencing tokens after higher ones, and orders of two holders with one token or less than a given time apart. Its draining counts from the store's acknowledgement also where the store was away at first.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -95,6 +95,7 @@
 	orders          int // accepted orders, compared with an order's expectedRev
 	maxFencingToken uint64
 	lastOrderAt     time.Time // time of the latest order
+	orderRecords    []OrderRecord
 	drainingSince   time.Time
 	unloadingModel  bool   // the base model's unload waits for requests in progress
 	unloading       string // adapter whose unload waits for requests in progress; empty for none
@@ -210,7 +211,12 @@
 	if err != nil {
 		panic(fmt.Sprintf("encode backend row: %v", err)) // cannot happen: all fields are encodable
 	}
-	b.store.Put("servers", b.cfg.ID, value)
+	acknowledged := b.store.Put(tableServers, b.cfg.ID, value) > 0
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if acknowledged && row.State == "draining" && b.drainingSince.IsZero() {
+		b.drainingSince = time.Now()
+	}
 }
 
 // Drain sets the server's state to draining and publishes it in its row.
@@ -219,9 +225,6 @@
 	b.state = "draining"
 	b.mu.Unlock()
 	b.Heartbeat()
-	b.mu.Lock()
-	b.drainingSince = time.Now()
-	b.mu.Unlock()
 }
 
 // finishUnload removes the adapter whose unload was deferred once it has no more
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -15,6 +17,46 @@
 	FencingToken uint64 `json:"fencingToken"`
 }
 
+// OrderRecord is an order that a Backend received.
+type OrderRecord struct {
+	Holder       string
+	FencingToken uint64
+	At           time.Time
+}
+
+// Orders returns the orders received so far, oldest first.
+func (b *Backend) Orders() []OrderRecord {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.orderRecords)
+}
+
+// OrderViolations returns what must not occur among the orders received so far: a lower
+// fencing token after a higher one, and orders of two holders with one token or less than
+// minHandover apart.
+func (b *Backend) OrderViolations(minHandover time.Duration) []string {
+	var out []string
+	latest, newest := map[string]time.Time{}, OrderRecord{} // latest order by holder, and the order with the highest token
+	for _, o := range b.Orders() {
+		switch {
+		case o.FencingToken < newest.FencingToken:
+			out = append(out, fmt.Sprintf("%s: token %d of %s after %d of %s", b.cfg.ID, o.FencingToken, o.Holder, newest.FencingToken, newest.Holder))
+		case o.FencingToken == newest.FencingToken && newest.Holder != "" && o.Holder != newest.Holder:
+			out = append(out, fmt.Sprintf("%s: token %d of %s and %s", b.cfg.ID, o.FencingToken, o.Holder, newest.Holder))
+		}
+		for holder, at := range latest {
+			if holder != o.Holder && o.At.Sub(at) < minHandover {
+				out = append(out, fmt.Sprintf("%s: order of %s %v after one of %s", b.cfg.ID, o.Holder, o.At.Sub(at).Round(time.Millisecond), holder))
+			}
+		}
+		latest[o.Holder] = o.At
+		if o.FencingToken >= newest.FencingToken {
+			newest = o
+		}
+	}
+	return out
+}
+
 func (b *Backend) order(w http.ResponseWriter, r *http.Request) {
 	var o backendOrder
 	if !readJSON(w, r, &o) {
@@ -36,6 +78,7 @@
 		b.counts.Holders = append(b.counts.Holders, o.Holder)
 	}
 	b.lastOrderAt = time.Now()
+	b.orderRecords = append(b.orderRecords, OrderRecord{Holder: o.Holder, FencingToken: o.FencingToken, At: b.lastOrderAt})
 	w.WriteHeader(b.executeOrder(o))
 }
 
--- a/standin/process.go
+++ b/standin/process.go
@@ -146,7 +146,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if !p.running || p.backends[len(p.backends)-1].cfg.ID != id {
-			p.store.Remove("servers", id)
+			p.store.Remove(tableServers, id)
 		}
 	}
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -60,6 +60,9 @@
 	startedAt time.Time
 
 	mu              sync.Mutex
+	era             uint64 // rises with each restore
+	hideEra         bool   // responses do not state the era
+	away            bool   // calls get no response and have no effect
 	version         uint64
 	rows            map[storeKey]StoreRow
 	changes         []storeChange
@@ -71,17 +74,17 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{startedAt: time.Now(), rows: map[storeKey]StoreRow{}, changed: make(chan struct{}), objects: map[string][]byte{}}
+	return &Store{startedAt: time.Now(), era: 1, rows: map[storeKey]StoreRow{}, changed: make(chan struct{}), objects: map[string][]byte{}}
 }
 
 // addRoutes registers the store's endpoints on a router, wrapped in middleware for
 // writes and reads.
 func (s *Store) addRoutes(r *mux.Router, writeMiddleware, readMiddleware mux.MiddlewareFunc) {
-	r.Handle("/rows-tx", writeMiddleware(http.HandlerFunc(s.transact))).Methods(http.MethodPost)
-	r.Handle("/rows-get", readMiddleware(http.HandlerFunc(s.get))).Methods(http.MethodGet)
-	r.Handle("/rows-feed", readMiddleware(http.HandlerFunc(s.watch))).Methods(http.MethodGet)
-	r.HandleFunc("/blob-put/{id:.+}", s.putObject).Methods(http.MethodPut)
-	r.HandleFunc("/blob-get/{id:.+}", s.getObject).Methods(http.MethodGet)
+	r.Handle("/rows-tx", writeMiddleware(s.inOneEra(s.transact))).Methods(http.MethodPost)
+	r.Handle("/rows-get", readMiddleware(s.inOneEra(s.get))).Methods(http.MethodGet)
+	r.Handle("/rows-feed", readMiddleware(s.inOneEra(s.watch))).Methods(http.MethodGet)
+	r.Handle("/blob-put/{id:.+}", s.inOneEra(s.putObject)).Methods(http.MethodPut)
+	r.Handle("/blob-get/{id:.+}", s.inOneEra(s.getObject)).Methods(http.MethodGet)
 }
 
 // ServeHTTP implements http.Handler, without rate limits.
@@ -94,11 +97,11 @@
 
 // Apply applies a transaction and returns the store's version. If a row does not
 // have the expected version, ok is false, nothing is changed, and rows are the
-// current rows of t.Expected.
+// current rows of t.Expected. A store that is away changes nothing either.
 func (s *Store) Apply(t StoreTransaction) (version uint64, rows []StoreRow, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ok = true
+	ok = !s.away
 	for _, e := range t.Expected {
 		current := s.rows[storeKey{e.Table, e.Part, e.Key}]
 		current.Table, current.Part, current.Key = e.Table, e.Part, e.Key
@@ -123,14 +126,22 @@
 		}
 	}
 	s.dropHistory(now.Add(-historyRetention))
+	s.wake()
+	return s.version, nil, true
+}
+
+// wake wakes the watches that wait for a change. Callers hold mu.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version, nil, true
 }
 
-// Put writes one row and returns its version.
+// Put writes one row and returns its version, 0 if the store is away.
 func (s *Store) Put(table, key string, value []byte) uint64 {
-	version, _, _ := s.Apply(StoreTransaction{Writes: []StoreRow{{Table: table, Key: key, Value: value}}})
+	version, _, ok := s.Apply(StoreTransaction{Writes: []StoreRow{{Table: table, Key: key, Value: value}}})
+	if !ok {
+		return 0
+	}
 	return version
 }
 
@@ -226,10 +237,10 @@
 	deadline := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWatchWait))
 	defer deadline.Stop()
 	s.mu.Lock()
-	suppressUpdates := s.suppressUpdates
+	suppressUpdates, era := s.suppressUpdates, s.era
 	s.mu.Unlock()
 	for {
-		rows, version, changed, ok := s.changesSince(q.Get("table"), after)
+		rows, version, changed, ok := s.changesSince(q.Get("table"), era, after)
 		if suppressUpdates {
 			rows, changed = nil, nil
 		}
@@ -244,7 +255,7 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
-			if rows, version, _, ok = s.changesSince(q.Get("table"), after); !ok {
+			if rows, version, _, ok = s.changesSince(q.Get("table"), era, after); !ok {
 				http.Error(w, "history lost", http.StatusGone)
 				return
 			}
@@ -258,11 +269,12 @@
 
 // changesSince returns the changes of a table after a version, and a channel that
 // is closed with the next change of any table. ok is false if the history no
-// longer reaches back to the version.
-func (s *Store) changesSince(table string, after uint64) (rows []StoreRow, version uint64, changed <-chan struct{}, ok bool) {
+// longer reaches back to the version, does not reach up to it, or is that of another era,
+// and while the store is away.
+func (s *Store) changesSince(table string, era, after uint64) (rows []StoreRow, version uint64, changed <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedUpTo {
+	if after < s.droppedUpTo || after > s.version || s.era != era || s.away {
 		return nil, s.version, s.changed, false
 	}
 	for _, c := range s.changes {
