edge: an outage of the store ends for followers, too

Callers' requests reached a server up to 3.0 s after the store had acknowledged its removal (bound 2 s), in calm: an outage long before was enough.

An instance whose own read of the servers' list had failed counted the store as away until its own next read. A follower reads none while updates come: the mark stayed, for minutes or hours. When its reader stopped it read by itself, took that for the return of the store, and kept each server whose entry was missing for 2.2 s more, as one that had expired in the outage.

The log of the instance has the change "missing" for the server 21 s after "store available again", and "gone" 2.2 s later.

An update shows that the store was available when the reader read it, so it ends the outage as an own read does.

--- a/edge/readers.go
+++ b/edge/readers.go
@@ -94,8 +94,7 @@
 			if update.To < version {
 				continue
 			}
-			w.applyUpdate(update.Rows)
-			n.recordUpdate(update)
+			n.applyReaderUpdate(w, update)
 			n.cancelUnansweredPolls()
 			n.wakeControl()
 			return max(version, update.To), true
@@ -103,6 +102,18 @@
 	}
 }
 
+// applyReaderUpdate applies a reader's update. It shows that the store was available when the
+// reader read it, also to an instance whose own last read failed before that.
+func (n *Node) applyReaderUpdate(w tableWatch, update instance.TableUpdate) {
+	n.mu.Lock()
+	if w.table == platform.TableServers && update.ReadAt.After(n.view(w.table).failedAt) {
+		n.fleet.RecordStoreSuccess(update.ReadAt)
+	}
+	n.mu.Unlock()
+	w.applyUpdate(update.Rows)
+	n.recordUpdate(update)
+}
+
 // cancelUnansweredPolls cancels the polls in progress if the store is unavailable to
 // this instance while another one reads it: the store may have accepted the polls while
 // it was unresponsive, and then never responds to them.
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/citest"
+	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
@@ -204,3 +205,41 @@
 		assert.Check(t, readerCount(platform.TableOperator, instances) <= readers)
 	}
 }
+
+// A follower that had only received updates since an outage took a removal long after it for an expired entry.
+func TestRemovalLongAfterOutageIsNotTakenForExpiry(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 1, 3)
+	s.backendWithoutHeartbeat(standin.BackendSettings{ID: "i-desk-left", Service: "desk", Slots: 6, ServiceTime: time.Millisecond})
+	all := []*testInstance{s.instance("edge-a"), s.instance("edge-b")}
+	s.awaitOwners(1, all...)
+	time.Sleep(startLeasesPeriod) // until then each instance reads all tables itself
+	readers, _ := all[0].Node().zoneReaders(platform.TableServers)
+	reader, follower := all[0], all[1]
+	if readers[0] != reader.cfg.Instance {
+		reader, follower = follower, reader
+	}
+	server := func() *fleet.Server {
+		n := follower.Node()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.fleet.Server("i-desk-left")
+	}
+	s.storeGate.setUnavailable(true)
+	eventually(t, "a read of the follower has failed", func() bool {
+		n := follower.Node()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return !n.view(platform.TableServers).failedAt.IsZero()
+	})
+	s.storeGate.setUnavailable(false)
+	time.Sleep(4 * time.Second) // until the store counts as stable
+	reader.Close()
+	s.store.Remove(platform.TableServers, "i-desk-left")
+	left := time.Now()
+	eventually(t, "the server is removed", func() bool { return server() == nil })
+	citest.CheckDuration(t, time.Since(left), 2*time.Second)
+	for _, change := range follower.log.with("server entry changed") {
+		assert.Assert(t, change["server"] != "i-desk-left" || change["change"] != "missing", "%v", change)
+	}
+}
