fleet: one failed read is no outage in which entries expire

Callers' requests reached servers up to 3.1 s after the store had acknowledged their removal (bound 2 s), at instances of which one read of the servers' list had failed shortly before: the store had refused one call.

After any failed read the next good one counted as the return of the store, and for a second each missing entry as one that had expired meanwhile; its server was used for 2.2 s more. Entries expire after three heartbeats without a write, so none does in an outage of less than two.

TestMissingEntriesAfterStoreOutage, "missing after one failed read", failed before. Its outage is now given by its length; the cases that it had are kept.

--- a/edge/node.go
+++ b/edge/node.go
@@ -165,6 +165,7 @@
 		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
 		cutOff: map[string]bool{}, probing: map[string]bool{},
 	}
+	n.fleet.SetHeartbeat(cfg.Heartbeat)
 	n.originRead.read, n.softwareRead.read = n.readOrigins, n.readSoftwareRows
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
 	n.updates = map[string]chan instance.TableUpdate{}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -16,6 +16,9 @@
 	// may have expired because of the outage rather than because the server left.
 	// The first read after the recovery shows the entries that expired meanwhile.
 	storeRecoveryWindow = time.Second
+	// minExpiryHeartbeats is the least duration of an outage in which entries expire, in
+	// heartbeats: they expire after three without a write.
+	minExpiryHeartbeats = 2
 )
 
 // Entry is a decoded row of the platform's list of servers.
@@ -43,11 +46,16 @@
 // RecordStoreSuccess records that a read of the list succeeded. It is called before the
 // rows of that read are applied.
 func (f *Fleet) RecordStoreSuccess(now time.Time) {
-	if f.storeUnavailable {
-		f.storeUnavailable, f.storeRecoveredAt = false, now
+	if f.storeUnavailable && now.Sub(f.storeReadAt) >= minExpiryHeartbeats*f.heartbeat {
+		f.storeRecoveredAt = now
 	}
+	f.storeUnavailable, f.storeReadAt = false, now
 }
 
+// SetHeartbeat sets the interval at which servers write their entries. Until then failed
+// reads of any duration count as an outage in which entries may have expired.
+func (f *Fleet) SetHeartbeat(interval time.Duration) { f.heartbeat = interval }
+
 // ApplySnapshot applies a snapshot of the list of servers, taken at a version of the
 // store. Servers without an entry in it have left.
 func (f *Fleet) ApplySnapshot(now time.Time, version uint64, entries []Entry) []Change {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,7 +94,9 @@
 
 	brittle          map[string]brittleness // by service
 	storeUnavailable bool                   // the latest read of the list failed
-	storeRecoveredAt time.Time              // first successful read after failures
+	storeReadAt      time.Time              // latest successful read of the list
+	storeRecoveredAt time.Time              // first successful read after an outage in which entries may have expired
+	heartbeat        time.Duration          // between two writes of a server's entry
 	ignoredEntries   uint64
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -64,23 +64,28 @@
 // Entries expire during an outage of the store although their servers are alive.
 // Only a server whose entry stays missing, or goes missing later, has left.
 func TestMissingEntriesAfterStoreOutage(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
 	tests := []struct {
 		name    string
-		outage  bool          // the store was unavailable before
+		outage  time.Duration // before the store's recovery; 0: none
 		after   time.Duration // the store's recovery, when the entry is found missing
 		checkAt time.Duration // after the store's recovery, when the server is checked
 		usable  bool
 	}{
-		{"removed while the store is available", false, 0, 0, false},
-		{"missing in the first read after an outage", true, 0, 2 * time.Second, true},
-		{"still missing when it should be back", true, 0, 2500 * time.Millisecond, false},
-		{"removed a while after the outage", true, 1500 * time.Millisecond, 1500 * time.Millisecond, false},
+		{"removed while the store is available", 0, 0, 0, false},
+		{"missing in the first read after an outage", 3 * heartbeat, 0, 2 * time.Second, true},
+		{"still missing when it should be back", 3 * heartbeat, 0, 2500 * time.Millisecond, false},
+		{"removed a while after the outage", 3 * heartbeat, 1500 * time.Millisecond, 1500 * time.Millisecond, false},
+		{"missing after failed reads of two heartbeats", 2 * heartbeat, 0, 2 * time.Second, true},
+		{"missing after one failed read", heartbeat, 0, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet()
+			f.SetHeartbeat(heartbeat)
+			f.RecordStoreSuccess(start.Add(-tt.outage))
 			f.ApplySnapshot(start, 0, []Entry{entry("a", 1)})
-			if tt.outage {
+			if tt.outage > 0 {
 				f.RecordStoreFailure()
 			}
 			f.RecordStoreSuccess(start)
