fleet: servers that have left stay so when the store returns from a copy

Requests reached servers for up to 7.5 s after the store had acknowledged that they leave: a copy some seconds old still lists them as ready, in rows that count as newer than what the instance had read, and entries missing from the copy counted as removed although their servers were alive.

The list now keeps the first version that it was read up to in each era. Entries up to it may be copied: they add no start of a server that was removed before, change nothing that is known of one but its version, and do not end the time after which a missing one is gone. Servers that the store lacks after a restore are missing, as after an outage; a start that drained stays so, also when its row went away in between. Entries of earlier eras change nothing, but that a known start drains counts however old the entry is. Records of removed and leaving servers are dropped oldest first in place of all at once.

--- a/fleet/backpressure.go
+++ b/fleet/backpressure.go
@@ -98,10 +98,7 @@
 // response to this or another instance. This is never revoked. The server may be
 // one that is not in the list yet.
 func (f *Fleet) RecordLeaving(id string, born int64) []Change {
-	if len(f.leaving) >= maxRememberedServers {
-		clear(f.leaving)
-	}
-	f.leaving[id] = born
+	f.leaving.put(id, born)
 	return f.applyLeaving(f.servers[id])
 }
 
@@ -117,7 +114,7 @@
 
 // Leaving reports whether a server has signalled in a response that it leaves.
 func (f *Fleet) Leaving(s *Server) bool {
-	born, ok := f.leaving[s.ID]
+	born, ok := f.leaving.get(s.ID)
 	return ok && born == s.Born
 }
 
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -56,9 +56,34 @@
 // reads of any duration count as an outage in which entries may have expired.
 func (f *Fleet) SetHeartbeat(interval time.Duration) { f.heartbeat = interval }
 
+// RecordVersion records a version up to which the store was read. The entries up to the
+// first one of an era may be from the copy that the store has returned from.
+func (f *Fleet) RecordVersion(version uint64) {
+	era, known := chestnutstream.VersionEra(version), chestnutstream.VersionEra(f.copyVersion)
+	if era > known || (era == known && version < f.copyVersion) {
+		f.copyVersion = version
+	}
+}
+
+// mayBeCopied reports whether an entry may be from the copy that the store has returned
+// from. It is then as old as that copy, and its server may have left since.
+func (f *Fleet) mayBeCopied(e Entry) bool {
+	era, known := chestnutstream.VersionEra(e.RowVersion), chestnutstream.VersionEra(f.copyVersion)
+	return era > known || (era > 0 && era == known && e.RowVersion <= f.copyVersion)
+}
+
 // ApplySnapshot applies a snapshot of the list of servers, taken at a version of the
-// store. Servers without an entry in it have left.
+// store. Servers without an entry in it have left, or have registered since the copy was made
+// that the store has returned from. A snapshot of an earlier era is ignored.
 func (f *Fleet) ApplySnapshot(now time.Time, version uint64, entries []Entry) []Change {
+	if chestnutstream.VersionEra(version) < chestnutstream.VersionEra(f.copyVersion) {
+		f.ignoredEntries += uint64(len(entries))
+		return nil
+	}
+	if chestnutstream.VersionEra(version) > chestnutstream.VersionEra(f.copyVersion) && len(f.servers) > 0 {
+		f.storeUnavailable, f.storeRecoveredAt = false, now
+	}
+	f.RecordVersion(version)
 	var changes []Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -90,33 +115,24 @@
 // applyEntry applies one row of the list.
 func (f *Fleet) applyEntry(now time.Time, e Entry) []Change {
 	s := f.servers[e.Key]
-	if s == nil && e.RowVersion <= max(f.removed[e.Key], f.snapshotVersion) {
-		f.ignoredEntries++
-		return nil // read before the server was removed
+	if s == nil {
+		return f.addServer(now, e)
 	}
 	switch {
-	case s != nil && e.RowVersion < s.RowVersion:
+	case e.RowVersion < s.RowVersion:
 		f.ignoredEntries++
-		return nil // an older read
-	case s != nil && e.RowVersion == s.RowVersion && s.MissingSince.IsZero():
+		return f.applyDraining(s, e)
+	case e.RowVersion == s.RowVersion && s.MissingSince.IsZero():
 		return nil
 	case e.Removed:
-		if s == nil {
-			return nil
-		}
 		return f.entryMissing(now, s, e.RowVersion)
 	case e.Err != nil:
-		c := Change{Server: e.Key, What: "unreadable", RowVersion: e.RowVersion, Err: e.Err}
-		if s != nil {
-			// A malformed or foreign row has replaced the server's entry. It gives no
-			// information on the server, which stays as it is until its next entry.
-			s.RowVersion = e.RowVersion
-		}
-		return []Change{c}
-	case s == nil:
-		f.servers[e.Key] = newServer(e.Backend, e.RowVersion)
-		f.addListedAdapters(now, f.servers[e.Key])
-		return append([]Change{{Server: e.Key, What: "new", RowVersion: e.RowVersion}}, f.applyLeaving(f.servers[e.Key])...)
+		// A malformed or foreign row has replaced the server's entry. It gives no
+		// information on the server, which stays as it is until its next entry.
+		s.RowVersion = e.RowVersion
+		return []Change{{Server: e.Key, What: "unreadable", RowVersion: e.RowVersion, Err: e.Err}}
+	case f.mayBeCopied(e) && s.Born >= e.Backend.Born:
+		return f.applyCopied(s, e)
 	case e.Backend.Born != s.Born || e.Backend.Address != s.Address || e.Backend.Service != s.Service:
 		if e.Backend.Born < s.Born {
 			f.ignoredEntries++
@@ -130,6 +146,30 @@
 	return f.updateServer(s, e)
 }
 
+// addServer applies an entry of a server that is not in the list.
+func (f *Fleet) addServer(now time.Time, e Entry) []Change {
+	r, wasRemoved := f.removed.get(e.Key)
+	switch {
+	case e.RowVersion <= max(r.version, f.snapshotVersion):
+		f.ignoredEntries++
+		return nil // read before the server was removed
+	case e.Removed:
+		return nil
+	case e.Err != nil:
+		return []Change{{Server: e.Key, What: "unreadable", RowVersion: e.RowVersion, Err: e.Err}}
+	case wasRemoved && f.mayBeCopied(e) && e.Backend.Born <= r.born:
+		f.ignoredEntries++
+		return nil // copied before the server was removed
+	}
+	s := newServer(e.Backend, e.RowVersion)
+	if r.drained && r.born == s.Born && s.Born > 0 {
+		s.State = chestnutstream.BackendDraining
+	}
+	f.servers[e.Key] = s
+	f.addListedAdapters(now, s)
+	return append([]Change{{Server: e.Key, What: "new", RowVersion: e.RowVersion}}, f.applyLeaving(s)...)
+}
+
 // updateServer applies a new entry of the same start of a server. A draining
 // server does not become ready again.
 func (f *Fleet) updateServer(s *Server, e Entry) []Change {
@@ -139,23 +179,48 @@
 		changes = append(changes, Change{Server: s.ID, What: "back", RowVersion: e.RowVersion})
 	}
 	s.RowVersion, s.Misplaced = e.RowVersion, false
-	if s.State == chestnutstream.BackendReady && e.Backend.State == chestnutstream.BackendDraining {
-		s.State = chestnutstream.BackendDraining
-		changes = append(changes, Change{Server: s.ID, What: "draining", RowVersion: e.RowVersion})
-	}
+	changes = append(changes, f.applyDraining(s, e)...)
 	s.Models, s.Slots, s.Zone, s.Software = e.Backend.Models, e.Backend.Slots, e.Backend.Zone, e.Backend.Software
 	return changes
 }
 
+// applyCopied applies an entry of a server that may be older than what is known of it.
+// Whether the server still runs is for its next entry to say.
+func (f *Fleet) applyCopied(s *Server, e Entry) []Change {
+	s.RowVersion = e.RowVersion
+	f.extendMissing(s)
+	return f.applyDraining(s, e)
+}
+
+// extendMissing lets a missing entry come back within reappearTimeout after the store's
+// latest recovery.
+func (f *Fleet) extendMissing(s *Server) {
+	if !s.MissingSince.IsZero() && f.storeRecoveredAt.After(s.MissingSince) {
+		s.MissingSince = f.storeRecoveredAt
+	}
+}
+
+// applyDraining sets a server to draining if an entry of the same start says so, however
+// old the entry is: no later one can say that the server is ready again.
+func (f *Fleet) applyDraining(s *Server, e Entry) []Change {
+	if s.State != chestnutstream.BackendReady || e.Removed || e.Err != nil || e.Backend.State != chestnutstream.BackendDraining || e.Backend.Born != s.Born || e.Backend.Address != s.Address {
+		return nil
+	}
+	s.State = chestnutstream.BackendDraining
+	return []Change{{Server: s.ID, What: "draining", RowVersion: e.RowVersion}}
+}
+
 // entryMissing handles the absence of a server's entry. Just after the store's
-// recovery the entry may have expired although the server is alive. The server is
-// then kept until reappearTimeout after the recovery; otherwise it is removed.
+// recovery the entry may have expired although the server is alive, and a store that has
+// returned from a copy may never have had it. The server is then kept until reappearTimeout
+// after the recovery; otherwise it is removed.
 func (f *Fleet) entryMissing(now time.Time, s *Server, rowVersion uint64) []Change {
 	s.RowVersion = max(s.RowVersion, rowVersion)
+	if !s.MissingSince.IsZero() {
+		f.extendMissing(s)
+		return nil
+	}
 	if s.State == chestnutstream.BackendReady && !f.storeRecoveredAt.IsZero() && now.Sub(f.storeRecoveredAt) < storeRecoveryWindow {
-		if !s.MissingSince.IsZero() {
-			return nil
-		}
 		s.MissingSince = f.storeRecoveredAt
 		return []Change{{Server: s.ID, What: "missing", RowVersion: rowVersion}}
 	}
@@ -174,17 +239,16 @@
 // what is known.
 func (f *Fleet) IgnoredEntries() uint64 { return f.ignoredEntries }
 
-// maxRememberedServers bounds the records of removed and of leaving servers.
-const maxRememberedServers = 4096
+// removedServer is what is remembered of a removed server.
+type removedServer struct {
+	version uint64 // of the row, or of the store, at which it was removed
+	born    int64
+	drained bool
+}
 
-// remove deletes a server. Only the row version at which it was removed is
-// remembered.
 func (f *Fleet) remove(s *Server) {
 	delete(f.servers, s.ID)
-	if len(f.removed) >= maxRememberedServers {
-		clear(f.removed)
-	}
-	f.removed[s.ID] = s.RowVersion
+	f.removed.put(s.ID, removedServer{version: s.RowVersion, born: s.Born, drained: s.State == chestnutstream.BackendDraining})
 }
 
 // Tick removes servers whose missing entries did not come back in time, and ends
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,13 +84,16 @@
 	// snapshotVersion is the version of the latest snapshot of the list. A server that it does
 	// not have was removed by then.
 	snapshotVersion uint64
-	removed         map[string]uint64    // removed servers, with the row version at which each was removed
-	leaving         map[string]int64     // servers whose responses signalled that they leave, with their start (Born)
-	services        map[string][]*Server // by service, in order of ID
-	versions        map[chestnutstream.ModelAdapter]int
-	prefill         map[string]*prefillRate     // by service
-	pauses          map[string]*pauseTracker    // by service
-	zones           map[string]*outlierDetector // of connections to the servers of each availability zone
+	// copyVersion is the lowest version that the store has shown in its newest era. Rows up to it
+	// may be from the copy that the store returned from.
+	copyVersion uint64
+	removed     recent[removedServer]
+	leaving     recent[int64]        // servers whose responses signalled that they leave, with their start (Born)
+	services    map[string][]*Server // by service, in order of ID
+	versions    map[chestnutstream.ModelAdapter]int
+	prefill     map[string]*prefillRate     // by service
+	pauses      map[string]*pauseTracker    // by service
+	zones       map[string]*outlierDetector // of connections to the servers of each availability zone
 
 	brittle          map[string]brittleness // by service
 	storeUnavailable bool                   // the latest read of the list failed
@@ -107,7 +110,7 @@
 		inRegion = func(string) bool { return true }
 	}
 	return &Fleet{
-		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, removed: map[string]uint64{}, leaving: map[string]int64{}, services: map[string][]*Server{},
+		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
 	}
 }
