lease: one holder over restores of the store

A store that returns from a copy has lost acknowledged leases and owner rows, and gives their versions out again. Callers saw orders with lower fencing tokens than before, for the rest of an engine's life, and orders of two holders: an engine acquired within the copy's age counted as unowned and was acquired again at once, beside a holder whose lease was valid.

Versions now have the era of the store above its counter. Owner rows state the era in which they were written, and one of an earlier era grants nothing. A process whose lease is valid when it learns of a new era keeps what it owned, under its old tokens, until that lease ends, and writes its rows again, which gives higher tokens. Nobody else takes over before all leases of earlier eras have ended. The row era/N notes when era N began, for processes that start later. All transactions of the era check it, and whoever writes it deletes those of earlier eras, so a delayed transaction of an earlier era changes nothing after it, even if versions are given out again in the same order.

With a store that states no era nothing is written or waited for in addition.

RenewalConflict reported a lost lease also where there was none.

--- a/edge/control.go
+++ b/edge/control.go
@@ -167,37 +167,49 @@
 	}
 }
 
-// applyLease sends a lease renewal, or an acquisition of engines, to the store.
+// applyLease sends a transaction of the lease manager to the store.
 func (n *Node) applyLease(a lease.Action) {
 	sent := n.boot()
 	version, err := n.store.Apply(n.ctx, a.Transaction)
 	var conflict *chestnutstream.RowConflictError
+	var conflictRows []chestnutstream.TableRow
+	if errors.As(err, &conflict) {
+		conflictRows = conflict.Rows
+	}
 	n.mu.Lock()
 	boot := n.boot()
 	lost := false
 	var rowErr error
 	switch {
-	case len(a.Servers) == 0 && err == nil:
-		n.leases.Renewed(boot, sent, version)
-	case len(a.Servers) == 0 && errors.As(err, &conflict):
-		lost = n.leases.RenewalConflict(boot, conflict.Rows)
-	case len(a.Servers) == 0:
+	case a.Kind == lease.ActionRenew && err == nil:
+		n.leases.Renewed(boot, sent, a, version)
+	case a.Kind == lease.ActionRenew && conflict != nil:
+		lost = n.leases.RenewalConflict(boot, a, conflictRows)
+	case a.Kind == lease.ActionRenew:
 		n.leases.RenewalFailed(boot)
+	case a.Kind == lease.ActionNoteEra && err == nil:
+		n.leases.EraNoted(boot, a, version)
+	case a.Kind == lease.ActionNoteEra:
+		rowErr = n.leases.EraNotNoted(boot, conflictRows)
 	case err == nil:
-		n.leases.Acquired(a.Servers, version)
-	case errors.As(err, &conflict):
-		rowErr = n.leases.AcquisitionFailed(boot, a.Servers, conflict.Rows)
+		n.leases.Acquired(boot, a, version)
 	default:
-		rowErr = n.leases.AcquisitionFailed(boot, a.Servers, nil)
+		rowErr = n.leases.AcquisitionFailed(boot, a, conflictRows)
 	}
-	valid := n.leases.Valid(boot)
+	valid, era := n.leases.Valid(boot), n.leases.Era()
 	n.mu.Unlock()
 	l := n.log.WithFields(log.Fields{"servers": a.Servers, "lease-valid": valid})
 	switch {
 	case lost:
 		l.Warn("lease ended by another instance")
+	case a.Kind == lease.ActionNoteEra && conflict != nil:
+		n.log.WithField("era", era).Info("another instance has noted the store's era")
 	case err != nil:
-		l.WithError(err).Warn("lease renewal or engine acquisition failed")
+		l.WithField("transaction", a.Kind).WithError(err).Warn("lease renewal or engine acquisition failed")
+	case a.Kind == lease.ActionNoteEra:
+		n.log.WithFields(log.Fields{"era": era, "row": version}).Info("store's era noted")
+	case a.Rewritten > 0:
+		l.WithFields(log.Fields{"fence": version, "rewritten": a.Rewritten}).Info("owner rows written again after a restore of the store")
 	case len(a.Servers) > 0:
 		l.WithField("fence", version).Info("engines acquired")
 	}
--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -40,7 +40,7 @@
 	apply := map[string]func(n *Node, r chestnutstream.TableRow){
 		platform.TableServers:  func(n *Node, r chestnutstream.TableRow) { n.applyServerRows([]chestnutstream.TableRow{r}, false, 0) },
 		platform.TableOperator: func(n *Node, r chestnutstream.TableRow) { n.applyOperatorRows([]chestnutstream.TableRow{r}) },
-		lease.Table:            func(n *Node, r chestnutstream.TableRow) { n.applyLeaseRows([]chestnutstream.TableRow{r}, false) },
+		lease.Table:            func(n *Node, r chestnutstream.TableRow) { n.applyLeaseRows([]chestnutstream.TableRow{r}, false, 0) },
 	}
 	tests := []struct{ name, table, key, value string }{
 		{"server, nested", platform.TableServers, "i-1", nested},
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -63,8 +63,8 @@
 		},
 		{
 			table: lease.Table, shared: true, interval: leasesInterval, startInterval: startLeasesInterval, wait: leasesPollWait,
-			applySnapshot: func(rows []chestnutstream.TableRow, _ uint64) { n.applyLeaseRows(rows, true) },
-			applyUpdate:   func(rows []chestnutstream.TableRow) { n.applyLeaseRows(rows, false) },
+			applySnapshot: func(rows []chestnutstream.TableRow, version uint64) { n.applyLeaseRows(rows, true, version) },
+			applyUpdate:   func(rows []chestnutstream.TableRow) { n.applyLeaseRows(rows, false, 0) },
 		},
 	}
 }
@@ -414,13 +414,13 @@
 	}
 }
 
-// applyLeaseRows applies rows of the leases table: a snapshot, or changes.
-func (n *Node) applyLeaseRows(rows []chestnutstream.TableRow, snapshot bool) {
+// applyLeaseRows applies rows of the leases table: a snapshot as of version, or changes.
+func (n *Node) applyLeaseRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
 	n.mu.Lock()
 	boot := n.boot()
 	var err error
 	if snapshot {
-		err = n.leases.ApplySnapshot(boot, rows)
+		err = n.leases.ApplySnapshot(boot, lease.Snapshot{Rows: rows, Version: version})
 	} else {
 		err = n.leases.ApplyUpdates(boot, rows)
 	}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -10,17 +10,23 @@
 	"github.com/chestnutstream/chestnutstream"
 )
 
-// Step returns the transactions that are due. At most one renewal and one
-// acquisition are in flight.
+// Step returns the transactions that are due. At most one of each kind is in flight.
 func (m *Manager) Step(boot time.Duration, servers []Server) []Action {
-	if !m.hasRead {
+	if !m.hasRead || m.readEra != m.era.number {
 		return nil
 	}
+	if m.era.number != 0 && m.era.rowVersion == 0 {
+		if m.era.noting || boot < m.era.noteAt {
+			return nil
+		}
+		m.era.noting = true
+		return []Action{{Kind: ActionNoteEra, Transaction: m.noteTransaction(), era: m.era.number}}
+	}
 	var actions []Action
 	if !m.renewing && boot >= m.renewAt {
 		m.renewing = true
 		m.duration = max(m.duration, m.targetDuration(boot))
-		actions = append(actions, Action{Transaction: m.renewalTransaction()})
+		actions = append(actions, Action{Kind: ActionRenew, Transaction: m.renewalTransaction(), era: m.era.number})
 	}
 	if a, ok := m.nextAcquisition(boot, servers); ok {
 		actions = append(actions, a)
@@ -42,18 +48,33 @@
 func (m *Manager) renewalTransaction() chestnutstream.RowTransaction {
 	value, _ := json.Marshal(wireHolder{Zone: m.self.Zone, Address: m.self.Address, Incarnation: m.self.Incarnation, DurationMS: m.duration.Milliseconds()})
 	key := instanceKey(m.self.Name)
-	version := m.version
-	if h := m.holders[m.self.Name]; version == 0 && h != nil {
-		version = h.version
-	}
 	return chestnutstream.RowTransaction{
-		Checks: []chestnutstream.RowCheck{{Table: Table, Key: key, Version: version}},
+		Checks: append(m.eraChecks(), chestnutstream.RowCheck{Table: Table, Key: key, Version: m.ownRowVersion()}),
 		Writes: []chestnutstream.TableRow{{Table: Table, Key: key, Value: value}},
 	}
 }
 
+// ownRowVersion returns the version of the own lease row as last seen; 0: there is none.
+func (m *Manager) ownRowVersion() uint64 {
+	if h := m.holders[m.self.Name]; m.version == 0 && h != nil {
+		return h.version
+	}
+	return m.version
+}
+
+// ofPresentEra reports whether an action and the version of its response are both of the
+// present era. Otherwise the outcome counts as unknown.
+func (m *Manager) ofPresentEra(boot time.Duration, a Action, version uint64) bool {
+	m.learnEra(boot, version)
+	return a.era == m.era.number && chestnutstream.VersionEra(version) == m.era.number
+}
+
 // Renewed records that the renewal sent at the given time succeeded.
-func (m *Manager) Renewed(boot, sent time.Duration, version uint64) {
+func (m *Manager) Renewed(boot, sent time.Duration, a Action, version uint64) {
+	if !m.ofPresentEra(boot, a, version) {
+		m.RenewalFailed(boot)
+		return
+	}
 	m.renewing = false
 	m.renewAt = sent + m.cfg.RenewInterval + m.duration - m.cfg.BaseDuration
 	m.version = version
@@ -70,38 +91,64 @@
 	m.renewAt = boot + renewRetryDelay
 }
 
-// RenewalConflict records that the own lease row was not as expected. Either it is
-// an own renewal whose response was lost, or another instance has ended the lease;
+// RenewalConflict records that a row was not as the renewal expected. Either the own lease
+// row is an own renewal whose response was lost, or another instance has ended the lease;
 // then lost is true and nothing is owned any more.
-func (m *Manager) RenewalConflict(boot time.Duration, rows []chestnutstream.TableRow) (lost bool) {
+func (m *Manager) RenewalConflict(boot time.Duration, a Action, rows []chestnutstream.TableRow) (lost bool) {
+	for _, r := range rows {
+		m.learnEra(boot, r.Version)
+	}
+	if a.era != m.era.number {
+		m.RenewalFailed(boot)
+		return false
+	}
 	m.renewing = false
 	m.renewAt = boot
+	m.checkEraRow(boot, rows)
 	for _, r := range rows {
 		if r.Key != instanceKey(m.self.Name) || r.Version == 0 {
 			continue
 		}
+		if r.Version == m.version {
+			return false
+		}
 		var w wireHolder
 		if err := json.Unmarshal(r.Value, &w); err == nil && w.Incarnation == m.self.Incarnation && m.version != 0 {
 			m.version = r.Version
 			return false
 		}
-		m.dropOwnLease()
+		lost = m.dropOwnLease()
 		m.holders[m.self.Name] = &Holder{Name: m.self.Name, version: r.Version, duration: m.duration, seenAt: boot}
-		return true
+		return lost
 	}
-	lost = m.version != 0
-	m.dropOwnLease()
+	lost = m.dropOwnLease()
 	delete(m.holders, m.self.Name)
 	return lost
 }
 
+// checkEraRow applies the present era's row of a conflict; none: it was removed.
+func (m *Manager) checkEraRow(boot time.Duration, rows []chestnutstream.TableRow) {
+	m.era.rowVersion = 0
+	for _, r := range rows {
+		if r.Key == eraKey(m.era.number) && r.Version != 0 {
+			_ = m.applyEraRow(r) // a malformed row counts by its version
+		}
+	}
+	m.era.noteAt = boot
+}
+
 // dropOwnLease ends the own lease: another instance may own everything now. The
-// incarnation changes, so that earlier rows count as those of an earlier process.
-func (m *Manager) dropOwnLease() {
-	if m.version != 0 {
-		m.self.Incarnation++
+// incarnation changes, so that earlier rows count as those of an earlier process. It reports
+// whether there was a lease; without one in the present era, what is kept of the era before
+// stays.
+func (m *Manager) dropOwnLease() (had bool) {
+	if m.version == 0 {
+		return false
 	}
+	m.self.Incarnation++
+	clear(m.kept)
 	m.version, m.validUntil = 0, 0
+	return true
 }
 
 // maxEntriesPerServer is the number of entries that acquire a server and end the lease
@@ -113,24 +160,27 @@
 // preferred owner. Servers that exceed the limit of a transaction are left to the next
 // acquisition.
 func (m *Manager) nextAcquisition(boot time.Duration, servers []Server) (Action, bool) {
-	if !m.Valid(boot) || m.acquisitionStopped || len(m.acquiring) > 0 {
+	if !m.Valid(boot) || len(m.acquiring) > 0 {
 		return Action{}, false
 	}
-	var a Action
+	a := Action{Kind: ActionAcquire, era: m.era.number}
 	ended := map[string]bool{}
 	for _, s := range m.serversToAcquire(boot, servers) {
 		if boot < m.retryAt[s.ID] {
 			continue
 		}
-		if a.Transaction.Entries()+maxEntriesPerServer+1 > chestnutstream.MaxTransactionEntries {
+		if a.Transaction.Entries()+maxEntriesPerServer+2 > chestnutstream.MaxTransactionEntries {
 			break
 		}
 		o := m.owners[s.ID]
-		if o.name != "" && o.name != m.self.Name && !ended[o.name] {
+		switch {
+		case m.keeps(boot, s.ID):
+			a.Rewritten++ // an inherited row names whoever owned it earlier
+		case o.name != "" && o.name != m.self.Name && !ended[o.name]:
 			m.endLease(&a.Transaction, o.name)
 			ended[o.name] = true
 		}
-		value, _ := json.Marshal(wireOwner{Name: m.self.Name, Incarnation: m.self.Incarnation})
+		value, _ := json.Marshal(wireOwner{Name: m.self.Name, Incarnation: m.self.Incarnation, Era: m.era.number})
 		a.Servers = append(a.Servers, s.ID)
 		a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: ownerKey(s.ID), Version: o.rowVersion()})
 		a.Transaction.Writes = append(a.Transaction.Writes, chestnutstream.TableRow{Table: Table, Key: ownerKey(s.ID), Value: value})
@@ -139,6 +189,7 @@
 		return Action{}, false
 	}
 	// The own lease must still be valid when the rows are written.
+	a.Transaction.Checks = append(a.Transaction.Checks, m.eraChecks()...)
 	a.Transaction.Checks = append(a.Transaction.Checks, chestnutstream.RowCheck{Table: Table, Key: instanceKey(m.self.Name), Version: m.version})
 	for _, s := range a.Servers {
 		m.acquiring[s] = true
@@ -151,7 +202,7 @@
 // transaction is applied.
 func (m *Manager) endLease(t *chestnutstream.RowTransaction, name string) {
 	version := uint64(0)
-	if h := m.holders[name]; h != nil {
+	if h := m.holders[name]; h != nil && !h.lost {
 		version = h.version
 		t.Deletes = append(t.Deletes, chestnutstream.TableRow{Table: Table, Key: instanceKey(name)})
 	}
@@ -163,11 +214,19 @@
 // that owns the fewest, so all instances that have read the same rows choose the
 // same owner.
 func (m *Manager) serversToAcquire(boot time.Duration, servers []Server) []Server {
-	var acquire, unowned []Server
-	counts := map[string]int{}
+	acquire := m.keptServers(boot)
+	counts := map[string]int{m.self.Name: len(acquire)}
+	if m.acquisitionStopped {
+		return acquire
+	}
+	var unowned []Server
 	for _, s := range servers {
 		o, owned := m.owners[s.ID]
 		switch {
+		case m.keeps(boot, s.ID):
+			continue
+		case (!owned || m.inherited(o)) && !m.Settled(boot):
+			continue
 		case o.name == m.self.Name && m.reacquisitionAllowed(o):
 			acquire = append(acquire, s)
 		case !owned || m.takeoverAllowed(boot, o):
@@ -191,9 +250,12 @@
 }
 
 // reacquisitionAllowed reports whether this process may acquire a server of its instance
-// again: one of an earlier process, or its own whose row was replaced by a malformed one.
-// Nobody else has acquired the latter while the own lease has not ended.
+// again: one of an earlier process, one of an earlier era, or its own whose row was replaced
+// by a malformed one. Nobody else has acquired the last while the own lease has not ended.
 func (m *Manager) reacquisitionAllowed(o owner) bool {
+	if m.inherited(o) {
+		return o.malformed == 0
+	}
 	return (o.malformed > 0) == (o.incarnation == m.self.Incarnation)
 }
 
@@ -250,14 +312,19 @@
 
 // Acquired records that an acquisition succeeded; version is that of its rows. The
 // leases of the last owners, which it ended, are dropped.
-func (m *Manager) Acquired(servers []string, version uint64) {
-	for _, s := range servers {
+func (m *Manager) Acquired(boot time.Duration, a Action, version uint64) {
+	if !m.ofPresentEra(boot, a, version) {
+		m.delayAcquisition(boot, a.Servers)
+		return
+	}
+	for _, s := range a.Servers {
 		delete(m.acquiring, s)
 		o := m.owners[s]
 		if h := m.holders[o.name]; h != nil && o.name != m.self.Name && o.version < version && h.version < version {
 			delete(m.holders, o.name)
 		}
-		m.owners[s] = owner{name: m.self.Name, incarnation: m.self.Incarnation, version: version}
+		m.owners[s] = owner{name: m.self.Name, incarnation: m.self.Incarnation, era: m.era.number, version: version}
+		delete(m.kept, s)
 	}
 }
 
@@ -267,18 +334,16 @@
 // AcquisitionFailed records that an acquisition failed or that its outcome is
 // unknown, and applies the rows of the conflict. The error names the first row
 // that cannot be decoded.
-func (m *Manager) AcquisitionFailed(boot time.Duration, servers []string, rows []chestnutstream.TableRow) error {
+func (m *Manager) AcquisitionFailed(boot time.Duration, a Action, rows []chestnutstream.TableRow) error {
+	m.delayAcquisition(boot, a.Servers)
+	return m.applyRows(boot, rows)
+}
+
+func (m *Manager) delayAcquisition(boot time.Duration, servers []string) {
 	for _, s := range servers {
 		delete(m.acquiring, s)
 		m.retryAt[s] = boot + acquireRetryDelay
 	}
-	var firstErr error
-	for _, r := range rows {
-		if err := m.applyRow(boot, r); err != nil && firstErr == nil {
-			firstErr = err
-		}
-	}
-	return firstErr
 }
 
 // ForgetServer drops the state of a removed server.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -25,6 +25,16 @@
 //
 // A restarted instance is the same holder: it takes over at once what its earlier
 // process owned, under a higher token.
+//
+// # Eras of the store
+//
+// A store that returns from an older copy has lost acknowledged rows and states a new era,
+// which is the upper part of each version. Owner rows state the era in which they were
+// written; those of an earlier era grant nothing. A process whose lease is valid when it
+// learns of the new era keeps, until that lease ends, what it owned, and writes its rows
+// again. Nobody takes over a server until all leases of earlier eras have ended. The row of
+// an era notes when it began, for processes that start later; each transaction checks it,
+// so a delayed one of an earlier era changes nothing after it was written.
 package lease
 
 import (
@@ -55,6 +65,7 @@
 	ClockMargin   time.Duration     // subtracted from the end for the holder itself, as clock rates differ
 	HandoverDelay time.Duration     // between the last order of one holder and the first of the next
 	Regions       map[string]string // by availability zone; nil: there is one region
+	Bootstrap     bool              // the whole system starts for the first time: an empty table has lost no leases
 	StartupDelay  time.Duration     // after the first read, before unowned engines are acquired: others may have started at the same moment
 }
 
@@ -78,7 +89,7 @@
 
 // Holder is an instance's lease as this instance knows it.
 type Holder struct {
-	Name        string
+	Name        string // of the holder; opaque
 	Zone        string
 	Address     string // for the protocol between instances
 	Incarnation uint64 // of the holder's process
@@ -86,11 +97,13 @@
 	duration    time.Duration // from before the renewal that wrote this version
 	seenAt      time.Duration // when this version was first seen, on the boot clock
 	malformed   bool          // a malformed or foreign row has replaced it, of which only the version is known
+	lost        bool          // the store has lost the row; version is 0
 }
 
 type owner struct {
 	name        string
 	incarnation uint64
+	era         uint64 // in which the row was written
 	version     uint64 // of the row, which is also the fencing token
 	// malformed is the version of a malformed or foreign row that has replaced it; 0: there
 	// is none. Only the owner itself replaces such a row: another may have become the owner
@@ -110,10 +123,15 @@
 	holders     map[string]*Holder
 	owners      map[string]owner
 	hasRead     bool          // the table was read at least once
+	readEra     uint64        // of the last snapshot
 	firstReadAt time.Duration // first read of the table
 	updatedAt   time.Duration // last read or update of the table
 
-	version            uint64        // of the own lease row; 0: this process has no lease
+	era      eraState
+	restored bool                  // this process has seen an earlier era
+	kept     map[string]keptServer // owned by the era before, with no owner row of the present era
+
+	version            uint64        // of the own lease row in the present era; 0: this process has no lease
 	duration           time.Duration // of the own lease; never decreases, so that no renewal shortens a valid lease
 	validUntil         time.Duration // end of the own lease, minus ClockMargin
 	renewAt            time.Duration
@@ -125,13 +143,33 @@
 
 // NewManager returns the lease manager of an instance without a lease.
 func NewManager(self Holder, cfg Settings) *Manager {
-	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, retryAt: map[string]time.Duration{}}
+	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, kept: map[string]keptServer{}, retryAt: map[string]time.Duration{}}
 }
 
-// Action is a transaction to send: a renewal or an acquisition.
+// ActionKind is the kind of an action.
+type ActionKind string
+
+// Kinds of actions.
+const (
+	ActionRenew   ActionKind = "renew"    // the own lease
+	ActionAcquire ActionKind = "acquire"  // servers
+	ActionNoteEra ActionKind = "note-era" // write the row of a new era
+)
+
+// Action is a transaction to send.
 type Action struct {
-	Servers     []string // to acquire; none: renew the lease
+	Kind        ActionKind
+	Servers     []string // to acquire
+	Rewritten   int      // how many of them were owned in the era before
 	Transaction chestnutstream.RowTransaction
+	era         uint64
+}
+
+// Snapshot is the content of the table.
+type Snapshot struct {
+	Rows    []chestnutstream.TableRow
+	Version uint64 // as of which the rows were read, at least
+	NowMS   int64  // the store's clock, in milliseconds
 }
 
 type wireHolder struct {
@@ -144,32 +182,45 @@
 type wireOwner struct {
 	Name        string `json:"n"`
 	Incarnation uint64 `json:"r"`
+	Era         uint64 `json:"e,omitempty"` // 0: the store stated none, or an earlier release wrote the row
 }
 
 func instanceKey(name string) string { return instancePrefix + name }
 func ownerKey(server string) string  { return ownerPrefix + server }
 
-// ApplySnapshot handles a snapshot of the table: rows that it lacks are dropped. Errors
-// are as for ApplyUpdates.
-func (m *Manager) ApplySnapshot(boot time.Duration, rows []chestnutstream.TableRow) error {
+// ApplySnapshot handles a snapshot of the table: rows that it lacks are dropped. The first
+// snapshot of a new era may lack leases that are still valid; these end by their duration.
+// A snapshot of an earlier era is ignored. Errors are as for ApplyUpdates.
+func (m *Manager) ApplySnapshot(boot time.Duration, s Snapshot) error {
+	m.learnEra(boot, s.Version)
+	if chestnutstream.VersionEra(s.Version) < m.era.number {
+		return nil
+	}
+	m.applyEraSnapshot(boot, s)
 	present := map[string]bool{}
-	for _, r := range rows {
+	for _, r := range s.Rows {
 		present[r.Key] = true
 	}
-	for name := range m.holders {
-		if !present[instanceKey(name)] {
+	firstOfEra := m.hasRead && m.readEra != m.era.number
+	for name, h := range m.holders {
+		switch {
+		case present[instanceKey(name)] || h.version > s.Version:
+		case name != m.self.Name && (firstOfEra || h.lost && !m.expired(boot, h)):
+			h.lost, h.version = true, 0
+		default:
 			delete(m.holders, name)
 		}
 	}
-	for server := range m.owners {
-		if !present[ownerKey(server)] {
+	for server, o := range m.owners {
+		if !present[ownerKey(server)] && o.rowVersion() <= s.Version {
 			delete(m.owners, server)
 		}
 	}
 	if !m.hasRead {
 		m.hasRead, m.firstReadAt = true, boot
 	}
-	return m.ApplyUpdates(boot, rows)
+	m.readEra = m.era.number
+	return m.ApplyUpdates(boot, s.Rows)
 }
 
 // maxReadGap is the time without an update of the table after which all other
@@ -186,6 +237,11 @@
 		}
 	}
 	m.updatedAt = boot
+	return m.applyRows(boot, rows)
+}
+
+// applyRows applies rows. The error names the first one that cannot be decoded.
+func (m *Manager) applyRows(boot time.Duration, rows []chestnutstream.TableRow) error {
 	var firstErr error
 	for _, r := range rows {
 		if err := m.applyRow(boot, r); err != nil && firstErr == nil {
@@ -196,7 +252,13 @@
 }
 
 func (m *Manager) applyRow(boot time.Duration, r chestnutstream.TableRow) error {
+	m.learnEra(boot, r.Version)
+	if chestnutstream.VersionEra(r.Version) < m.era.number {
+		return nil
+	}
 	switch {
+	case strings.HasPrefix(r.Key, eraPrefix):
+		return m.applyEraRow(r)
 	case strings.HasPrefix(r.Key, instancePrefix):
 		return m.applyHolderRow(boot, strings.TrimPrefix(r.Key, instancePrefix), r)
 	case strings.HasPrefix(r.Key, ownerPrefix):
@@ -246,7 +308,11 @@
 		m.owners[server] = o
 		return fmt.Errorf("decode owner of %s: %w", server, err)
 	}
-	m.owners[server] = owner{name: w.Name, incarnation: w.Incarnation, version: r.Version}
+	o = owner{name: w.Name, incarnation: w.Incarnation, era: w.Era, version: r.Version}
+	m.owners[server] = o
+	if !m.inherited(o) {
+		delete(m.kept, server)
+	}
 	return nil
 }
 
@@ -292,12 +358,12 @@
 // Owned returns the servers that this process owns, in order of ID; none without a
 // valid lease.
 func (m *Manager) Owned(boot time.Duration) []string {
-	if !m.Valid(boot) {
-		return nil
-	}
 	var out []string
+	for _, s := range m.keptServers(boot) {
+		out = append(out, s.ID)
+	}
 	for server, o := range m.owners {
-		if o.name == m.self.Name && o.incarnation == m.self.Incarnation {
+		if m.Valid(boot) && m.ownedHere(o) && !m.keeps(boot, server) {
 			out = append(out, server)
 		}
 	}
@@ -305,19 +371,29 @@
 	return out
 }
 
+// ownedHere reports whether an owner row names this process.
+func (m *Manager) ownedHere(o owner) bool {
+	return o.name == m.self.Name && o.incarnation == m.self.Incarnation && !m.inherited(o)
+}
+
 // Valid reports whether this instance's own lease is valid.
 func (m *Manager) Valid(boot time.Duration) bool { return m.version != 0 && boot < m.validUntil }
 
 // FencingToken returns the fencing token for orders to a server and the boot time until
 // which they may be sent. ok is false when this process does not own the server.
 func (m *Manager) FencingToken(boot time.Duration, server string) (token uint64, until time.Duration, ok bool) {
+	if m.keeps(boot, server) {
+		k := m.kept[server]
+		return k.token, k.until, true
+	}
 	o := m.owners[server]
-	if o.name != m.self.Name || o.incarnation != m.self.Incarnation || !m.Valid(boot) {
+	if !m.ownedHere(o) || !m.Valid(boot) {
 		return 0, 0, false
 	}
 	return o.version, m.validUntil, true
 }
 
-// StopAcquiring stops acquisitions. Owned servers stay owned until the process ends, as
+// StopAcquiring stops acquisitions, but for those of servers that this process owned when
+// the store returned from a copy. Owned servers stay owned until the process ends, as
 // the instance usually restarts and continues with them.
 func (m *Manager) StopAcquiring() { m.acquisitionStopped = true }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -410,10 +410,10 @@
 		{"owner/s1", "decode owner of s1"},
 	}
 	for _, tt := range tests {
-		err := m.ApplySnapshot(0, []chestnutstream.TableRow{{Table: Table, Key: tt.key, Value: []byte("{"), Version: 3}})
+		err := m.ApplySnapshot(0, Snapshot{Version: 3, Rows: []chestnutstream.TableRow{{Table: Table, Key: tt.key, Value: []byte("{"), Version: 3}}})
 		assert.ErrorContains(t, err, tt.want)
 	}
-	assert.NilError(t, m.ApplySnapshot(0, []chestnutstream.TableRow{{Table: Table, Key: "other", Value: []byte("{"), Version: 4}}))
+	assert.NilError(t, m.ApplySnapshot(0, Snapshot{Version: 4, Rows: []chestnutstream.TableRow{{Table: Table, Key: "other", Value: []byte("{"), Version: 4}}}))
 	assert.Equal(t, fmt.Sprint(m.Holders(0)), "[]")
 }
 
@@ -424,7 +424,7 @@
 	for _, ms := range []string{"0", "-1", "10000", "9223372036854", "9223372036855", "18446744073709", "9223372036854775807", "-9223372036855", "-9223372036854775808"} {
 		m := NewManager(Holder{Name: "a"}, cfg)
 		row := chestnutstream.TableRow{Table: Table, Key: "instance/b", Value: []byte(`{"a":"10.0.0.1:1","r":1,"d":` + ms + `}`), Version: 3}
-		assert.NilError(t, m.ApplySnapshot(0, []chestnutstream.TableRow{row}))
+		assert.NilError(t, m.ApplySnapshot(0, Snapshot{Version: 3, Rows: []chestnutstream.TableRow{row}}))
 		h := m.holders["b"]
 		assert.Check(t, m.alive(cfg.BaseDuration-1, h) && !m.expired(cfg.BaseDuration, h), ms)
 		assert.Check(t, m.expired(time.Minute, h) && !m.alive(time.Minute, h), ms)
@@ -455,14 +455,14 @@
 		for i := range tt.instances - 1 {
 			rows = append(rows, chestnutstream.TableRow{Table: Table, Key: instanceKey(fmt.Sprintf("n%d", i)), Value: []byte(`{"z":"z"}`), Version: uint64(i + 1)})
 		}
-		assert.NilError(t, m.ApplySnapshot(boot, rows))
+		assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Rows: rows, Version: 999}))
 		actions := m.Step(boot, nil)
 		assert.Equal(t, len(actions), 1)
-		m.Renewed(boot, boot, 1000)
+		m.Renewed(boot, boot, actions[0], 1000)
 		assert.Equal(t, m.validUntil, boot+tt.duration-cfg.ClockMargin)
 		assert.Equal(t, m.renewAt, boot+tt.renewal)
 		// The duration does not decrease when all other instances have left.
-		assert.NilError(t, m.ApplySnapshot(m.renewAt, nil))
+		assert.NilError(t, m.ApplySnapshot(m.renewAt, Snapshot{Version: 1000}))
 		m.Step(m.renewAt, nil)
 		assert.Equal(t, m.duration, tt.duration)
 	}
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -70,6 +70,7 @@
 	c := *sim
 	c.rows, c.orders = maps.Clone(sim.rows), maps.Clone(sim.orders)
 	c.pausedAt, c.suspended, c.cutOff = append([]time.Duration(nil), sim.pausedAt...), append([]time.Duration(nil), sim.suspended...), append([]bool(nil), sim.cutOff...)
+	c.processes = append([]int(nil), sim.processes...)
 	c.inFlight = append([]call(nil), sim.inFlight...)
 	c.managers = nil
 	for _, m := range sim.managers {
@@ -79,7 +80,7 @@
 			copied := *h
 			d.holders[k] = &copied
 		}
-		d.owners, d.acquiring, d.retryAt = maps.Clone(m.owners), maps.Clone(m.acquiring), maps.Clone(m.retryAt)
+		d.owners, d.acquiring, d.retryAt, d.kept = maps.Clone(m.owners), maps.Clone(m.acquiring), maps.Clone(m.retryAt), maps.Clone(m.kept)
 		c.managers = append(c.managers, &d)
 	}
 	return &c
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -27,6 +27,7 @@
 	pausedAt  []time.Duration // 0: running
 	suspended []time.Duration // total time paused, for the mutant suspendedClock
 	cutOff    []bool          // from the store
+	processes []int           // started by contender, beyond the first
 	inFlight  []call
 	orders    map[string]order // last one by server
 	servers   []Server
@@ -75,6 +76,7 @@
 		sim.managers = append(sim.managers, NewManager(Holder{Name: name, Zone: "z", Address: name, Incarnation: uint64(i+1) << 16}, cfg))
 	}
 	sim.pausedAt, sim.suspended, sim.cutOff = make([]time.Duration, contenders), make([]time.Duration, contenders), make([]bool, contenders)
+	sim.processes = make([]int, contenders)
 	for i := range servers {
 		sim.servers = append(sim.servers, Server{ID: fmt.Sprintf("s%d", i), Zone: "z"})
 	}
@@ -104,6 +106,7 @@
 	self := old.self
 	self.Incarnation += 1 << 8
 	sim.managers[i] = NewManager(self, old.cfg)
+	sim.processes[i]++
 	sim.pausedAt[i] = 0
 	kept := sim.inFlight[:0]
 	for _, c := range sim.inFlight {
@@ -129,7 +132,11 @@
 	for _, k := range keys {
 		rows = append(rows, sim.rows[k])
 	}
-	if err := sim.managers[i].ApplySnapshot(sim.boot(i), rows); err != nil && !sim.foreign {
+	sim.applySnapshot(i, Snapshot{Rows: rows, Version: sim.version, NowMS: sim.now.Milliseconds()})
+}
+
+func (sim *simulation) applySnapshot(i int, s Snapshot) {
+	if err := sim.managers[i].ApplySnapshot(sim.boot(i), s); err != nil && !sim.foreign {
 		sim.violation = err.Error()
 	}
 	if sim.mutant == ownDuration {
@@ -192,7 +199,7 @@
 		row := sim.rows[c.Key]
 		row.Key = c.Key
 		conflict = append(conflict, row)
-		failed = failed || row.Version != c.Version
+		failed = failed || chestnutstream.VersionCounter(row.Version) != chestnutstream.VersionCounter(c.Version)
 	}
 	if failed {
 		return 0, conflict
@@ -210,17 +217,23 @@
 
 func (sim *simulation) respond(c call, version uint64, conflict []chestnutstream.TableRow) {
 	m, boot := sim.managers[c.from], sim.boot(c.from)
+	var err error
 	switch {
-	case len(c.action.Servers) == 0 && conflict == nil:
-		m.Renewed(boot, c.sent, version)
-	case len(c.action.Servers) == 0:
-		m.RenewalConflict(boot, conflict)
+	case c.action.Kind == ActionNoteEra && conflict == nil:
+		m.EraNoted(boot, c.action, version)
+	case c.action.Kind == ActionNoteEra:
+		err = m.EraNotNoted(boot, existing(conflict))
+	case c.action.Kind == ActionRenew && conflict == nil:
+		m.Renewed(boot, c.sent, c.action, version)
+	case c.action.Kind == ActionRenew:
+		m.RenewalConflict(boot, c.action, conflict)
 	case conflict == nil:
-		m.Acquired(c.action.Servers, version)
+		m.Acquired(boot, c.action, version)
 	default:
-		if err := m.AcquisitionFailed(boot, c.action.Servers, existing(conflict)); err != nil && !sim.foreign {
-			sim.violation = err.Error()
-		}
+		err = m.AcquisitionFailed(boot, c.action, existing(conflict))
+	}
+	if err != nil && !sim.foreign {
+		sim.violation = err.Error()
 	}
 }
 
@@ -244,11 +257,16 @@
 			return
 		}
 	}
-	if len(c.action.Servers) == 0 {
+	var err error
+	switch c.action.Kind {
+	case ActionRenew:
 		m.RenewalFailed(boot)
-		return
+	case ActionNoteEra:
+		err = m.EraNotNoted(boot, nil)
+	default:
+		err = m.AcquisitionFailed(boot, c.action, nil)
 	}
-	if err := m.AcquisitionFailed(boot, c.action.Servers, nil); err != nil {
+	if err != nil {
 		sim.violation = err.Error()
 	}
 }
