edge: engines stay with their owners over restores of the store

The setting bootstrap, which the platform sets when the whole system starts for the first time, says that an empty table has lost no leases; without it engines get their first owners only after the longest lease, where the store states an era.

--- a/edge/control.go
+++ b/edge/control.go
@@ -61,6 +61,7 @@
 	}
 	n.updateOriginRows(now)
 	leaseActions := n.leases.Step(boot, n.engines())
+	n.updateLeaseWait(boot)
 	n.syncLoaders(boot)
 	wait := maxControlInterval
 	type serverAction struct {
--- a/edge/era.go
+++ b/edge/era.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -21,6 +23,35 @@
 	for table, v := range n.views {
 		fields["version-"+table] = chestnutstream.VersionCounter(v.version)
 	}
+	boot := n.boot()
+	n.leases.StoreRestored(boot, era)
+	fields["engines-kept"] = n.leases.Kept(boot)
+	n.cancelPolls()
+	close(n.storeRestored)
+	n.storeRestored = make(chan struct{})
 	n.mu.Unlock()
 	n.log.WithFields(fields).Warn("store returned from a copy")
 }
+
+// restoreSignal returns a channel that is closed when the store returns from a copy.
+func (n *Node) restoreSignal() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeRestored
+}
+
+// updateLeaseWait logs the begin and the end of the time in which no engines are taken over,
+// as leases of earlier eras may be valid. Callers hold mu.
+func (n *Node) updateLeaseWait(boot time.Duration) {
+	waiting := !n.leases.Settled(boot)
+	if waiting == n.leaseWait {
+		return
+	}
+	n.leaseWait = waiting
+	l := n.log.WithField("era", n.leases.Era())
+	if waiting {
+		l.WithField("longest-ms", n.leases.EraWait().Milliseconds()).Info("no engines are taken over while leases of an earlier era may be valid")
+		return
+	}
+	l.Info("all leases of earlier eras have ended")
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -58,6 +58,8 @@
 	rows              cachedRows
 	fleet             *fleet.Fleet
 	leases            *lease.Manager
+	leaseWait         bool          // leases of earlier eras of the store may be valid
+	storeRestored     chan struct{} // closed and replaced when the store returns from a copy
 	loaders           map[string]*loader.Engine
 	peers             map[string]*peer
 	modelDemands      map[string]*modelDemand // by base model
@@ -168,6 +170,7 @@
 	n.fleet.SetHeartbeat(cfg.Heartbeat)
 	n.originRead.read, n.softwareRead.read = n.readOrigins, n.readSoftwareRows
 	n.engineClient = platform.NewEngineClient(boot, n.recordBackendBackpressure)
+	n.storeRestored = make(chan struct{})
 	n.updates = map[string]chan instance.TableUpdate{}
 	watches := n.watches()
 	for _, w := range watches {
@@ -177,7 +180,7 @@
 	n.watchEra()
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	leaseSettings := lease.DefaultSettings(cfg.MinHandoverDelay)
-	leaseSettings.Regions = cfg.Regions
+	leaseSettings.Regions, leaseSettings.Bootstrap = cfg.Regions, cfg.Bootstrap
 	n.leases = lease.NewManager(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Incarnation: incarnation}, leaseSettings)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return n.dialPeer(ctx, network, address)
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -81,10 +81,16 @@
 	n.mu.Unlock()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	restored := n.restoreSignal()
+	if chestnutstream.VersionEra(version) < n.store.Era() {
+		return version, false
+	}
 	for {
 		select {
 		case <-n.ctx.Done():
 			return version, false
+		case <-restored:
+			return version, false
 		case <-timeout.C:
 			return version, false
 		case update := <-n.updates[w.table]:
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -119,6 +119,7 @@
 				continue
 			}
 		}
+		restored := n.restoreSignal()
 		after, readAt := version, n.now()
 		if !synced {
 			rows, version, err = n.store.Rows(n.ctx, w.table)
@@ -154,10 +155,10 @@
 		n.recordRead(w.table, version, readAt)
 		n.wakeControl()
 		if w.startInterval > 0 && n.now().Sub(start) < startLeasesPeriod {
-			n.sleep(w.startInterval)
+			n.sleepUntil(restored, w.startInterval)
 			continue
 		}
-		n.sleep(n.intervalAfterRead(w))
+		n.sleepUntil(restored, n.intervalAfterRead(w))
 	}
 }
 
@@ -420,7 +421,7 @@
 	boot := n.boot()
 	var err error
 	if snapshot {
-		err = n.leases.ApplySnapshot(boot, lease.Snapshot{Rows: rows, Version: version})
+		err = n.leases.ApplySnapshot(boot, lease.Snapshot{Rows: rows, Version: version, NowMS: n.store.Clock().Milliseconds()})
 	} else {
 		err = n.leases.ApplyUpdates(boot, rows)
 	}
