--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -15,7 +15,7 @@
 	if !m.hasRead || m.readEra != m.era.number {
 		return nil
 	}
-	if m.era.number != 0 && m.era.rowVersion == 0 {
+	if m.mustNoteEra() {
 		if m.era.noting || boot < m.era.noteAt {
 			return nil
 		}
@@ -62,11 +62,11 @@
 	return m.version
 }
 
-// ofPresentEra reports whether an action and the version of its response are both of the
+// ofPresentEra reports whether an action with a response of the given version is of the
 // present era. Otherwise the outcome counts as unknown.
 func (m *Manager) ofPresentEra(boot time.Duration, a Action, version uint64) bool {
 	m.learnEra(boot, version)
-	return a.era == m.era.number && chestnutstream.VersionEra(version) == m.era.number
+	return a.era == m.era.number
 }
 
 // Renewed records that the renewal sent at the given time succeeded.
--- a/lease/era.go
+++ b/lease/era.go
@@ -29,6 +29,7 @@
 	since      time.Duration // the era began at this time at the latest, on the boot clock
 	initial    bool          // no lease or owner was written in an earlier era
 	rowVersion uint64        // of the row that notes the era; 0: none is known
+	rowInitial bool          // the row says that no lease or owner was written in an earlier era
 	storeMS    int64         // the store's clock at the last snapshot
 	oldRows    []string      // keys of the rows of earlier eras
 	noting     bool
@@ -79,12 +80,6 @@
 			delete(m.kept, server)
 		}
 	}
-	if !m.Valid(boot) {
-		if m.version != 0 {
-			m.self.Incarnation++
-		}
-		return
-	}
 	for server, o := range m.owners {
 		if m.ownedHere(o) {
 			m.kept[server] = keptServer{token: o.version, until: m.validUntil}
@@ -139,13 +134,19 @@
 // Kept returns how many servers this process still owns by the era before.
 func (m *Manager) Kept(boot time.Duration) int { return len(m.keptServers(boot)) }
 
+// mustNoteEra reports whether the row of the present era is missing, or written by a process
+// that took the table for one of a new system.
+func (m *Manager) mustNoteEra() bool {
+	return m.era.number != 0 && (m.era.rowVersion == 0 || m.era.rowInitial && m.restored)
+}
+
 // noteTransaction writes the row that notes the present era. Each other transaction checks
 // that row, so those of earlier eras fail from then on.
 func (m *Manager) noteTransaction() chestnutstream.RowTransaction {
 	value, _ := json.Marshal(wireEra{NotedMS: m.era.storeMS, Initial: m.era.initial})
 	key := eraKey(m.era.number)
 	t := chestnutstream.RowTransaction{
-		Checks: []chestnutstream.RowCheck{{Table: Table, Key: key}},
+		Checks: []chestnutstream.RowCheck{{Table: Table, Key: key, Version: m.era.rowVersion}},
 		Writes: []chestnutstream.TableRow{{Table: Table, Key: key, Value: value}},
 	}
 	for _, old := range m.era.oldRows[:min(len(m.era.oldRows), maxEraRows)] {
@@ -165,9 +166,8 @@
 // EraNoted records that the row that notes the era was written.
 func (m *Manager) EraNoted(boot time.Duration, a Action, version uint64) {
 	m.era.noting = false
-	m.learnEra(boot, version)
-	if a.era == m.era.number && chestnutstream.VersionEra(version) == m.era.number {
-		m.era.rowVersion = max(m.era.rowVersion, version)
+	if m.ofPresentEra(boot, a, version) {
+		m.era.rowVersion, m.era.rowInitial = max(m.era.rowVersion, version), m.era.initial
 	}
 }
 
@@ -193,7 +193,8 @@
 	m.era.rowVersion = r.Version
 	var w wireEra
 	err := json.Unmarshal(r.Value, &w)
-	m.era.initial = err == nil && w.Initial && !m.restored
+	m.era.rowInitial = err == nil && w.Initial
+	m.era.initial = m.era.rowInitial && !m.restored
 	if err != nil {
 		return fmt.Errorf("decode era %s: %w", r.Key, err)
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -245,7 +245,7 @@
 	}
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", basePort+i) }
 	inst := &instance{name: name, callerAddr: addr(0), metricsAddr: addr(3), storeLink: storeLink, settingsPath: filepath.Join(d.dir, name+".yaml"), logPath: filepath.Join(d.dir, name+".log")}
-	settingsText := fmt.Sprintf("nodeName: %q\nzone: \"zone-a\"\nip: \"127.0.0.1\"\nlisten:\n  frontend: %q\n  readiness: %q\n  control: %q\ninternalPorts: [%d, %d]\nseeds: [",
+	settingsText := fmt.Sprintf("nodeName: %q\nbootstrap: true\nzone: \"zone-a\"\nip: \"127.0.0.1\"\nlisten:\n  frontend: %q\n  readiness: %q\n  control: %q\ninternalPorts: [%d, %d]\nseeds: [",
 		name, addr(0), addr(1), addr(2), basePort+3, basePort+9)
 	for i, seed := range seeds {
 		if i > 0 {
