lease: a new system without the setting bootstrap waits less long for its first owners

Where the store states an era and the settings do not say that the system is new, engines had no owner for 18.5 s after the first start: an empty table may be one that has lost its rows. An instance that reaches the store and has seen an earlier era notes that within a few seconds, so an empty table is now acquired after 3 s unless one has. What remains: a copy from before the first start, every instance that reaches the store restarted since, and an owner that is cut off from it.

TestEmptyTableIsWaitedForLessLong failed before (18.5 s).

--- a/edge/node.go
+++ b/edge/node.go
@@ -32,6 +32,10 @@
 // or within a few hundred when it is slow.
 const storeTimeout = 1500 * time.Millisecond
 
+// emptyTableWait is the time in which an instance that reaches the store learns that it has
+// returned from a copy: a call that gets no response, a retry, and the next read.
+const emptyTableWait = 2 * storeTimeout
+
 // Node holds the state of one instance and makes its decisions.
 type Node struct {
 	cfg          platform.Settings
@@ -180,7 +184,7 @@
 	n.watchEra()
 	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	leaseSettings := lease.DefaultSettings(cfg.MinHandoverDelay)
-	leaseSettings.Regions, leaseSettings.Bootstrap = cfg.Regions, cfg.Bootstrap
+	leaseSettings.Regions, leaseSettings.Bootstrap, leaseSettings.EmptyTableWait = cfg.Regions, cfg.Bootstrap, emptyTableWait
 	n.leases = lease.NewManager(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Incarnation: incarnation}, leaseSettings)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return n.dialPeer(ctx, network, address)
--- a/lease/era.go
+++ b/lease/era.go
@@ -21,6 +21,7 @@
 type wireEra struct {
 	NotedMS int64 `json:"t"`           // on the store's clock
 	Initial bool  `json:"b,omitempty"` // no lease or owner was written before
+	Empty   bool  `json:"m,omitempty"` // the table had no lease or owner, and the writer had seen no earlier era
 }
 
 // eraState is what a manager knows of the era of the store.
@@ -28,8 +29,9 @@
 	number     uint64        // 0: the store states none
 	since      time.Duration // the era began at this time at the latest, on the boot clock
 	initial    bool          // no lease or owner was written in an earlier era
+	empty      bool          // the table had no lease or owner, and no process has noted that it saw an earlier era
 	rowVersion uint64        // of the row that notes the era; 0: none is known
-	rowInitial bool          // the row says that no lease or owner was written in an earlier era
+	rowFirst   bool          // the row says that this may be the first era: it is initial or empty
 	storeMS    int64         // the store's clock at the last snapshot
 	oldRows    []string      // keys of the rows of earlier eras
 	noting     bool
@@ -125,7 +127,11 @@
 
 // Settled reports whether all leases of earlier eras have ended.
 func (m *Manager) Settled(boot time.Duration) bool {
-	return m.era.number == 0 || m.era.initial || boot-m.era.since >= m.EraWait()
+	wait := m.EraWait()
+	if m.era.empty && m.cfg.EmptyTableWait > 0 {
+		wait = min(wait, m.cfg.EmptyTableWait)
+	}
+	return m.era.number == 0 || m.era.initial || boot-m.era.since >= wait
 }
 
 // Era returns the era of the store, as far as it is known.
@@ -137,13 +143,13 @@
 // mustNoteEra reports whether the row of the present era is missing, or written by a process
 // that took the table for one of a new system.
 func (m *Manager) mustNoteEra() bool {
-	return m.era.number != 0 && (m.era.rowVersion == 0 || m.era.rowInitial && m.restored)
+	return m.era.number != 0 && (m.era.rowVersion == 0 || m.era.rowFirst && m.restored)
 }
 
 // noteTransaction writes the row that notes the present era. Each other transaction checks
 // that row, so those of earlier eras fail from then on.
 func (m *Manager) noteTransaction() chestnutstream.RowTransaction {
-	value, _ := json.Marshal(wireEra{NotedMS: m.era.storeMS, Initial: m.era.initial})
+	value, _ := json.Marshal(wireEra{NotedMS: m.era.storeMS, Initial: m.era.initial, Empty: m.era.empty})
 	key := eraKey(m.era.number)
 	t := chestnutstream.RowTransaction{
 		Checks: []chestnutstream.RowCheck{{Table: Table, Key: key, Version: m.era.rowVersion}},
@@ -167,7 +173,7 @@
 func (m *Manager) EraNoted(boot time.Duration, a Action, version uint64) {
 	m.era.noting = false
 	if m.ofPresentEra(boot, a, version) {
-		m.era.rowVersion, m.era.rowInitial = max(m.era.rowVersion, version), m.era.initial
+		m.era.rowVersion, m.era.rowFirst = max(m.era.rowVersion, version), m.era.initial || m.era.empty
 	}
 }
 
@@ -193,8 +199,9 @@
 	m.era.rowVersion = r.Version
 	var w wireEra
 	err := json.Unmarshal(r.Value, &w)
-	m.era.rowInitial = err == nil && w.Initial
-	m.era.initial = m.era.rowInitial && !m.restored
+	m.era.rowFirst = err == nil && (w.Initial || w.Empty)
+	m.era.initial = err == nil && w.Initial && !m.restored
+	m.era.empty = err == nil && w.Empty && !m.restored
 	if err != nil {
 		return fmt.Errorf("decode era %s: %w", r.Key, err)
 	}
@@ -226,6 +233,7 @@
 		m.era.rowVersion = 0
 	}
 	if !m.hasRead {
-		m.era.initial = m.cfg.Bootstrap && empty && !present && !m.restored
+		m.era.empty = empty && !present && !m.restored
+		m.era.initial = m.cfg.Bootstrap && m.era.empty
 	}
 }
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -225,6 +225,44 @@
 	step(t, m, boot, ActionRenew)
 }
 
+// Guards against a new system whose engines have no owners for the longest lease, as its settings do not say that it is new.
+func TestEmptyTableIsWaitedForLessLong(t *testing.T) {
+	const emptyTableWait, now = 3 * time.Second, 100_000
+	full := 15*time.Second + DefaultSettings(minHandover).HandoverDelay
+	noted := func(more string) []chestnutstream.TableRow {
+		return []chestnutstream.TableRow{row("era/2", fmt.Sprintf(`{"t":%d%s}`, now-1000, more), version(2, 9))}
+	}
+	tests := []struct {
+		name     string
+		restored bool
+		rows     []chestnutstream.TableRow
+		want     time.Duration // from the first read
+	}{
+		{"empty", false, nil, emptyTableWait},
+		{"empty when it was noted", false, noted(`,"m":true`), emptyTableWait - time.Second},
+		{"noted by an instance that has seen an earlier era", false, noted(""), full - time.Second},
+		{"this process has seen an earlier era", true, nil, full},
+		{"empty when it was noted, but this process has seen an earlier era", true, noted(`,"m":true`), full - time.Second},
+		{"a lease", false, []chestnutstream.TableRow{row("instance/b", `{"z":"z"}`, version(2, 8))}, full},
+	}
+	for _, tt := range tests {
+		cfg := DefaultSettings(minHandover)
+		cfg.EmptyTableWait = emptyTableWait
+		m, boot := NewManager(Holder{Name: "a", Zone: "z"}, cfg), time.Minute
+		if tt.restored {
+			m.StoreRestored(boot, 2)
+		}
+		assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Rows: tt.rows, Version: version(2, 10), NowMS: now}))
+		assert.Assert(t, m.Settled(boot+tt.want) && !m.Settled(boot+tt.want-1), tt.name)
+	}
+	m := NewManager(Holder{Name: "a", Zone: "z"}, DefaultSettings(minHandover))
+	m.cfg.EmptyTableWait = emptyTableWait
+	assert.NilError(t, m.ApplySnapshot(time.Minute, Snapshot{Version: version(2, 7), NowMS: now}))
+	m.EraNoted(time.Minute, step(t, m, time.Minute, ActionNoteEra), version(2, 8))
+	assert.NilError(t, m.ApplyUpdates(time.Minute+time.Second, noted("")))
+	assert.Assert(t, !m.Settled(time.Minute+emptyTableWait), "another process corrects the row")
+}
+
 // Guards against instances that count as gone, and shares of retries that grow, because the
 // store has lost their leases.
 func TestLeasesThatTheStoreLostEndByTheirDuration(t *testing.T) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -66,7 +66,11 @@
 	HandoverDelay time.Duration     // between the last order of one holder and the first of the next
 	Regions       map[string]string // by availability zone; nil: there is one region
 	Bootstrap     bool              // the whole system starts for the first time: an empty table has lost no leases
-	StartupDelay  time.Duration     // after the first read, before unowned engines are acquired: others may have started at the same moment
+	// EmptyTableWait is how long after the begin of an era with an empty table no engine is
+	// acquired, without Bootstrap; 0: as long as after any begin of an era. Instances that have
+	// seen an earlier era note so meanwhile.
+	EmptyTableWait time.Duration
+	StartupDelay   time.Duration // after the first read, before unowned engines are acquired: others may have started at the same moment
 }
 
 // DefaultSettings returns settings for engines that do not check fencing tokens;
