edge: the source of each change of a server, and how long it may have been unknown

The logs could not tell a server whose leaving came late from one whose leaving never came, nor who had read it.

--- a/edge/control.go
+++ b/edge/control.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/loader"
+	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/quarantine"
 )
 
@@ -96,8 +97,9 @@
 	for _, a := range notifications {
 		n.notify(a.server, a.action)
 	}
+	view := n.viewAge(platform.TableServers)
 	n.mu.Unlock()
-	n.logServerChanges(changes)
+	n.logServerChanges(changes, sourceTimeout, view)
 	n.logVerdicts(verdicts)
 	for _, a := range leaseActions {
 		go n.applyLease(a)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // Connected implements instance.Handler.
@@ -138,6 +139,7 @@
 	n.logBackpressure(changes, from.Name)
 	n.logVerdicts(verdicts)
 	for _, u := range b.TableUpdates {
+		u.From = from.Name
 		n.handleUpdate(u)
 	}
 	if sendRows {
@@ -174,8 +176,9 @@
 	n.mu.Lock()
 	changes := n.fleet.ApplyUpdates(n.now(), decodeServerEntries(b.Servers))
 	n.observeSoftware()
+	view := n.viewAge(platform.TableServers)
 	n.mu.Unlock()
-	n.logServerChanges(changes)
+	n.logServerChanges(changes, from, view)
 	n.adoptConfig(b.Config, b.ConfigVersion, from)
 	n.log.WithFields(log.Fields{"peer": from, "servers": len(b.Servers)}).Info("configuration and servers taken from a peer")
 }
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -116,10 +116,23 @@
 		n.fleet.RecordStoreSuccess(update.ReadAt)
 	}
 	n.mu.Unlock()
-	w.applyUpdate(update.Rows)
+	if w.table == platform.TableServers {
+		n.applyServerUpdate(update)
+	} else {
+		w.applyUpdate(update.Rows)
+	}
 	n.recordUpdate(update)
 }
 
+// applyServerUpdate applies a reader's update of the servers table.
+func (n *Node) applyServerUpdate(update instance.TableUpdate) {
+	n.mu.Lock()
+	changes := n.updateServers(update.Rows, false, 0)
+	view := n.viewAge(platform.TableServers)
+	n.mu.Unlock()
+	n.logServerChanges(changes, update.From, view)
+}
+
 // cancelUnansweredPolls cancels the polls in progress if the store is unavailable to
 // this instance while another one reads it: the store may have accepted the polls while
 // it was unresponsive, and then never responds to them.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -353,11 +353,19 @@
 	return entries
 }
 
-// applyServerRows applies rows of the servers table: a snapshot as of version, or
-// changes.
+// applyServerRows applies rows of the servers table that this instance has read: a
+// snapshot as of version, or changes.
 func (n *Node) applyServerRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
-	entries := decodeServerEntries(rows)
 	n.mu.Lock()
+	changes := n.updateServers(rows, snapshot, version)
+	view := n.viewAge(platform.TableServers)
+	n.mu.Unlock()
+	n.logServerChanges(changes, sourceStore, view)
+}
+
+// updateServers applies rows of the servers table. Callers hold mu.
+func (n *Node) updateServers(rows []chestnutstream.TableRow, snapshot bool, version uint64) []fleet.Change {
+	entries := decodeServerEntries(rows)
 	now := n.now()
 	var changes []fleet.Change
 	if snapshot {
@@ -377,8 +385,7 @@
 	n.metrics.GetOrCreateCounter(`chestnutstream_entries_ignored_total`).Set(n.fleet.IgnoredEntries())
 	n.handleServerChanges(changes)
 	n.observeSoftware()
-	n.mu.Unlock()
-	n.logServerChanges(changes)
+	return changes
 }
 
 // handleServerChanges removes the loaders of servers that departed or restarted, and
@@ -387,34 +394,21 @@
 func (n *Node) handleServerChanges(changes []fleet.Change) {
 	for _, c := range changes {
 		switch c.What {
-		case "gone", "restarted":
+		case fleet.ChangeGone, "restarted":
 			n.removeLoader(c.Server)
 			n.leases.ForgetServer(c.Server)
 			n.failServerWaits(c.Server, "server "+c.What)
 			delete(n.slotGrants, c.Server)
 			delete(n.unusedGrants, c.Server)
-			if c.What == "gone" {
+			if c.What == fleet.ChangeGone {
 				delete(n.rows.servers, c.Server)
 			}
-		case "draining", fleet.ChangeLeaving:
+		case fleet.ChangeDraining, fleet.ChangeLeaving:
 			n.failServerWaits(c.Server, "server draining")
 		}
 	}
 }
 
-func (n *Node) logServerChanges(changes []fleet.Change) {
-	for _, c := range changes {
-		fields := log.Fields{"server": c.Server, "change": c.What, "row": c.RowVersion}
-		if c.Err == nil {
-			n.log.WithFields(fields).Info("server entry changed")
-			continue
-		}
-		if l, ok := n.rowProblem(platform.TableServers, c.Server, c.Err); ok {
-			l.WithFields(fields).Warn("server entry unreadable")
-		}
-	}
-}
-
 // applyLeaseRows applies rows of the leases table: a snapshot as of version, or changes.
 func (n *Node) applyLeaseRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
 	n.mu.Lock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -30,10 +30,16 @@
 	Err        error // the row cannot be decoded: it names no server to use
 }
 
+// Changes of servers that leave.
+const (
+	ChangeDraining = "draining" // its entry says so
+	ChangeGone     = "gone"     // its entry was removed
+)
+
 // Change is a change in what the instance knows of a server.
 type Change struct {
 	Server     string
-	What       string // "new", "restarted", "draining", "gone", "missing", "back", "unreadable", "changed", or a Change constant
+	What       string // "new", "restarted", "missing", "back", "unreadable", "changed", or a Change constant
 	RowVersion uint64
 	Err        error
 	Limit      float64       // requests a second, from all instances
@@ -207,7 +213,7 @@
 		return nil
 	}
 	s.State = chestnutstream.BackendDraining
-	return []Change{{Server: s.ID, What: "draining", RowVersion: e.RowVersion}}
+	return []Change{{Server: s.ID, What: ChangeDraining, RowVersion: e.RowVersion}}
 }
 
 // entryMissing handles the absence of a server's entry. Just after the store's
@@ -226,7 +232,7 @@
 	}
 	f.remove(s)
 	f.index()
-	return []Change{{Server: s.ID, What: "gone", RowVersion: rowVersion}}
+	return []Change{{Server: s.ID, What: ChangeGone, RowVersion: rowVersion}}
 }
 
 // MayBeIncomplete reports whether entries may have expired because the store was
@@ -261,7 +267,7 @@
 		}
 		if !s.MissingSince.IsZero() && now.Sub(s.MissingSince) > reappearTimeout {
 			f.remove(s)
-			changes = append(changes, Change{Server: s.ID, What: "gone", RowVersion: s.RowVersion})
+			changes = append(changes, Change{Server: s.ID, What: ChangeGone, RowVersion: s.RowVersion})
 		}
 	}
 	if len(changes) > 0 {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -241,6 +241,7 @@
 	// ReadAt is when the store was read, by the clock of this process. A message states the
 	// age instead.
 	ReadAt time.Time
+	From   string // instance that sent it, set on receipt
 }
 
 func (b *Bundle) empty() bool {
