edge: whoever reads first that a server leaves tells all instances

Each zone learned of a leaving by its own reader: up to an interval after another zone knew it, and an instance that could not read at that time not at all.

The instance whose own read of the list has news of a server that drains, or that was removed, sends it to all; instances that are told, and those that receive a reader's update, do not pass it on, and find no news in their own reads. So a leaving costs one message to each other instance, 194 of 195, and once more for each reader that reads within the few milliseconds that the message takes; of 17 readers in a zone of 195 that is 3,298 messages of some 60 bytes at most. A removal is sent with the version of the row, so that an entry that comes back is newer. Servers that drain are also named on new links. An earlier build ignores the new field.

TestLeavingReadInOneZoneIsSentToOthers failed before (not within 5 s), and TestDrainingServersAreSentOnNewLinks (no notice).

--- a/edge/backpressure.go
+++ b/edge/backpressure.go
@@ -63,7 +63,7 @@
 		b.BrittleServices = append(b.BrittleServices, n.brittleMessage(service))
 	}
 	for _, s := range n.fleet.Servers() {
-		if n.fleet.Leaving(s) {
+		if s.State == chestnutstream.BackendDraining {
 			b.ServerNotices = append(b.ServerNotices, instance.ServerNotice{Server: s.ID, Born: s.Born, Leaving: true})
 		}
 		if rate, _ := s.Limit(); rate > 0 {
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -1,11 +1,16 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/standin"
 )
 
 // The logs must tell a server's change that came late from one that never came.
@@ -28,3 +33,47 @@
 		})
 	}
 }
+
+// An instance that cannot read the store, and gets no updates of a reader, learned of no leaving at all.
+func TestLeavingReadInOneZoneIsSentToOthers(t *testing.T) {
+	for _, kind := range []string{"draining", "removed"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			s := newTestSite(t, 1, 3)
+			s.backendWithoutHeartbeat(standin.BackendSettings{ID: "i-desk-left", Service: "desk", Slots: 6, ServiceTime: time.Millisecond})
+			a := s.instance("edge-a")
+			b := s.instanceAt("zone-b", nil, "edge-b", a.cfg.PeerAddress)
+			s.awaitOwners(1, a, b)
+			usable := func(in *testInstance) bool {
+				n := in.Node()
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				server := n.fleet.Server("i-desk-left")
+				return server != nil && server.Usable()
+			}
+			assert.Assert(t, usable(b))
+			b.storeGate.setUnavailable(true)
+			if kind == "draining" {
+				s.backends[len(s.backends)-1].Drain()
+			} else {
+				s.store.Remove(platform.TableServers, "i-desk-left")
+			}
+			within(t, 5*time.Second, "both instances have stopped using the server", func() bool { return !usable(a) && !usable(b) })
+		})
+	}
+}
+
+// An instance that links later is told which servers drain, however that was learned.
+func TestDrainingServersAreSentOnNewLinks(t *testing.T) {
+	n := idleNode(t, "a")
+	n.applyServerRows([]chestnutstream.TableRow{serverRow(1, "i-1", "ready"), serverRow(2, "i-2", "ready"), serverRow(3, "i-1", "draining")}, false, 0)
+	notices := n.Connected(instance.Member{Name: "b"}).ServerNotices
+	assert.DeepEqual(t, notices, []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}})
+}
+
+func serverRow(version uint64, id, state string) chestnutstream.TableRow {
+	return chestnutstream.TableRow{
+		Table: platform.TableServers, Key: id, Version: version,
+		Value: fmt.Appendf(nil, `{"service":"desk","address":"127.0.0.1:1","zone":"z","slots":6,"state":%q,"born":1}`, state),
+	}
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -107,6 +107,8 @@
 	for _, s := range b.ServerNotices {
 		changes = append(changes, n.recordPeerBackpressure(s)...)
 	}
+	removals := n.applyPeerRemovals(b.RemovedServers)
+	view := n.viewAge(platform.TableServers)
 	for _, l := range b.RateLimits {
 		changes = append(changes, n.recordPeerLimit(l)...)
 	}
@@ -136,6 +138,7 @@
 		cached = n.rows.bundle()
 	}
 	n.mu.Unlock()
+	n.logServerChanges(removals, from.Name, view)
 	n.logBackpressure(changes, from.Name)
 	n.logVerdicts(verdicts)
 	for _, u := range b.TableUpdates {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -354,10 +354,11 @@
 }
 
 // applyServerRows applies rows of the servers table that this instance has read: a
-// snapshot as of version, or changes.
+// snapshot as of version, or changes. The other instances are told which servers leave.
 func (n *Node) applyServerRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
 	n.mu.Lock()
 	changes := n.updateServers(rows, snapshot, version)
+	n.broadcastLeaving(changes)
 	view := n.viewAge(platform.TableServers)
 	n.mu.Unlock()
 	n.logServerChanges(changes, sourceStore, view)
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -49,6 +49,7 @@
 	Rejections       []string              `cbor:"36,keyasint,omitempty"`
 	SlotResponses    []wirePermitResponse  `cbor:"37,keyasint,omitempty"`
 	CutOff           []string              `cbor:"33,keyasint,omitempty"`
+	RemovedServers   []wireRemovedServer   `cbor:"45,keyasint,omitempty"`
 	UpdateAgesMS     []uint64              `cbor:"38,keyasint,omitempty"` // of TableUpdates: since the store was read
 }
 
@@ -82,6 +83,12 @@
 	Requests int
 }
 
+type wireRemovedServer struct {
+	_          struct{} `cbor:",toarray"`
+	Server     string
+	RowVersion uint64
+}
+
 type wireServerNotice struct {
 	_       struct{} `cbor:",toarray"`
 	Server  string
@@ -262,6 +269,9 @@
 	for _, l := range b.EngineLoads {
 		w.EngineLoads = append(w.EngineLoads, wireEngineLoad{Server: l.Server, Requests: l.Requests})
 	}
+	for _, s := range b.RemovedServers {
+		w.RemovedServers = append(w.RemovedServers, wireRemovedServer{Server: s.Server, RowVersion: s.RowVersion})
+	}
 	for _, s := range b.ServerNotices {
 		w.ServerNotices = append(w.ServerNotices, wireServerNotice{Server: s.Server, Born: s.Born, Leaving: s.Leaving})
 	}
@@ -339,6 +349,9 @@
 	for _, x := range w.EngineLoads {
 		b.EngineLoads = append(b.EngineLoads, EngineLoad{Server: x.Server, Requests: x.Requests})
 	}
+	for _, x := range w.RemovedServers {
+		b.RemovedServers = append(b.RemovedServers, RemovedServer{Server: x.Server, RowVersion: x.RowVersion})
+	}
 	for _, x := range w.ServerNotices {
 		b.ServerNotices = append(b.ServerNotices, ServerNotice{Server: x.Server, Born: x.Born, Leaving: x.Leaving})
 	}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -71,6 +71,7 @@
 	StreamOrigins    []software.Origin         // which software versions began streams
 	OriginRequests   []OriginRequest           // requests for the origins of streams
 	OriginResponses  []OriginResponse          // responses to OriginRequests
+	RemovedServers   []RemovedServer           // servers whose entries were removed, as the sender is the first to know
 	TableUpdates     []TableUpdate             // table changes that the sender has read for its availability zone
 }
 
@@ -117,6 +118,12 @@
 	Leaving bool
 }
 
+// RemovedServer is the removal of a server's entry, as the sender has read it.
+type RemovedServer struct {
+	Server     string
+	RowVersion uint64
+}
+
 // RateLimit is the newest rate limit that a server, identified by its start time, has
 // reported, in requests per second from all instances together.
 type RateLimit struct {
@@ -246,7 +253,7 @@
 
 func (b *Bundle) empty() bool {
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
-		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
+		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RemovedServers) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
 		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
 }
