edge: a reader that was told of a leaving sends its followers the entry, too

A reader that had learned from a response, or from another instance, that a server leaves compared the server's entry with what it knew, saw no change when the entry said so, too, and did not send it on. A follower that had missed that message used the server until the next update with all entries, 16 s at most.

Found by reading, not seen at real processes. What is compared is now what the entries have said.

TestLeavingLearnedBeforeItsEntryIsSentToFollowers failed before.

--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -71,6 +71,19 @@
 	assert.DeepEqual(t, notices, []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}})
 }
 
+// A reader that was told of a leaving before it read of it kept the entry from its followers.
+func TestLeavingLearnedBeforeItsEntryIsSentToFollowers(t *testing.T) {
+	n := idleNode(t, "a")
+	send := func(rows ...chestnutstream.TableRow) []chestnutstream.TableRow {
+		n.applyServerRows(rows, false, 0)
+		return n.changedEntries(rows)
+	}
+	send(serverRow(1, "i-1", "ready"))
+	n.Received(instance.Member{Name: "b"}, instance.Bundle{ServerNotices: []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}}})
+	send(serverRow(2, "i-1", "ready"))
+	assert.Equal(t, len(send(serverRow(3, "i-1", "draining"))), 1)
+}
+
 func serverRow(version uint64, id, state string) chestnutstream.TableRow {
 	return chestnutstream.TableRow{
 		Table: platform.TableServers, Key: id, Version: version,
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
 )
@@ -173,8 +174,11 @@
 	models           string
 }
 
-func digestEntry(b chestnutstream.Backend) entryDigest {
-	e := entryDigest{born: b.Born, service: b.Service, address: b.Address, zone: b.Zone, software: b.Software, slots: b.Slots, state: b.State}
+// digestEntry returns the digest of a server's latest entry. What else is known of its state
+// is not in it: followers may not know that.
+func digestEntry(s *fleet.Server) entryDigest {
+	b := s.Backend
+	e := entryDigest{born: b.Born, service: b.Service, address: b.Address, zone: b.Zone, software: b.Software, slots: b.Slots, state: s.Listed}
 	for _, m := range b.Models {
 		e.models += fmt.Sprintf("%s@%d ", m.Name, m.Version)
 	}
@@ -209,7 +213,7 @@
 			}
 			continue
 		}
-		e := digestEntry(s.Backend)
+		e := digestEntry(s)
 		if old, ok := n.sentEntries[key]; !ok || old != e {
 			changed[key] = true
 		}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -209,7 +209,11 @@
 // applyDraining sets a server to draining if an entry of the same start says so, however
 // old the entry is: no later one can say that the server is ready again.
 func (f *Fleet) applyDraining(s *Server, e Entry) []Change {
-	if s.State != chestnutstream.BackendReady || e.Removed || e.Err != nil || e.Backend.State != chestnutstream.BackendDraining || e.Backend.Born != s.Born || e.Backend.Address != s.Address {
+	if e.Removed || e.Err != nil || e.Backend.State != chestnutstream.BackendDraining || e.Backend.Born != s.Born || e.Backend.Address != s.Address {
+		return nil
+	}
+	s.Listed = chestnutstream.BackendDraining
+	if s.State != chestnutstream.BackendReady {
 		return nil
 	}
 	s.State = chestnutstream.BackendDraining
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,9 +13,10 @@
 // Server is a backend server with what this instance knows of it.
 type Server struct {
 	chestnutstream.Backend
-	RowVersion   uint64    // version of its entry in the list
-	MissingSince time.Time // when the store recovered, if the entry was missing after that; it may come back. Zero: the entry is present
-	Misplaced    bool      // another server responded at its address
+	Listed       chestnutstream.BackendState // state by its entries in the list
+	RowVersion   uint64                      // version of that entry
+	MissingSince time.Time                   // when the store recovered, if the entry was missing after that; it may come back. Zero: the entry is present
+	Misplaced    bool                        // another server responded at its address
 	misplacedAt  time.Time
 
 	InFlight               int // requests of this instance in progress
@@ -240,7 +241,7 @@
 }
 
 func newServer(b chestnutstream.Backend, rowVersion uint64) *Server {
-	s := &Server{Backend: b, RowVersion: rowVersion, loaded: map[chestnutstream.ModelAdapter]loadedAdapter{}, hash: xxhash.Sum64String(b.ID)}
+	s := &Server{Backend: b, Listed: b.State, RowVersion: rowVersion, loaded: map[chestnutstream.ModelAdapter]loadedAdapter{}, hash: xxhash.Sum64String(b.ID)}
 	return s
 }
 
