edge: all tables are read anew when the store returns from a copy

A feed whose cursor was ahead of the restored store stayed deaf until the counter had passed it, or missed what was written meanwhile; a follower applied updates of a reader that still read the earlier history, and counted its view as fresh for them.

A reader states the new era to its followers at once. Updates of an earlier era neither refresh a view nor are waited for. An instance that does not reach the store applies the entries that readers send in a later era, from their cursor on. Instances of earlier builds state no era, so what they send counts as of an earlier one.

--- a/edge/era.go
+++ b/edge/era.go
@@ -6,8 +6,14 @@
 	"github.com/apex/log"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/instance"
 )
 
+// restoreReadPeriod is how long after the store's return from a copy each instance reads
+// the tables itself, as after its start. In it the servers that are alive write their entries
+// again, later than the instance's first read.
+const restoreReadPeriod = startLeasesPeriod
+
 // watchEra registers what happens, and what is counted, when the store returns from a copy.
 func (n *Node) watchEra() {
 	n.store.OnRestore(n.recordRestore)
@@ -15,7 +21,7 @@
 	n.metrics.NewGauge(`chestnutstream_store_era`, func() float64 { return float64(n.store.Era()) })
 }
 
-// recordRestore records that the store has returned from a copy.
+// recordRestore records that the store has returned from a copy: all tables are read anew.
 func (n *Node) recordRestore(old, era uint64) {
 	n.metrics.GetOrCreateCounter(`chestnutstream_store_restores_total`).Inc()
 	fields := log.Fields{"old": old, "era": era}
@@ -26,7 +32,9 @@
 	boot := n.boot()
 	n.leases.StoreRestored(boot, era)
 	fields["engines-kept"] = n.leases.Kept(boot)
+	n.restoredAt = n.now()
 	n.cancelPolls()
+	clear(n.sentEntries)
 	close(n.storeRestored)
 	n.storeRestored = make(chan struct{})
 	n.mu.Unlock()
@@ -55,3 +63,38 @@
 	}
 	l.Info("all leases of earlier eras have ended")
 }
+
+// recentlyRestored reports whether the store has returned from a copy within
+// restoreReadPeriod.
+func (n *Node) recentlyRestored() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.restoredAt.IsZero() && n.now().Sub(n.restoredAt) <= restoreReadPeriod
+}
+
+// isOld reports whether a version is of an earlier era than the store's.
+func (n *Node) isOld(version uint64) bool {
+	return chestnutstream.VersionEra(version) < n.store.Era()
+}
+
+// isAhead reports whether an update is of a later era than this instance's view of its table.
+func (n *Node) isAhead(update instance.TableUpdate) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return chestnutstream.VersionEra(update.After) > chestnutstream.VersionEra(n.view(update.Table).version)
+}
+
+// newestEra returns the newest era of the versions in a message. Instances of earlier builds
+// send none.
+func newestEra(b instance.Bundle) uint64 {
+	newest := b.ConfigVersion
+	for _, u := range b.TableUpdates {
+		newest = max(newest, u.To)
+	}
+	for _, rows := range [][]chestnutstream.TableRow{b.SoftwareRows, b.Servers, b.Versions} {
+		for _, r := range rows {
+			newest = max(newest, r.Version)
+		}
+	}
+	return chestnutstream.VersionEra(newest)
+}
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -66,7 +65,7 @@
 // An instance that links later is told which servers drain, however that was learned.
 func TestDrainingServersAreSentOnNewLinks(t *testing.T) {
 	n := idleNode(t, "a")
-	n.applyServerRows([]chestnutstream.TableRow{serverRow(1, "i-1", "ready"), serverRow(2, "i-2", "ready"), serverRow(3, "i-1", "draining")}, false, 0)
+	n.applyServerRows([]chestnutstream.TableRow{serverRow("i-1", "ready", 0, 1), serverRow("i-2", "ready", 0, 2), serverRow("i-1", "draining", 0, 3)}, false, 0)
 	notices := n.Connected(instance.Member{Name: "b"}).ServerNotices
 	assert.DeepEqual(t, notices, []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}})
 }
@@ -78,15 +77,8 @@
 		n.applyServerRows(rows, false, 0)
 		return n.changedEntries(rows)
 	}
-	send(serverRow(1, "i-1", "ready"))
+	send(serverRow("i-1", "ready", 0, 1))
 	n.Received(instance.Member{Name: "b"}, instance.Bundle{ServerNotices: []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}}})
-	send(serverRow(2, "i-1", "ready"))
-	assert.Equal(t, len(send(serverRow(3, "i-1", "draining"))), 1)
-}
-
-func serverRow(version uint64, id, state string) chestnutstream.TableRow {
-	return chestnutstream.TableRow{
-		Table: platform.TableServers, Key: id, Version: version,
-		Value: fmt.Appendf(nil, `{"service":"desk","address":"127.0.0.1:1","zone":"z","slots":6,"state":%q,"born":1}`, state),
-	}
+	send(serverRow("i-1", "ready", 0, 2))
+	assert.Equal(t, len(send(serverRow("i-1", "draining", 0, 3))), 1)
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -79,6 +79,7 @@
 	polls             map[string]poll        // long polls in progress, by table
 	storeState        dependency
 	storeBack         chan struct{} // closed when the store responds again after a failure
+	restoredAt        time.Time
 	permits           *permit.Issuer
 	slots             *permit.Slots                           // of brittle servers
 	slotGrants        map[string]uint64                       // by server: grants of slots received
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -50,6 +50,7 @@
 
 // Received implements instance.Handler.
 func (n *Node) Received(from instance.Member, b instance.Bundle) {
+	n.store.RaiseEra(newestEra(b))
 	n.applySoftwareRows(b.SoftwareRows) // before responses that come with them
 	n.mu.Lock()
 	p := n.peers[from.Name]
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -65,9 +65,9 @@
 
 // awaitUpdate waits for a reader's update of a table and applies it. It returns the
 // version up to which the table is now known. It reports false when this instance is to
-// read the table itself: it is a reader, the readers do not send updates, or an update
-// was missed.
-func (n *Node) awaitUpdate(w tableWatch, version uint64) (uint64, bool) {
+// read the table itself: it is a reader, the readers do not send updates, an update was
+// missed or is of an earlier era, or the store has returned from a copy.
+func (n *Node) awaitUpdate(w tableWatch, version uint64, restored <-chan struct{}) (uint64, bool) {
 	readers, _ := n.zoneReaders(w.table)
 	if slices.Contains(readers, n.cfg.Instance) || len(readers) == 0 {
 		return version, false
@@ -82,22 +82,21 @@
 	n.mu.Unlock()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
-	restored := n.restoreSignal()
-	if chestnutstream.VersionEra(version) < n.store.Era() {
-		return version, false
-	}
 	for {
 		select {
 		case <-n.ctx.Done():
 			return version, false
-		case <-restored:
-			return version, false
 		case <-timeout.C:
 			return version, false
+		case <-restored:
+			return version, false
 		case update := <-n.updates[w.table]:
 			if update.After > version {
 				return version, false // an update was missed
 			}
+			if chestnutstream.VersionEra(update.To) < chestnutstream.VersionEra(version) {
+				return version, false // the reader does not know that the store has returned from a copy
+			}
 			if update.To < version {
 				continue
 			}
@@ -125,15 +124,6 @@
 	n.recordUpdate(update)
 }
 
-// applyServerUpdate applies a reader's update of the servers table.
-func (n *Node) applyServerUpdate(update instance.TableUpdate) {
-	n.mu.Lock()
-	changes := n.updateServers(update.Rows, false, 0)
-	view := n.viewAge(platform.TableServers)
-	n.mu.Unlock()
-	n.logServerChanges(changes, update.From, view)
-}
-
 // cancelUnansweredPolls cancels the polls in progress if the store is unavailable to
 // this instance while another one reads it: the store may have accepted the polls while
 // it was unresponsive, and then never responds to them.
@@ -225,11 +215,15 @@
 // handleUpdate queues a reader's update for the loop that watches the table. When the
 // queue is full the update is dropped, and the loop reads the table itself. Changes of
 // the operator table are applied at once, as instances of small zones also poll it
-// themselves.
+// themselves, and those of the servers in an era in which this instance has not read
+// them yet: it may not reach the store.
 func (n *Node) handleUpdate(update instance.TableUpdate) {
-	if update.Table == platform.TableOperator {
+	switch {
+	case update.Table == platform.TableOperator:
 		n.applyOperatorRows(update.Rows)
 		n.recordUpdate(update)
+	case update.Table == platform.TableServers && n.isAhead(update):
+		n.applyServersAfter(update)
 	}
 	select {
 	case n.updates[update.Table] <- update:
--- a/edge/views.go
+++ b/edge/views.go
@@ -30,10 +30,10 @@
 }
 
 // recordUpdate records a reader's update with the changes after one version, up to
-// another, that the reader has read at readAt. An update with a gap before it leaves the view
-// unchanged.
+// another, that the reader has read at readAt. An update with a gap before it, or of an
+// earlier era, leaves the view unchanged.
 func (v *view) recordUpdate(readAt time.Time, after, to uint64) {
-	if after > v.version {
+	if after > v.version || chestnutstream.VersionEra(to) < chestnutstream.VersionEra(v.version) {
 		return
 	}
 	v.updatedAt, v.version = readAt, max(v.version, to)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
-	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -85,11 +84,14 @@
 
 // follows reports whether this instance, up for the given time, is to wait for the
 // updates of the table's readers instead of reading the table itself. It reads the
-// leases itself until all instances that started together are known.
+// leases itself until all instances that started together are known, and all tables after the
+// store has returned from a copy.
 func (n *Node) follows(w tableWatch, up time.Duration) bool {
 	switch {
 	case up <= followDelay, w.startInterval > 0 && up <= startLeasesPeriod:
 		return false
+	case n.recentlyRestored():
+		return false
 	case w.shared:
 		return true
 	}
@@ -104,64 +106,103 @@
 	return min(max(wait, minOperatorPollWait), operatorPollWait)
 }
 
-// watch reads a snapshot of a table, then its changes, until the node stops.
+// feed is the state of the loop that watches a table.
+type feed struct {
+	tableWatch
+	version  uint64
+	synced   bool // all of the table is known up to version
+	failures int  // of the latest reads
+}
+
+// watch reads a snapshot of a table, then its changes, until the node stops. After the
+// store has returned from a copy it takes a new snapshot.
 func (n *Node) watch(w tableWatch) {
 	n.sleep(rand.N(startJitter))
 	start := n.now()
-	version, synced := uint64(0), false
-	failures := 0
+	f := &feed{tableWatch: w}
 	for n.ctx.Err() == nil {
-		var rows []chestnutstream.TableRow
-		var err error
-		if synced && n.follows(w, n.now().Sub(start)) {
-			if updated, ok := n.awaitUpdate(w, version); ok {
-				version = updated
-				continue
-			}
-		}
 		restored := n.restoreSignal()
-		after, readAt := version, n.now()
-		if !synced {
-			rows, version, err = n.store.Rows(n.ctx, w.table)
-		} else {
-			rows, version, readAt, err = n.pollChanges(w, version)
+		if f.synced && n.isOld(f.version) {
+			f.synced = false
+			n.sleep(rand.N(startJitter))
 		}
-		if n.ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if errors.Is(err, chestnutstream.ErrHistoryLost) {
-				n.log.WithField("table", w.table).WithField("after", version).Warn("store has dropped the history after this version; reading a new snapshot")
-				synced = false
+		up := n.now().Sub(start)
+		if f.synced && n.follows(w, up) {
+			if updated, ok := n.awaitUpdate(w, f.version, restored); ok {
+				f.version = updated
 				continue
 			}
-			if errors.Is(err, context.Canceled) {
-				continue // the store became unavailable or available during the poll
+			if n.isOld(f.version) {
+				continue
 			}
-			back := n.recordStoreFailure(w.table, err)
-			n.sleepUntil(back, min(watchRetryDelay<<min(failures, 4), maxWatchRetryDelay))
-			failures++
-			continue
 		}
-		failures = 0
-		n.recordStoreResponse(w.table)
-		if synced {
-			w.applyUpdate(rows)
-			n.sendToFollowers(w, after, version, rows, readAt)
-		} else {
-			w.applySnapshot(rows, version)
-			synced = true
+		if n.read(f) {
+			n.sleepUntil(restored, n.pauseAfterRead(w, up))
 		}
-		n.recordRead(w.table, version, readAt)
-		n.wakeControl()
-		if w.startInterval > 0 && n.now().Sub(start) < startLeasesPeriod {
-			n.sleepUntil(restored, w.startInterval)
-			continue
+	}
+}
+
+// read reads a snapshot of the table or its changes, and applies it. It reports false if
+// the table is to be read again at once.
+func (n *Node) read(f *feed) bool {
+	after, readAt := f.version, n.now()
+	var rows []chestnutstream.TableRow
+	var version uint64
+	var err error
+	if f.synced {
+		rows, version, readAt, err = n.pollChanges(f.tableWatch, after)
+	} else {
+		rows, version, err = n.store.Rows(n.ctx, f.table)
+	}
+	if n.ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		n.handleReadError(f, err)
+		return false
+	}
+	f.version, f.failures = version, 0
+	n.recordStoreResponse(f.table)
+	if f.synced {
+		f.applyUpdate(rows)
+		n.sendToFollowers(f.tableWatch, after, version, rows, readAt)
+	} else {
+		f.applySnapshot(rows, version)
+		f.synced = true
+		if after > 0 && chestnutstream.VersionEra(after) < chestnutstream.VersionEra(version) {
+			n.sendToFollowers(f.tableWatch, version, version, nil, readAt) // states the new era
+		}
+	}
+	n.recordRead(f.table, version, readAt)
+	n.wakeControl()
+	return true
+}
+
+// handleReadError prepares the next read after a failed one, and waits until it may begin.
+func (n *Node) handleReadError(f *feed, err error) {
+	switch {
+	case errors.Is(err, chestnutstream.ErrHistoryLost):
+		f.synced = false
+		if !n.isOld(f.version) {
+			n.log.WithField("table", f.table).WithField("after", f.version).Warn("store has dropped the history after this version; reading a new snapshot")
 		}
-		n.sleepUntil(restored, n.intervalAfterRead(w))
+	case errors.Is(err, context.Canceled): // the store became unavailable or available during the poll
+	default:
+		back := n.recordStoreFailure(f.table, err)
+		n.sleepUntil(back, min(watchRetryDelay<<min(f.failures, 4), maxWatchRetryDelay))
+		f.failures++
 	}
 }
 
+// pauseAfterRead returns the time until the next read of a table. The leases are read
+// more often just after the start, and after the store has returned from a copy.
+func (n *Node) pauseAfterRead(w tableWatch, up time.Duration) time.Duration {
+	if w.startInterval > 0 && (up < startLeasesPeriod || n.recentlyRestored()) {
+		return w.startInterval
+	}
+	return n.intervalAfterRead(w)
+}
+
 // intervalAfterRead returns the time until the next read of a table. Around a store
 // outage entries of servers expire and return, so the servers table is then read at
 // the shortest interval.
@@ -340,76 +381,6 @@
 	n.log.WithFields(log.Fields{"adapter": target.String(), "version": version, "row": rowVersion}).Info("adapter version declared")
 }
 
-// decodeServerEntries decodes rows of the servers table.
-func decodeServerEntries(rows []chestnutstream.TableRow) []fleet.Entry {
-	entries := make([]fleet.Entry, 0, len(rows))
-	for _, r := range rows {
-		e := fleet.Entry{Key: r.Key, RowVersion: r.Version, Removed: r.Removed}
-		if !r.Removed {
-			e.Backend, e.Err = platform.DecodeBackend(r.Key, r.Value)
-		}
-		entries = append(entries, e)
-	}
-	return entries
-}
-
-// applyServerRows applies rows of the servers table that this instance has read: a
-// snapshot as of version, or changes. The other instances are told which servers leave.
-func (n *Node) applyServerRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
-	n.mu.Lock()
-	changes := n.updateServers(rows, snapshot, version)
-	n.broadcastLeaving(changes)
-	view := n.viewAge(platform.TableServers)
-	n.mu.Unlock()
-	n.logServerChanges(changes, sourceStore, view)
-}
-
-// updateServers applies rows of the servers table. Callers hold mu.
-func (n *Node) updateServers(rows []chestnutstream.TableRow, snapshot bool, version uint64) []fleet.Change {
-	entries := decodeServerEntries(rows)
-	now := n.now()
-	var changes []fleet.Change
-	if snapshot {
-		changes = n.fleet.ApplySnapshot(now, version, entries)
-	} else {
-		changes = n.fleet.ApplyUpdates(now, entries)
-	}
-	for i, r := range rows {
-		switch {
-		case r.Removed:
-			delete(n.rows.servers, r.Key)
-		case entries[i].Err == nil: // others need no entry that names no server
-			n.rows.servers[r.Key] = r
-		}
-	}
-	changes = append(changes, n.fleet.Tick(now)...)
-	n.metrics.GetOrCreateCounter(`chestnutstream_entries_ignored_total`).Set(n.fleet.IgnoredEntries())
-	n.handleServerChanges(changes)
-	n.observeSoftware()
-	return changes
-}
-
-// handleServerChanges removes the loaders of servers that departed or restarted, and
-// fails the requests that wait for servers that departed, restarted or drain. Callers
-// hold mu.
-func (n *Node) handleServerChanges(changes []fleet.Change) {
-	for _, c := range changes {
-		switch c.What {
-		case fleet.ChangeGone, "restarted":
-			n.removeLoader(c.Server)
-			n.leases.ForgetServer(c.Server)
-			n.failServerWaits(c.Server, "server "+c.What)
-			delete(n.slotGrants, c.Server)
-			delete(n.unusedGrants, c.Server)
-			if c.What == fleet.ChangeGone {
-				delete(n.rows.servers, c.Server)
-			}
-		case fleet.ChangeDraining, fleet.ChangeLeaving:
-			n.failServerWaits(c.Server, "server draining")
-		}
-	}
-}
-
 // applyLeaseRows applies rows of the leases table: a snapshot as of version, or changes.
 func (n *Node) applyLeaseRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
 	n.mu.Lock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -64,13 +64,24 @@
 
 // RecordVersion records a version up to which the store was read. The entries up to the
 // first one of an era may be from the copy that the store has returned from.
-func (f *Fleet) RecordVersion(version uint64) {
+func (f *Fleet) RecordVersion(now time.Time, version uint64) {
 	era, known := chestnutstream.VersionEra(version), chestnutstream.VersionEra(f.copyVersion)
+	if era > known {
+		f.recordRestore(now)
+	}
 	if era > known || (era == known && version < f.copyVersion) {
 		f.copyVersion = version
 	}
 }
 
+// recordRestore records that the store has returned from a copy, if servers were known
+// before.
+func (f *Fleet) recordRestore(now time.Time) {
+	if len(f.servers) > 0 {
+		f.storeRecoveredAt = now
+	}
+}
+
 // mayBeCopied reports whether an entry may be from the copy that the store has returned
 // from. It is then as old as that copy, and its server may have left since.
 func (f *Fleet) mayBeCopied(e Entry) bool {
@@ -86,10 +97,10 @@
 		f.ignoredEntries += uint64(len(entries))
 		return nil
 	}
-	if chestnutstream.VersionEra(version) > chestnutstream.VersionEra(f.copyVersion) && len(f.servers) > 0 {
-		f.storeUnavailable, f.storeRecoveredAt = false, now
+	f.RecordVersion(now, version)
+	if chestnutstream.VersionEra(version) > chestnutstream.VersionEra(f.snapshotVersion) {
+		f.recordRestore(now)
 	}
-	f.RecordVersion(version)
 	var changes []Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -95,12 +95,14 @@
 	f.ApplyUpdates(start, []Entry{inEra(1, Entry{Key: "a", RowVersion: 11, Removed: true}), inEra(1, entry("b", 12, draining))})
 	f.ApplyUpdates(start, []Entry{inEra(2, entry("a", 90)), inEra(2, entry("b", 91)), inEra(2, entry("c", 92, draining)), inEra(2, entry("d", 93))})
 	assert.DeepEqual(t, usable(f), []string{"d"})
-	f.RecordVersion(chestnutstream.RowVersion(2, 90)) // a reader has read the changes after this version
+	f.RecordVersion(start, chestnutstream.RowVersion(2, 90)) // a reader has read the changes after this version
 	f.ApplyUpdates(start, []Entry{inEra(2, entry("a", 91))})
 	assert.DeepEqual(t, usable(f), []string{"a", "d"})
-	f.ApplySnapshot(start, chestnutstream.RowVersion(2, 95), []Entry{inEra(2, entry("a", 91))})
-	f.ApplyUpdates(start, []Entry{inEra(2, Entry{Key: "a", RowVersion: 96, Removed: true})})
-	f.Tick(start.Add(time.Minute))
+	later := start.Add(time.Minute)
+	f.ApplySnapshot(later, chestnutstream.RowVersion(2, 95), []Entry{inEra(2, entry("a", 91))})
+	assert.DeepEqual(t, usable(f), []string{"a", "d"}) // d is missing
+	f.ApplyUpdates(later, []Entry{inEra(2, Entry{Key: "a", RowVersion: 96, Removed: true})})
+	f.Tick(later.Add(time.Minute))
 	assert.DeepEqual(t, usable(f), []string(nil))
 }
 
