edge: a configuration that the store lost is learned from other instances

An instance that started after the store had lost a configuration, or the version of an adapter, served by the older one until the operator had written the newer one again, beside instances that had it in force. It also took servers for ready that had said they leave, since the copy listed them so.

Instances state the version of their configuration when they connect; the one with the newer sends it. They also send declared versions that the store has not shown since its return, and servers that drain. The copy's older declarations no longer replace newer ones among the rows for other instances. Instances of earlier builds ignore the new field and state none.

--- a/edge/backpressure.go
+++ b/edge/backpressure.go
@@ -57,7 +57,8 @@
 }
 
 // addBackpressure adds the backpressure signals of servers that concern all instances
-// to a message. Callers hold mu.
+// to a message. That a server drains is one of them: a store that has returned from a copy
+// may show it as ready. Callers hold mu.
 func (n *Node) addBackpressure(b *instance.Bundle) {
 	for _, service := range n.fleet.BrittleServices() {
 		b.BrittleServices = append(b.BrittleServices, n.brittleMessage(service))
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -128,3 +128,72 @@
 		return
 	}
 }
+
+func configOf(version uint64) []byte {
+	return []byte(fmt.Sprintf(`{"version":%d,"routes":[],"services":[]}`, version))
+}
+
+func declaration(version int, era, counter uint64) chestnutstream.TableRow {
+	value := fmt.Sprintf(`{"model":"m","adapter":"a1","version":%d}`, version)
+	return chestnutstream.TableRow{Table: platform.TableOperator, Key: "version/m.a1", Value: []byte(value), Version: chestnutstream.RowVersion(era, counter)}
+}
+
+// Guards against an instance that starts after the store has lost a configuration, and knows
+// only the one before it while the others have the newer one in force.
+func TestLostConfigurationIsLearnedFromAPeer(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name             string
+		config, declared uint64 // that the starting instance has read; 0: none
+		want             uint64
+	}{
+		{"older", 6, 1, 7},
+		{"none", 0, 0, 7},
+		{"newer", 8, 1, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			a, b := idleNode(t, "a"), idleNode(t, "b")
+			a.store.RaiseEra(1)
+			a.applyOperatorRows([]chestnutstream.TableRow{{Key: platform.KeyConfig, Value: configOf(7), Version: chestnutstream.RowVersion(1, 90)}, declaration(3, 1, 91)})
+			a.store.RaiseEra(2)
+			a.applyOperatorRows([]chestnutstream.TableRow{{Key: platform.KeyConfig, Value: configOf(6), Version: chestnutstream.RowVersion(2, 50)}, declaration(2, 2, 51)})
+			b.store.RaiseEra(2)
+			if tt.config > 0 {
+				b.applyOperatorRows([]chestnutstream.TableRow{{Key: platform.KeyConfig, Value: configOf(tt.config), Version: chestnutstream.RowVersion(2, 50)}, declaration(2, 2, 51)})
+			}
+			for _, n := range []*Node{a, b} {
+				l := listen(t)
+				serve(t, l, n.mesh)
+				other := a
+				if n == a {
+					other = b
+				}
+				other.mesh.Add(instance.Member{Name: n.cfg.Instance, Address: l.Addr().String(), Zone: "z"})
+				t.Cleanup(n.mesh.Close)
+			}
+			eventually(t, "the newest configuration is in force", func() bool {
+				b.step()
+				b.mu.Lock()
+				version := b.fleet.Version(adapterOf("m/a1"))
+				b.mu.Unlock()
+				return b.Routes() != nil && b.Routes().Version == tt.want && version == 3
+			})
+			eventually(t, "and at the other instance", func() bool { return a.Routes().Version == max(tt.want, 7) })
+		})
+	}
+}
+
+// Guards against servers that drain, and that an instance takes for ready since the copy
+// that the store returned from lists them so.
+func TestDrainingServersAreStatedOnConnection(t *testing.T) {
+	a, b := idleNode(t, "a"), idleNode(t, "b")
+	a.applyServerRows([]chestnutstream.TableRow{serverRow("x", "ready", 1, 50), serverRow("y", "ready", 1, 51)}, true, chestnutstream.RowVersion(1, 60))
+	a.applyServerRows([]chestnutstream.TableRow{serverRow("x", "draining", 1, 61)}, false, 0)
+	copied := []chestnutstream.TableRow{serverRow("x", "ready", 2, 50), serverRow("y", "ready", 2, 51)}
+	a.applyServerRows(copied, true, chestnutstream.RowVersion(2, 55))
+	b.applyServerRows(copied, true, chestnutstream.RowVersion(2, 55))
+	b.Received(instance.Member{Name: "a"}, a.Connected(instance.Member{Name: "b"}))
+	assert.Assert(t, !b.fleet.Server("x").Usable() && b.fleet.Server("y").Usable())
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -17,7 +17,7 @@
 func (n *Node) Connected(to instance.Member) instance.Bundle {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	b := instance.Bundle{HasOwned: true, ConfigRequested: n.routes.Load() == nil}
+	b := instance.Bundle{HasOwned: true, ConfigRequested: n.routes.Load() == nil, ConfigDocument: n.configVersion(), Versions: n.lostVersions()}
 	for id := range n.loaders {
 		b.Owned = append(b.Owned, id)
 	}
@@ -133,7 +133,7 @@
 	}
 	n.handleOrigins(from.Name, b)
 	verdicts := n.handleEvidence(from.Name, b)
-	sendRows := b.ConfigRequested && n.rows.config != nil
+	sendRows := n.rows.config != nil && (b.ConfigRequested || (b.ConfigDocument > 0 && b.ConfigDocument < n.configVersion()))
 	var cached instance.Bundle
 	if sendRows {
 		cached = n.rows.bundle()
@@ -151,7 +151,10 @@
 			out.Config, out.ConfigVersion, out.Servers, out.Versions = cached.Config, cached.ConfigVersion, cached.Servers, cached.Versions
 		})
 	}
-	if b.Config != nil && n.routes.Load() == nil {
+	if own := n.configVersion(); own > 0 && own < b.ConfigDocument {
+		n.mesh.Send(from.Name, func(out *instance.Bundle) { out.ConfigRequested = true })
+	}
+	if b.Config != nil || len(b.Versions) > 0 {
 		n.applyPeerRows(from.Name, b)
 	}
 	if len(b.LoadRequests) > 0 {
@@ -171,20 +174,46 @@
 	return b
 }
 
-// applyPeerRows applies a peer's cached rows, on an instance that started while the
-// store is unavailable. They are never newer than the store's own rows.
+// applyPeerRows applies a peer's cached rows. An instance that started while the store is
+// unavailable takes all of them. Others take a newer configuration and newer versions of
+// adapters, which the store has lost since.
 func (n *Node) applyPeerRows(from string, b instance.Bundle) {
 	for _, v := range b.Versions {
 		n.declareVersion(v.Key, v.Value, v.Version)
 	}
-	n.mu.Lock()
-	changes := n.fleet.ApplyUpdates(n.now(), decodeServerEntries(b.Servers))
-	n.observeSoftware()
-	view := n.viewAge(platform.TableServers)
-	n.mu.Unlock()
-	n.logServerChanges(changes, from, view)
+	if b.Config == nil {
+		return
+	}
+	if n.routes.Load() == nil {
+		n.mu.Lock()
+		changes := n.fleet.ApplyUpdates(n.now(), decodeServerEntries(b.Servers))
+		n.observeSoftware()
+		view := n.viewAge(platform.TableServers)
+		n.mu.Unlock()
+		n.logServerChanges(changes, from, view)
+		n.log.WithFields(log.Fields{"peer": from, "servers": len(b.Servers)}).Info("servers taken from a peer")
+	}
 	n.adoptConfig(b.Config, b.ConfigVersion, from)
-	n.log.WithFields(log.Fields{"peer": from, "servers": len(b.Servers)}).Info("configuration and servers taken from a peer")
+}
+
+// configVersion returns the version of the configuration in force, 0 if there is none.
+func (n *Node) configVersion() uint64 {
+	if t := n.routes.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// lostVersions returns the rows with versions of adapters that were declared in an earlier
+// era and that the store has not shown since. Callers hold mu.
+func (n *Node) lostVersions() []chestnutstream.TableRow {
+	var out []chestnutstream.TableRow
+	for _, r := range n.rows.versions {
+		if n.isOld(r.Version) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // handleLoadRequest passes a load request to the loader of an engine that this
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -376,7 +376,10 @@
 	}
 	n.mu.Lock()
 	n.fleet.DeclareVersion(target, version)
-	n.rows.versions[key] = chestnutstream.TableRow{Key: key, Value: value, Version: rowVersion}
+	old := n.rows.versions[key]
+	if _, known, _, err := platform.DecodeAdapterVersion(key, old.Value); err != nil || known <= version {
+		n.rows.versions[key] = chestnutstream.TableRow{Key: key, Value: value, Version: max(rowVersion, old.Version)}
+	}
 	n.mu.Unlock()
 	n.log.WithFields(log.Fields{"adapter": target.String(), "version": version, "row": rowVersion}).Info("adapter version declared")
 }
