software: versions of services that the store lost are written again

A row that the store had lost counted as written, so no instance wrote it again; one of the copy replaced the known one, and a software version that had begun streams was forgotten there.

Rows that it lacks, and versions that a row of a later era lacks, are kept and written again under the check of the row that is there.

Before, the cases "row lost", "version lost" and "written without it by another instance" of TestRowsThatTheStoreLostAreWrittenAgain had no counterpart: nothing was written.

--- a/edge/software_rows.go
+++ b/edge/software_rows.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// recordLostSoftwareRows records which rows a snapshot of the leases table lacks.
+func (n *Node) recordLostSoftwareRows(rows []chestnutstream.TableRow, version uint64) {
+	keys := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		keys[r.Key] = true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.versions.LoseRows(version, keys)
+}
+
 // readSoftwareRows reads the rows with the software versions of services.
 func (n *Node) readSoftwareRows() error {
 	ctx, cancel := context.WithTimeout(n.ctx, originReadTimeout)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -62,8 +62,11 @@
 		},
 		{
 			table: lease.Table, shared: true, interval: leasesInterval, startInterval: startLeasesInterval, wait: leasesPollWait,
-			applySnapshot: func(rows []chestnutstream.TableRow, version uint64) { n.applyLeaseRows(rows, true, version) },
-			applyUpdate:   func(rows []chestnutstream.TableRow) { n.applyLeaseRows(rows, false, 0) },
+			applySnapshot: func(rows []chestnutstream.TableRow, version uint64) {
+				n.applyLeaseRows(rows, true, version)
+				n.recordLostSoftwareRows(rows, version)
+			},
+			applyUpdate: func(rows []chestnutstream.TableRow) { n.applyLeaseRows(rows, false, 0) },
 		},
 	}
 }
--- a/software/versions.go
+++ b/software/versions.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/chestnutstream/chestnutstream"
 )
 
 // maxObservationGap is the longest time between two observations of the list of servers
@@ -18,11 +20,13 @@
 // callers can still take up. Times are readings of the boot clock.
 type Versions struct {
 	retention time.Duration
+	era       uint64 // of the newest snapshot of the store
 	services  map[string]*serviceVersions
 }
 
 type serviceVersions struct {
-	row         Row                      // as last read or written
+	row         Row                      // as last read or written, with the versions that the store has lost since
+	stored      []string                 // versions of the row in the store
 	malformed   uint64                   // revision of a malformed or foreign row in its place; 0: there is none
 	listed      map[string]bool          // versions of the listed servers
 	seenAt      map[string]time.Duration // by version: when a server of it was last listed
@@ -76,10 +80,38 @@
 	maps.DeleteFunc(s.seenAt, func(_ string, at time.Duration) bool { return now-at > retention })
 }
 
-// ApplyRow records a row as it was read or written. Older ones are ignored.
+// ApplyRow records a row as it was read or written. Older ones are ignored. A row of a
+// later era may lack versions that the store has lost: they are kept, to be written again.
 func (v *Versions) ApplyRow(r Row) {
-	if s := v.service(r.Service); r.Revision > s.revision() {
-		s.row, s.malformed, s.changeSince = r, 0, 0
+	s := v.service(r.Service)
+	if r.Revision <= s.revision() || chestnutstream.VersionEra(r.Revision) < v.era {
+		return
+	}
+	stored := r.Versions
+	if s.lostVersions() || chestnutstream.VersionEra(r.Revision) > chestnutstream.VersionEra(s.row.Revision) {
+		r.Versions = union(r.Versions, s.row.Versions)
+	}
+	s.row, s.stored, s.malformed, s.changeSince = r, stored, 0, 0
+}
+
+// lostVersions reports whether the store has lost versions of the row.
+func (s *serviceVersions) lostVersions() bool { return !slices.Equal(s.row.Versions, s.stored) }
+
+// union returns the elements of both slices, in order.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// LoseRows records a snapshot of the store at a version, by the keys of its rows. The rows
+// of earlier eras that it lacks are to be written again.
+func (v *Versions) LoseRows(version uint64, keys map[string]bool) {
+	v.era = max(v.era, chestnutstream.VersionEra(version))
+	for name, s := range v.services {
+		if chestnutstream.VersionEra(s.revision()) < chestnutstream.VersionEra(version) && !keys[RowKey(name)] {
+			s.row.Revision, s.stored, s.malformed, s.changeSince = 0, nil, 0, 0
+		}
 	}
 }
 
@@ -145,7 +177,7 @@
 	for _, name := range slices.Sorted(maps.Keys(v.services)) {
 		s := v.services[name]
 		versions := s.wanted(now, v.retention)
-		if len(versions) == 0 || (slices.Equal(versions, s.row.Versions) && s.malformed == 0) {
+		if len(versions) == 0 || (slices.Equal(versions, s.stored) && s.malformed == 0) {
 			s.changeSince = 0
 			continue
 		}
