--- a/lease/era.go
+++ b/lease/era.go
@@ -233,7 +233,7 @@
 		m.era.rowVersion = 0
 	}
 	if !m.hasRead {
-		m.era.empty = empty && !present && !m.restored
+		m.era.empty = empty && !m.restored
 		m.era.initial = m.cfg.Bootstrap && m.era.empty
 	}
 }
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -101,6 +101,17 @@
 	assert.Equal(t, checks[len(checks)-1].Version, version(2, 2))
 }
 
+// Guards against a lease that counts as ended because the store has lost its row.
+func TestConflictOfALaterEraKeepsTheLease(t *testing.T) {
+	m, _ := leaseHolder(t)
+	boot := m.renewAt
+	renewal := step(t, m, boot, ActionRenew)
+	assert.Assert(t, !m.RenewalConflict(boot, renewal, []chestnutstream.TableRow{row("instance/a", `{"r":1}`, version(2, 2))}))
+	assert.Equal(t, m.Era(), uint64(2))
+	_, _, ok := m.FencingToken(boot, "s0")
+	assert.Assert(t, ok)
+}
+
 // Guards against transactions that are due before the table was read in the new era, and
 // against rows of earlier eras that arrive late.
 func TestLateReadsOfAnEarlierEraAreIgnored(t *testing.T) {
@@ -119,6 +130,9 @@
 	assert.Equal(t, token, version(2, 30))
 	assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Version: version(2, 25)})) // read before the acquisition
 	assert.Equal(t, m.Owner("s0"), "a")
+	assert.NilError(t, m.ApplyUpdates(boot, []chestnutstream.TableRow{row("instance/b", `{}`, version(2, 40))}))
+	assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Version: version(2, 35)}))
+	assert.Equal(t, len(m.Holders(boot)), 1)
 }
 
 // Guards against delayed transactions that change rows of a later era, as the store gives
@@ -159,8 +173,8 @@
 	}
 	for _, tt := range tests {
 		m, boot := leaseHolder(t)
-		m.StoreRestored(boot, 2)
 		err := m.ApplyUpdates(boot, []chestnutstream.TableRow{row("owner/s0", tt.value, version(2, 30))})
+		assert.Equal(t, m.Era(), uint64(2))
 		assert.Equal(t, err != nil, tt.name == "malformed")
 		_, _, ok := m.FencingToken(boot, "s0")
 		assert.Equal(t, ok, tt.kept, tt.name)
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -157,6 +157,15 @@
 			sim.play(30 * time.Second)
 			sim.cutOff[holder] = false
 		}, false},
+		{"no instance reads until the leases have ended", func(sim *restoreSimulation) {
+			sim.copy()
+			sim.restore(1)
+			for i := range sim.managers {
+				sim.deaf[i] = true
+			}
+			sim.play(15 * time.Second)
+			clear(sim.deaf)
+		}, false},
 		{"two restores in short order", func(sim *restoreSimulation) {
 			sim.copy()
 			sim.join("late")
