--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -294,7 +294,7 @@
 
 // Guards against servers without orders after a restart long after a restore.
 func TestRestartedInstanceTakesOverRowsOfThePresentEra(t *testing.T) {
-	sim := newRestoreSimulation(2, 4)
+	sim := newRestoreSimulation(2, 4, noMutant)
 	sim.copy()
 	sim.play(3 * time.Second)
 	sim.restore(1)
--- a/lease/restore_sim_test.go
+++ b/lease/restore_sim_test.go
@@ -41,8 +41,8 @@
 
 // newRestoreSimulation returns a simulation in which all servers are owned. Its first copy
 // is of the empty store.
-func newRestoreSimulation(contenders, servers int) *restoreSimulation {
-	sim := &restoreSimulation{simulation: newSimulation(contenders, servers, noMutant), orderedAt: map[string]time.Duration{}, deaf: map[int]bool{}}
+func newRestoreSimulation(contenders, servers int, m mutant) *restoreSimulation {
+	sim := &restoreSimulation{simulation: newSimulation(contenders, servers, m), orderedAt: map[string]time.Duration{}, deaf: map[int]bool{}}
 	sim.version = chestnutstream.RowVersion(1, 0)
 	sim.copy()
 	for _, m := range sim.managers {
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -11,9 +11,9 @@
 )
 
 // restoreBound is the time after the last fault within which all servers have an owner
-// again: the wait after a restore, the takeover from a holder whose lease was known at its
-// end, and a few reads.
-const restoreBound = (15+3+10+3)*time.Second + 8*time.Second
+// again: the wait after a restore, the takeover from a holder, both for the longest lease,
+// and a few reads.
+const restoreBound = 2*(15*time.Second+minHandover+500*time.Millisecond) + 4*time.Second
 
 // Guards against second holders and falling fencing tokens when the store returns from a
 // copy and has lost acknowledged leases and owners.
@@ -188,7 +188,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			sim := newRestoreSimulation(3, 6)
+			sim := newRestoreSimulation(3, 6, noMutant)
 			sim.play(5 * time.Second)
 			tt.play(sim)
 			assert.Equal(t, sim.violation, "")
@@ -211,7 +211,7 @@
 func TestHoldersOverRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		contenders := rapid.IntRange(2, 3).Draw(t, "contenders")
-		sim := newRestoreSimulation(contenders, 2)
+		sim := newRestoreSimulation(contenders, 2, rapid.SampledFrom([]mutant{noMutant, longLeases}).Draw(t, "leases"))
 		contender := rapid.IntRange(0, contenders-1)
 		moves := []string{
 			"tick", "tick", "tick", "play", "play", "step", "step", "read", "read", "arrive", "arrive", "late response", "response", "late read", "late read arrives",
