soak: a store that returns from a copy

No fault of the soak lost what the store had acknowledged, so the soak could not find what versions that are given out again break.

store-returns-from-copy makes the store return from a copy some seconds old, away for up to 1.5 s, in half of the cases twice in short order. Since the copy other transactions have raised the counter, and an engine may have joined and a plain server left. The latter must get no requests afterwards; one that leaves after the return gets none after the usual bound.

The check of orders reports each order with a lower fencing token, with the token of another holder, or too soon after another holder's, with the first one's holders and tokens. It replaces the two checks of the lowest interval between holders and of a token that ever fell, which it includes; the planted fault trusts-its-lease therefore gives another text. The planted fault believes-copies, an instance that takes the store's entries as they are, is found.

The stand-in's Remove waits for the store's return, as the platform's removal of an entry does; the soak's operator writes until it is acknowledged.

--- a/soak/check.go
+++ b/soak/check.go
@@ -310,7 +310,7 @@
 			for id, n := range c.Runs {
 				executions[id] += n
 			}
-			r.checkOrders(b.id, c)
+			r.checkOrders(b.id, s)
 		}
 	}
 	loggedFailures := r.loggedFailures()
@@ -332,18 +332,16 @@
 }
 
 // checkOrders checks the orders that a server received.
-func (r *run) checkOrders(id string, c standin.BackendCounts) {
+func (r *run) checkOrders(id string, s *standin.Backend) {
+	c := s.Counts()
 	if c.SlotsExceeded {
 		r.reportViolation("%s received orders to load more adapters than it has slots", id)
 	}
 	if c.WeightsExceeded {
 		r.reportViolation("%s received orders to load more weights than it holds", id)
 	}
-	if c.FencingTokenDecreased {
-		r.reportViolation("%s received an order with a lower fencing token than an earlier order", id)
-	}
-	if c.MinHandoverInterval > 0 && c.MinHandoverInterval < minHandoverInterval {
-		r.reportViolation("%s received orders from two lease holders within %v: %v", id, c.MinHandoverInterval, c.Holders)
+	if v := s.OrderViolations(minHandover); len(v) > 0 {
+		r.reportViolation("%s received %d orders against its lease, the first: %s", id, len(v), v[0])
 	}
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -208,7 +208,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configVersion += configVersionStep
-	d.store.Put("op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[
+	d.putAsOperator("config", []byte(fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"ask","host":"h.example","prefix":"/ask/","type":"streaming","resumable":true,"maxAttempts":2,"timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"service":"assistant"},
  {"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"service":"assistant"},
  {"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"},
@@ -224,8 +224,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.adapterVersions[adapter] = max(d.adapterVersions[adapter], 1) + 1
+	d.putAsOperator("version/m."+adapter, []byte(fmt.Sprintf(`{"model":"m","adapter":%q,"version":%d}`, adapter, d.adapterVersions[adapter])))
 	d.declaredAt[adapter] = time.Now()
-	d.store.Put("op", "version/m."+adapter, []byte(fmt.Sprintf(`{"model":"m","adapter":%q,"version":%d}`, adapter, d.adapterVersions[adapter])))
+}
+
+// putAsOperator writes a row of the operator and returns when it is acknowledged.
+func (d *deployment) putAsOperator(key string, value []byte) {
+	for d.store.Put("op", key, value) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // peerAddr returns the address for peers: the port of callerAddr ends in 0, that of
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,15 +39,15 @@
 
 // Durations and time bounds of a run.
 const (
-	warmUpDuration      = 4 * time.Second // until every engine has an owner
-	minFaultDuration    = 300 * time.Millisecond
-	maxFaultDuration    = 3500 * time.Millisecond
-	maxFaultInterval    = 1500 * time.Millisecond // between faults
-	coolDownDuration    = 6 * time.Second         // after the last fault: broken connections end and all requests are served again
-	drainBound          = 2 * time.Second
-	versionApplyBound   = 5 * time.Second
-	minHandoverInterval = 3 * time.Second
-	recoveryBound       = 3 * time.Second // after a fault, until guarantees with a time bound hold again
+	warmUpDuration    = 4 * time.Second // until every engine has an owner
+	minFaultDuration  = 300 * time.Millisecond
+	maxFaultDuration  = 3500 * time.Millisecond
+	maxFaultInterval  = 1500 * time.Millisecond // between faults
+	coolDownDuration  = 6 * time.Second         // after the last fault: broken connections end and all requests are served again
+	drainBound        = 2 * time.Second
+	versionApplyBound = 5 * time.Second
+	minHandover       = 3 * time.Second // between orders of two holders of an engine
+	recoveryBound     = 3 * time.Second // after a fault, until guarantees with a time bound hold again
 )
 
 // Run runs the deployment under the faults of one seed and reports what it
@@ -100,6 +100,7 @@
 	violations        []string
 	effectsUntil      time.Time         // when the effects of the latest fault end
 	ongoing           int               // faults in progress that affect requests
+	begun             int               // faults so far that affect requests
 	suppressedWatches int               // faults in progress that suppress the updates of the store's watches
 	backpressured     map[*backend]bool // servers that signal backpressure; guarded by deployment.mu
 }
@@ -126,6 +127,14 @@
 	r.resultsMu.Lock()
 	defer r.resultsMu.Unlock()
 	r.ongoing++
+	r.begun++
+}
+
+// faultsBegun returns the number of faults so far that affect requests.
+func (r *run) faultsBegun() int {
+	r.resultsMu.Lock()
+	defer r.resultsMu.Unlock()
+	return r.begun
 }
 
 // endFault records the end of a fault that beginFault recorded.
@@ -215,6 +224,7 @@
 		{"streams-end-early", func() { r.endStreamsEarly(ctx, duration) }, nil},
 		{"servers-misdirect-what-they-ran", func() { r.misdirect(ctx, duration) }, nil},
 		{"servers-repeat-rejections", func() { r.repeatRejections(ctx, duration) }, nil},
+		{"store-returns-from-copy", func() { r.returnFromCopy(ctx, engine, seed) }, nil},
 	}
 	kind := kinds[r.rng.IntN(len(kinds))]
 	r.resultsMu.Lock()
@@ -222,7 +232,7 @@
 	r.resultsMu.Unlock()
 	disruptive := true
 	switch kind.name {
-	case "configuration", "version", "drain", "reload", "crash-prompts", "crash-requests", "server-limit", "server-pause", "server-says-it-leaves":
+	case "configuration", "version", "drain", "reload", "crash-prompts", "crash-requests", "server-limit", "server-pause", "server-says-it-leaves", "store-returns-from-copy":
 		disruptive = false
 	default:
 		r.extendEffects(duration)
@@ -252,20 +262,23 @@
 	}
 }
 
-// drainPlainServer adds a plain server and then drains an old one. Requests that
-// reach the old one late are violations only if no other fault was in effect.
+// drainPlainServer adds a plain server and then drains an old one.
 func (r *run) drainPlainServer() {
-	old := r.replacePlainServer()
-	if old == nil {
-		return
+	if old := r.replacePlainServer(); old != nil {
+		r.drain(old)
+		r.removePlainServer(old)
 	}
+}
+
+// drain drains a plain server. Requests that reach it late are violations only if no
+// other fault was in effect.
+func (r *run) drain(old *backend) {
 	faultFree := r.faultFree()
 	old.Current().Drain()
 	time.Sleep(drainBound + recoveryBound)
 	if late := old.Current().Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
 		r.reportViolation("a request reached %s %v after it began to drain", old.id, late)
 	}
-	r.removePlainServer(old)
 }
 
 // replacePlainServer adds a plain server and returns one that is to be removed;
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -196,8 +196,9 @@
 		{"says-not-run", "promised that the request was not executed, but it was"},
 		{"believes-rejections", " was executed 2 times"},
 		{"loads-without-asking", "more adapters than it has slots"},
-		{"trusts-its-lease", "received orders from two lease holders within"},
+		{"trusts-its-lease", "orders against its lease, the first: i-engine-"},
 		{"sends-to-leaving", "after it began to drain"},
+		{"believes-copies", ", which had left before the store returned from a copy"},
 		{"ignores-limits", " after it signaled a limit: "},
 		{"ignores-pauses", " while paused by Retry-After: "},
 		{"ignores-answers", " after it signaled that it is leaving: "},
@@ -222,6 +223,8 @@
 				r.repeatRejections(context.Background(), 3*time.Second)
 			case "sends-to-leaving":
 				r.drainPlainServer()
+			case "believes-copies":
+				r.returnFromCopy(context.Background(), r.backends[0], 1)
 			case "ignores-limits":
 				r.signalLimit(r.backends[engineCount])
 			case "ignores-pauses":
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -54,7 +54,6 @@
 	EarlyEnds                 int // streams that ended inside an event
 	Unloads                   int
 	Orders                    int
-	MinHandoverInterval       time.Duration // shortest interval between orders of two holders; 0 if there was one holder
 	LatestArrivalAfterDrain   time.Duration // time from the start of draining to the latest request
 	CrashArrivals             []time.Time   // arrival times of prompts on which the process crashes
 	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
@@ -94,7 +93,6 @@
 	rejectedIDs     map[string]bool
 	orders          int // accepted orders, compared with an order's expectedRev
 	maxFencingToken uint64
-	lastOrderAt     time.Time // time of the latest order
 	orderRecords    []OrderRecord
 	drainingSince   time.Time
 	unloadingModel  bool   // the base model's unload waits for requests in progress
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -72,13 +72,9 @@
 	b.counts.FencingTokenDecreased = b.counts.FencingTokenDecreased || o.FencingToken < b.maxFencingToken
 	b.maxFencingToken = max(b.maxFencingToken, o.FencingToken)
 	if n := len(b.counts.Holders); n == 0 || b.counts.Holders[n-1] != o.Holder {
-		if interval := time.Since(b.lastOrderAt); n > 0 && (b.counts.MinHandoverInterval == 0 || interval < b.counts.MinHandoverInterval) {
-			b.counts.MinHandoverInterval = interval
-		}
 		b.counts.Holders = append(b.counts.Holders, o.Holder)
 	}
-	b.lastOrderAt = time.Now()
-	b.orderRecords = append(b.orderRecords, OrderRecord{Holder: o.Holder, FencingToken: o.FencingToken, At: b.lastOrderAt})
+	b.orderRecords = append(b.orderRecords, OrderRecord{Holder: o.Holder, FencingToken: o.FencingToken, At: time.Now()})
 	w.WriteHeader(b.executeOrder(o))
 }
 
--- a/standin/restore.go
+++ b/standin/restore.go
@@ -115,15 +115,16 @@
 	return wg.Wait
 }
 
-// applyOnReturn applies a transaction, once the store is not away.
+// applyOnReturn is Apply once the store is not away.
 func (s *Store) applyOnReturn(t StoreTransaction) {
-	for {
-		_, rows, ok := s.Apply(t)
-		if ok || slices.ContainsFunc(rows, func(r StoreRow) bool { return r.Version != t.Expected[0].Version }) {
-			return
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.away {
+		s.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
+		s.mu.Lock()
 	}
+	s.apply(t)
 }
 
 // Tables of the operator and the servers.
--- a/standin/store.go
+++ b/standin/store.go
@@ -101,6 +101,11 @@
 func (s *Store) Apply(t StoreTransaction) (version uint64, rows []StoreRow, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.apply(t)
+}
+
+// apply is Apply. Callers hold mu.
+func (s *Store) apply(t StoreTransaction) (version uint64, rows []StoreRow, ok bool) {
 	ok = !s.away
 	for _, e := range t.Expected {
 		current := s.rows[storeKey{e.Table, e.Part, e.Key}]
@@ -145,9 +150,9 @@
 	return version
 }
 
-// Remove removes one row.
+// Remove removes one row, once the store is not away.
 func (s *Store) Remove(table, key string) {
-	s.Apply(StoreTransaction{Remove: []StoreRow{{Table: table, Key: key}}})
+	s.applyOnReturn(StoreTransaction{Remove: []StoreRow{{Table: table, Key: key}}})
 }
 
 // DropHistory drops the history of changes, as the platform occasionally does. Watches
