soak: the second return of the store does not wait for the operator

The second of two returns in short order began only when the rows that the first one had lost were written again, two seconds later where a server had been removed. It now begins up to 3.5 s after the first, at any moment of the rewriting.

--- a/soak/restore.go
+++ b/soak/restore.go
@@ -47,11 +47,12 @@
 	arrivals := server.Counts().Arrivals
 	r.beginFault()
 	begun := r.faultsBegun()
-	r.store.ReturnFrom(older, randomDuration(rng, 0, maxAwayTime), operatorRewriteTime, rng)()
+	rewritten := r.store.ReturnFrom(older, randomDuration(rng, 0, maxAwayTime), operatorRewriteTime, rng)
 	if rng.IntN(2) == 0 {
 		timer.Sleep(ctx, randomDuration(rng, 0, maxCopyAge/2))
 		r.store.ReturnFrom(r.someCopy(older, rng), randomDuration(rng, 0, maxAwayTime), operatorRewriteTime, rng)()
 	}
+	rewritten()
 	r.endFault()
 	timer.Sleep(ctx, recoveryBound)
 	if n := server.Counts().Arrivals - arrivals; known && n > 0 && r.faultsBegun() == begun {
