ingress: the server is checked again once a request has its connection

A request was sent to the server that it had been placed on, whatever had become known of the server until it got a connection: up to 160 ms later, and more at an instance that is starved of processor time. Found by reading, not seen at real processes.

Just before the first byte the server's state is checked. If it has begun to leave the connection is closed, and the request is placed anew; that is no retry, and says nothing about the server. The end of a request logs the age of the list of servers then, as send-view-ms.

--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -6,6 +6,7 @@
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/ingress"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // RecordResult implements ingress.Dispatcher.
@@ -96,6 +97,19 @@
 	return n.retryBudget(service).CanRetry(now) && alternative
 }
 
+// BeforeSend implements ingress.Dispatcher.
+func (n *Node) BeforeSend(a ingress.Assignment) (viewAge time.Duration, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.fleet.Server(a.Server.ID)
+	viewAge, ok = n.viewAge(platform.TableServers), s != nil && s.Born == a.Server.Born && s.State == chestnutstream.BackendReady
+	n.metrics.GetOrCreateHistogram(`chestnutstream_send_view_age_seconds`).Update(viewAge.Seconds())
+	if !ok {
+		n.metrics.GetOrCreateCounter(`chestnutstream_sends_withheld_total`).Inc()
+	}
+	return viewAge, ok
+}
+
 // IsUnreachable implements ingress.Dispatcher.
 func (n *Node) IsUnreachable(a ingress.Assignment) bool {
 	n.mu.Lock()
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -124,6 +125,7 @@
 	placeBlocks    bool           // Place waits until the request ends
 	origins        map[string]string
 	unreachable    map[string]bool // by ID of the server
+	leaving        string          // ID of a server that begins to leave once a request is placed there
 	peers          []Assignment    // instances to which requests are forwarded if no backend takes them
 }
 
@@ -217,6 +219,16 @@
 	return software, nil
 }
 
+func (d *fakeDispatcher) BeforeSend(a Assignment) (viewAge time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving == a.Server.ID {
+		d.backends = slices.DeleteFunc(d.backends, func(b *backend) bool { return b.id == d.leaving })
+		return 0, false
+	}
+	return 0, true
+}
+
 func (d *fakeDispatcher) IsUnreachable(a Assignment) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/ingress/respond.go
+++ b/ingress/respond.go
@@ -90,7 +90,7 @@
 	fields := log.Fields{
 		"request-id": x.header.ID, "route": route, "service": x.service, "target": x.header.Target.String(),
 		"servers": strings.Join(x.servers, ","), "software": strings.Join(x.software, ","), "sends": x.attempts, "status": x.status, "ms": took.Milliseconds(),
-		"stall-ms": x.stall.Milliseconds(), "view-ms": x.viewAge.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
+		"stall-ms": x.stall.Milliseconds(), "view-ms": x.viewAge.Milliseconds(), "send-view-ms": x.sendViewAge.Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 	}
 	if drain, draining := x.server.dispatcher.Draining(); draining {
 		fields["drain-ms"], fields["drain-left-ms"] = drain.Since.Milliseconds(), drain.Remaining.Milliseconds()
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -135,6 +135,7 @@
 	seq       int         // number of the request on the connection
 	earlier   []string    // IDs of the requests before it
 	refused   bool        // the connection has rejected the request before, and is closed
+	withheld  bool        // the server may no longer be sent requests, and the connection is closed
 }
 
 func (t *connTrace) gotConn(i httptrace.GotConnInfo) {
@@ -146,6 +147,20 @@
 	t.seq, t.earlier = t.conn.recordRequest(t.requestID)
 }
 
+// checkServer closes the connection that the request was given if its server has begun to
+// leave since the request was placed.
+func (x *exchange) checkServer(t *connTrace, a Assignment) {
+	if a.Peer != "" {
+		return
+	}
+	age, ok := x.server.dispatcher.BeforeSend(a)
+	x.sendViewAge = age
+	if !ok {
+		t.withheld = true
+		t.conn.abandon()
+	}
+}
+
 // withdraw reports whether the request was never written to a connection that it was given.
 func (t *connTrace) withdraw() bool { return t.conn != nil && t.conn.withdraw(t.seq) }
 
@@ -157,7 +172,7 @@
 	t := &connTrace{requestID: x.header.ID}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { t.gotConn(i); x.checkServer(t, a) }})
 	if waitTimeout > 0 {
 		defer x.startWaitTimer(a, waitTimeout, func() { cancel(errNoResponse) })()
 	}
@@ -179,7 +194,7 @@
 		return nil, t.conn != nil, fmt.Errorf("send to %s: %w", a.Server.ID, err)
 	}
 	notSent := errNotWritten
-	if t.isNew && cause == nil {
+	if t.isNew && cause == nil && !t.withheld {
 		notSent = errNotAccepted
 	}
 	return nil, false, fmt.Errorf("send to %s: %w: %w", a.Server.ID, notSent, err)
--- a/ingress/send_test.go
+++ b/ingress/send_test.go
@@ -8,6 +8,8 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
 )
 
 // A sound server may be silent for a second or so, also for the kernel.
@@ -29,3 +31,36 @@
 	assert.Assert(t, time.Duration(ms)*time.Millisecond > silence, "unacknowledged bytes fail the connection after %d ms", ms)
 	assert.Equal(t, keepAlive, 0, "the timeout would also end keep-alive probes")
 }
+
+// A request that got its connection only after its server had begun to leave was sent there.
+func TestRequestIsNotSentToServerThatBeganToLeave(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, path string
+		kept               bool // the server's connection is open already
+	}{
+		{"order on a new connection", "POST", "/order/1", false},
+		{"order on a kept connection", "POST", "/order/1", true},
+		{"look-up on a new connection", "GET", "/look/1", false},
+		{"look-up on a kept connection", "GET", "/look/1", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			leaving, good := newBackend(t, "i-leaving", respondOK), newBackend(t, "i-good", respondOK)
+			f := newTestServer(t, leaving, good)
+			f.dispatcher.allowRetry = false // such an attempt costs no retry
+			before := 0
+			if tt.kept {
+				_, _, err := f.send(t, tt.method, tt.path, "x")
+				assert.NilError(t, err)
+				before = 1
+			}
+			f.dispatcher.leaving = "i-leaving"
+			_, body, err := f.send(t, tt.method, tt.path, "x")
+			assert.NilError(t, err)
+			assert.Equal(t, body, "from i-good")
+			assert.Equal(t, leaving.requestCount(), before)
+			for _, r := range f.dispatcher.results {
+				assert.Assert(t, r.Outcome == fleet.Responded || r.Outcome == fleet.Inconclusive, "%+v", r)
+			}
+		})
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -121,6 +121,9 @@
 	// Place selects a server for a request and waits until its adapter is
 	// loaded if necessary. It fails with a *NoServerError, or when ctx ends.
 	Place(ctx context.Context, p PlacementRequest) (Assignment, error)
+	// BeforeSend reports whether the server of an assignment may still be sent a request,
+	// which got a connection just now, and the age of the list of servers by which it may.
+	BeforeSend(a Assignment) (viewAge time.Duration, ok bool)
 	// RecordResult records the start of a response, or the failure to get one.
 	RecordResult(a Assignment, target chestnutstream.ModelAdapter, r Result)
 	// RecordBroken records that the connection of a request to a server ended before
@@ -214,6 +217,7 @@
 	avoid             map[string]bool
 	stall             time.Duration
 	viewAge           time.Duration // of the latest placement
+	sendViewAge       time.Duration // the same, when the request was sent
 	timeToFirstByte   time.Duration // from the request to the start of the relayed response; 0: none started
 	maxPause          time.Duration // longest one between two events of the relayed stream
 	status            int
