edge: a read of the store without a response is sent once more

Callers' requests reached servers up to 3.8 s after the store had acknowledged their leaving, where single reads of the list got a late response: one such read kept the list unknown until its timeout of 1 s and the pause before the next one, 2.2 s in all, over the bound of 2 s.

A read that does not wait for changes is sent again on another connection after 250 ms, or three times what the latest one took, unless the latest one failed: a store that is slow or away gets no more calls.

The model of a zone has reads without a response, and fails for waits that count from their begin.

--- a/edge/views.go
+++ b/edge/views.go
@@ -14,10 +14,11 @@
 // view records up to which version, and as of when, an instance knows a table of the
 // store.
 type view struct {
-	version   uint64    // up to which it is known
-	readAt    time.Time // when it was last read here
-	updatedAt time.Time // when a reader read its latest update with no gap before it
-	failedAt  time.Time // when a read here last failed
+	version   uint64        // up to which it is known
+	readAt    time.Time     // when it was last read here
+	updatedAt time.Time     // when a reader read its latest update with no gap before it
+	failedAt  time.Time     // when a read here last failed
+	readTook  time.Duration // the latest read here that did not wait for changes
 }
 
 // maxViewAge is the age above which a view is first refreshed by a poll that does not
--- a/edge/views_age_test.go
+++ b/edge/views_age_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // modelDrainBound is the time limit for requests to a server that leaves, and maxModelDelay
@@ -15,6 +18,21 @@
 	maxModelDelay   = 300 * time.Millisecond
 )
 
+// Guards against a longer wait in the chain from a change of the store to its last instance.
+func TestSumOfWaitsIsWithinTheBounds(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		n := &Node{cfg: platform.Settings{DrainBound: bound, ConfigApplyBound: bound}}
+		servers := tableWatch{interval: n.serversInterval()}
+		operator := tableWatch{wait: n.operatorReaderWait()}
+		for name, w := range map[string]tableWatch{"servers": servers, "operator": operator} {
+			sum := w.readerTimeout() + hedgeDelay + maxModelDelay
+			assert.Check(t, sum <= bound, "%s: %v, bound %v", name, sum, bound)
+		}
+		// A read after the pause does not wait for changes.
+		assert.Check(t, maxViewAge < servers.interval && maxViewAge <= servers.readerTimeout())
+	}
+}
+
 // pacedZone simulates the instances of a zone that watch a table with an interval between
 // reads, in time steps of modelStep.
 type pacedZone struct {
@@ -22,6 +40,8 @@
 	now       time.Time
 	watch     tableWatch
 	version   uint64
+	maxDelay  time.Duration // for which a busy machine does not run an instance
+	stalls    bool          // reads may get no response, and are sent once more
 	instances []*pacedInstance
 }
 
@@ -47,7 +67,7 @@
 
 // delay draws for how long a busy machine does not run an instance.
 func (z *pacedZone) delay() time.Duration {
-	return time.Duration(rapid.IntRange(0, int(maxModelDelay/modelStep)).Draw(z.t, "delay")) * modelStep
+	return time.Duration(rapid.IntRange(0, int(z.maxDelay/modelStep)).Draw(z.t, "delay")) * modelStep
 }
 
 func (z *pacedZone) step(in *pacedInstance) {
@@ -93,6 +113,9 @@
 
 func (in *pacedInstance) read(z *pacedZone) {
 	in.waiting, in.readBegan, in.readEnds = false, z.now, z.now.Add(z.delay())
+	if z.stalls && rapid.Bool().Draw(z.t, "no response") {
+		in.readEnds = in.readEnds.Add(hedgeDelay)
+	}
 }
 
 // endRead applies what was read, and sends it to the followers.
@@ -109,11 +132,17 @@
 }
 
 // Instances take over the reading from one another, stop, start and receive no updates, and
-// are held up by busy machines: no view gets older than the time limit for requests to a
-// server that leaves.
+// are held up by busy machines, or by reads without a response: no view gets older than the
+// time limit for requests to a server that leaves.
 func TestViewsOfPacedTablesStayFresh(t *testing.T) {
+	t.Run("busy machines", func(t *testing.T) { checkPacedViews(t, pacedZone{maxDelay: maxModelDelay}) })
+	t.Run("reads without a response", func(t *testing.T) { checkPacedViews(t, pacedZone{maxDelay: modelStep, stalls: true}) })
+}
+
+func checkPacedViews(t *testing.T, zone pacedZone) {
 	rapid.Check(t, func(t *rapid.T) {
-		z := &pacedZone{t: t, now: time.Unix(1000, 0), watch: tableWatch{shared: true, interval: minServersInterval}}
+		z := &zone
+		*z = pacedZone{t: t, now: time.Unix(1000, 0), watch: tableWatch{shared: true, interval: minServersInterval}, maxDelay: zone.maxDelay, stalls: zone.stalls}
 		for i := range rapid.IntRange(1, 4).Draw(t, "instances") {
 			in := &pacedInstance{follower: i > 0}
 			z.instances = append(z.instances, in)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -226,7 +226,7 @@
 	ctx, done := n.pollContext(w, wait)
 	defer done()
 	start := n.now()
-	rows, version, err = n.store.Watch(ctx, w.table, after, wait)
+	rows, version, err = n.readChanges(ctx, w.table, after, wait)
 	if err != nil {
 		return nil, after, start, err
 	}
