--- a/ingress/draining.go
+++ b/ingress/draining.go
@@ -70,9 +70,16 @@
 	return context.WithTimeout(context.Background(), drain.maxWait())
 }
 
+// Points at which a drain refuses a request.
+const (
+	drainAdmission = "on arrival"
+	drainWait      = "while it waited for a server"
+	drainEnd       = "at the end of the drain"
+)
+
 // errDraining returns the error for a request that this instance can no longer serve.
-func errDraining() *NoServerError {
-	return &NoServerError{Reason: "this instance stops before the answer would end", RetryAfter: retryAfterDraining}
+func errDraining(at string) *NoServerError {
+	return &NoServerError{Reason: "this instance stops before the answer would end, refused " + at, RetryAfter: retryAfterDraining}
 }
 
 // waitContext returns the context for the wait for a server. A request that may have run
@@ -83,7 +90,7 @@
 		end = x.server.drain.responsesEnd
 	}
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	stop := context.AfterFunc(end, func() { cancel(errDraining()) })
+	stop := context.AfterFunc(end, func() { cancel(errDraining(drainWait)) })
 	return ctx, func() { stop(); cancel(nil) }
 }
 
@@ -91,7 +98,7 @@
 // beginning of a response.
 func (x *exchange) abortUnanswered() {
 	if !x.responseStarted.Load() {
-		x.abort(errDraining())
+		x.abort(errDraining(drainEnd))
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -382,7 +382,7 @@
 	if !draining || x.server.durations.endsInTime(drain, x.route, x.header.Prompt, x.timeLimit()) {
 		return true
 	}
-	x.respondUnplaced(errDraining())
+	x.respondUnplaced(errDraining(drainAdmission))
 	return false
 }
 
