--- a/soak/restore.go
+++ b/soak/restore.go
@@ -40,7 +40,7 @@
 	}
 	leaves := rng.IntN(2) == 0
 	if leaves {
-		r.drain(old)
+		r.retire(old, (*standin.Backend).Drain)
 	}
 	timer.Sleep(ctx, randomDuration(rng, minCopyAge, maxCopyAge))
 	server, known := old.Current(), leaves && r.faultFree()
@@ -59,7 +59,7 @@
 		r.reportViolation("%d requests reached %s, which had left before the store returned from a copy", n, old.id)
 	}
 	if !leaves {
-		r.drain(old)
+		r.retire(old, (*standin.Backend).Drain)
 	}
 	r.removePlainServer(old)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chestnutstream/chestnutstream/standin"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
 
@@ -214,7 +215,8 @@
 		{"server-resets", b.proxy.reset, nil},
 		{"configuration", r.putConfiguration, nil},
 		{"version", func() { r.declareVersion(adapter) }, nil},
-		{"drain", r.drainPlainServer, nil},
+		{"drain", func() { r.retirePlainServer((*standin.Backend).Drain) }, nil},
+		{"remove", func() { r.retirePlainServer((*standin.Backend).Leave) }, nil},
 		{"server-crashes", func() { engine.Crash() }, nil},
 		{"crash-prompts", func() { r.sendCrashPrompts(seed) }, nil},
 		{"crash-requests", func() { r.sendCrashRequests(seed) }, nil},
@@ -232,7 +234,7 @@
 	r.resultsMu.Unlock()
 	disruptive := true
 	switch kind.name {
-	case "configuration", "version", "drain", "reload", "crash-prompts", "crash-requests", "server-limit", "server-pause", "server-says-it-leaves", "store-returns-from-copy":
+	case "configuration", "version", "drain", "remove", "reload", "crash-prompts", "crash-requests", "server-limit", "server-pause", "server-says-it-leaves", "store-returns-from-copy":
 		disruptive = false
 	default:
 		r.extendEffects(duration)
@@ -262,22 +264,22 @@
 	}
 }
 
-// drainPlainServer adds a plain server and then drains an old one.
-func (r *run) drainPlainServer() {
+// retirePlainServer adds a plain server and then lets an old one leave.
+func (r *run) retirePlainServer(leave func(*standin.Backend)) {
 	if old := r.replacePlainServer(); old != nil {
-		r.drain(old)
+		r.retire(old, leave)
 		r.removePlainServer(old)
 	}
 }
 
-// drain drains a plain server. Requests that reach it late are violations only if no
+// retire lets a plain server leave. Requests that reach it late are violations only if no
 // other fault was in effect.
-func (r *run) drain(old *backend) {
+func (r *run) retire(old *backend, leave func(*standin.Backend)) {
 	faultFree := r.faultFree()
-	old.Current().Drain()
+	leave(old.Current())
 	time.Sleep(drainBound + recoveryBound)
 	if late := old.Current().Counts().LatestArrivalAfterDrain; faultFree && r.faultFree() && late > drainBound {
-		r.reportViolation("a request reached %s %v after it began to drain", old.id, late)
+		r.reportViolation("a request reached %s %v after it began to leave", old.id, late)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -197,7 +197,7 @@
 		{"believes-rejections", " was executed 2 times"},
 		{"loads-without-asking", "more adapters than it has slots"},
 		{"trusts-its-lease", "orders against its lease, the first: i-engine-"},
-		{"sends-to-leaving", "after it began to drain"},
+		{"sends-to-leaving", "after it began to leave"},
 		{"believes-copies", ", which had left before the store returned from a copy"},
 		{"ignores-limits", " after it signaled a limit: "},
 		{"ignores-pauses", " while paused by Retry-After: "},
@@ -222,7 +222,7 @@
 			case "believes-rejections":
 				r.repeatRejections(context.Background(), 3*time.Second)
 			case "sends-to-leaving":
-				r.drainPlainServer()
+				r.retirePlainServer((*standin.Backend).Drain)
 			case "believes-copies":
 				r.returnFromCopy(context.Background(), r.backends[0], 1)
 			case "ignores-limits":
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -54,7 +54,7 @@
 	EarlyEnds                 int // streams that ended inside an event
 	Unloads                   int
 	Orders                    int
-	LatestArrivalAfterDrain   time.Duration // time from the start of draining to the latest request
+	LatestArrivalAfterDrain   time.Duration // time from the start of draining, or from Leave, to the latest request
 	CrashArrivals             []time.Time   // arrival times of prompts on which the process crashes
 	CrashLoads                []time.Time   // times of accepted orders to load what crashes the process
 	ArrivalsUnderBackpressure []time.Time   // arrival times while responses signal backpressure; SetFaults clears them
@@ -81,7 +81,10 @@
 	router    *mux.Router
 	crash     func() // ends the process; nil: it cannot crash
 
+	entry sync.Mutex // held while the server's row is written or removed
+
 	mu              sync.Mutex
+	left            bool // its row is removed, and not written again
 	faults          BackendFaults
 	counts          BackendCounts
 	state           string
@@ -198,7 +201,13 @@
 
 // Heartbeat sends a heartbeat: it writes the server's row to the store.
 func (b *Backend) Heartbeat() {
+	b.entry.Lock()
+	defer b.entry.Unlock()
 	b.mu.Lock()
+	if b.left {
+		b.mu.Unlock()
+		return
+	}
 	b.heartbeats++
 	row := backendRow{
 		Service: b.cfg.Service, Address: b.cfg.Address, Zone: b.cfg.Zone, Version: cmp.Or(b.cfg.Software, defaultSoftware), Slots: b.cfg.Slots,
@@ -225,6 +234,16 @@
 	b.Heartbeat()
 }
 
+// Leave removes the server's row without a notice. The server still responds to requests.
+func (b *Backend) Leave() {
+	b.entry.Lock()
+	defer b.entry.Unlock()
+	b.store.Remove(tableServers, b.cfg.ID)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left, b.drainingSince = true, time.Now()
+}
+
 // finishUnload removes the adapter whose unload was deferred once it has no more
 // requests in progress. Callers hold mu.
 func (b *Backend) finishUnload() {
