edge: data race in the probes of an instance that is cut off

The probes of the servers of a service read their entries without the node's mutex, while updates of the servers table write them. A probe could go to an address of which half was read. Seen by the race detector in go test -race ./edge beside load (average 33 on 8 cores), once in one run of the package, in TestAdapterWhoseLoadCrashesServersIsNoLongerLoaded: read in probeServers, write in fleet.updateServer. The probes now use copies that are made while the mutex is held.

--- a/edge/cutoff.go
+++ b/edge/cutoff.go
@@ -137,7 +137,10 @@
 	for i := 0; n.ctx.Err() == nil; i++ {
 		n.sleep(probeInterval)
 		n.mu.Lock()
-		servers := n.fleet.Unreachable(service)
+		var servers []chestnutstream.Backend // copies, as they are used without mu
+		for _, s := range n.fleet.Unreachable(service) {
+			servers = append(servers, s.Backend)
+		}
 		done := !n.cutOff[service] || len(servers) == 0
 		if done {
 			delete(n.probing, service)
@@ -146,7 +149,7 @@
 		if done {
 			return
 		}
-		if !n.probe(servers[i%len(servers)].Backend) {
+		if !n.probe(servers[i%len(servers)]) {
 			continue
 		}
 		var wg sync.WaitGroup
@@ -154,7 +157,7 @@
 		for _, s := range servers {
 			wg.Add(1)
 			limit <- struct{}{}
-			go func() { defer wg.Done(); n.probe(s.Backend); <-limit }()
+			go func() { defer wg.Done(); n.probe(s); <-limit }()
 		}
 		wg.Wait()
 		n.wakeControl()
