edge, instance: two machines of one name are two holders

What callers saw: with a second process of an instance's name at another address (a copied settings file, a restart elsewhere, a machine thought lost that comes back), engines got orders of two machines in turns, milliseconds apart, partly under lower fencing tokens, and requests were not served, as the loads that they waited for were ordered by neither.

Cause: an instance's name stood for its process. A lease row of the own name counted as that of an earlier process, which was taken to have ended: the second process replaced it and acquired all its engines at once, the first one did the same after its next renewal, and so on. The connections between instances, owners, usage, permits, slots, ranks and the rows of origins went by the name as well; each peer's connection moved to whichever of the two had dialled last.

An instance is now known by its name and the address that it listens on for the others (chestnutstream.InstanceIdentity), everywhere where the name stood for the process. Only one process can listen there. An address of all interfaces identifies no machine: there the identity is that of the process.

Members at one address have one connection, the one under the name that the peer itself has sent; a member is removed that has been unreachable for a minute while another of its instance name is connected, as addresses change and names stay. The loss of a removed connection is now reported, so that the peer's state does not stay.

Another machine of the name is logged and counted (chestnutstream_instances_of_same_name).

Rows and messages of the release before have plain names, which count as identities: ranks are computed by what an instance is known by, so both releases agree on them. An instance that is upgraded in place is another holder than before the upgrade: its engines get no orders until the old lease has ended.

The tests of the package compare identities where they compared names.

--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -196,7 +196,7 @@
 	first.mu.Unlock()
 	var others []*testInstance
 	for _, in := range all {
-		if in.cfg.Instance != issuer {
+		if in.Node().id != issuer {
 			others = append(others, in)
 		}
 	}
@@ -207,7 +207,7 @@
 	since := time.Now()
 	time.Sleep(limitGracePeriod)
 	for _, in := range all {
-		if in.cfg.Instance == issuer {
+		if in.Node().id == issuer {
 			in.Close()
 		}
 	}
--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -27,7 +27,7 @@
 	now, view := n.now(), n.permitView()
 	issuer := n.permits.IssuerOf(now, server, view)
 	ok, wait, result := false, permitTimeout, "silent"
-	if issuer == n.cfg.Instance {
+	if issuer == n.id {
 		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view)
 		if ok {
 			n.slotGrants[server]++
@@ -59,7 +59,7 @@
 // holding returns this instance's use of a server, including grants that are about to be
 // used. Callers hold mu.
 func (n *Node) holding(s *fleet.Server) permit.Holding {
-	return permit.Holding{Holder: n.cfg.Instance, Held: s.InFlight + max(n.unusedGrants[s.ID], 0), Received: n.slotGrants[s.ID]}
+	return permit.Holding{Holder: n.id, Held: s.InFlight + max(n.unusedGrants[s.ID], 0), Received: n.slotGrants[s.ID]}
 }
 
 // handleSlotResponse counts a grant as it arrives: the request that waits for it has not
@@ -86,7 +86,7 @@
 	}
 	h := n.holding(s)
 	issuer := n.permits.IssuerOf(n.now(), server, n.permitView())
-	if issuer == n.cfg.Instance {
+	if issuer == n.id {
 		n.slots.Report(n.now(), server, h)
 		return
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -248,22 +248,31 @@
 }
 
 // issueOrder sends an order in the background, with the fencing token, if this
-// instance's lease on the engine is valid now; otherwise the order counts as
-// rejected. Callers hold mu.
+// instance's lease on the engine is valid now and it is not being closed; otherwise the
+// order counts as rejected. Callers hold mu.
 func (n *Node) issueOrder(boot time.Duration, id string, a loader.Action) {
 	e := n.loaders[id]
 	fence, until, ok := n.leases.FencingToken(boot, id)
-	if !ok || (a.Order.Kind == chestnutstream.OrderLoad && !a.Poll && !n.admitLoad(e.Server.Service, a.Order)) {
+	if !ok || n.ctx.Err() != nil || (a.Order.Kind == chestnutstream.OrderLoad && !a.Poll && !n.admitLoad(e.Server.Service, a.Order)) {
 		n.recordOrderResult(e, boot, a, chestnutstream.OrderRejected)
 		return
 	}
 	o := a.Order
-	o.Holder, o.Fence, o.NotAfter, o.Poll = n.cfg.Instance, fence, until, a.Poll
+	o.Holder, o.Fence, o.NotAfter, o.Poll = n.id, fence, until, a.Poll
 	a.Order = o
 	slots, weightsMB := e.Free()
+	n.orders.Add(1)
 	go n.sendOrder(id, e.Server, a, log.Fields{"free-slots": slots, "free-mb": weightsMB})
 }
 
+// stopOrders stops the control loop and cancels the orders that are being sent.
+func (n *Node) stopOrders() {
+	n.mu.Lock()
+	n.cancel()
+	n.mu.Unlock()
+	n.orders.Wait()
+}
+
 // recordOrderResult passes the response to an order or to a poll to the loader. Callers
 // hold mu.
 func (n *Node) recordOrderResult(e *loader.Engine, boot time.Duration, a loader.Action, result chestnutstream.OrderResult) {
@@ -284,6 +293,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
 	defer cancel()
 	result, err := n.engineClient.Order(ctx, server, o)
+	n.orders.Done()
 	n.mu.Lock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		n.crashCheck(server)
@@ -324,7 +334,7 @@
 		RetryAfterMS: a.RetryAfter.Milliseconds(), Unloaded: a.Kind == loader.NotifyUnloaded, Reason: a.Why,
 	}
 	for _, to := range a.To {
-		if to == n.cfg.Instance {
+		if to == n.id {
 			n.handleLoadResponse(response)
 			continue
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,7 +42,8 @@
 }
 
 // Start starts an instance: its listeners, the watches of the store and the
-// control loop. It fails when an address cannot be listened on.
+// control loop, in this order, as its identity is that of its earlier process only if it
+// listens at the same address for peers. It fails when an address cannot be listened on.
 func Start(cfg platform.Settings, logger log.Interface) (*Instance, error) {
 	return start(cfg, logger, dialers{servers: ingress.Dial, peers: instance.Dial})
 }
@@ -62,7 +63,7 @@
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
 	n.dial, n.dialPeer = dial.servers, dial.peers
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: cfg.Instance, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes))}, n)}
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes))}, n)}
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -180,9 +181,10 @@
 	return nil
 }
 
-// Close stops the instance at once.
+// Close stops the instance at once. It frees its addresses once no more orders are sent: a
+// process that can listen at the address for peers is the next one of this instance.
 func (in *Instance) Close() {
-	in.node.cancel()
+	in.node.stopOrders()
 	in.node.mesh.Close()
 	for _, s := range in.servers {
 		_ = s.Close()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -281,7 +281,7 @@
 	operatorReaders, _ := all[0].Node().zoneReaders(platform.TableOperator)
 	assert.Assert(t, readers[0] != operatorReaders[0], "the follower of the servers table has to read the configuration itself")
 	for _, in := range all {
-		if readers[0] == in.cfg.Instance {
+		if readers[0] == in.Node().id {
 			setHang(in.storeGate, false)
 		}
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -44,6 +44,7 @@
 	boot         func() time.Duration
 	metrics      *metrics.Set
 	incarnation  uint64 // of this process
+	id           string // identity of this instance
 	store        *platform.Store
 	engineClient *platform.EngineClient
 	dial         chestnutstream.DialFunc // connects to backend servers, and to other instances to forward requests
@@ -54,6 +55,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
+	orders sync.WaitGroup // being sent; none is added once ctx is done
 
 	routes   atomic.Pointer[chestnutstream.RouteTable]
 	draining atomic.Pointer[drainState]
@@ -92,6 +94,7 @@
 	configRequestedAt time.Time                               // when a configuration was last requested from the peers
 	started           time.Time
 	views             map[string]*view // by table
+	sameName          map[string]bool  // identities of other instances that have the name of this one
 	crashChecks       map[processKey]*crashCheck
 	problems          rowProblems
 
@@ -157,16 +160,17 @@
 
 func newNode(cfg platform.Settings, logger log.Interface, t chestnutstream.Timer, boot func() time.Duration) *Node {
 	incarnation := rand.Uint64()>>8 | 1
+	id := chestnutstream.InstanceIdentity(cfg.Instance, cfg.PeerAddress, incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), incarnation: incarnation,
+		cfg: cfg, log: logger, timer: t, boot: boot, metrics: metrics.NewSet(), incarnation: incarnation, id: id,
 		store: platform.NewStore(cfg.Store, storeTimeout, nil), dial: ingress.Dial, dialPeer: instance.Dial,
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		rows:    cachedRows{servers: map[string]chestnutstream.TableRow{}, versions: map[string]chestnutstream.TableRow{}},
 		fleet:   fleet.New(cfg.Zone, cfg.SameRegion, rand.New(rand.NewPCG(incarnation, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, modelDemands: map[string]*modelDemand{}, loadWaits: map[adapterKey]*loadWait{}, prefillWaits: map[uint64]*prefillWait{},
 		usage: map[adapterKey]*adapterUsage{}, changedUsage: map[adapterKey]bool{}, sentLoads: map[string]int{}, sentEntries: map[string]entryDigest{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
-		permits: permit.NewIssuer(cfg.Instance), slots: permit.NewSlots(), slotGrants: map[string]uint64{}, unusedGrants: map[string]int{}, permitWaiters: map[uint64]chan instance.PermitResponse{},
+		permits: permit.NewIssuer(id), slots: permit.NewSlots(), slotGrants: map[string]uint64{}, unusedGrants: map[string]int{}, permitWaiters: map[uint64]chan instance.PermitResponse{},
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{}, verdictRows: map[string]verdictRow{},
 		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
@@ -183,10 +187,11 @@
 	}
 	n.registerViewGauges(watches)
 	n.watchEra()
-	self := instance.Member{Name: cfg.Instance, Address: cfg.PeerAddress, Zone: cfg.Zone}
+	n.metrics.NewGauge(`chestnutstream_instances_of_same_name`, n.sameNameCount)
+	self := instance.Member{Name: id, Address: cfg.PeerAddress, Zone: cfg.Zone}
 	leaseSettings := lease.DefaultSettings(cfg.MinHandoverDelay)
 	leaseSettings.Regions, leaseSettings.Bootstrap, leaseSettings.EmptyTableWait = cfg.Regions, cfg.Bootstrap, emptyTableWait
-	n.leases = lease.NewManager(lease.Holder{Name: cfg.Instance, Zone: cfg.Zone, Address: cfg.PeerAddress, Incarnation: incarnation}, leaseSettings)
+	n.leases = lease.NewManager(lease.Holder{Name: id, Zone: cfg.Zone, Address: cfg.PeerAddress, Incarnation: incarnation}, leaseSettings)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return n.dialPeer(ctx, network, address)
 	}
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -41,7 +41,7 @@
 // mu.
 func (n *Node) originWriter() string {
 	rank := func(name string) uint64 { return xxhash.Sum64String("origins\x00" + name) }
-	writer := n.cfg.Instance
+	writer := n.id
 	if n.draining.Load() != nil {
 		writer = ""
 	}
@@ -90,7 +90,7 @@
 
 // originRowPrefix returns the prefix of the keys of this instance's rows, which the number
 // of the row in the ring follows.
-func (n *Node) originRowPrefix() string { return n.cfg.Instance + "/" }
+func (n *Node) originRowPrefix() string { return n.id + "/" }
 
 // writeOrigins writes rows with queued origins. If that fails, those that no later record
 // of their stream replaces are queued again.
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -39,7 +39,7 @@
 func (n *Node) sendOrigin(o software.Origin) {
 	rank := func(name string) uint64 { return xxhash.Sum64String(name) ^ uint64(o.Stream) }
 	writer := n.originWriter()
-	if writer == n.cfg.Instance {
+	if writer == n.id {
 		n.queueOrigin(o)
 	}
 	peers := slices.DeleteFunc(n.mesh.Peers(), func(name string) bool {
@@ -236,7 +236,7 @@
 		return
 	}
 	boot := n.boot()
-	writes := len(b.StreamOrigins) > 0 && n.originWriter() == n.cfg.Instance
+	writes := len(b.StreamOrigins) > 0 && n.originWriter() == n.id
 	for _, o := range b.StreamOrigins {
 		n.origins.Record(boot, o)
 		if p := n.peers[from]; writes && p.member.Zone == n.cfg.Zone {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -274,7 +274,7 @@
 // goes before others. Callers hold mu.
 func (n *Node) ownerOf(server string) string {
 	if n.loaders[server] != nil {
-		return n.cfg.Instance
+		return n.id
 	}
 	if name := n.leases.Owner(server); name != "" {
 		if p := n.peers[name]; p != nil && p.owned[server] {
@@ -306,7 +306,7 @@
 			delete(n.usage, k)
 		}
 		if e := n.loaders[k.server]; e != nil {
-			e.RecordUsage(boot, n.cfg.Instance, k.target, begun, inProgress)
+			e.RecordUsage(boot, n.id, k.target, begun, inProgress)
 			continue
 		}
 		if owner := n.ownerOf(k.server); owner != "" {
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -30,7 +30,7 @@
 	now, view := n.now(), n.permitView()
 	issuer := n.permits.IssuerOf(now, server, view)
 	ok, wait, result := false, permitTimeout, "silent"
-	if issuer == n.cfg.Instance {
+	if issuer == n.id {
 		ok, wait = n.permits.Request(now, server, limit, view)
 		result = permitResult(ok)
 	} else if p, responded := n.requestPermit(ctx, issuer, instance.PermitRequest{Server: server, Rate: limit}); responded {
@@ -137,7 +137,7 @@
 		v.All = n.leases.Instances(n.boot())
 	}
 	if n.draining.Load() == nil {
-		v.Candidates = append(v.Candidates, n.cfg.Instance)
+		v.Candidates = append(v.Candidates, n.id)
 	}
 	for _, name := range n.mesh.Peers() {
 		p := n.peers[name]
--- a/edge/place.go
+++ b/edge/place.go
@@ -306,7 +306,7 @@
 // adapter there; 0 withdraws the load request. It reports false when the owner cannot
 // be reached. Callers hold mu.
 func (n *Node) sendLoadRequest(k adapterKey, w *loadWait, waiting int) bool {
-	if w.owner != n.cfg.Instance {
+	if w.owner != n.id {
 		msg := instance.LoadRequest{Server: k.server, Target: k.target, Version: w.version, Waiting: waiting}
 		return n.mesh.Send(w.owner, func(b *instance.Bundle) { b.LoadRequests = append(b.LoadRequests, msg) })
 	}
@@ -315,7 +315,7 @@
 		return false
 	}
 	w.pending = true
-	e.RequestLoad(n.boot(), n.cfg.Instance, k.target, w.version, waiting)
+	e.RequestLoad(n.boot(), n.id, k.target, w.version, waiting)
 	n.wakeControl()
 	return true
 }
--- a/edge/prefill.go
+++ b/edge/prefill.go
@@ -113,7 +113,7 @@
 // this instance; one with 0 tokens withdraws it. It reports false when the owner cannot
 // be reached. Callers hold mu.
 func (n *Node) sendPrefillRequest(owner string, r instance.PrefillRequest) bool {
-	if owner == n.cfg.Instance {
+	if owner == n.id {
 		n.handlePrefillRequest(n.boot(), owner, r)
 		return true
 	}
@@ -164,7 +164,7 @@
 
 // sendPrefillResponse sends the response to a prefill request. Callers hold mu.
 func (n *Node) sendPrefillResponse(to string, r instance.PrefillResponse) {
-	if to == n.cfg.Instance {
+	if to == n.id {
 		n.handlePrefillResponse(r)
 		return
 	}
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -40,7 +40,7 @@
 func (n *Node) zoneReaders(table string) (readers, all []string) {
 	n.mu.Lock()
 	if n.draining.Load() == nil {
-		all = append(all, n.cfg.Instance)
+		all = append(all, n.id)
 	}
 	for name, p := range n.peers {
 		if p.member.Zone == n.cfg.Zone && !p.draining {
@@ -48,7 +48,7 @@
 		}
 	}
 	n.mu.Unlock()
-	all = slices.DeleteFunc(all, func(name string) bool { return name != n.cfg.Instance && !n.mesh.Connected(name) })
+	all = slices.DeleteFunc(all, func(name string) bool { return name != n.id && !n.mesh.Connected(name) })
 	rank := func(name string) uint64 { return xxhash.Sum64String(table + "\x00" + name) }
 	sort.Slice(all, func(i, j int) bool { return rank(all[i]) < rank(all[j]) })
 	return all[:readerCount(table, len(all))], all
@@ -69,7 +69,7 @@
 // missed or is of an earlier era, or the store has returned from a copy.
 func (n *Node) awaitUpdate(w tableWatch, version uint64, restored <-chan struct{}) (uint64, bool) {
 	readers, _ := n.zoneReaders(w.table)
-	if slices.Contains(readers, n.cfg.Instance) || len(readers) == 0 {
+	if slices.Contains(readers, n.id) || len(readers) == 0 {
 		return version, false
 	}
 	if w.table == platform.TableServers {
@@ -138,7 +138,7 @@
 // sendToFollowers sends the changes that this instance has read at readAt to its followers.
 func (n *Node) sendToFollowers(w tableWatch, after, to uint64, rows []chestnutstream.TableRow, readAt time.Time) {
 	readers, all := n.zoneReaders(w.table)
-	index := slices.Index(readers, n.cfg.Instance)
+	index := slices.Index(readers, n.id)
 	if index < 0 {
 		return
 	}
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -62,7 +62,7 @@
 	for _, in := range all {
 		readers, connected := in.Node().zoneReaders("servers")
 		assert.Equal(t, len(connected), instances)
-		if readers[0] == in.cfg.Instance {
+		if readers[0] == in.Node().id {
 			reader = in
 		}
 	}
--- a/edge/region_test.go
+++ b/edge/region_test.go
@@ -24,7 +24,7 @@
 	b := s.instanceAt("zone-b", regions, "edge-b", a.cfg.PeerAddress)
 	north := s.instanceAt("zone-n", regions, "edge-north", a.cfg.PeerAddress)
 	west := s.instanceAt("zone-w", regions, "edge-west", a.cfg.PeerAddress)
-	connected := func(from, to *testInstance) bool { return from.Node().mesh.Connected(to.cfg.Instance) }
+	connected := func(from, to *testInstance) bool { return from.Node().mesh.Connected(to.Node().id) }
 	eventually(t, "only the expected instances are connected", func() bool {
 		return connected(a, b) && connected(b, a) && connected(west, a) && connected(a, west) && connected(west, north) && connected(north, west) &&
 			!connected(a, north) && !connected(north, a) && !connected(north, b)
@@ -36,7 +36,7 @@
 		return n.leases.Owner(server)
 	}
 	eventually(t, "each region owns its engines", func() bool {
-		return owner(north, "i-engine-north") == "edge-north" && owner(a, "i-engine-0") == "edge-a"
+		return owner(north, "i-engine-north") == north.Node().id && owner(a, "i-engine-0") == a.Node().id
 	})
 	s.awaitOwners(1, a, b, north)
 	s.awaitOwners(2, west)
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -41,6 +41,7 @@
 
 	mu        sync.Mutex
 	addresses map[string]bool // of the backend servers
+	orders    []arrivedOrder
 }
 
 // peerLinks are the connections for messages between the instances of a site.
@@ -205,7 +206,9 @@
 		cfg.Zone = "zone-a"
 	}
 	b := standin.NewBackend(cfg, s.store)
-	startServer(s.t, l, b.Server())
+	srv := b.Server()
+	srv.Handler = s.recordOrders(cfg.ID, srv.Handler)
+	startServer(s.t, l, srv)
 	b.Heartbeat()
 	s.backends = append(s.backends, b)
 	return b
@@ -343,12 +346,18 @@
 		Instance: name, Zone: zone, Regions: regions, Store: gateListener.Addr().String(), Bootstrap: true, Seeds: seeds, Grace: 4 * time.Second, ConfigApplyBound: 2 * time.Second, MinHandoverDelay: 3 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	}
+	return s.startInstance(cfg, own, startOnFreePorts)
+}
+
+// startInstance starts an instance by a function that may complete its settings; gate is
+// its way to the store.
+func (s *testSite) startInstance(cfg platform.Settings, gate *storeGate, begin func(*testing.T, *platform.Settings, log.Interface, dialers) (*Instance, error)) *testInstance {
 	h, servers := &logRecorder{}, &serverGate{site: s}
-	in, err := startOnFreePorts(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel}, dialers{servers.dial, s.links.dialer(&cfg.PeerAddress)})
+	in, err := begin(s.t, &cfg, &log.Logger{Handler: h, Level: log.InfoLevel}, dialers{servers.dial, s.links.dialer(&cfg.PeerAddress)})
 	assert.NilError(s.t, err)
 	s.t.Cleanup(in.Close)
 	s.t.Cleanup(func() { checkNothingInProgress(s.t, in) })
-	return &testInstance{Instance: in, cfg: cfg, log: h, storeGate: own, servers: servers}
+	return &testInstance{Instance: in, cfg: cfg, log: h, storeGate: gate, servers: servers}
 }
 
 // checkNothingInProgress checks that an instance counts nothing as in progress once all its
--- a/edge/software_rows.go
+++ b/edge/software_rows.go
@@ -142,9 +142,9 @@
 // for a key. Callers hold mu.
 func (n *Node) instanceSlot(key string) int {
 	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
-	own, slot := rank(n.cfg.Instance), 0
+	own, slot := rank(n.id), 0
 	for _, name := range n.permitView().Candidates {
-		if name != n.cfg.Instance && rank(name) > own {
+		if name != n.id && rank(name) > own {
 			slot++
 		}
 	}
--- a/edge/views.go
+++ b/edge/views.go
@@ -108,7 +108,7 @@
 	readers, _ := n.zoneReaders(w.table)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view(w.table).pollWait(n.now(), w, slices.Contains(readers, n.cfg.Instance))
+	return n.view(w.table).pollWait(n.now(), w, slices.Contains(readers, n.id))
 }
 
 // cancelStalePolls cancels polls with a long wait whose table's reader has timed out.
--- a/edge/views_test.go
+++ b/edge/views_test.go
@@ -85,7 +85,7 @@
 			time.Sleep(2 * time.Second) // until the store counts as stable
 			if c.readerStopped {
 				readers, _ := all[0].Node().zoneReaders(platform.TableOperator)
-				stopped := slices.IndexFunc(all, func(in *testInstance) bool { return in.cfg.Instance == readers[0] })
+				stopped := slices.IndexFunc(all, func(in *testInstance) bool { return in.Node().id == readers[0] })
 				all[stopped].Close()
 				all = slices.Delete(all, stopped, stopped+1)
 			}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -412,6 +412,7 @@
 	for _, h := range near {
 		n.mesh.Add(instance.Member{Name: h.Name, Address: h.Address, Zone: h.Zone})
 	}
+	n.logSameName(n.updateSameName(near))
 	n.applyVerdictRows(rows, snapshot)
 	n.applySoftwareRows(rows)
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,7 +19,7 @@
 
 // Settings configures a Server.
 type Settings struct {
-	Instance string // name of this instance
+	Instance string // identity of this instance, which other instances see in forwarded requests
 	Timer    chestnutstream.Timer
 	Log      log.Interface
 	Metrics  *metrics.Set
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -11,11 +11,15 @@
 //
 //	m := instance.NewMesh(settings, handler)
 //	router.Handle(instance.Path, m)
-//	m.Add(instance.Member{Name: "edge-a-1", Address: "10.1.0.38:8144"})
-//	m.Send("edge-a-1", func(b *instance.Bundle) { b.LoadRequests = append(b.LoadRequests, r) })
+//	id := chestnutstream.InstanceIdentity("edge-a-1", "10.1.0.38:8144", incarnation)
+//	m.Add(instance.Member{Name: id, Address: "10.1.0.38:8144"})
+//	m.Send(id, func(b *instance.Bundle) { b.LoadRequests = append(b.LoadRequests, r) })
 //
 // A connection on which nothing arrives for a few heartbeats is considered lost and
 // is dialled again.
+//
+// A member is an instance at its address: one of the same name at another address is
+// another member, with a connection of its own.
 package instance
 
 import (
@@ -30,7 +34,7 @@
 
 // Member identifies an instance to the others.
 type Member struct {
-	Name    string
+	Name    string // its identity, see chestnutstream.InstanceIdentity; of instances of earlier releases the name alone
 	Address string // address of this protocol, "host:port"
 	Zone    string
 }
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,6 +69,7 @@
 	cancel context.CancelFunc
 	wake   chan struct{}
 	redial chan struct{} // ends the pause before the next dial
+	own    bool          // the peer itself has sent the member; guarded by the mesh's mu
 
 	mu      sync.Mutex
 	up      bool
@@ -95,13 +97,20 @@
 	return conn, nil
 }
 
+const seedPrefix = "seed/"
+
 // SeedName returns the provisional name of a peer of which only the address is known.
-func SeedName(address string) string { return "seed/" + address }
+func SeedName(address string) string { return seedPrefix + address }
+
+func isSeed(name string) bool { return strings.HasPrefix(name, seedPrefix) }
+
+// Add starts to maintain a connection to a peer. A peer whose name is no identity and that
+// is known with another address is dialled again.
+func (m *Mesh) Add(member Member) { m.add(member, false) }
 
-// Add starts to maintain a connection to a peer. A peer that is known with another
-// address is dialled again.
-func (m *Mesh) Add(member Member) {
-	if member.Name == m.cfg.Self.Name || member.Name == "" || member.Address == "" {
+// add is Add; own is set if the peer itself has sent the member.
+func (m *Mesh) add(member Member, own bool) {
+	if member.Name == m.cfg.Self.Name || member.Name == "" || member.Address == "" || member.Address == m.cfg.Self.Address {
 		return
 	}
 	m.mu.Lock()
@@ -109,23 +118,71 @@
 	if m.ctx.Err() != nil {
 		return
 	}
-	if seed := m.links[SeedName(member.Address)]; seed != nil && member.Name != SeedName(member.Address) {
-		// The name of the seed is known now.
-		seed.cancel()
-		delete(m.links, SeedName(member.Address))
-	}
 	if l := m.links[member.Name]; l != nil {
 		if l.member.Address == member.Address {
+			if own && !l.own {
+				l.own = true
+				m.removeOthersAt(member, own)
+			}
 			return
 		}
 		l.cancel()
 	}
+	if !own && m.answersAs(member.Address) {
+		return // an earlier process had that name there
+	}
+	m.removeOthersAt(member, own)
 	ctx, cancel := context.WithCancel(m.ctx)
-	l := &link{member: member, cancel: cancel, wake: make(chan struct{}, 1), redial: make(chan struct{}, 1)}
+	l := &link{member: member, cancel: cancel, wake: make(chan struct{}, 1), redial: make(chan struct{}, 1), own: own}
 	m.links[member.Name] = l
 	go m.maintain(ctx, l)
 }
 
+// answersAs reports whether a connected peer has itself sent a member with an address.
+// Callers hold mu.
+func (m *Mesh) answersAs(address string) bool {
+	for _, l := range m.links {
+		if l.member.Address == address && l.own && l.isUp() {
+			return true
+		}
+	}
+	return false
+}
+
+// removeOthersAt removes the links to other members at the address of a member: seeds, as
+// the name is known now, and if the peer itself has sent the member those to earlier
+// processes there. Callers hold mu.
+func (m *Mesh) removeOthersAt(member Member, own bool) {
+	for name, l := range m.links {
+		if l.member.Address == member.Address && name != member.Name && (own || isSeed(name)) {
+			l.cancel()
+			delete(m.links, name)
+		}
+	}
+}
+
+// movedTimeout is how long a peer must be unreachable to be removed while another member of
+// its instance name is connected.
+const movedTimeout = time.Minute
+
+// removeMoved removes the link to a peer that has been down since a time, if its instance
+// seems to run at another address now. It returns true if the link was removed.
+func (m *Mesh) removeMoved(l *link, since time.Time) bool {
+	if m.cfg.Timer.Now().Sub(since) < movedTimeout {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, other := range m.links {
+		if name != l.member.Name && chestnutstream.InstanceName(name) == chestnutstream.InstanceName(l.member.Name) && other.isUp() {
+			l.cancel()
+			delete(m.links, l.member.Name)
+			return true
+		}
+	}
+	return false
+}
+
 // redial dials a peer at once if its outgoing connection is down: the peer has just
 // connected, so it runs.
 func (m *Mesh) redial(name string) {
@@ -229,14 +286,18 @@
 func (m *Mesh) maintain(ctx context.Context, l *link) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRedialDelay, maxRedialDelay
+	downSince := m.cfg.Timer.Now()
 	for ctx.Err() == nil {
 		start := m.cfg.Timer.Now()
 		up, err := m.connect(ctx, l)
-		if ctx.Err() != nil {
-			return
+		if up && !m.replaced(l) {
+			m.handler.Disconnected(l.member, err)
 		}
 		if up {
-			m.handler.Disconnected(l.member, err)
+			downSince = m.cfg.Timer.Now()
+		}
+		if ctx.Err() != nil || m.removeMoved(l, downSince) {
+			return
 		}
 		if m.cfg.Timer.Now().Sub(start) > 2*maxRedialDelay {
 			delay.Reset()
@@ -249,6 +310,14 @@
 	}
 }
 
+// replaced reports whether the mesh has stopped or has another link in place of this one.
+func (m *Mesh) replaced(l *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.links[l.member.Name]
+	return m.ctx.Err() != nil || (current == nil && isSeed(l.member.Name)) || (current != nil && current != l)
+}
+
 // connect dials a peer and sends bundles until the connection fails.
 func (m *Mesh) connect(ctx context.Context, l *link) (up bool, err error) {
 	d := websocket.Dialer{
@@ -386,7 +455,7 @@
 				return fmt.Errorf("first frame has no instance name")
 			}
 			from = b.From
-			m.Add(from)
+			m.add(from, true)
 			m.redial(from.Name)
 		}
 		m.handler.Received(from, b)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -23,8 +23,14 @@
 // A fencing token is the version of the transaction that acquired the engine. It
 // is unique and rises with each acquisition, also by the same instance.
 //
-// A restarted instance is the same holder: it takes over at once what its earlier
-// process owned, under a higher token.
+// A holder's name is that of one process at a time. The caller gives a name that
+// contains an address which the process listens on before the manager's first step, and
+// which it gives up only after its last order; chestnutstream.InstanceIdentity returns such a name.
+// So a process that finds a lease under its own name is the same holder, restarted: the
+// earlier process can send nothing more, and it takes over at once what that one owned,
+// under a higher token. A process of the same instance name at another address is
+// another holder, which waits as any other, since nothing shows that the first has ended.
+// So do rows of earlier releases, whose names have no address.
 //
 // # Eras of the store
 //
