entry, peer: two instances of one name are two owners

What was seen: two processes of one name (a copied command line) took engines that check fencing tokens from each other every 1.3 s, and for up to 0.5 s each time both counted as the owner: 552 of 4,345 samples in 25 s. For engines that ignore tokens they replaced each other's lease, and one that ended deleted the row that stood for both, upon which a third may acquire the engine while the first still considers its lease valid (by reading; not played).

Cause: leases, owners, members and links went by the name alone, as in the instances on the users' platform. A State of either process was one of "the" peer, with another incarnation.

An instance is now known by its name and the address for peers, here too. Messages and the platform's list state name and address as before, and the receiver makes the identity of them, so instances of the release before are understood; tokens of connections have the plain name. Elections hash the plain names, so instances of both releases elect the same, and of two of one name the same one.

--- a/engine/takeover.go
+++ b/engine/takeover.go
@@ -172,12 +172,13 @@
 }
 
 // Elect returns the name that is responsible for key, by rendezvous hashing,
-// which gives the same result on every instance with the same names. Without
+// which gives the same result on every instance with the same names. Of the
+// identities of instances only the names are hashed, as in earlier releases. Without
 // names the result is empty.
 func Elect(key string, names []string) string {
 	best, bestHash := "", uint64(0)
 	for _, n := range names {
-		if h := xxhash.Sum64String(key + "\x00" + n); best == "" || h > bestHash || h == bestHash && n < best {
+		if h := xxhash.Sum64String(key + "\x00" + chestnutstream.InstanceName(n)); best == "" || h > bestHash || h == bestHash && n < best {
 			best, bestHash = n, h
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,7 +148,7 @@
 func (in *Instance) register(state chestnutstream.InstanceState) {
 	n := in.node
 	row := chestnutstream.Instance{
-		Name: n.self.Name, Address: n.self.Address, Region: n.self.Region, Zone: n.self.Zone,
+		Name: n.cfg.Name, Address: n.self.Address, Region: n.self.Region, Zone: n.self.Zone,
 		Role: chestnutstream.RoleEntry, State: state,
 	}
 	go func() {
--- a/entry/members.go
+++ b/entry/members.go
@@ -61,10 +61,10 @@
 			m.leaving[row.Name] = row.State == chestnutstream.Leaving
 			continue
 		}
-		if row.Region != m.self.Region || row.Name == m.self.Name {
+		if row.Region != m.self.Region || row.Address == m.self.Address {
 			continue
 		}
-		member := peer.Member{Name: row.Name, Address: row.Address, Region: row.Region, Zone: row.Zone}
+		member := peer.Member{Name: chestnutstream.InstanceIdentity(row.Name, row.Address, 0), Address: row.Address, Region: row.Region, Zone: row.Zone}
 		p := m.ensurePeer(now, member)
 		p.listed = true
 		if row.State == chestnutstream.Leaving {
--- a/entry/node.go
+++ b/entry/node.go
@@ -107,7 +107,7 @@
 func newNode(cfg Settings) *Node {
 	incarnation := rand.Uint64() | 1
 	leaseIncarnation := fmt.Sprintf("%x", incarnation)
-	self := peer.Member{Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Zone: cfg.Zone}
+	self := peer.Member{Name: chestnutstream.InstanceIdentity(cfg.Name, cfg.PeerAddress, incarnation), Address: cfg.PeerAddress, Region: cfg.Region, Zone: cfg.Zone}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, self: self, incarnation: incarnation, log: cfg.Log, metrics: metrics.NewSet(), trace: newTraceLog(),
@@ -119,13 +119,13 @@
 		notified: map[string]uint64{}, probeResults: map[string]peer.ServerHealth{},
 	}
 	now := cfg.Timer.Now
-	n.lease = table.NewLease(n.platform, now, cfg.Name, leaseIncarnation)
+	n.lease = table.NewLease(n.platform, now, self.Name, leaseIncarnation)
 	n.claims = table.NewClaims(n.platform, now)
 	n.store = operator.NewStore(n.platform, n.platform, now)
 	n.pool = newPool(now)
 	loads, places := newPolicies(cfg)
-	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(table.LeaseDuration), cfg.Name, leaseIncarnation, now())
-	n.scheduler = engine.NewScheduler(cfg.Name, cfg.Scheduler, loads)
+	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(table.LeaseDuration), self.Name, leaseIncarnation, now())
+	n.scheduler = engine.NewScheduler(self.Name, cfg.Scheduler, loads)
 	n.placement = engine.NewPlacement(cfg.Zone, cfg.Placement, places)
 	n.permits = engine.NewPermitIssuer(engine.PermitSettings{LoadsInFlight: 16, Zones: 4, FullSpeedLoadTime: fullSpeedLoadTime, InstanceTimeout: cfg.Scheduler.ReportLeaseDuration})
 	n.mesh = peer.NewMesh(peer.Settings{
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -172,8 +172,17 @@
 	}
 }
 
-func encodeMember(m Member) wireMember { return wireMember(m) }
-func decodeMember(w wireMember) Member { return Member(w) }
+func encodeMember(m Member) wireMember {
+	w := wireMember(m)
+	w.Name = chestnutstream.InstanceName(m.Name)
+	return w
+}
+
+func decodeMember(w wireMember) Member {
+	m := Member(w)
+	m.Name = chestnutstream.InstanceIdentity(w.Name, w.Address, 0)
+	return m
+}
 
 func encodeState(s State) *wireState {
 	w := &wireState{
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -35,7 +35,7 @@
 		name    string
 		message any
 	}{
-		{"hello", Hello{From: Member{Name: "n", Address: "a:1", Region: "r", Zone: "z"}, Incarnation: 4, Members: []Member{{Name: "m", Address: "b:2"}}}},
+		{"hello", Hello{From: Member{Name: "n@a:1", Address: "a:1", Region: "r", Zone: "z"}, Incarnation: 4, Members: []Member{{Name: "m@b:2", Address: "b:2"}}}},
 		{"state", exampleState()},
 		{"configuration request", ConfigurationRequest{Have: []string{"h"}}},
 		{"configuration update", ConfigurationUpdate{
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -121,9 +121,9 @@
 // Bytes returns the total bytes of frames sent and received.
 func (m *Mesh) Bytes() (sent, received int64) { return m.bytesSent.Load(), m.bytesReceived.Load() }
 
-// Add starts a link to a peer, or moves it to a new address.
+// Add starts a link to a peer. The same instance name at another address is another peer.
 func (m *Mesh) Add(member Member) {
-	if member.Name == m.cfg.Self.Name || member.Address == "" {
+	if member.Name == m.cfg.Self.Name || member.Address == "" || member.Address == m.cfg.Self.Address {
 		return
 	}
 	m.mu.Lock()
@@ -268,7 +268,7 @@
 // connect opens one connection and sends on it until it fails or stalls.
 func (m *Mesh) connect(ctx context.Context, l *link) error {
 	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: m.cfg.Dial}
-	header := http.Header{"Authorization": {signToken(m.cfg.Secret, m.cfg.Self.Name, time.Now())}}
+	header := http.Header{"Authorization": {signToken(m.cfg.Secret, chestnutstream.InstanceName(m.cfg.Self.Name), time.Now())}}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	conn, resp, err := dialer.DialContext(dialCtx, "ws://"+l.member.Address+Path, header)
 	cancel()
@@ -424,7 +424,7 @@
 			return err
 		}
 		if h, ok := message.(Hello); ok {
-			if h.From.Name != name || h.Incarnation == 0 {
+			if chestnutstream.InstanceName(h.From.Name) != name || h.Incarnation == 0 {
 				return fmt.Errorf("hello names %q on a connection of %q: %w", h.From.Name, name, errInvalidMessage)
 			}
 			hello = &h
--- a/peer/message.go
+++ b/peer/message.go
@@ -13,7 +13,7 @@
 //
 //	m := peer.NewMesh(settings, node)
 //	router.Handle(peer.Path, m)
-//	m.Add(peer.Member{Name: "entry-b1", Address: "10.0.2.4:7001"})
+//	m.Add(peer.Member{Name: "entry-b1@10.0.2.4:7001", Address: "10.0.2.4:7001"})
 //
 // # Report leases
 //
@@ -35,7 +35,7 @@
 
 // Member identifies an instance to its peers.
 type Member struct {
-	Name    string
+	Name    string // its identity, see chestnutstream.InstanceIdentity; messages have the instance name
 	Address string // of the peer protocol, "host:port"
 	Region  string
 	Zone    string
