platform: messages without versions state no era

Each fresh instance took the store's first response for a return from a copy: a message of another instance without versions counted as era 0, so era 1 was a later one.

--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// Guards against messages that state no era and are taken for the era of a store that has
+// stated none.
+func TestFirstEraIsNoRestore(t *testing.T) {
+	n := idleNode(t, "a")
+	n.Received(instance.Member{Name: "b"}, instance.Bundle{TableUpdates: []instance.TableUpdate{serversUpdate(0, 500, 900)}})
+	n.store.RaiseEra(4)
+	assert.Equal(t, n.store.Era(), uint64(4))
+	assert.Equal(t, n.metrics.GetOrCreateCounter(`chestnutstream_store_restores_total`).Get(), uint64(0))
+}
+
 // Guards against an instance that does not reach the store, and takes what the others tell
 // it in the new era for gaps.
 func TestUpdatesOfALaterEraReachInstancesWithoutTheStore(t *testing.T) {
