--- a/edge/era.go
+++ b/edge/era.go
@@ -10,8 +10,8 @@
 )
 
 // restoreReadPeriod is how long after the store's return from a copy each instance reads
-// the tables itself, as after its start. In it the servers that are alive write their entries
-// again, later than the instance's first read.
+// the shared tables itself, as after its start. In it the servers that are alive write their
+// entries again, later than the instance's first read.
 const restoreReadPeriod = startLeasesPeriod
 
 // watchEra registers what happens, and what is counted, when the store returns from a copy.
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -207,3 +207,26 @@
 	b.Received(instance.Member{Name: "a"}, a.Connected(instance.Member{Name: "b"}))
 	assert.Assert(t, !b.fleet.Server("x").Usable() && b.fleet.Server("y").Usable())
 }
+
+func TestStoreWithoutErasIsReadAsBefore(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 1, 3)
+	s.store.HideEra(true)
+	all := s.instances(2)
+	s.awaitOwners(1, all...)
+	s.backends[1].Drain()
+	for _, in := range all {
+		n := in.Node()
+		eventually(t, "the server is known to drain", func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			server := n.fleet.Server("i-desk-0")
+			return server != nil && !server.Usable()
+		})
+		n.mu.Lock()
+		version := n.view(platform.TableServers).version
+		n.mu.Unlock()
+		assert.Assert(t, n.store.Era() == 0 && version > 0 && version <= chestnutstream.MaxCounter)
+		assert.Equal(t, n.metrics.GetOrCreateCounter(`chestnutstream_store_restores_total`).Get(), uint64(0))
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -87,13 +87,13 @@
 
 // follows reports whether this instance, up for the given time, is to wait for the
 // updates of the table's readers instead of reading the table itself. It reads the
-// leases itself until all instances that started together are known, and all tables after the
-// store has returned from a copy.
+// leases itself until all instances that started together are known, and the tables with
+// rows of servers and instances after the store has returned from a copy.
 func (n *Node) follows(w tableWatch, up time.Duration) bool {
 	switch {
 	case up <= followDelay, w.startInterval > 0 && up <= startLeasesPeriod:
 		return false
-	case n.recentlyRestored():
+	case w.shared && n.recentlyRestored():
 		return false
 	case w.shared:
 		return true
