--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -209,77 +209,94 @@
 // Guards against two holders and falling fencing tokens over restores of the store, beside
 // all other faults, and against servers that stay without an owner.
 func TestHoldersOverRestores(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		contenders := rapid.IntRange(2, 3).Draw(t, "contenders")
-		sim := newRestoreSimulation(contenders, 2, rapid.SampledFrom([]mutant{noMutant, longLeases}).Draw(t, "leases"))
-		contender := rapid.IntRange(0, contenders-1)
-		moves := []string{
-			"tick", "tick", "tick", "play", "play", "step", "step", "read", "read", "arrive", "arrive", "late response", "response", "late read", "late read arrives",
-			"lose", "order", "order", "pause", "wake", "wake", "restart", "cut", "copy", "copy", "restore", "join", "leave",
-		}
-		for range rapid.IntRange(10, 80).Draw(t, "moves") {
-			i := contender.Draw(t, "contender")
-			index := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "index") }
-			move := rapid.SampledFrom(moves).Draw(t, "move")
-			switch {
-			case move == "tick":
-				sim.now += time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond
-			case move == "play":
-				sim.play(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			case move == "step":
-				sim.step(i)
-			case move == "read":
-				sim.read(i)
-			case move == "arrive" && len(sim.inFlight) > 0:
-				sim.deliver(index(len(sim.inFlight)))
-			case move == "late response" && len(sim.inFlight) > 0:
-				sim.delayResponse(index(len(sim.inFlight)))
-			case move == "response" && len(sim.responses) > 0:
-				sim.arrive(index(len(sim.responses)))
-			case move == "late read":
-				sim.readSlowly(i)
-			case move == "late read arrives" && len(sim.reads) > 0:
-				sim.arriveRead(index(len(sim.reads)))
-			case move == "lose" && len(sim.inFlight) > 0:
-				sim.loseResponse(index(len(sim.inFlight)))
-			case move == "order":
-				sim.orderAll()
-			case move == "pause" && sim.running(i):
-				sim.pause(i)
-			case move == "wake" && !sim.running(i):
-				sim.resume(i)
-			case move == "restart":
-				sim.restart(i)
-			case move == "cut":
-				sim.cutOff[i] = !sim.cutOff[i]
-			case move == "copy":
-				sim.copy()
-			case move == "restore":
-				sim.restore(index(len(sim.copies)))
-			case move == "join" && len(sim.servers) < 4:
-				sim.join([]string{"s0", "s1", "s2", "s3"}[len(sim.servers)])
-			case move == "leave" && len(sim.servers) > 1:
-				sim.servers = sim.servers[:len(sim.servers)-1]
-			}
-			if sim.violation != "" {
-				t.Fatal(sim.violation)
-			}
-		}
-		for i := range sim.managers {
-			if !sim.running(i) {
-				sim.resume(i)
-			}
-			sim.cutOff[i] = false
-		}
-		for len(sim.responses) > 0 {
-			sim.arrive(0)
+	tests := []struct {
+		name       string
+		contenders int
+		leases     mutant
+	}{
+		{"two contenders", 2, noMutant},
+		{"three contenders", 3, noMutant},
+		{"two contenders, longer leases", 2, longLeases},
+		{"three contenders, longer leases", 3, longLeases},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { driveOverRestores(t, tt.contenders, tt.leases) })
+		})
+	}
+}
+
+// driveOverRestores performs random moves drawn by rapid, ends all faults, and checks that all
+// servers have owners again.
+func driveOverRestores(t *rapid.T, contenders int, leases mutant) {
+	sim := newRestoreSimulation(contenders, 2, leases)
+	contender := rapid.IntRange(0, contenders-1)
+	moves := []string{
+		"tick", "tick", "play", "play", "play", "play", "play", "play", "step", "step", "read", "arrive", "arrive", "late response", "response", "late read", "late read arrives",
+		"lose", "order", "order", "pause", "wake", "wake", "restart", "cut", "copy", "copy", "restore", "join", "leave",
+	}
+	for range rapid.IntRange(20, 160).Draw(t, "moves") {
+		i := contender.Draw(t, "contender")
+		index := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "index") }
+		move := rapid.SampledFrom(moves).Draw(t, "move")
+		switch {
+		case move == "tick":
+			sim.now += time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond
+		case move == "play":
+			sim.play(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		case move == "step":
+			sim.step(i)
+		case move == "read":
+			sim.read(i)
+		case move == "arrive" && len(sim.inFlight) > 0:
+			sim.deliver(index(len(sim.inFlight)))
+		case move == "late response" && len(sim.inFlight) > 0:
+			sim.delayResponse(index(len(sim.inFlight)))
+		case move == "response" && len(sim.responses) > 0:
+			sim.arrive(index(len(sim.responses)))
+		case move == "late read":
+			sim.readSlowly(i)
+		case move == "late read arrives" && len(sim.reads) > 0:
+			sim.arriveRead(index(len(sim.reads)))
+		case move == "lose" && len(sim.inFlight) > 0:
+			sim.loseResponse(index(len(sim.inFlight)))
+		case move == "order":
+			sim.orderAll()
+		case move == "pause" && sim.running(i):
+			sim.pause(i)
+		case move == "wake" && !sim.running(i):
+			sim.resume(i)
+		case move == "restart":
+			sim.restart(i)
+		case move == "cut":
+			sim.cutOff[i] = !sim.cutOff[i]
+		case move == "copy":
+			sim.copy()
+		case move == "restore":
+			sim.restore(index(len(sim.copies)))
+		case move == "join" && len(sim.servers) < 4:
+			sim.join([]string{"s0", "s1", "s2", "s3"}[len(sim.servers)])
+		case move == "leave" && len(sim.servers) > 1:
+			sim.servers = sim.servers[:len(sim.servers)-1]
 		}
-		sim.play(restoreBound)
 		if sim.violation != "" {
 			t.Fatal(sim.violation)
 		}
-		if server, gap := sim.unownedFor(); gap > time.Second {
-			t.Fatalf("%s got no order for %v: %v", server, gap, sim)
+	}
+	for i := range sim.managers {
+		if !sim.running(i) {
+			sim.resume(i)
 		}
-	})
+		sim.cutOff[i] = false
+	}
+	for len(sim.responses) > 0 {
+		sim.arrive(0)
+	}
+	sim.play(restoreBound)
+	if sim.violation != "" {
+		t.Fatal(sim.violation)
+	}
+	if server, gap := sim.unownedFor(); gap > time.Second {
+		t.Fatalf("%s got no order for %v: %v", server, gap, sim)
+	}
 }
