--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -317,3 +317,38 @@
 		assert.Assert(t, m.Settled(0) && m.eraChecks() == nil)
 	}
 }
+
+// Guards against a second holder beside one of an earlier release, whose rows state no era.
+func TestHolderOfAnEarlierReleaseKeepsItsServers(t *testing.T) {
+	m := NewManager(Holder{Name: "a", Zone: "z"}, DefaultSettings(minHandover))
+	boot := time.Minute
+	rows := []chestnutstream.TableRow{
+		row("era/1", `{"t":1}`, version(1, 1)),
+		row("instance/b", `{"z":"z","r":4}`, version(1, 2)),
+		row("owner/s0", `{"n":"b","r":4}`, version(1, 3)),
+	}
+	assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Rows: rows, Version: version(1, 3), NowMS: 60_000}))
+	m.Renewed(boot, boot, step(t, m, boot, ActionRenew), version(1, 4))
+	assert.Assert(t, m.Settled(boot))
+	expiry := m.cfg.BaseDuration + m.cfg.HandoverDelay
+	for counter := uint64(5); boot < 3*time.Minute; boot += 3 * time.Second {
+		assert.NilError(t, m.ApplyUpdates(boot, []chestnutstream.TableRow{row("instance/b", `{"z":"z","r":4}`, version(1, counter))}))
+		for _, a := range m.Step(boot, testServers) {
+			assert.Equal(t, a.Kind, ActionRenew)
+			m.Renewed(boot, boot, a, version(1, counter+1))
+		}
+		counter += 2
+	}
+	for end := boot + expiry; boot <= end; boot += 3 * time.Second {
+		assert.NilError(t, m.ApplyUpdates(boot, nil))
+		for _, a := range m.Step(boot, testServers) {
+			if a.Kind == ActionAcquire {
+				assert.Assert(t, boot > end-3*time.Second, "%v early", end-boot)
+				assert.Equal(t, a.Transaction.Deletes[0].Key, "instance/b")
+				return
+			}
+			m.Renewed(boot, boot, a, m.version+1)
+		}
+	}
+	t.Fatal("no takeover")
+}
