edge: servers that time out after an outage are told to nobody

A server whose missing entry did not come back in time was removed by each instance's own timeout, in the control loop or, by chance, as rows were applied; in the latter case the removal was sent to all instances, too. After an outage with many expired entries each reader might have sent the whole list. It is the control loop's alone now.

--- a/edge/serverrows.go
+++ b/edge/serverrows.go
@@ -69,7 +69,6 @@
 	for i, r := range rows {
 		n.cacheServerRow(r, entries[i].Err)
 	}
-	changes = append(changes, n.fleet.Tick(now)...)
 	n.metrics.GetOrCreateCounter(`chestnutstream_entries_ignored_total`).Set(n.fleet.IgnoredEntries())
 	n.handleServerChanges(changes)
 	n.observeSoftware()
