--- a/edge/lease_restore_test.go
+++ b/edge/lease_restore_test.go
@@ -30,7 +30,7 @@
 	eventually(t, "the owner row is written again", func() bool { return len(all[owner].log.with(rewritten)) > 0 })
 	assert.Check(t, time.Since(returned) < leasesInterval, "written again after %v", time.Since(returned))
 	for i, in := range all {
-		eventually(t, "the engine keeps its owner", func() bool { return in.owns("i-engine-0") == (i == owner) })
+		assert.Equal(t, in.owns("i-engine-0"), i == owner)
 		eventually(t, "the restore is logged", func() bool { return len(in.log.with("store returned from a copy")) == 1 })
 		kept := in.log.with("store returned from a copy")[0]["engines-kept"]
 		assert.Equal(t, kept == 1, i == owner, "%v", kept)
