edge: an outage of the store ends for followers of a large zone

In zones of six and more instances only the readers read the store. All others counted it as away for good after an outage, unless they read by themselves by chance: a request that took up a stream was refused at once if no server of its software version was listed, in place of waiting for the list, and the next outage ended no polls and was not logged.

The store counted as available again with an own read only. Each write of the own lease to which the store responds shows it, too, 8 s later at most. A reader's update does not: it says nothing of the own path to the store.

Found as the class of the removals that were taken for expired entries.

--- a/edge/control.go
+++ b/edge/control.go
@@ -179,6 +179,9 @@
 	if errors.As(err, &conflict) {
 		conflictRows = conflict.Rows
 	}
+	if err == nil || conflict != nil {
+		n.recordStoreResponse(lease.Table) // a follower of a large zone reads nothing that would show it
+	}
 	n.mu.Lock()
 	boot := n.boot()
 	lost := false
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -243,3 +244,22 @@
 		assert.Assert(t, change["server"] != "i-desk-left" || change["change"] != "missing", "%v", change)
 	}
 }
+
+// Followers of a large zone, which read nothing while updates come, counted the store as away for good.
+func TestOutageEndsForFollowersOfLargeZone(t *testing.T) {
+	t.Parallel()
+	s := newTestSite(t, 1, 3)
+	all := s.instances(readersOnlyZoneSize + 1)
+	s.awaitOwners(1, all...)
+	time.Sleep(startLeasesPeriod) // until then each instance reads all tables itself
+	down := func(in *testInstance) bool {
+		n := in.Node()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.storeState.down
+	}
+	s.storeGate.setUnavailable(true)
+	eventually(t, "all instances have noticed the outage", func() bool { return !slices.ContainsFunc(all, func(in *testInstance) bool { return !down(in) }) })
+	s.storeGate.setUnavailable(false)
+	eventually(t, "the outage has ended for all", func() bool { return !slices.ContainsFunc(all, down) })
+}
