edge: origins of streams that the store lost are written again

After a return from a copy the store lacked which software version began the streams of the last seconds, while several versions serve; an instance that starts after an end of all would not know it.

The zone's writer queues all origins that it knows. TestOriginsThatTheStoreLostAreWrittenAgain failed before.

--- a/edge/era.go
+++ b/edge/era.go
@@ -35,6 +35,7 @@
 	n.restoredAt = n.now()
 	n.cancelPolls()
 	clear(n.sentEntries)
+	n.queueKnownOrigins(boot)
 	close(n.storeRestored)
 	n.storeRestored = make(chan struct{})
 	n.mu.Unlock()
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
+	"github.com/chestnutstream/chestnutstream/software"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
 
@@ -230,3 +231,16 @@
 		assert.Equal(t, n.metrics.GetOrCreateCounter(`chestnutstream_store_restores_total`).Get(), uint64(0))
 	}
 }
+
+// Guards against an end of all instances after a restore: the store has lost which software
+// version began a stream.
+func TestOriginsThatTheStoreLostAreWrittenAgain(t *testing.T) {
+	for _, mixed := range []int{0, 1} {
+		n := idleNode(t, "a")
+		n.store.RaiseEra(1)
+		n.mixedServices = mixed
+		n.origins.Record(n.boot(), software.Origin{Stream: 7, Software: "v1"})
+		n.store.RaiseEra(2)
+		assert.Equal(t, len(n.originStore.queue), mixed)
+	}
+}
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// queueKnownOrigins queues all known origins to be written, on the writer of the zone: the
+// store may have lost them. Callers hold mu.
+func (n *Node) queueKnownOrigins(boot time.Duration) {
+	if n.mixedServices == 0 || n.originWriter() != n.cfg.Instance {
+		return
+	}
+	for _, o := range n.origins.All(boot) {
+		n.queueOrigin(o)
+	}
+}
+
 // updateOriginRows writes the queued origins if that is due. Callers hold mu.
 func (n *Node) updateOriginRows(now time.Time) {
 	s := &n.originStore
