lease, edge: an instance that ends in order releases its lease

At the end of a drain, when no request is left and the orders in flight have ended, an instance now writes its lease row once more, as released. Others wait only for the handover delay, from when they have seen that version, and end the lease in a transaction that checks it, as before. So an instance that has started again at its address by then, whose renewal replaces the row, continues at once. A renewal or an acquisition that is still in flight checks the version before the release and fails. If the store does not respond within 150 ms the lease lapses as before.

The states of the model now contain the values of rows, as two writes of one version may differ.

--- a/edge/control.go
+++ b/edge/control.go
@@ -225,6 +225,36 @@
 	n.wakeControl()
 }
 
+// releaseLease releases the lease at the end of a drain, so that others own the engines
+// soon. They wait for the end of the lease if the store does not respond.
+func (n *Node) releaseLease() {
+	ctx, cancel := context.WithTimeout(n.ctx, releaseTimeout)
+	defer cancel()
+	var err error
+	for range 2 { // a renewal may be in flight
+		n.mu.Lock()
+		a, ok := n.leases.Release()
+		n.mu.Unlock()
+		n.orders.Wait()
+		if !ok {
+			return
+		}
+		_, err = n.store.Apply(ctx, a.Transaction)
+		var conflict *chestnutstream.RowConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		n.mu.Lock()
+		n.leases.RenewalConflict(n.boot(), a, conflict.Rows)
+		n.mu.Unlock()
+	}
+	if err != nil {
+		n.log.WithError(err).Warn("lease not released; others wait for its end")
+		return
+	}
+	n.log.Info("lease released")
+}
+
 // readReport reads an engine's report and passes it to the engine's loader.
 func (n *Node) readReport(id string, server chestnutstream.Backend) {
 	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	drainDelay        = 3200 * time.Millisecond // from SIGTERM until idle connections are closed: the balancer needs two failed readiness checks
 	drainMargin       = 400 * time.Millisecond  // before the end of the grace period
 	lastResponseTime  = 150 * time.Millisecond  // from there, for the responses to requests that have none
+	releaseTimeout    = 150 * time.Millisecond  // then for the release of the lease
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -174,6 +175,7 @@
 	if err != nil {
 		n.sleep(lastResponseTime)
 	}
+	n.releaseLease()
 	in.Close()
 	if err != nil {
 		return fmt.Errorf("%d requests in progress at the end of the grace period: %w", left, err)
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -12,7 +12,7 @@
 
 // Step returns the transactions that are due. At most one of each kind is in flight.
 func (m *Manager) Step(boot time.Duration, servers []Server) []Action {
-	if !m.hasRead || m.readEra != m.era.number {
+	if !m.hasRead || m.readEra != m.era.number || m.released {
 		return nil
 	}
 	if m.mustNoteEra() {
@@ -46,7 +46,11 @@
 // renewalTransaction writes the own lease row, provided that it is as last seen:
 // written by this process or by an earlier one of this instance.
 func (m *Manager) renewalTransaction() chestnutstream.RowTransaction {
-	value, _ := json.Marshal(wireHolder{Zone: m.self.Zone, Address: m.self.Address, Incarnation: m.self.Incarnation, DurationMS: m.duration.Milliseconds()})
+	w := wireHolder{Zone: m.self.Zone, Address: m.self.Address, Incarnation: m.self.Incarnation, Released: m.released}
+	if !m.released {
+		w.DurationMS = m.duration.Milliseconds()
+	}
+	value, _ := json.Marshal(w)
 	key := instanceKey(m.self.Name)
 	return chestnutstream.RowTransaction{
 		Checks: append(m.eraChecks(), chestnutstream.RowCheck{Table: Table, Key: key, Version: m.ownRowVersion()}),
@@ -78,10 +82,27 @@
 	m.renewing = false
 	m.renewAt = sent + m.cfg.RenewInterval + m.duration - m.cfg.BaseDuration
 	m.version = version
+	if m.released {
+		return
+	}
 	m.validUntil = max(m.validUntil, sent+m.duration-m.cfg.ClockMargin)
 	m.holders[m.self.Name] = &Holder{Name: m.self.Name, Zone: m.self.Zone, Address: m.self.Address, Incarnation: m.self.Incarnation, version: version, duration: m.duration, seenAt: boot}
 }
 
+// Release ends the own lease when the instance stops: from now on there are no fencing
+// tokens, renewals and acquisitions. It returns the transaction that tells the others,
+// which is to be sent once all orders have ended; after a conflict with an own renewal,
+// which RenewalConflict does not report as a lost lease, Release is called again. ok is
+// false without a lease in the present era.
+func (m *Manager) Release() (a Action, ok bool) {
+	m.released, m.validUntil = true, 0
+	clear(m.kept)
+	if m.version == 0 {
+		return Action{}, false
+	}
+	return Action{Kind: ActionRenew, Transaction: m.renewalTransaction(), era: m.era.number}, true
+}
+
 // renewRetryDelay is the time between a failed renewal and the next one.
 const renewRetryDelay = 400 * time.Millisecond
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,7 +18,9 @@
 // states. Another instance ends it only after it has itself seen the same version
 // of the row for that duration and HandoverDelay, and in a transaction that checks
 // this version and removes the row, so the next renewal fails. HandoverDelay
-// covers the last orders of the previous holder.
+// covers the last orders of the previous holder. A holder that ends in order releases its
+// lease after its last order: the row then states no duration, and only HandoverDelay
+// remains.
 //
 // A fencing token is the version of the transaction that acquired the engine. It
 // is unique and rises with each acquisition, also by the same instance.
@@ -149,6 +151,7 @@
 	acquiring          map[string]bool          // servers of the acquisition in flight
 	retryAt            map[string]time.Duration // next acquisition after a failed one, by server
 	acquisitionStopped bool
+	released           bool // nothing more is renewed or acquired
 }
 
 // NewManager returns the lease manager of an instance without a lease.
@@ -187,6 +190,7 @@
 	Address     string `json:"a"`
 	Incarnation uint64 `json:"r"`
 	DurationMS  int64  `json:"d,omitempty"` // 0: the default
+	Released    bool   `json:"e,omitempty"` // the holder has sent its last order
 }
 
 type wireOwner struct {
@@ -292,11 +296,19 @@
 		m.holders[name] = &Holder{Name: name, version: r.Version, duration: m.longestDuration(), seenAt: boot, malformed: true}
 		return fmt.Errorf("decode lease of %s: %w", name, err)
 	}
-	duration := max(time.Duration(max(min(w.DurationMS, m.longestDuration().Milliseconds()), 0))*time.Millisecond, m.cfg.BaseDuration)
+	duration := time.Duration(0)
+	if !w.Released {
+		duration = m.acceptedDuration(w)
+	}
 	m.holders[name] = &Holder{Name: name, Zone: w.Zone, Address: w.Address, Incarnation: w.Incarnation, version: r.Version, duration: duration, seenAt: boot}
 	return nil
 }
 
+// acceptedDuration returns the duration that a row states, within the limits.
+func (m *Manager) acceptedDuration(w wireHolder) time.Duration {
+	return max(time.Duration(max(min(w.DurationMS, m.longestDuration().Milliseconds()), 0))*time.Millisecond, m.cfg.BaseDuration)
+}
+
 // longestDuration returns the longest duration of a lease that is accepted. No instance
 // states more than MaxDuration, but one of another release may.
 func (m *Manager) longestDuration() time.Duration {
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -91,7 +91,7 @@
 	var s strings.Builder
 	fmt.Fprint(&s, sim.now, sim.version, sortedRows(sim), sim.pausedAt, sim.suspended, sim.cutOff, sim.orders)
 	for _, c := range sim.inFlight {
-		fmt.Fprint(&s, c.from, c.sent, c.responded, c.action.Servers, c.action.Transaction.Checks)
+		fmt.Fprint(&s, c.from, c.sent, c.responded, c.action.Servers, c.action.Transaction.Checks, c.action.Transaction.Writes)
 	}
 	for _, m := range sim.managers {
 		fmt.Fprint(&s, "|", m.version, m.duration, m.validUntil, m.renewAt, m.renewing, m.updatedAt, m.owners, m.acquiring, m.retryAt, m.self.Incarnation)
@@ -108,7 +108,7 @@
 func sortedRows(sim *simulation) []string {
 	var out []string
 	for k, r := range sim.rows {
-		out = append(out, fmt.Sprint(k, r.Version))
+		out = append(out, fmt.Sprint(k, r.Version, string(r.Value)))
 	}
 	sort.Strings(out)
 	return out
@@ -121,7 +121,7 @@
 	runUntilOwned(start)
 	list := moves(contenders)
 	for _, name := range prefix {
-		for _, mv := range list {
+		for _, mv := range append(releases(contenders), list...) {
 			if mv.name == name {
 				mv.do(start)
 			}
