edge: removals that another instance tells state the era

A removal read in a later era was applied, but did not tell its receiver that the store had returned from a copy: the other tables were read anew only at the next interval. TestMessagesStateTheEra/removed_server fails without it.

--- a/edge/era.go
+++ b/edge/era.go
@@ -92,6 +92,9 @@
 	for _, u := range b.TableUpdates {
 		newest = max(newest, u.To)
 	}
+	for _, r := range b.RemovedServers {
+		newest = max(newest, r.RowVersion)
+	}
 	for _, rows := range [][]chestnutstream.TableRow{b.SoftwareRows, b.Servers, b.Versions} {
 		for _, r := range rows {
 			newest = max(newest, r.Version)
