edge: the writer of origins is known by its identity

Since instances are known by name and address, the zone's writer did not recognise itself after the store's return from a copy, and wrote nothing again; the test's instance had no address. With one the test fails before.

--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -238,6 +238,7 @@
 func TestOriginsThatTheStoreLostAreWrittenAgain(t *testing.T) {
 	for _, mixed := range []int{0, 1} {
 		n := idleNode(t, "a")
+		n.id = chestnutstream.InstanceIdentity("a", "10.0.0.1:1", 1)
 		n.store.RaiseEra(1)
 		n.mixedServices = mixed
 		n.origins.Record(n.boot(), software.Origin{Stream: 7, Software: "v1"})
--- a/edge/origin_rows.go
+++ b/edge/origin_rows.go
@@ -70,7 +70,7 @@
 // queueKnownOrigins queues all known origins to be written, on the writer of the zone: the
 // store may have lost them. Callers hold mu.
 func (n *Node) queueKnownOrigins(boot time.Duration) {
-	if n.mixedServices == 0 || n.originWriter() != n.cfg.Instance {
+	if n.mixedServices == 0 || n.originWriter() != n.id {
 		return
 	}
 	for _, o := range n.origins.All(boot) {
