standin: the list of instances states the store's era

Instances of a deployment at the platform stand-in took each start for a return of the store from a copy, and later discarded all reads of the list of instances.

Cause: reads and registrations of the list are answered apart from the other rows, without Store-Era. The first such response counts as one of era 0, the next response of any other call as one of a later era; from then on a response without an era is of an unknown one. The users' platform states the era in all its answers.

Evidence: TestRestoredStoreServesItsCopyInTheNextEra/platform failed before (era "" for /rows-get?table=instances). In TestOrderRunsAtMostOnce of load, each instance saw the era rise from 0 to 1 at its start.

Both responses now state the era of the store, as those of all other calls do.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -188,6 +188,7 @@
 			return
 		}
 		if p.applyRegistration(body) {
+			p.store.stateEra(w.Header())
 			writeJSON(w, http.StatusOK, StoreResponse{})
 			return
 		}
@@ -256,6 +257,7 @@
 			}
 			response.Rows = append(response.Rows, StoreRow{Table: tableInstances, Key: row.Name, Value: value})
 		}
+		p.store.stateEra(w.Header())
 		writeJSON(w, http.StatusOK, response)
 	})
 }
--- a/standin/restore.go
+++ b/standin/restore.go
@@ -133,19 +133,24 @@
 	tableServers  = "servers"
 )
 
+// stateEra states the era in a response and returns it.
+func (s *Store) stateEra(h http.Header) (era uint64, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hideEra {
+		h.Set(headerEra, strconv.FormatUint(s.era, 10))
+	}
+	return s.era, s.away
+}
+
 // inOneEra is middleware that states the era in each response. Calls get no response while
 // the store is away, and if it is restored before they end.
 func (s *Store) inOneEra(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		era, hide, away := s.era, s.hideEra, s.away
-		s.mu.Unlock()
+		era, away := s.stateEra(w.Header())
 		if away {
 			panic(http.ErrAbortHandler)
 		}
-		if !hide {
-			w.Header().Set(headerEra, strconv.FormatUint(era, 10))
-		}
 		response := &bufferedResponse{header: w.Header(), status: http.StatusOK}
 		next(response, r)
 		s.mu.Lock()
--- a/standin/restore_test.go
+++ b/standin/restore_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,7 @@
 				{"/rows-feed?table=op&after=3", http.StatusGone, 0},
 				{"/rows-feed?table=op&after=x", http.StatusBadRequest, 0},
 				{"/blob-get/none", http.StatusNotFound, 0},
+				{"/rows-get?table=instances", http.StatusOK, 0},
 			} {
 				status, era, response := call(t, server, want.path)
 				assert.Equal(t, status, want.status, want.path)
@@ -65,6 +67,11 @@
 			assert.Equal(t, s.Put("op", "b", []byte("3")), uint64(3))
 			status, _, _ := call(t, server, "/rows-feed?table=op&after=3")
 			assert.Equal(t, status, http.StatusOK, "a version that was given out again")
+			resp, err := http.Post(server.URL+"/rows-tx", "application/json", strings.NewReader(`{"writes":[{"table":"instances","part":"","key":"i","value":"e30="}]}`))
+			assert.NilError(t, err)
+			resp.Body.Close()
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, resp.Header.Get(headerEra), "2")
 			s.HideEra(true)
 			_, era, _ := call(t, server, "/rows-get?table=op")
 			assert.Equal(t, era, "")
