table, caller: orders run once over a store that returns from a copy

A caller that repeated an order with its key after the store had returned from a copy of before had it run a second time, or got "unknown" for an order whose response had been recorded; a key whose claim had been released was blocked for good.

Cause: a claim was trusted to stay once the store had acknowledged it. With the copy its row is gone, an absent row means that the key is free, and background writes that check a version of the earlier era never succeed.

Each instance now remembers the claims of the last minute that it was granted and, when the era rises, writes their rows again in the state that they had. A claim counts only in the era in which its row was written.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -46,6 +48,11 @@
 		f.replay(x, recorded)
 	case table.ClaimMismatch:
 		x.refuse(http.StatusUnprocessableEntity, &RefusedError{Code: "idempotency-key-reused", Reason: "the key was used for another request; this one was not sent"})
+	case table.ClaimUnsettled:
+		// Each 503 states that the order did not run, so this is none.
+		x.Outcome = chestnutstream.Unknown
+		x.W.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.server.deps.Claims.SettleDelay().Seconds()))))
+		x.fail(http.StatusConflict, "order-unsettled", "this order is not sent now; whether one with its key ran before is not known, as the store has returned from a copy: repeat it with the same key")
 	case table.ClaimUnknown:
 		x.Outcome = chestnutstream.Unknown
 		x.W.Header().Set("Retry-After", "1")
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -74,6 +74,7 @@
 	Claim(ctx context.Context, key, attempt, requestHash string) (table.ClaimVerdict, table.ClaimTicket, table.Claim, error)
 	RecordResponse(t table.ClaimTicket, response chestnutstream.ServiceResponse)
 	Release(t table.ClaimTicket)
+	SettleDelay() time.Duration
 }
 
 // Dependencies holds the dependencies of a Server.
--- a/caller/pipeline_test.go
+++ b/caller/pipeline_test.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/table"
 	"github.com/chestnutstream/chestnutstream/timer"
 )
 
@@ -56,3 +59,25 @@
 		})
 	}
 }
+
+type unsettledClaims struct{ Claimer }
+
+func (unsettledClaims) Claim(context.Context, string, string, string) (table.ClaimVerdict, table.ClaimTicket, table.Claim, error) {
+	return table.ClaimUnsettled, table.ClaimTicket{}, table.Claim{}, nil
+}
+
+func (unsettledClaims) SettleDelay() time.Duration { return 12500 * time.Millisecond }
+
+func TestOrderWhoseClaimMayBeLostIsNotSentAndUnknown(t *testing.T) {
+	s := NewServer(Settings{Timer: timer.NewSystem(), Metrics: metrics.NewSet()}, Dependencies{
+		Claims: unsettledClaims{},
+		Trace:  func(chestnutstream.TraceEvent) {},
+	})
+	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/orders", nil)
+	r.Header.Set("Idempotency-Key", "k")
+	x := &Exchange{W: w, R: r, Ctx: t.Context(), Outcome: chestnutstream.NotRun, Service: chestnutstream.ServiceSettings{Name: "desk"}}
+	(&claimFilter{server: s}).Serve(x, func() { t.Error("the order was sent") })
+	assert.Equal(t, w.Code, http.StatusConflict)
+	assert.Equal(t, w.Header().Get("Retry-After"), "13")
+	assert.Equal(t, w.Header().Get(outcomeHeader), string(chestnutstream.Unknown))
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -122,6 +122,7 @@
 	n.lease = table.NewLease(n.platform, now, self.Name, leaseIncarnation)
 	n.claims = table.NewClaims(n.platform, now)
 	n.store = operator.NewStore(n.platform, n.platform, now)
+	n.platform.OnRestore(n.recordRestore)
 	n.pool = newPool(now)
 	loads, places := newPolicies(cfg)
 	n.ownership = engine.NewOwnership(engine.DefaultOwnershipSettings(table.LeaseDuration), self.Name, leaseIncarnation, now())
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/chestnutstream/chestnutstream/engine"
 	"github.com/chestnutstream/chestnutstream/peer"
 )
@@ -29,3 +31,9 @@
 		n.log.WithError(err).Warn("lease renewal failed")
 	}
 }
+
+// recordRestore records that the store has returned from a copy. It does not call the store.
+func (n *Node) recordRestore(old, era uint64) {
+	n.log.WithFields(log.Fields{"old": old, "era": era}).Warn("store returned from a copy")
+	n.claims.StoreRestored(era)
+}
--- a/table/claims.go
+++ b/table/claims.go
@@ -40,6 +40,7 @@
 	claimPartitions        = 256
 	maxClaimNameBytes      = 160 // bytes of a row key without its prefix; the platform allows 200 bytes in all, so longer names are hashed
 	maxSweepDeletes        = 200
+	maxRewriteAttempts     = 20 // per claim and era
 )
 
 // ClaimState is the state of a claimed order.
@@ -66,10 +67,11 @@
 
 // The claim verdicts.
 const (
-	ClaimGranted  ClaimVerdict = "granted"  // the attempt may dispatch the order, once
-	ClaimReplay   ClaimVerdict = "replay"   // the order ran: return the recorded response
-	ClaimUnknown  ClaimVerdict = "unknown"  // another attempt claimed the key and recorded no outcome
-	ClaimMismatch ClaimVerdict = "mismatch" // the key was used for a different request
+	ClaimGranted   ClaimVerdict = "granted"   // the attempt may dispatch the order, once
+	ClaimReplay    ClaimVerdict = "replay"    // the order ran: return the recorded response
+	ClaimUnknown   ClaimVerdict = "unknown"   // another attempt claimed the key and recorded no outcome
+	ClaimMismatch  ClaimVerdict = "mismatch"  // the key was used for a different request
+	ClaimUnsettled ClaimVerdict = "unsettled" // the store may have lost a claim of the key; the attempt may not dispatch the order
 )
 
 // EvaluateClaim returns the verdict for an attempt, given the existing claim of
@@ -119,10 +121,15 @@
 // Claims ensures that a keyed order runs at most once over all instances: an
 // attempt is dispatched only after its claim is stored in the table service.
 type Claims struct {
-	table chestnutstream.Table
+	table EraTable
 	now   func() time.Time
 
+	starting sync.Mutex // held while the era in which this process starts is read
+
 	mu              sync.Mutex
+	era             claimEra
+	recent          *recentClaims
+	respondedAt     time.Time // last response of the table service
 	pending         []*pendingClaim
 	commitScheduled bool
 }
@@ -139,8 +146,8 @@
 }
 
 // NewClaims returns Claims that are stored in t.
-func NewClaims(t chestnutstream.Table, now func() time.Time) *Claims {
-	return &Claims{table: t, now: now}
+func NewClaims(t EraTable, now func() time.Time) *Claims {
+	return &Claims{table: t, now: now, recent: newRecentClaims()}
 }
 
 // Claim tries to claim a key for an attempt until ctx ends. On an error the
@@ -152,33 +159,87 @@
 	if err != nil {
 		return "", ClaimTicket{}, Claim{}, err
 	}
+	sent := false
 	for {
-		version, err := c.insert(ctx, key, value)
+		ticket := ClaimTicket{Key: key, claim: claim}
+		err := c.settled(ctx)
 		if err == nil {
-			return ClaimGranted, ClaimTicket{key, version, claim}, claim, nil
+			sent = true
+			ticket.Version, err = c.insert(ctx, key, value)
 		}
-		row, found, readErr := c.read(ctx, key)
-		if readErr == nil && found.RequestHash != "" {
-			verdict := EvaluateClaim(found, attempt, requestHash)
-			return verdict, ClaimTicket{key, row.Version, found}, found, nil
+		if err != nil && !errors.Is(err, errStart) {
+			if row, found, readErr := c.read(ctx, key); readErr == nil && found.RequestHash != "" {
+				ticket = ClaimTicket{key, row.Version, found}
+			}
+		}
+		if ticket.Version != 0 || errors.Is(err, errUnsettled) {
+			verdict, known := c.verdict(ctx, ticket, attempt, requestHash)
+			ours := ticket.Version == 0 || ticket.claim.Attempt == attempt
+			if sent && verdict != ClaimGranted && (ours || verdict == ClaimUnsettled) {
+				go c.deleteUnconfirmed(key, claim)
+			}
+			return verdict, ticket, known, nil
 		}
 		if ctx.Err() != nil {
-			go c.deleteUnconfirmed(key, attempt)
+			if known, ok := c.recall(key); ok {
+				return EvaluateClaim(known, attempt, requestHash), ticket, known, nil
+			}
+			if sent {
+				go c.deleteUnconfirmed(key, claim)
+			}
 			return "", ClaimTicket{}, Claim{}, fmt.Errorf("claim: %w: %w", chestnutstream.ErrUnavailable, err)
 		}
 		timer.Sleep(ctx, claimRetryDelay)
 	}
 }
 
+// verdict returns the verdict for an attempt on the row of its key, which is absent if the
+// ticket has version 0.
+func (c *Claims) verdict(ctx context.Context, t ClaimTicket, attempt, requestHash string) (ClaimVerdict, Claim) {
+	if t.Version != 0 {
+		v := EvaluateClaim(t.claim, attempt, requestHash)
+		err := c.learnEra(ctx, t.Version)
+		if v == ClaimReplay || v == ClaimGranted && err == nil && c.grant(t) || v != ClaimGranted && c.settled(ctx) == nil {
+			return v, t.claim
+		}
+	}
+	if known, ok := c.recall(t.Key); ok {
+		return EvaluateClaim(known, attempt, requestHash), known
+	}
+	return ClaimUnsettled, Claim{}
+}
+
+// recall returns the claim of a key that was granted here, unless it was released.
+func (c *Claims) recall(key string) (Claim, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.recent.get(key)
+	return e.claim, ok && !e.released
+}
+
 func (c *Claims) read(ctx context.Context, key string) (chestnutstream.Row, Claim, error) {
 	row, err := c.table.Get(ctx, key)
-	if err != nil || row.Version == 0 {
+	if err != nil {
 		return row, Claim{}, err
 	}
+	c.recordResponse()
+	if row.Version == 0 {
+		return row, Claim{}, nil
+	}
 	claim, err := decodeClaim(row.Value)
 	return row, claim, err
 }
 
+// recordResponse records a response of the table service. The time does not advance while
+// claims are written again, so that they are not dropped before.
+func (c *Claims) recordResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.era.ready && c.table.Era() == c.era.number {
+		c.respondedAt = c.now()
+	}
+}
+
 // insert adds the claim to the next group commit and waits for its result.
 func (c *Claims) insert(ctx context.Context, key string, value []byte) (uint64, error) {
 	p := &pendingClaim{key: key, value: value, result: make(chan claimResult, 1)}
@@ -246,6 +307,9 @@
 		versions, err := c.table.Transact(context.Background(), checks, writes)
 		var conflict *chestnutstream.ConflictError
 		if !errors.As(err, &conflict) || len(conflict.Keys) == 0 {
+			if err == nil {
+				c.recordResponse()
+			}
 			for _, p := range group {
 				p.result <- claimResult{versions[p.key], err}
 			}
@@ -275,58 +339,85 @@
 	if len(response.Body) > maxStoredBodyBytes {
 		done.Response.Body, done.Truncated = nil, true
 	}
-	value, err := encodeClaim(done)
-	if err != nil {
-		return
-	}
-	go c.writeUntilConfirmed(t, chestnutstream.Write{Key: t.Key, Value: value})
+	c.change(recentClaim{key: t.Key, claim: done, version: t.Version})
 }
 
 // Release deletes a granted claim in the background: the order did not run and
 // may be requested again.
 func (c *Claims) Release(t ClaimTicket) {
-	go c.writeUntilConfirmed(t, chestnutstream.Write{Key: t.Key, Delete: true})
+	c.change(recentClaim{key: t.Key, claim: t.claim, released: true, version: t.Version})
+}
+
+// change records the new state of a claim of this instance and writes it in the background.
+func (c *Claims) change(e recentClaim) {
+	c.mu.Lock()
+	if old, ok := c.recent.get(e.key); ok && old.claim.Attempt == e.claim.Attempt {
+		e.version, e.previous = max(e.version, old.version), old.previous
+	}
+	c.remember(e)
+	c.mu.Unlock()
+	go c.writeUntilConfirmed(e)
 }
 
-// writeUntilConfirmed retries a write to a claim of this instance until the
-// table service confirms it, for at most backgroundWriteTimeout. A conflict
-// means that an earlier try took effect.
-func (c *Claims) writeUntilConfirmed(t ClaimTicket, w chestnutstream.Write) {
+// writeUntilConfirmed retries to bring the row of a claim of this instance into its state,
+// until the table service confirms it, for at most backgroundWriteTimeout. A conflict means
+// that an earlier try took effect, or that the store has returned from a copy.
+func (c *Claims) writeUntilConfirmed(e recentClaim) {
 	ctx, cancel := context.WithTimeout(context.Background(), backgroundWriteTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, err := c.table.Transact(ctx, []chestnutstream.Check{{Key: t.Key, Version: t.Version}}, []chestnutstream.Write{w})
-		var conflict *chestnutstream.ConflictError
-		if err == nil || errors.As(err, &conflict) {
-			return
+		if era := c.table.Era(); chestnutstream.VersionEra(e.version) < era {
+			if c.rewrite(ctx, e.key, era) == nil {
+				return
+			}
+		} else {
+			version, err := c.replace(ctx, chestnutstream.Row{Key: e.key, Version: e.version}, e)
+			if err == nil {
+				c.confirm(e, version)
+				return
+			}
+			if isConflict(err) && c.table.Era() == era {
+				return
+			}
 		}
 		timer.Sleep(ctx, backgroundRetryDelay)
 	}
 }
 
-// deleteUnconfirmed deletes a claim whose insertion got no response but may
-// have taken effect. The insertion can still arrive late, so the row has to be
-// absent in 3 consecutive successful reads.
-func (c *Claims) deleteUnconfirmed(key, attempt string) {
+// deleteUnconfirmed deletes a claim that was not granted but may have been inserted. The
+// insertion can still arrive late, so the row has to be absent in 3 consecutive successful
+// reads. It may be in a copy that the store returns from later.
+func (c *Claims) deleteUnconfirmed(key string, claim Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), backgroundWriteTimeout)
 	defer cancel()
+	c.mu.Lock()
+	if _, ok := c.recent.get(key); !ok {
+		c.remember(recentClaim{key: key, claim: claim, released: true, version: chestnutstream.RowVersion(c.era.number, 0)})
+	}
+	c.mu.Unlock()
 	absent := 0
 	for ctx.Err() == nil && absent < 3 {
-		row, claim, err := c.read(ctx, key)
+		row, found, err := c.read(ctx, key)
 		switch {
 		case err != nil:
 		case row.Version == 0:
 			absent++
-		case claim.Attempt != attempt:
+		case found.Attempt != claim.Attempt:
 			return
 		default:
 			absent = 0
-			c.writeUntilConfirmed(ClaimTicket{Key: key, Version: row.Version}, chestnutstream.Write{Key: key, Delete: true})
+			// The next read shows whether the row was deleted.
+			_, _ = c.replace(ctx, row, recentClaim{key: key, released: true})
 		}
 		timer.Sleep(ctx, backgroundRetryDelay)
 	}
 }
 
+func isConflict(err error) bool {
+	var conflict *chestnutstream.ConflictError
+	return errors.As(err, &conflict)
+}
+
 // Sweep deletes claims of one partition (0 to 255) that are older than
 // ClaimRetention, at most maxSweepDeletes, and returns their number.
 func (c *Claims) Sweep(ctx context.Context, partition int) (int, error) {
