standin: an operator writes its newest rows again

Of two returns in short order the first one's rewriting could put a row back that the operator had changed meanwhile: the row had the copy's version again after the second return. No operator does so, and a configuration could stay lost.

--- a/standin/restore.go
+++ b/standin/restore.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -30,28 +31,36 @@
 }
 
 // Restore replaces the store's contents by a copy and begins the next era. It returns the
-// rows that it lost, as they were; those that had been removed since the copy are marked as
-// removed.
+// rows of the operator and the servers that it lost, with Removed if their removal was lost.
 func (s *Store) Restore(c *StoreCopy) (lost []StoreRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for k, row := range s.rows {
-		if c.rows[k].Version != row.Version {
-			lost = append(lost, row)
-		}
-	}
-	for k := range c.rows {
-		if _, exists := s.rows[k]; !exists {
-			lost = append(lost, StoreRow{Table: k.table, Part: k.part, Key: k.key, Removed: true})
-		}
-	}
 	s.era++
 	s.version, s.droppedUpTo = c.version, c.droppedUpTo
 	s.rows, s.changes, s.objects = maps.Clone(c.rows), slices.Clone(c.changes), maps.Clone(c.objects)
+	for _, row := range s.latest {
+		if !s.has(row) {
+			lost = append(lost, row)
+		}
+	}
 	s.wake()
 	return lost
 }
 
+// keepLatest records a change of a row, if the operator or a server made it. Callers hold mu.
+func (s *Store) keepLatest(row StoreRow) {
+	if row.Table == tableOperator || row.Table == tableServers {
+		s.latest[storeKey{row.Table, row.Part, row.Key}] = row
+	}
+}
+
+// has reports whether the store has a row's value, or lacks it if it was removed. Callers
+// hold mu.
+func (s *Store) has(row StoreRow) bool {
+	current, exists := s.rows[storeKey{row.Table, row.Part, row.Key}]
+	return exists != row.Removed && bytes.Equal(current.Value, row.Value)
+}
+
 // Era returns the number of the store's history, which begins with 1.
 func (s *Store) Era() uint64 {
 	s.mu.Lock()
@@ -80,9 +89,9 @@
 const removalDelay = 2 * time.Second
 
 // ReturnFrom makes the store return from a copy after a time without responses. It returns
-// when the store is back. Rows of the operator that the store lost are then written again one
-// by one in random order within rewriteTime, unless they have been written meanwhile; servers
-// write theirs with their heartbeats. wait returns when all are written.
+// when the store is back. Rows of the operator that the store lost are then written again, as
+// they are by then, one by one in random order within rewriteTime; servers write theirs with
+// their heartbeats. wait returns when all are written.
 func (s *Store) ReturnFrom(c *StoreCopy, away, rewriteTime time.Duration, rng *rand.Rand) (wait func()) {
 	s.SetAway(true)
 	time.Sleep(away)
@@ -90,41 +99,42 @@
 	s.SetAway(false)
 	var wg sync.WaitGroup
 	for _, row := range lost {
-		var delay time.Duration
-		switch {
-		case row.Table == tableOperator:
+		delay := removalDelay
+		if row.Table == tableOperator {
 			delay = time.Duration(rng.Int64N(int64(rewriteTime) + 1))
-		case row.Table == tableServers && row.Removed:
-			delay = removalDelay
-		default:
+		} else if !row.Removed {
 			continue
 		}
-		t := StoreTransaction{Writes: []StoreRow{row}}
-		if row.Removed {
-			t = StoreTransaction{Remove: []StoreRow{row}}
-		}
-		row.Version = c.rows[storeKey{row.Table, row.Part, row.Key}].Version
-		t.Expected = []StoreRow{row}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			time.Sleep(delay)
-			s.applyOnReturn(t)
-		}()
+			s.writeAgain(storeKey{row.Table, row.Part, row.Key})
+		})
 	}
 	return wg.Wait
 }
 
-// applyOnReturn is Apply once the store is not away.
-func (s *Store) applyOnReturn(t StoreTransaction) {
+// writeAgain repeats the latest change of a row if the store lost it, once it is not away.
+func (s *Store) writeAgain(k storeKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awaitReturn()
+	row := s.latest[k]
+	switch {
+	case s.has(row):
+	case row.Removed:
+		s.apply(StoreTransaction{Remove: []StoreRow{row}})
+	default:
+		s.apply(StoreTransaction{Writes: []StoreRow{row}})
+	}
+}
+
+// awaitReturn waits until the store is not away. Callers hold mu.
+func (s *Store) awaitReturn() {
 	for s.away {
 		s.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
 		s.mu.Lock()
 	}
-	s.apply(t)
 }
 
 // Tables of the operator and the servers.
--- a/standin/restore_test.go
+++ b/standin/restore_test.go
@@ -124,7 +124,7 @@
 	}
 	s.Remove("servers", "left")
 	wait := s.ReturnFrom(older, 10*time.Millisecond, 100*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
-	s.Put("op", "newer", []byte("3"))
+	s.Put("op", "newer", []byte("3")) // the rows of the first return are still being written
 	again := s.ReturnFrom(older, 10*time.Millisecond, 100*time.Millisecond, rand.New(rand.NewPCG(1, 2)))
 	wait()
 	again()
--- a/standin/store.go
+++ b/standin/store.go
@@ -65,6 +65,7 @@
 	away            bool   // calls get no response and have no effect
 	version         uint64
 	rows            map[storeKey]StoreRow
+	latest          map[storeKey]StoreRow // of the operator and the servers, over all eras
 	changes         []storeChange
 	droppedUpTo     uint64 // changes up to this version have been dropped from the history
 	suppressUpdates bool   // watches that start now receive no change until their wait ends
@@ -74,7 +75,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{startedAt: time.Now(), era: 1, rows: map[storeKey]StoreRow{}, changed: make(chan struct{}), objects: map[string][]byte{}}
+	return &Store{startedAt: time.Now(), era: 1, rows: map[storeKey]StoreRow{}, latest: map[storeKey]StoreRow{}, changed: make(chan struct{}), objects: map[string][]byte{}}
 }
 
 // addRoutes registers the store's endpoints on a router, wrapped in middleware for
@@ -121,13 +122,16 @@
 	for _, row := range t.Writes {
 		row.Version = s.version
 		s.rows[storeKey{row.Table, row.Part, row.Key}] = row
+		s.keepLatest(row)
 		s.changes = append(s.changes, storeChange{now, row})
 	}
 	for _, row := range t.Remove {
 		k := storeKey{row.Table, row.Part, row.Key}
 		if _, exists := s.rows[k]; exists {
 			delete(s.rows, k)
-			s.changes = append(s.changes, storeChange{now, StoreRow{Table: row.Table, Part: row.Part, Key: row.Key, Version: s.version, Removed: true}})
+			removed := StoreRow{Table: row.Table, Part: row.Part, Key: row.Key, Version: s.version, Removed: true}
+			s.keepLatest(removed)
+			s.changes = append(s.changes, storeChange{now, removed})
 		}
 	}
 	s.dropHistory(now.Add(-historyRetention))
@@ -152,7 +156,10 @@
 
 // Remove removes one row, once the store is not away.
 func (s *Store) Remove(table, key string) {
-	s.applyOnReturn(StoreTransaction{Remove: []StoreRow{{Table: table, Key: key}}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.awaitReturn()
+	s.apply(StoreTransaction{Remove: []StoreRow{{Table: table, Key: key}}})
 }
 
 // DropHistory drops the history of changes, as the platform occasionally does. Watches
