soak: a server that leaves is not taken for another leaving

Two faults at once could take the same plain server for one that is to leave. That this was the cause is suspected from the logs: all instances knew the server as gone before the second leaving, none knew it again. A server is now replaced once.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,6 +104,7 @@
 	begun             int               // faults so far that affect requests
 	suppressedWatches int               // faults in progress that suppress the updates of the store's watches
 	backpressured     map[*backend]bool // servers that signal backpressure; guarded by deployment.mu
+	replaced          map[*backend]bool // servers that leave or have left; guarded by deployment.mu
 }
 
 // reportViolation records a violated guarantee.
@@ -288,9 +289,13 @@
 func (r *run) replacePlainServer() *backend {
 	r.mu.Lock()
 	var old *backend
+	if r.replaced == nil {
+		r.replaced = map[*backend]bool{}
+	}
 	for _, b := range r.backends {
-		if strings.HasPrefix(b.id, "i-desk") && !r.backpressured[b] {
+		if strings.HasPrefix(b.id, "i-desk") && !r.backpressured[b] && !r.replaced[b] {
 			old = b
+			r.replaced[b] = true
 			break
 		}
 	}
