lease: a new token is used once the orders under the old one have arrived

After a restore the owner of an engine went on under the new token as soon as its row was written again. The process now waits for 500 ms after its last order under the old token, which is what the handover delay has for the last orders of another holder.

TestNewTokenIsUsedOnceOrdersUnderTheOldOneHaveArrived is new.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -377,4 +377,7 @@
 }
 
 // ForgetServer drops the state of a removed server.
-func (m *Manager) ForgetServer(server string) { delete(m.retryAt, server) }
+func (m *Manager) ForgetServer(server string) {
+	delete(m.retryAt, server)
+	delete(m.issued, server)
+}
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -352,3 +352,19 @@
 	}
 	t.Fatal("no takeover")
 }
+
+// Guards against an order under an earlier token that arrives after one under a later token.
+func TestNewTokenIsUsedOnceOrdersUnderTheOldOneHaveArrived(t *testing.T) {
+	m, boot := leaseHolder(t)
+	m.StoreRestored(boot, 2)
+	old, _, ok := m.FencingToken(boot, "s0")
+	assert.Assert(t, ok && old == version(1, 5))
+	assert.NilError(t, m.ApplySnapshot(boot, Snapshot{Version: version(2, 1), NowMS: 1000}))
+	m.EraNoted(boot, step(t, m, boot, ActionNoteEra), version(2, 2))
+	m.Renewed(boot, boot, step(t, m, boot, ActionRenew), version(2, 3))
+	m.Acquired(boot, step(t, m, boot, ActionAcquire), version(2, 4))
+	_, _, ok = m.FencingToken(boot+orderFlight-1, "s0")
+	assert.Assert(t, !ok)
+	token, _, ok := m.FencingToken(boot+orderFlight, "s0")
+	assert.Assert(t, ok && token == version(2, 4))
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -90,7 +90,7 @@
 func DefaultSettings(handover time.Duration) Settings {
 	return Settings{
 		BaseDuration: 10 * time.Second, MaxDuration: 15 * time.Second, BaseInstances: 24, RenewInterval: 3000 * time.Millisecond, ClockMargin: 400 * time.Millisecond,
-		HandoverDelay: handover + 500*time.Millisecond, StartupDelay: 1200 * time.Millisecond,
+		HandoverDelay: handover + orderFlight, StartupDelay: 1200 * time.Millisecond,
 	}
 }
 
@@ -144,9 +144,10 @@
 	restored bool                  // this process has seen an earlier era
 	kept     map[string]keptServer // owned by the era before, with no owner row of the present era
 
-	version            uint64        // of the own lease row in the present era; 0: this process has no lease
-	duration           time.Duration // of the own lease; never decreases, so that no renewal shortens a valid lease
-	validUntil         time.Duration // end of the own lease, minus ClockMargin
+	issued             map[string]issuedToken // by server
+	version            uint64                 // of the own lease row in the present era; 0: this process has no lease
+	duration           time.Duration          // of the own lease; never decreases, so that no renewal shortens a valid lease
+	validUntil         time.Duration          // end of the own lease, minus ClockMargin
 	renewAt            time.Duration
 	renewing           bool
 	acquiring          map[string]bool          // servers of the acquisition in flight
@@ -157,7 +158,7 @@
 
 // NewManager returns the lease manager of an instance without a lease.
 func NewManager(self Holder, cfg Settings) *Manager {
-	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, kept: map[string]keptServer{}, retryAt: map[string]time.Duration{}}
+	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, kept: map[string]keptServer{}, retryAt: map[string]time.Duration{}, issued: map[string]issuedToken{}}
 }
 
 // ActionKind is the kind of an action.
@@ -402,18 +403,33 @@
 // Valid reports whether this instance's own lease is valid.
 func (m *Manager) Valid(boot time.Duration) bool { return m.version != 0 && boot < m.validUntil }
 
+// orderFlight is the time in which an order that was given up, or is on its way, may still
+// arrive. It is the part of HandoverDelay beyond the least time between two holders.
+const orderFlight = 500 * time.Millisecond
+
+// issuedToken is the token of the last orders to a server.
+type issuedToken struct {
+	token uint64
+	at    time.Duration // when it was last returned
+}
+
 // FencingToken returns the fencing token for orders to a server and the boot time until
-// which they may be sent. ok is false when this process does not own the server.
+// which they may be sent. ok is false when this process does not own the server, and until the
+// orders under its previous token have arrived.
 func (m *Manager) FencingToken(boot time.Duration, server string) (token uint64, until time.Duration, ok bool) {
-	if m.keeps(boot, server) {
-		k := m.kept[server]
-		return k.token, k.until, true
+	switch o := m.owners[server]; {
+	case m.keeps(boot, server):
+		token, until = m.kept[server].token, m.kept[server].until
+	case m.ownedHere(o) && m.Valid(boot):
+		token, until = o.version, m.validUntil
+	default:
+		return 0, 0, false
 	}
-	o := m.owners[server]
-	if !m.ownedHere(o) || !m.Valid(boot) {
+	if last, issued := m.issued[server]; issued && last.token != token && boot-last.at < orderFlight {
 		return 0, 0, false
 	}
-	return o.version, m.validUntil, true
+	m.issued[server] = issuedToken{token, boot}
+	return token, until, true
 }
 
 // StopAcquiring stops acquisitions, but for those of servers that this process owned when
