lease: an engine that has accepted orders is none of a new system

An engine that no row names an owner of, and whose report shows that it has accepted orders, is the trace of rows that the store has lost. No orders are sent before its report is read, and then not until the leases of the era before have ended; the row of the era is corrected, so that other instances wait, too.

--- a/edge/control.go
+++ b/edge/control.go
@@ -266,6 +266,7 @@
 		if err != nil {
 			e.ReportFailed(n.boot())
 		} else {
+			n.leases.RecordOrderCount(id, r.OrderCount)
 			for _, a := range e.ApplyReport(n.boot(), r) {
 				n.notify(id, a)
 			}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -193,7 +193,10 @@
 		if a.Transaction.Entries()+maxEntriesPerServer+2 > chestnutstream.MaxTransactionEntries {
 			break
 		}
-		o := m.owners[s.ID]
+		o, owned := m.owners[s.ID]
+		if !owned && m.mayBeFirstEra(boot) {
+			m.unproven[s.ID] = true
+		}
 		switch {
 		case m.keeps(boot, s.ID):
 			a.Rewritten++ // an inherited row names whoever owned it earlier
@@ -380,4 +383,5 @@
 func (m *Manager) ForgetServer(server string) {
 	delete(m.retryAt, server)
 	delete(m.issued, server)
+	delete(m.unproven, server)
 }
--- a/lease/era.go
+++ b/lease/era.go
@@ -108,6 +108,26 @@
 	return out
 }
 
+// mayBeFirstEra reports whether this is taken for the first era although leases of an earlier
+// one would still be valid.
+func (m *Manager) mayBeFirstEra(boot time.Duration) bool {
+	return m.era.number != 0 && (m.era.initial || m.era.empty) && boot-m.era.since < m.EraWait()
+}
+
+// RecordOrderCount records how many orders an engine had accepted, by a report read since it
+// was acquired. An engine that no row named an owner of, and that has accepted orders, shows
+// that the store has lost rows.
+func (m *Manager) RecordOrderCount(server string, orders int) {
+	if !m.unproven[server] {
+		return
+	}
+	if orders == 0 {
+		delete(m.unproven, server)
+		return
+	}
+	m.era.initial, m.era.empty, m.restored = false, false, true
+}
+
 // inherited reports whether an owner row was written in an earlier era. It may name an
 // owner that has lost the server since the copy was made, so it grants nothing.
 func (m *Manager) inherited(o owner) bool { return o.era != m.era.number }
@@ -141,7 +161,7 @@
 func (m *Manager) Kept(boot time.Duration) int { return len(m.keptServers(boot)) }
 
 // mustNoteEra reports whether the row of the present era is missing, or written by a process
-// that took the table for one of a new system.
+// that took the table for one of a new system and this one knows better.
 func (m *Manager) mustNoteEra() bool {
 	return m.era.number != 0 && (m.era.rowVersion == 0 || m.era.rowFirst && m.restored)
 }
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -31,6 +31,7 @@
 	boot += 2 * time.Second
 	assert.NilError(t, m.ApplyUpdates(boot, nil))
 	m.Acquired(boot, step(t, m, boot, ActionAcquire), version(1, 5))
+	m.RecordOrderCount("s0", 0)
 	token, _, ok := m.FencingToken(boot, "s0")
 	assert.Assert(t, ok && token == version(1, 5))
 	return m, boot
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -141,7 +141,8 @@
 	updatedAt   time.Duration // last read or update of the table
 
 	era      eraState
-	restored bool                  // this process has seen an earlier era
+	restored bool                  // this process has seen an earlier era, or its traces
+	unproven map[string]bool       // servers acquired as those of a new system, which no report has confirmed yet
 	kept     map[string]keptServer // owned by the era before, with no owner row of the present era
 
 	issued             map[string]issuedToken // by server
@@ -158,7 +159,7 @@
 
 // NewManager returns the lease manager of an instance without a lease.
 func NewManager(self Holder, cfg Settings) *Manager {
-	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, kept: map[string]keptServer{}, retryAt: map[string]time.Duration{}, issued: map[string]issuedToken{}}
+	return &Manager{cfg: cfg, self: self, duration: cfg.BaseDuration, holders: map[string]*Holder{}, owners: map[string]owner{}, acquiring: map[string]bool{}, kept: map[string]keptServer{}, retryAt: map[string]time.Duration{}, issued: map[string]issuedToken{}, unproven: map[string]bool{}}
 }
 
 // ActionKind is the kind of an action.
@@ -417,6 +418,9 @@
 // which they may be sent. ok is false when this process does not own the server, and until the
 // orders under its previous token have arrived.
 func (m *Manager) FencingToken(boot time.Duration, server string) (token uint64, until time.Duration, ok bool) {
+	if m.unproven[server] && boot-m.era.since < m.EraWait() {
+		return 0, 0, false
+	}
 	switch o := m.owners[server]; {
 	case m.keeps(boot, server):
 		token, until = m.kept[server].token, m.kept[server].until
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -288,6 +288,11 @@
 	if !sim.running(i) {
 		return false
 	}
+	accepted := 0
+	if _, ordered := sim.orders[server]; ordered {
+		accepted = 1
+	}
+	sim.managers[i].RecordOrderCount(server, accepted) // the engine's report is read before its first order
 	fence, _, ok := sim.managers[i].FencingToken(sim.boot(i), server)
 	if !ok {
 		return false
