table, engine, entry: one owner of an engine over restores

After the store of the own interface had returned from a copy, an engine that ignores fencing tokens could have two owners for as long as both lived, and its orders a lower token than before.

Cause: an owner row that is absent counted as that of a free engine, one of the copy as that of the present owner, and a lease row that is absent as taken over. Owners never read their rows again.

Owner rows now state the era in which they were written; those of earlier eras grant nothing, and no engine is acquired on them until the era is older than a lease and its orders. Whose lease was valid before keeps its engines until that lease's end and writes their rows again at once. A lost lease row is written again under the same incarnation. Tokens rise over eras. A store that states no era works as before.

--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -62,6 +62,7 @@
 	acquiredAt    time.Time
 	confirmedAt   time.Time
 	rowVersion    uint64
+	keptUntil     time.Time // the end of the ownership if its row is of an earlier era than the lease
 	releasing     bool
 	notBefore     time.Time // no new attempt before this
 	reportingPeer string    // the peer that last reported it as its own
@@ -96,13 +97,17 @@
 	LeaseState struct {
 		ValidUntil  time.Time
 		Version     uint64
-		Incarnation string // changes after another instance took the lease over
+		Era         uint64    // of the store, as of the last renewal
+		KeptUntil   time.Time // the end of the lease as of the last renewal of an earlier era
+		Incarnation string    // changes after another instance took the lease over
 	}
 	// OwnerRowsRead is the result of ReadOwners: the ownership rows and the leases
 	// that they refer to.
 	OwnerRowsRead struct {
 		Owners map[string]OwnerRow // by server
 		Leases map[string]LeaseRow // by instance
+		Era    uint64              // of the rows' versions
+		EraAge time.Duration       // how long ago the era began, at least; does not matter in era 0
 	}
 	// FenceRead is the fencing token in a status read that was sent at SentAt.
 	FenceRead struct {
@@ -138,6 +143,7 @@
 	Owner       string // empty: released
 	Incarnation string
 	Fence       uint64
+	Era         uint64 // in which it was written; 0: unknown
 	Version     uint64
 }
 
@@ -161,6 +167,7 @@
 		LeaseVersion    uint64
 		OldOwner        string // empty: no lease to delete
 		OldLeaseVersion uint64
+		Era             uint64 // of the versions
 	}
 	// RaiseFence raises an engine's fencing token.
 	RaiseFence struct {
@@ -247,6 +254,9 @@
 	h.Yielding = o.shouldYield(now, server)
 	if !s.settings.ChecksFencingTokens {
 		h.NotAfter = o.lease.ValidUntil
+		if o.kept(s) {
+			h.NotAfter = s.keptUntil
+		}
 		if o.leaseValidSince.After(h.AcquiredAt) {
 			h.AcquiredAt = o.leaseValidSince
 		}
@@ -309,6 +319,9 @@
 		o.leaseValidSince = now
 	}
 	ended := e.Incarnation != o.lease.Incarnation
+	if e.Era > o.lease.Era {
+		o.keepOwned(now, e.KeptUntil)
+	}
 	o.lease = e
 	if !ended {
 		return
@@ -329,6 +342,15 @@
 	var needRows []string
 	for _, name := range o.serverNames() {
 		s := o.servers[name]
+		if s.held && o.kept(s) {
+			switch {
+			case !now.Before(s.keptUntil):
+				o.loseOwnership(now, s)
+			case !now.Before(s.notBefore) && !o.draining:
+				needRows = append(needRows, name)
+			}
+			continue
+		}
 		if s.held {
 			actions = append(actions, o.yield(now, name, s)...)
 			continue
--- a/engine/takeover.go
+++ b/engine/takeover.go
@@ -129,10 +129,13 @@
 	var actions []Action
 	for _, name := range o.serverNames() {
 		s := o.servers[name]
-		if s.settings.ChecksFencingTokens || s.held || now.Before(s.notBefore) || o.draining || o.target(name) != o.self {
+		if s.settings.ChecksFencingTokens || now.Before(s.notBefore) || o.draining {
 			continue
 		}
-		if !now.Before(o.lease.ValidUntil) {
+		if kept := s.held && o.kept(s); !kept && (s.held || o.target(name) != o.self) {
+			continue
+		}
+		if !now.Before(o.lease.ValidUntil) || e.Era != o.lease.Era {
 			continue
 		}
 		if a, ok := o.takeover(now, name, s, e); ok {
@@ -146,7 +149,16 @@
 func (o *Ownership) takeover(now time.Time, name string, s *serverOwnership, e OwnerRowsRead) (AcquireRow, bool) {
 	row := e.Owners[name]
 	lease := e.Leases[row.Owner]
-	acquire := AcquireRow{Server: name, Fence: row.Fence + 1, RowVersion: row.Version, LeaseVersion: o.lease.Version}
+	acquire := AcquireRow{Server: name, Fence: s.nextRowFence(row, e.Era), RowVersion: row.Version, LeaseVersion: o.lease.Version, Era: e.Era}
+	if e.Era > 0 && row.Era != e.Era {
+		// The row, or that there is none, is of an earlier era.
+		settled := e.EraAge >= o.cfg.LeaseDuration+o.cfg.OrderMargin
+		if s.held || row.Version == 0 || row.Era != 0 || !settled {
+			return acquire, s.held && now.Before(s.keptUntil) || settled
+		}
+	} else if s.held {
+		o.loseOwnership(now, s) // acquired by another instance, or by this one without a response
+	}
 	if row.Version == 0 || row.Owner == "" || lease.Version == 0 {
 		return acquire, true
 	}
@@ -171,6 +183,31 @@
 	return acquire, true
 }
 
+// nextRowFence returns a fencing token above all earlier ones, also above those of rows that
+// the store lost when it returned from a copy.
+func (s *serverOwnership) nextRowFence(row OwnerRow, era uint64) uint64 {
+	return max(row.Fence, s.fence, s.reportFence, chestnutstream.RowVersion(era, 0)) + 1
+}
+
+// kept reports whether a server is owned by a row of an earlier era than the lease's. The store
+// may have lost the row.
+func (o *Ownership) kept(s *serverOwnership) bool {
+	return !s.settings.ChecksFencingTokens && chestnutstream.VersionEra(s.rowVersion) < o.lease.Era
+}
+
+// keepOwned limits the ownership of what is owned at the end of an era to the end of its lease.
+func (o *Ownership) keepOwned(now, until time.Time) {
+	for _, s := range o.servers {
+		switch {
+		case s.settings.ChecksFencingTokens || !s.held:
+		case s.releasing:
+			o.loseOwnership(now, s)
+		case !o.kept(s):
+			s.keptUntil = until
+		}
+	}
+}
+
 // Elect returns the name that is responsible for key, by rendezvous hashing,
 // which gives the same result on every instance with the same names. Of the
 // identities of instances only the names are hashed, as in earlier releases. Without
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -22,6 +22,7 @@
 	Owner       string `json:"owner"`
 	Incarnation string `json:"incarnation"`
 	Fence       uint64 `json:"fence"`
+	Era         uint64 `json:"era,omitempty"` // of the store, when the row was written; earlier releases write none
 }
 
 // execute executes actions of the decision modules. Their results come back as
@@ -193,12 +194,16 @@
 	for _, name := range servers {
 		requested[name] = true
 	}
+	era := n.platform.Era()
 	rows, err := n.platform.Scan(n.ctx, ownerPrefix(n.self.Zone))
 	if err != nil {
 		n.log.WithError(err).Debug("failed to read ownership rows")
 		return
 	}
-	read := engine.OwnerRowsRead{Owners: map[string]engine.OwnerRow{}, Leases: map[string]engine.LeaseRow{}}
+	read := engine.OwnerRowsRead{
+		Owners: map[string]engine.OwnerRow{}, Leases: map[string]engine.LeaseRow{},
+		Era: era, EraAge: n.claims.EraAge(n.ctx),
+	}
 	for _, row := range rows {
 		var w wireOwner
 		if err := json.Unmarshal(row.Value, &w); err != nil {
@@ -209,7 +214,7 @@
 		if !requested[server] {
 			continue
 		}
-		read.Owners[server] = engine.OwnerRow{Owner: w.Owner, Incarnation: w.Incarnation, Fence: w.Fence, Version: row.Version}
+		read.Owners[server] = engine.OwnerRow{Owner: w.Owner, Incarnation: w.Incarnation, Fence: w.Fence, Era: w.Era, Version: row.Version}
 		if _, ok := read.Leases[w.Owner]; ok || w.Owner == "" {
 			continue
 		}
@@ -220,6 +225,9 @@
 		}
 		read.Leases[w.Owner] = lease
 	}
+	if n.platform.Era() != era {
+		return // the rows may be of two eras
+	}
 	n.handleEvent(func(now time.Time) []engine.Action { return n.ownership.Step(now, read) })
 }
 
@@ -240,7 +248,7 @@
 func (n *Node) acquireRow(a engine.AcquireRow) {
 	sentAt := n.cfg.Timer.Now()
 	lease := n.lease.State()
-	value, err := json.Marshal(wireOwner{Owner: n.self.Name, Incarnation: lease.Incarnation, Fence: a.Fence})
+	value, err := json.Marshal(wireOwner{Owner: n.self.Name, Incarnation: lease.Incarnation, Fence: a.Fence, Era: a.Era})
 	if err != nil {
 		n.recordAcquisition(a.Server, a.Fence, 0, sentAt, fmt.Errorf("encode owner: %w", err))
 		return
@@ -262,7 +270,7 @@
 
 // releaseRow clears the owner in a server's ownership row.
 func (n *Node) releaseRow(a engine.ReleaseRow) {
-	value, err := json.Marshal(wireOwner{Fence: a.Fence})
+	value, err := json.Marshal(wireOwner{Fence: a.Fence, Era: chestnutstream.VersionEra(a.RowVersion)})
 	if err == nil {
 		key := ownerPrefix(n.self.Zone) + a.Server
 		_, err = n.platform.Transact(n.ctx, []chestnutstream.Check{{Key: key, Version: a.RowVersion}}, []chestnutstream.Write{{Key: key, Value: value}})
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -14,7 +14,7 @@
 func (n *Node) ownershipTick(now time.Time) {
 	n.mu.Lock()
 	l := n.lease.State()
-	actions := n.ownership.Step(now, engine.LeaseState{ValidUntil: l.ValidUntil, Version: l.Version, Incarnation: l.Incarnation})
+	actions := n.ownership.Step(now, engine.LeaseState{ValidUntil: l.ValidUntil, Version: l.Version, Era: l.Era, KeptUntil: l.KeptUntil, Incarnation: l.Incarnation})
 	alive := n.members.alive(now, n.aliveTimeout(), n.draining.Load(), func(m peer.Member) bool { return m.Zone == n.self.Zone })
 	actions = append(actions, n.ownership.Step(now, engine.ZoneTick{Alive: alive, MinOwnerTimeout: ownerTimeoutIntervals * n.mesh.Interval()})...)
 	for _, name := range n.ownership.Watched() {
--- a/table/claims.go
+++ b/table/claims.go
@@ -233,9 +233,10 @@
 // recordResponse records a response of the table service. The time does not advance while
 // claims are written again, so that they are not dropped before.
 func (c *Claims) recordResponse() {
+	era := c.table.Era()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.era.ready && c.table.Era() == c.era.number {
+	if c.era.ready && era == c.era.number {
 		c.respondedAt = c.now()
 	}
 }
--- a/table/era.go
+++ b/table/era.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	// the instances write again what the store has lost, and callers repeat orders whose
 	// claims no instance remembers.
 	ClaimSettleTime = 30 * time.Second
-	eraPrefix       = "claim-era/"
+	eraPrefix       = "era/"
 	maxRewriters    = 8 // claims that are written again at the same time
 )
 
@@ -157,6 +158,23 @@
 // order.
 func (c *Claims) SettleDelay() time.Duration { return max(c.settleDelay(), time.Second) }
 
+// EraAge returns how long ago the present era began, at least. It is 0 if that is unknown, and
+// math.MaxInt64 if there was no earlier one.
+func (c *Claims) EraAge(ctx context.Context) time.Duration {
+	if c.learnEra(ctx, 0) != nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.era.initial, !c.era.known:
+		return math.MaxInt64
+	case !c.era.ready:
+		return 0
+	}
+	return c.now().Sub(c.era.since)
+}
+
 // grant records a granted claim, unless the era has changed or is not settled.
 func (c *Claims) grant(t ClaimTicket) bool {
 	c.mu.Lock()
--- a/table/lease.go
+++ b/table/lease.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
@@ -20,6 +22,8 @@
 	leaseReadTimeout   = time.Second
 )
 
+var errLeaseLost = errors.New("the store has returned from a copy")
+
 // LeaseKey returns the row key of an instance's lease.
 func LeaseKey(instance string) string { return LeasePrefix + instance }
 
@@ -32,9 +36,10 @@
 // monotonic clock. An observer may treat the lease as expired only after it has
 // seen the same row version for LeaseDuration on its own clock. Its takeover
 // deletes the row, and the next renewal fails because it checks the row's
-// version.
+// version. When the store returns from a copy, the lease that was valid before ends at KeptUntil,
+// and one of the new era begins with its first renewal in it.
 type Lease struct {
-	table           chestnutstream.Table
+	table           EraTable
 	now             func() time.Time
 	instance        string
 	baseIncarnation string
@@ -48,12 +53,16 @@
 	failingSince   time.Time // first renewal without a response after lastResponseAt; zero if none
 	lastFailureAt  time.Time // latest renewal without a response
 	renewal        int
+	era            uint64    // of the last renewal
+	keptUntil      time.Time // the end of the lease as of the last renewal of an earlier era
 }
 
 // LeaseState is an instance's view of its own lease.
 type LeaseState struct {
 	ValidUntil     time.Time
 	Version        uint64
+	Era            uint64    // of the last renewal
+	KeptUntil      time.Time // the end of the lease as of the last renewal of an earlier era
 	Incarnation    string    // changes after another instance took the lease over
 	LastResponseAt time.Time // last response of the table service
 	FailingSince   time.Time // first renewal without a response after LastResponseAt; zero if none
@@ -66,7 +75,7 @@
 }
 
 // NewLease returns a lease that is not acquired yet.
-func NewLease(t chestnutstream.Table, now func() time.Time, instance, incarnation string) *Lease {
+func NewLease(t EraTable, now func() time.Time, instance, incarnation string) *Lease {
 	return &Lease{table: t, now: now, instance: instance, baseIncarnation: incarnation, incarnation: incarnation}
 }
 
@@ -74,13 +83,21 @@
 func (l *Lease) State() LeaseState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return LeaseState{ValidUntil: l.validUntil, Version: l.version, Incarnation: l.incarnation, LastResponseAt: l.lastResponseAt, FailingSince: l.failingSince, LastFailureAt: l.lastFailureAt}
+	return LeaseState{ValidUntil: l.validUntil, Version: l.version, Era: l.era, KeptUntil: l.keptUntil, Incarnation: l.incarnation, LastResponseAt: l.lastResponseAt, FailingSince: l.failingSince, LastFailureAt: l.lastFailureAt}
 }
 
 // Renew acquires or renews the lease. If another instance has taken the lease
 // over, Renew returns an error and the next call acquires it again, under a new
-// incarnation.
+// incarnation. A row that the store has lost by returning from a copy is written again.
 func (l *Lease) Renew(ctx context.Context) error {
+	err := l.renewOnce(ctx)
+	if errors.Is(err, errLeaseLost) {
+		return l.renewOnce(ctx)
+	}
+	return err
+}
+
+func (l *Lease) renewOnce(ctx context.Context) error {
 	l.mu.Lock()
 	sentAt := l.now()
 	version, renewal, incarnation := l.version, l.renewal+1, l.incarnation
@@ -104,6 +121,9 @@
 	defer l.mu.Unlock()
 	l.version, l.renewal = version, renewal
 	l.recordResponse()
+	if era := chestnutstream.VersionEra(version); era > l.era {
+		l.era, l.keptUntil, l.validUntil = era, l.validUntil, time.Time{}
+	}
 	if until := sentAt.Add(LeaseDuration - LeaseSafetyMargin); until.After(l.validUntil) {
 		l.validUntil = until
 	}
@@ -152,7 +172,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordResponse()
+	lost := l.version != 0 && chestnutstream.VersionEra(l.version) < l.table.Era()
 	switch {
+	case lost:
+		// The row is that of the copy, or absent: the next renewal replaces it.
+		l.version = row.Version
+		if ours {
+			l.renewal = w.Renewal
+		}
+		return fmt.Errorf("%w: %w", errLeaseLost, cause)
 	case ours:
 		// The row has an earlier renewal of this incarnation: the next renewal checks its version.
 		l.version, l.renewal = row.Version, w.Renewal
