engine: an acquisition without a response is looked after

An engine that ignores fencing tokens could stay without an owner, and its adapters without loads, for as long as an instance lived whose acquisition had got no response.

Cause: its row names that instance, whose lease is renewed, so nobody takes the engine over. The instance itself reads the row only while it is the preferred owner; if another one has become that in the meantime, it never learns that it owns the engine.

Evidence: TestOwnersOverRestores with lost responses found it (no owner a minute after the last fault), not only after restores; the new case "a response is lost, and another instance is preferred by then" fails on the code before ("no owner").

An instance now goes on reading the row until it has acquired the engine, or the row can no longer become its own, and then hands it over as usual.

--- a/engine/ownership.go
+++ b/engine/ownership.go
@@ -63,6 +63,8 @@
 	confirmedAt   time.Time
 	rowVersion    uint64
 	keptUntil     time.Time // the end of the ownership if its row is of an earlier era than the lease
+	unconfirmed   bool      // an acquisition got no response, so that its row may name this instance
+	attempted     uint64    // version of the row that the latest acquisition checked
 	releasing     bool
 	notBefore     time.Time // no new attempt before this
 	reportingPeer string    // the peer that last reported it as its own
@@ -355,7 +357,7 @@
 			actions = append(actions, o.yield(now, name, s)...)
 			continue
 		}
-		if now.Before(s.notBefore) || o.target(name) != o.self || o.draining {
+		if now.Before(s.notBefore) || !s.unconfirmed && o.target(name) != o.self || o.draining {
 			continue
 		}
 		if !s.settings.ChecksFencingTokens {
--- a/engine/restore_test.go
+++ b/engine/restore_test.go
@@ -329,6 +329,16 @@
 			assert.Equal(z.t, z.run(time.Second), owner)
 			return owner
 		}},
+		{"a response is lost, and another instance is preferred by then", func(z *zone) string {
+			owner := z.run(20 * time.Second)
+			z.instance(owner).cutOff.Store(true)
+			z.lost = 1
+			for z.lost > 0 {
+				z.run(50 * time.Millisecond)
+			}
+			z.instance(owner).cutOff.Store(false)
+			return "other"
+		}},
 		{"responses of the acquisition are lost", func(z *zone) string {
 			owner, c := z.run(20*time.Second), z.copyBeforeAcquisition()
 			z.lost = 1
@@ -355,7 +365,7 @@
 func TestOwnersOverRestores(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) [3]int {
-			return [3]int{rapid.IntRange(0, 5).Draw(rt, "step"), rapid.IntRange(0, 2).Draw(rt, "instance"), rapid.IntRange(0, 150).Draw(rt, "ticks")}
+			return [3]int{rapid.IntRange(0, 6).Draw(rt, "step"), rapid.IntRange(0, 2).Draw(rt, "instance"), rapid.IntRange(0, 150).Draw(rt, "ticks")}
 		}), 5, 30).Draw(rt, "steps")
 		synctest.Test(t, func(t *testing.T) {
 			z := newZone(t, 1, 3)
@@ -373,6 +383,8 @@
 				case 4:
 					i.stopped = true
 					z.start(fmt.Sprint("i", s[1]))
+				case 5:
+					z.lost = 1
 				}
 				z.run(time.Duration(s[2]) * 50 * time.Millisecond)
 			}
--- a/engine/takeover.go
+++ b/engine/takeover.go
@@ -49,6 +49,8 @@
 		return
 	}
 	s.notBefore = now.Add(o.cfg.RetryDelay)
+	var conflict *chestnutstream.ConflictError
+	s.unconfirmed = e.Err != nil && !s.settings.ChecksFencingTokens && !errors.As(e.Err, &conflict)
 	if e.Err != nil {
 		if errors.Is(e.Err, chestnutstream.ErrFenced) && s.held && s.fence == e.Fence {
 			o.loseOwnership(now, s)
@@ -132,14 +134,19 @@
 		if s.settings.ChecksFencingTokens || now.Before(s.notBefore) || o.draining {
 			continue
 		}
-		if kept := s.held && o.kept(s); !kept && (s.held || o.target(name) != o.self) {
+		row := e.Owners[name]
+		if row.Version != s.attempted {
+			s.unconfirmed = s.unconfirmed && row.Owner == o.self
+		}
+		ours := s.unconfirmed && row.Owner == o.self && row.Incarnation == o.lease.Incarnation
+		if kept := s.held && o.kept(s); !kept && (s.held || !ours && o.target(name) != o.self) {
 			continue
 		}
 		if !now.Before(o.lease.ValidUntil) || e.Era != o.lease.Era {
 			continue
 		}
 		if a, ok := o.takeover(now, name, s, e); ok {
-			s.notBefore = now.Add(o.cfg.RetryDelay)
+			s.notBefore, s.attempted = now.Add(o.cfg.RetryDelay), a.RowVersion
 			actions = append(actions, a)
 		}
 	}
