operator: revisions are not given out twice over restores

After the store had returned from a copy, changes of the configuration document were accepted and not adopted: instances that had a lost revision in force ignored the new ones until their numbers had passed it, and took a lost number that was given out again for the one that they had. A put that was based on a lost revision was told that the section had been changed, and to get it again, which returned the lost revision.

Cause: revisions go on from the head that the store has, and adoption compares nothing but them.

The head states the era in which it was written. The first change in a later era begins at the next million for each era since, above what any instance may have in force, whichever copies the store returns from. The conflict says that the store has lost the revision and names the one to base the change on.

--- a/operator/store.go
+++ b/operator/store.go
@@ -22,6 +22,10 @@
 	objectPrefix  = "configuration/"
 )
 
+// restoreRevisions is the distance of the revisions of two eras: more than are given out in the
+// time that the table service can lose by returning from a copy.
+const restoreRevisions = 1_000_000
+
 // maxHistoryChanges limits the changes kept in the history.
 const maxHistoryChanges = 1000
 
@@ -35,6 +39,9 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.Base > e.Current {
+		return fmt.Sprintf("section %s is at revision %d, this change is based on revision %d: the store has returned from a copy and has lost it: put the whole section again, based on revision %d", e.Section, e.Current, e.Base, e.Current)
+	}
 	return fmt.Sprintf("section %s was changed at revision %d, this change is based on revision %d: get it again and repeat the change", e.Section, e.Current, e.Base)
 }
 
@@ -58,6 +65,7 @@
 
 type storedHead struct {
 	Revision uint64                       `json:"revision"`
+	Era      uint64                       `json:"era,omitempty"` // of the table service, when the head was written
 	Sections map[string]storedSectionHead `json:"sections"`
 }
 
@@ -75,10 +83,16 @@
 	At       time.Time `json:"at"`
 }
 
+// Table is a table service that may return from an older copy. Each time its era rises.
+type Table interface {
+	chestnutstream.Table
+	Era() uint64 // the newest era that is known, 0 if none is
+}
+
 // Store stores the document on the platform: the head in one row of the table
 // service, the sections' contents in the object store by hash.
 type Store struct {
-	table   chestnutstream.Table
+	table   Table
 	objects chestnutstream.Objects
 	now     func() time.Time
 
@@ -88,45 +102,58 @@
 }
 
 // NewStore returns a Store for the document in t and o.
-func NewStore(t chestnutstream.Table, o chestnutstream.Objects, now func() time.Time) *Store {
+func NewStore(t Table, o chestnutstream.Objects, now func() time.Time) *Store {
 	return &Store{table: t, objects: o, now: now}
 }
 
 // Head reads the head. Its revision is 0 if there is no document.
 func (s *Store) Head(ctx context.Context) (chestnutstream.Head, error) {
-	head, _, err := s.readHead(ctx)
-	return head, err
+	current, err := s.readHead(ctx)
+	return current.head, err
+}
+
+// currentHead is the head in the table service.
+type currentHead struct {
+	head       chestnutstream.Head
+	writtenEra uint64
+	era        uint64 // of the table service
+	version    uint64 // of the row; 0: there is none
+}
+
+// nextRevision returns the revision of the next change. In each era it is above all revisions of
+// earlier ones, which the table service may have lost.
+func (c currentHead) nextRevision() uint64 {
+	if c.version != 0 && c.era > c.writtenEra {
+		return (c.head.Revision/restoreRevisions + c.era - c.writtenEra) * restoreRevisions
+	}
+	return c.head.Revision + 1
 }
 
-func (s *Store) readHead(ctx context.Context) (chestnutstream.Head, uint64, error) {
+func (s *Store) readHead(ctx context.Context) (currentHead, error) {
 	row, err := s.table.Get(ctx, headKey)
 	if err != nil {
-		return chestnutstream.Head{}, 0, fmt.Errorf("read configuration head: %w", err)
+		return currentHead{}, fmt.Errorf("read configuration head: %w", err)
 	}
 	if row.Version == 0 {
-		return chestnutstream.Head{Sections: map[string]chestnutstream.SectionHead{}}, 0, nil
+		return currentHead{head: chestnutstream.Head{Sections: map[string]chestnutstream.SectionHead{}}, era: s.table.Era()}, nil
 	}
-	head, err := decodeHead(row.Value)
-	if err != nil {
-		return chestnutstream.Head{}, 0, fmt.Errorf("read configuration head: %w", err)
+	var stored storedHead
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return currentHead{}, fmt.Errorf("read configuration head: decode: %w", err)
 	}
-	return head, row.Version, nil
+	return currentHead{decodeHead(stored), stored.Era, chestnutstream.VersionEra(row.Version), row.Version}, nil
 }
 
-func decodeHead(b []byte) (chestnutstream.Head, error) {
-	var stored storedHead
-	if err := json.Unmarshal(b, &stored); err != nil {
-		return chestnutstream.Head{}, fmt.Errorf("decode head: %w", err)
-	}
+func decodeHead(stored storedHead) chestnutstream.Head {
 	head := chestnutstream.Head{Revision: stored.Revision, Sections: map[string]chestnutstream.SectionHead{}}
 	for name, sec := range stored.Sections {
 		head.Sections[name] = chestnutstream.SectionHead{Revision: sec.Revision, Hash: sec.Hash}
 	}
-	return head, nil
+	return head
 }
 
-func encodeHead(head chestnutstream.Head) ([]byte, error) {
-	stored := storedHead{Revision: head.Revision, Sections: map[string]storedSectionHead{}}
+func encodeHead(head chestnutstream.Head, era uint64) ([]byte, error) {
+	stored := storedHead{Revision: head.Revision, Era: era, Sections: map[string]storedSectionHead{}}
 	for name, sec := range head.Sections {
 		stored.Sections[name] = storedSectionHead{Revision: sec.Revision, Hash: sec.Hash}
 	}
@@ -181,14 +208,14 @@
 	if existing.Version != 0 {
 		return decodeChange(existing.Value)
 	}
-	head, headVersion, err := s.readHead(ctx)
+	current, err := s.readHead(ctx)
 	if err != nil {
 		return Change{}, err
 	}
-	if current := head.Sections[section].Revision; current != base {
-		return Change{}, &ConflictError{Section: section, Base: base, Current: current}
+	if revision := current.head.Sections[section].Revision; revision != base {
+		return Change{}, &ConflictError{Section: section, Base: base, Current: revision}
 	}
-	next, err := s.nextHead(ctx, head, team, section, body)
+	next, err := s.nextHead(ctx, current, team, section, body)
 	if err != nil {
 		return Change{}, err
 	}
@@ -197,13 +224,14 @@
 		return Change{}, fmt.Errorf("write section content: %w", err)
 	}
 	change := Change{ID: id, Revision: next.Revision, Section: section, Team: team, Base: base, At: s.now()}
-	return change, s.commit(ctx, headVersion, next, change)
+	return change, s.commit(ctx, current, next, change)
 }
 
 // nextHead returns the head with the change applied, after checking that the
 // team may change the section and that the new document is valid. Ownership is
 // not checked if the current document is invalid.
-func (s *Store) nextHead(ctx context.Context, head chestnutstream.Head, team, section string, body []byte) (chestnutstream.Head, error) {
+func (s *Store) nextHead(ctx context.Context, current currentHead, team, section string, body []byte) (chestnutstream.Head, error) {
+	head := current.head
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sections, err := s.readContents(ctx, head)
@@ -214,7 +242,7 @@
 	if err == nil && !MayPut(currentConfig, section, team) {
 		return chestnutstream.Head{}, &NotOwnerError{Section: section, Team: team}
 	}
-	next := chestnutstream.Head{Revision: head.Revision + 1, Sections: map[string]chestnutstream.SectionHead{}}
+	next := chestnutstream.Head{Revision: current.nextRevision(), Sections: map[string]chestnutstream.SectionHead{}}
 	for name, sec := range head.Sections {
 		next.Sections[name] = sec
 	}
@@ -246,8 +274,8 @@
 
 // commit writes the head, the change and the history entry in one transaction,
 // which also deletes the change that exceeds maxHistoryChanges.
-func (s *Store) commit(ctx context.Context, headVersion uint64, next chestnutstream.Head, change Change) error {
-	headValue, err := encodeHead(next)
+func (s *Store) commit(ctx context.Context, current currentHead, next chestnutstream.Head, change Change) error {
+	headValue, err := encodeHead(next, current.era)
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
@@ -255,7 +283,7 @@
 	if err != nil {
 		return err
 	}
-	checks := []chestnutstream.Check{{Key: headKey, Version: headVersion}, {Key: changePrefix + change.ID}}
+	checks := []chestnutstream.Check{{Key: headKey, Version: current.version}, {Key: changePrefix + change.ID}}
 	writes := []chestnutstream.Write{
 		{Key: headKey, Value: headValue},
 		{Key: changePrefix + change.ID, Value: changeValue},
