edge: the test of outages of followers finds the reader

TestRemovalLongAfterOutageIsNotTakenForExpiry compared the reader's identity with a plain name, so it always took the second instance for the reader: in half of its runs it closed the follower and checked the reader, which reads for itself.

--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -217,7 +217,7 @@
 	time.Sleep(startLeasesPeriod) // until then each instance reads all tables itself
 	readers, _ := all[0].Node().zoneReaders(platform.TableServers)
 	reader, follower := all[0], all[1]
-	if readers[0] != reader.cfg.Instance {
+	if readers[0] != reader.Node().id {
 		reader, follower = follower, reader
 	}
 	server := func() *fleet.Server {
