lease: a lease at an address of all interfaces is not that of an earlier process

An instance that was upgraded in place and listens on all interfaces for the others took the lease of the release before for its own, although it may be that of another machine with the same name and address. Both would have ordered one engine. Whether an address identifies a machine is decided by InstanceIdentity alone now.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -289,7 +289,7 @@
 // by its name alone. The process whose lease states this address has ended.
 func (m *Manager) ownedByEarlierRelease(o owner) bool {
 	h := m.holders[o.name]
-	return h != nil && h.Address != "" && h.Address == m.self.Address && o.name != m.self.Name && o.name == chestnutstream.InstanceName(m.self.Name) && o.malformed == 0
+	return h != nil && h.Address != "" && o.malformed == 0 && m.self.Name == chestnutstream.InstanceIdentity(o.name, h.Address, 0)
 }
 
 // takeoverAllowed reports whether an owner's lease has ended or may be ended now.
