operator, entry: no section goes back over a restore

After the store had returned from a copy, a change of one section brought all other sections back to the copy on instances that had later ones in force, until their teams had put them again; a document of after the copy was lost for instances that started later.

Cause: adoption compares the revision of the document alone, and nobody wrote what the store had lost.

Adoption now refuses a head in which a section is of a lower revision than the one in force, and an instance that reads such a head writes the sections again, under their revisions, on top of what was put since. The first one takes effect, the others adopt it.

Evidence: TestNoSectionGoesBackOverARestore fails without the check in adoption ("1 != 2: before the sections are written again"), with revisions that start from an empty copy, and if sections put since are overwritten.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -20,11 +20,31 @@
 		n.log.WithError(err).Debug("failed to read configuration head")
 		return
 	}
+	n.rewriteLost(head)
 	if head.Revision > 0 {
 		n.adopt(operator.HeadReceived{Head: head}, "")
 	}
 }
 
+// rewriteLost writes the sections in force again that the table service has lost.
+func (n *Node) rewriteLost(head chestnutstream.Head) {
+	cfg := n.config.Load()
+	if cfg == nil || !operator.Lost(cfg.Head, head) {
+		return
+	}
+	err := n.store.Rewrite(n.ctx, cfg.Head, func(hash string) ([]byte, bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.adoption.Content(hash)
+	})
+	l := n.log.WithField("revision", head.Revision)
+	if err != nil {
+		l.WithError(err).Warn("failed to write the configuration that the store has lost again")
+		return
+	}
+	l.Info("configuration that the store had lost is written again")
+}
+
 // requestConfiguration requests the configuration from a peer, at most once per
 // fetchRetryDelay. The caller has found that the peer's revision is newer.
 func (n *Node) requestConfiguration(name string, revision uint64) {
--- a/operator/adoption.go
+++ b/operator/adoption.go
@@ -12,7 +12,8 @@
 // Invariant: the active revision only increases, and a revision becomes active
 // only as a whole: all its sections are present and the document is valid. A
 // head may come from the table service or from a peer, since it identifies its
-// contents by hash.
+// contents by hash. No section goes back either: a head of a table service that has lost
+// sections by returning from a copy is not adopted.
 type Adoption struct {
 	active           *chestnutstream.Configuration
 	target           chestnutstream.Head
@@ -67,7 +68,7 @@
 func (a *Adoption) Step(event any) AdoptionResult {
 	switch e := event.(type) {
 	case HeadReceived:
-		if e.Head.Revision > a.target.Revision {
+		if e.Head.Revision > a.target.Revision && (a.active == nil || !Lost(a.active.Head, e.Head)) {
 			a.target = e.Head
 		}
 	case ContentReceived:
--- a/operator/store.go
+++ b/operator/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -227,6 +228,64 @@
 	return change, s.commit(ctx, current, next, change)
 }
 
+// Lost reports whether sections of a head that is in force are newer than those of the head in the
+// table service, which has returned from a copy.
+func Lost(inForce, head chestnutstream.Head) bool {
+	for name, sec := range inForce.Sections {
+		if sec.Revision > head.Sections[name].Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// Rewrite writes the sections of a head that is in force again, as far as the table service has
+// lost them. content returns the content of a section by hash.
+func (s *Store) Rewrite(ctx context.Context, inForce chestnutstream.Head, content func(hash string) ([]byte, bool)) error {
+	current, err := s.readHead(ctx)
+	if err != nil || !Lost(inForce, current.head) {
+		return err
+	}
+	next := chestnutstream.Head{Revision: max(current.nextRevision(), inForce.Revision+1), Sections: maps.Clone(current.head.Sections)}
+	for name, sec := range inForce.Sections {
+		if sec.Revision <= next.Sections[name].Revision {
+			continue
+		}
+		body, ok := content(sec.Hash)
+		if !ok {
+			return fmt.Errorf("write section %s again: its content is not known any more", name)
+		}
+		if err := s.objects.PutObject(ctx, objectPrefix+sec.Hash, body); err != nil {
+			return fmt.Errorf("write section %s again: %w", name, err)
+		}
+		next.Sections[name] = sec
+	}
+	if err := s.validate(ctx, next); err != nil {
+		return fmt.Errorf("write lost sections again: %w", err)
+	}
+	value, err := encodeHead(next, current.era)
+	if err != nil {
+		return fmt.Errorf("encode head: %w", err)
+	}
+	checks := []chestnutstream.Check{{Key: headKey, Version: current.version}}
+	if _, err := s.table.Transact(ctx, checks, []chestnutstream.Write{{Key: headKey, Value: value}}); err != nil {
+		return fmt.Errorf("write lost sections again: %w", err)
+	}
+	return nil
+}
+
+// validate fails if the document of a head is invalid.
+func (s *Store) validate(ctx context.Context, head chestnutstream.Head) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sections, err := s.readContents(ctx, head)
+	if err != nil {
+		return err
+	}
+	_, err = s.assembler.Assemble(head, sections)
+	return err
+}
+
 // nextHead returns the head with the change applied, after checking that the
 // team may change the section and that the new document is valid. Ownership is
 // not checked if the current document is invalid.
