--- a/standin/platform.go
+++ b/standin/platform.go
@@ -125,6 +125,9 @@
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.router.ServeHTTP(w, r) }
 
+// Store returns the table service and object store.
+func (p *Platform) Store() *Store { return p.store }
+
 // Counts returns a copy of the counters.
 func (p *Platform) Counts() PlatformCounts {
 	p.mu.Lock()
