--- a/edge/node.go
+++ b/edge/node.go
@@ -32,8 +32,8 @@
 // or within a few hundred when it is slow.
 const storeTimeout = 1500 * time.Millisecond
 
-// emptyTableWait is the time in which an instance that reaches the store learns that it has
-// returned from a copy: a call that gets no response, a retry, and the next read.
+// emptyTableWait is the time in which an instance that reaches the store usually learns that
+// it has returned from a copy. It has two calls that get no response in it.
 const emptyTableWait = 2 * storeTimeout
 
 // Node holds the state of one instance and makes its decisions.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -303,7 +303,8 @@
 	return back
 }
 
-// recordStoreResponse records that the store responded to a read.
+// recordStoreResponse records that the store responded to a read of a table, or to a write of
+// the own lease.
 func (n *Node) recordStoreResponse(table string) {
 	n.mu.Lock()
 	old := n.storeState
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -147,17 +147,6 @@
 	return lost
 }
 
-// checkEraRow applies the present era's row of a conflict; none: it was removed.
-func (m *Manager) checkEraRow(boot time.Duration, rows []chestnutstream.TableRow) {
-	m.era.rowVersion = 0
-	for _, r := range rows {
-		if r.Key == eraKey(m.era.number) && r.Version != 0 {
-			_ = m.applyEraRow(r) // a malformed row counts by its version
-		}
-	}
-	m.era.noteAt = boot
-}
-
 // dropOwnLease ends the own lease: another instance may own everything now. The
 // incarnation changes, so that earlier rows count as those of an earlier process. It reports
 // whether there was a lease; without one in the present era, what is kept of the era before
--- a/lease/era.go
+++ b/lease/era.go
@@ -18,6 +18,8 @@
 
 func eraKey(era uint64) string { return fmt.Sprintf("%s%d", eraPrefix, era) }
 
+// wireEra is the row that notes an era: the time (t), and whether its writer took the system
+// for a new one by its settings (b, bootstrap) or by the empty table (m).
 type wireEra struct {
 	NotedMS int64 `json:"t"`           // on the store's clock
 	Initial bool  `json:"b,omitempty"` // no lease or owner was written before
@@ -205,6 +207,17 @@
 	return m.applyRows(boot, rows)
 }
 
+// checkEraRow applies the present era's row of a conflict; none: it was removed.
+func (m *Manager) checkEraRow(boot time.Duration, rows []chestnutstream.TableRow) {
+	m.era.rowVersion = 0
+	for _, r := range rows {
+		if r.Key == eraKey(m.era.number) && r.Version != 0 {
+			_ = m.applyEraRow(r) // the snapshot that had a malformed row has reported it; here its version counts
+		}
+	}
+	m.era.noteAt = boot
+}
+
 // applyEraRow handles the row of an era. Whoever wrote the row of the present era has
 // decided whether earlier leases must be waited for; a process that has itself seen an
 // earlier era knows that.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,8 +7,9 @@
 // # Usage
 //
 //	m := lease.NewManager(self, lease.DefaultSettings(handover))
-//	for _, a := range m.Step(boot, servers) { ... } // a renewal or an acquisition
-//	m.Renewed(boot, sent, version)
+//	for _, a := range m.Step(boot, servers) { ... } // send a.Transaction
+//	m.Renewed(boot, sent, a, version) // by a.Kind: also Acquired, EraNoted
+//	m.RecordOrderCount("i-7f3a91c2", report.OrderCount)
 //	token, until, ok := m.FencingToken(boot, "i-7f3a91c2")
 //
 // # Invariants
