--- a/edge/leaving.go
+++ b/edge/leaving.go
@@ -17,7 +17,7 @@
 )
 
 // broadcastLeaving sends all instances the servers that leave, as this one has just read:
-// their own reads and their readers' updates may come an interval later. Those that are told
+// their own reads and their readers' updates may come an interval later. Those that are informed
 // do not pass it on, and have no news in what they read then. Callers hold mu.
 func (n *Node) broadcastLeaving(changes []fleet.Change) {
 	var notices []instance.ServerNotice
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// An instance that links later is told which servers drain, however that was learned.
+// An instance that links later is sent the servers that drain, however that was learned.
 func TestDrainingServersAreSentOnNewLinks(t *testing.T) {
 	n := idleNode(t, "a")
 	n.applyServerRows([]chestnutstream.TableRow{serverRow("i-1", "ready", 0, 1), serverRow("i-2", "ready", 0, 2), serverRow("i-1", "draining", 0, 3)}, false, 0)
@@ -70,7 +70,7 @@
 	assert.DeepEqual(t, notices, []instance.ServerNotice{{Server: "i-1", Born: 1, Leaving: true}})
 }
 
-// A reader that was told of a leaving before it read of it kept the entry from its followers.
+// A reader that learned of a leaving before it read the entry kept the entry from its followers.
 func TestLeavingLearnedBeforeItsEntryIsSentToFollowers(t *testing.T) {
 	n := idleNode(t, "a")
 	send := func(rows ...chestnutstream.TableRow) []chestnutstream.TableRow {
--- a/edge/serverrows.go
+++ b/edge/serverrows.go
@@ -23,7 +23,7 @@
 }
 
 // applyServerRows applies rows of the servers table that this instance has read: a
-// snapshot as of version, or changes. The other instances are told which servers leave.
+// snapshot as of version, or changes. The servers that leave are sent to the other instances.
 func (n *Node) applyServerRows(rows []chestnutstream.TableRow, snapshot bool, version uint64) {
 	n.mu.Lock()
 	changes := n.updateServers(rows, func(now time.Time, entries []fleet.Entry) []fleet.Change {
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -197,7 +197,7 @@
 		name      string
 		bootstrap bool
 		instances int  // Settings.BaseInstances
-		restored  bool // the process has heard of the restore before its first read
+		restored  bool // the process has learned of the restore before its first read
 		rows      []chestnutstream.TableRow
 		want      time.Duration // from the first read
 	}{
--- a/lease/restore_sim_test.go
+++ b/lease/restore_sim_test.go
@@ -14,11 +14,11 @@
 // arrive late.
 type restoreSimulation struct {
 	*simulation
-	copies    []storeCopy
-	responses []lateResponse
-	reads     []lateRead
-	orderedAt map[string]time.Duration
-	deaf      map[int]bool // contenders that do not read the table
+	copies     []storeCopy
+	responses  []lateResponse
+	reads      []lateRead
+	orderedAt  map[string]time.Duration
+	notReading map[int]bool // contenders that do not read the table
 }
 
 type storeCopy struct {
@@ -42,7 +42,7 @@
 // newRestoreSimulation returns a simulation in which all servers are owned. Its first copy
 // is of the empty store.
 func newRestoreSimulation(contenders, servers int, m mutant) *restoreSimulation {
-	sim := &restoreSimulation{simulation: newSimulation(contenders, servers, m), orderedAt: map[string]time.Duration{}, deaf: map[int]bool{}}
+	sim := &restoreSimulation{simulation: newSimulation(contenders, servers, m), orderedAt: map[string]time.Duration{}, notReading: map[int]bool{}}
 	sim.version = chestnutstream.RowVersion(1, 0)
 	sim.copy()
 	for _, m := range sim.managers {
@@ -147,7 +147,7 @@
 func (sim *restoreSimulation) play(d time.Duration) {
 	for end := sim.now + d; sim.now < end && sim.violation == ""; sim.now += 100 * time.Millisecond {
 		for i := range sim.managers {
-			if !sim.deaf[i] && sim.now/(100*time.Millisecond)%10 == time.Duration(i) {
+			if !sim.notReading[i] && sim.now/(100*time.Millisecond)%10 == time.Duration(i) {
 				sim.read(i)
 			}
 			sim.step(i)
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -33,30 +33,30 @@
 			sim.copy()
 			sim.join("late")
 			sim.play(2 * time.Second)
-			sim.deaf[sim.holder("late")] = true
+			sim.notReading[sim.holder("late")] = true
 			sim.restore(1)
 			sim.play(4 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, true},
 		{"a server joined after the copy, and its holder does not read", func(sim *restoreSimulation) {
 			sim.copy()
 			sim.join("late")
 			sim.play(2 * time.Second)
 			holder := sim.holder("late")
-			sim.deaf[holder] = true
+			sim.notReading[holder] = true
 			sim.restore(1)
 			sim.play(30 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, false},
 		{"the store has lost the holder's lease", func(sim *restoreSimulation) {
 			sim.restart(0)
 			delete(sim.rows, instanceKey("a"))
 			sim.copy()
 			sim.play(2 * time.Second)
-			sim.deaf[0] = true
+			sim.notReading[0] = true
 			sim.restore(1)
 			sim.play(4 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, false},
 		{"the copy names an earlier holder that was paused", func(sim *restoreSimulation) {
 			first := sim.holder("s0")
@@ -74,10 +74,10 @@
 			sim.copy()
 			sim.play(4 * time.Second)
 			sim.restore(1)
-			sim.deaf[sim.holder("s0")] = true
+			sim.notReading[sim.holder("s0")] = true
 			sim.restart(first)
 			sim.play(4 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, false},
 		{"responses to calls of the era before arrive late", func(sim *restoreSimulation) {
 			sim.copy()
@@ -140,12 +140,12 @@
 			sim.join("late")
 			sim.play(2 * time.Second)
 			holder := sim.holder("late")
-			sim.deaf[holder] = true
+			sim.notReading[holder] = true
 			sim.restore(1)
 			sim.restart((holder + 1) % 3)
 			sim.restart((holder + 2) % 3)
 			sim.play(6 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, false},
 		{"the holder is cut off throughout", func(sim *restoreSimulation) {
 			sim.copy()
@@ -161,10 +161,10 @@
 			sim.copy()
 			sim.restore(1)
 			for i := range sim.managers {
-				sim.deaf[i] = true
+				sim.notReading[i] = true
 			}
 			sim.play(15 * time.Second)
-			clear(sim.deaf)
+			clear(sim.notReading)
 		}, false},
 		{"two restores in short order", func(sim *restoreSimulation) {
 			sim.copy()
