instance: the version of a configuration and that of its row by name

ConfigVersion was the version of the row beside ConfigDocument, that of the configuration. No behaviour changes, nor do the messages' keys; tests of instance and of configurations in edge pass.

--- a/edge/era.go
+++ b/edge/era.go
@@ -88,7 +88,7 @@
 // newestEra returns the newest era of the versions in a message. Instances of earlier builds
 // send none.
 func newestEra(b instance.Bundle) uint64 {
-	newest := b.ConfigVersion
+	newest := b.ConfigRowVersion
 	for _, u := range b.TableUpdates {
 		newest = max(newest, u.To)
 	}
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -38,7 +38,7 @@
 		{"update of an earlier build", instance.Bundle{TableUpdates: []instance.TableUpdate{serversUpdate(0, 500, 900)}}, 1},
 		{"software versions", instance.Bundle{SoftwareRows: []chestnutstream.TableRow{row}}, 2},
 		{"removed server", instance.Bundle{RemovedServers: []instance.RemovedServer{{Server: "k", RowVersion: row.Version}}}, 2},
-		{"configuration", instance.Bundle{ConfigVersion: row.Version}, 2},
+		{"configuration", instance.Bundle{ConfigRowVersion: row.Version}, 2},
 		{"none", instance.Bundle{}, 1},
 	}
 	for _, tt := range tests {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -17,7 +17,7 @@
 func (n *Node) Connected(to instance.Member) instance.Bundle {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	b := instance.Bundle{HasOwned: true, ConfigRequested: n.routes.Load() == nil, ConfigDocument: n.configVersion(), Versions: n.lostVersions()}
+	b := instance.Bundle{HasOwned: true, ConfigRequested: n.routes.Load() == nil, ConfigVersion: n.configVersion(), Versions: n.lostVersions()}
 	for id := range n.loaders {
 		b.Owned = append(b.Owned, id)
 	}
@@ -133,7 +133,7 @@
 	}
 	n.handleOrigins(from.Name, b)
 	verdicts := n.handleEvidence(from.Name, b)
-	sendRows := n.rows.config != nil && (b.ConfigRequested || (b.ConfigDocument > 0 && b.ConfigDocument < n.configVersion()))
+	sendRows := n.rows.config != nil && (b.ConfigRequested || (b.ConfigVersion > 0 && b.ConfigVersion < n.configVersion()))
 	var cached instance.Bundle
 	if sendRows {
 		cached = n.rows.bundle()
@@ -148,10 +148,10 @@
 	}
 	if sendRows {
 		n.mesh.Send(from.Name, func(out *instance.Bundle) {
-			out.Config, out.ConfigVersion, out.Servers, out.Versions = cached.Config, cached.ConfigVersion, cached.Servers, cached.Versions
+			out.Config, out.ConfigRowVersion, out.Servers, out.Versions = cached.Config, cached.ConfigRowVersion, cached.Servers, cached.Versions
 		})
 	}
-	if own := n.configVersion(); own > 0 && own < b.ConfigDocument {
+	if own := n.configVersion(); own > 0 && own < b.ConfigVersion {
 		n.mesh.Send(from.Name, func(out *instance.Bundle) { out.ConfigRequested = true })
 	}
 	if b.Config != nil || len(b.Versions) > 0 {
@@ -164,7 +164,7 @@
 
 // bundle returns the rows as a message to an instance that cannot read the store.
 func (r *cachedRows) bundle() instance.Bundle {
-	b := instance.Bundle{Config: r.config, ConfigVersion: r.configRowVersion}
+	b := instance.Bundle{Config: r.config, ConfigRowVersion: r.configRowVersion}
 	for _, s := range r.servers {
 		b.Servers = append(b.Servers, s)
 	}
@@ -193,7 +193,7 @@
 		n.logServerChanges(changes, from, view)
 		n.log.WithFields(log.Fields{"peer": from, "servers": len(b.Servers)}).Info("servers taken from a peer")
 	}
-	n.adoptConfig(b.Config, b.ConfigVersion, from)
+	n.adoptConfig(b.Config, b.ConfigRowVersion, from)
 }
 
 // configVersion returns the version of the configuration in force, 0 if there is none.
--- a/edge/problems_test.go
+++ b/edge/problems_test.go
@@ -336,7 +336,7 @@
 	row := chestnutstream.TableRow{Table: platform.TableServers, Key: "i-1", Value: []byte(`{"service":"s","state":"ready","address":"10.0.0.1:80"}`), Version: 7}
 	n, _, _ := loggedNode(t)
 	n.applyServerRows(nil, true, 9)
-	n.Received(instance.Member{Name: "b", Zone: "z"}, instance.Bundle{Config: []byte(`{"version":3}`), ConfigVersion: 2, Servers: []chestnutstream.TableRow{row}})
+	n.Received(instance.Member{Name: "b", Zone: "z"}, instance.Bundle{Config: []byte(`{"version":3}`), ConfigRowVersion: 2, Servers: []chestnutstream.TableRow{row}})
 	assert.Assert(t, n.Routes() != nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -24,7 +24,7 @@
 	Usage            []wireAdapterCounts   `cbor:"10,keyasint,omitempty"`
 	ConfigRequested  bool                  `cbor:"11,keyasint,omitempty"`
 	Config           []byte                `cbor:"12,keyasint,omitempty"`
-	ConfigVersion    uint64                `cbor:"13,keyasint,omitempty"`
+	ConfigRowVersion uint64                `cbor:"13,keyasint,omitempty"`
 	Servers          []wireTableRow        `cbor:"14,keyasint,omitempty"`
 	Versions         []wireTableRow        `cbor:"15,keyasint,omitempty"`
 	TableUpdates     []wireTableUpdate     `cbor:"16,keyasint,omitempty"`
@@ -51,7 +51,7 @@
 	CutOff           []string              `cbor:"33,keyasint,omitempty"`
 	RemovedServers   []wireRemovedServer   `cbor:"45,keyasint,omitempty"`
 	UpdateAgesMS     []uint64              `cbor:"38,keyasint,omitempty"` // of TableUpdates: since the store was read
-	ConfigDocument   uint64                `cbor:"39,keyasint,omitempty"`
+	ConfigVersion    uint64                `cbor:"39,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -242,7 +242,7 @@
 	w := wireBundle{
 		Name: b.From.Name, Address: b.From.Address, Zone: b.From.Zone, Incarnation: b.Incarnation,
 		HasOwned: b.HasOwned, Owned: b.Owned, Draining: b.Draining, ConfigRequested: b.ConfigRequested,
-		Config: b.Config, ConfigVersion: b.ConfigVersion, ConfigDocument: b.ConfigDocument, PacedServices: b.PacedServices,
+		Config: b.Config, ConfigRowVersion: b.ConfigRowVersion, ConfigVersion: b.ConfigVersion, PacedServices: b.PacedServices,
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
 		HasCutOff: b.HasCutOff, CutOff: b.CutOff, Rejections: b.Rejections,
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
@@ -333,7 +333,7 @@
 	b := Bundle{
 		From: Member{Name: w.Name, Address: w.Address, Zone: w.Zone}, Incarnation: w.Incarnation,
 		HasOwned: w.HasOwned, Owned: w.Owned, Draining: w.Draining, ConfigRequested: w.ConfigRequested,
-		Config: w.Config, ConfigVersion: w.ConfigVersion, ConfigDocument: w.ConfigDocument, PacedServices: w.PacedServices,
+		Config: w.Config, ConfigRowVersion: w.ConfigRowVersion, ConfigVersion: w.ConfigVersion, PacedServices: w.PacedServices,
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
 		HasCutOff: w.HasCutOff, CutOff: w.CutOff, Rejections: w.Rejections,
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -51,8 +51,8 @@
 	Usage            []Usage
 	ConfigRequested  bool // the sender has no configuration and cannot read it from the store, or an older one than the receiver
 	Config           []byte
-	ConfigVersion    uint64 // of the row of Config
-	ConfigDocument   uint64 // version of the configuration that the sender has in force, set in the first frame; 0: it has none
+	ConfigRowVersion uint64 // of the row of Config
+	ConfigVersion    uint64 // version of the configuration that the sender has in force, set in the first frame; 0: it has none
 	Servers          []chestnutstream.TableRow
 	Versions         []chestnutstream.TableRow // rows that declare adapter versions
 	EngineLoads      []EngineLoad              // loads of engines that the sender owns
@@ -257,7 +257,7 @@
 }
 
 func (b *Bundle) empty() bool {
-	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && b.ConfigDocument == 0 && len(b.Versions) == 0 && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
+	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && b.ConfigVersion == 0 && len(b.Versions) == 0 && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RemovedServers) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
 		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
