soak: a server that crashed after it had left starts anew

A request that crashes servers had ended it in between; it started again under its ID and was ready, as its entry said (gone and new at 13:50:43, 10 s before the return). The check now counts only if the server is still the one that left.

--- a/soak/restore.go
+++ b/soak/restore.go
@@ -38,12 +38,12 @@
 		timer.Sleep(ctx, restartTime+engineJoinTime)
 		r.endFault()
 	}
-	leaves := rng.IntN(2) == 0
+	server, leaves := old.Current(), rng.IntN(2) == 0
 	if leaves {
 		r.retire(old, (*standin.Backend).Drain)
 	}
 	timer.Sleep(ctx, randomDuration(rng, minCopyAge, maxCopyAge))
-	server, known := old.Current(), leaves && r.faultFree()
+	known := leaves && r.faultFree() && old.Current() == server // one that has crashed since starts anew, and is ready
 	arrivals := server.Counts().Arrivals
 	r.beginFault()
 	begun := r.faultsBegun()
