--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/permit"
+	"github.com/chestnutstream/chestnutstream/platform"
 )
 
 // Brittle servers crash when they have to reject too many requests in a second, and their
@@ -69,6 +72,8 @@
 		n.slotGrants[p.Server]++
 		if n.permitWaiters[p.ID] != nil {
 			n.unusedGrants[p.Server]++
+		} else {
+			n.metrics.GetOrCreateCounter(`chestnutstream_slot_grants_late_total`).Inc()
 		}
 	}
 	n.handlePermitResponse(p)
@@ -110,7 +115,7 @@
 
 // recordRejection records that a server rejected a request of this instance for want of
 // room, and tells all others if the server is brittle. Callers hold mu.
-func (n *Node) recordRejection(server string) {
+func (n *Node) recordRejection(server string, load *platform.ServerLoad) {
 	s := n.fleet.Server(server)
 	if s == nil {
 		return
@@ -118,10 +123,22 @@
 	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle {
 		return
 	}
+	n.logRejection(s, load)
 	n.handleRejection(server)
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Rejections = append(b.Rejections, server) })
 }
 
+// logRejection logs a rejection with what the server states of its load, if it does, and what
+// this instance counts there.
+func (n *Node) logRejection(s *fleet.Server, load *platform.ServerLoad) {
+	fields := log.Fields{"server": s.ID, "held": s.InFlight, "issuer": n.permits.IssuerOf(n.now(), s.ID, n.permitView())}
+	if load != nil {
+		fields["running"], fields["waiting"], fields["slots"] = load.Running, load.Waiting, load.Slots
+	}
+	n.log.WithFields(fields).Warn("brittle server rejected a request")
+	n.metrics.GetOrCreateCounter(`chestnutstream_brittle_rejections_total`).Inc()
+}
+
 // handleRejection handles the rejection of any instance's request by a brittle server.
 // Callers hold mu.
 func (n *Node) handleRejection(server string) {
--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,46 +26,68 @@
 	return p
 }
 
-// offerLoad sends requests at a constant rate, to one instance after another, and counts
-// the responses by status until ctx ends.
-func offerLoad(ctx context.Context, instances []*testInstance, path, target string, perSecond int) map[int]int {
+// offeredLoad is a constant rate of requests, sent to one instance after another.
+type offeredLoad struct {
+	path       string
+	targets    []string // models, one request after another; empty: none
+	perSecond  int
+	leaveAfter time.Duration // after which callers close their connections; 0: they wait
+	leaveEvery int           // every n-th caller does so
+}
+
+// offerLoad sends requests at a constant rate, and counts the responses by status until ctx
+// ends. Callers that have left count as status 0.
+func offerLoad(ctx context.Context, instances []*testInstance, load offeredLoad) map[int]int {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	statuses := map[int]int{}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}, Timeout: 3 * time.Second}
-	var n atomic.Int64
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		<-ticker.C
+	defer client.CloseIdleConnections()
+	start := time.Now()
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(load.perSecond))))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			in := instances[int(n.Add(1))%len(instances)]
-			req, _ := http.NewRequest(http.MethodPost, "http://"+in.cfg.CallerAddress+path, nil)
-			req.Host = "h.example"
-			if target != "" {
-				req.Header.Set("X-Chestnutstream-Model", target)
-			}
-			req.Header.Set("X-Chestnutstream-Request-Id", newRequestID())
-			req.Header.Set("X-Chestnutstream-Deadline-Ms", "2000")
-			status := 0
-			if resp, err := client.Do(req); err == nil {
-				status = resp.StatusCode
-				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-					status = 0
-				}
-				_ = resp.Body.Close()
-			}
+			status := load.send(client, instances[i%len(instances)], i)
 			mu.Lock()
+			defer mu.Unlock()
 			statuses[status]++
-			mu.Unlock()
 		}()
 	}
 	wg.Wait()
 	return statuses
 }
 
+// send sends the i-th request to an instance and returns the status of a complete response.
+func (l offeredLoad) send(client *http.Client, in *testInstance, i int) int {
+	ctx := context.Background()
+	if l.leaveAfter > 0 && i%l.leaveEvery == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, l.leaveAfter)
+		defer cancel()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.cfg.CallerAddress+l.path, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "h.example"
+	if len(l.targets) > 0 {
+		req.Header.Set("X-Chestnutstream-Model", l.targets[i%len(l.targets)])
+	}
+	req.Header.Set("X-Chestnutstream-Request-Id", newRequestID())
+	req.Header.Set("X-Chestnutstream-Deadline-Ms", "2000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
 func TestBrittleServersStayUpUnderOverload(t *testing.T) {
 	const (
 		maxRejections  = 10
@@ -75,16 +96,16 @@
 		allowedCrashes = 2 // + a tenth of the servers
 	)
 	tests := []struct {
-		name         string
-		server       standin.BackendSettings
-		servers      int
-		capacity     int // requests a second of one server
-		path, target string
+		name     string
+		server   standin.BackendSettings
+		servers  int
+		capacity int // requests a second of one server
+		load     offeredLoad
 	}{
-		{"plain", standin.BackendSettings{Service: "desk", Slots: 6, ServiceTime: 75 * time.Millisecond}, 3, 80, "/look/1", ""},
+		{"plain", standin.BackendSettings{Service: "desk", Slots: 6, ServiceTime: 75 * time.Millisecond}, 3, 80, offeredLoad{path: "/look/1"}},
 		{"engines", standin.BackendSettings{
 			Service: "assistant", Slots: 8, AdapterSlots: 4, Model: "m", ServiceTime: 40 * time.Millisecond, Events: 5, LoadTime: 50 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
-		}, 3, 40, "/once/1", "m/a1"},
+		}, 3, 40, offeredLoad{path: "/once/1", targets: []string{"m/a1"}}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -100,7 +121,7 @@
 			}
 			all := s.instances(5)
 			s.awaitOwners(0, all...)
-			if tt.target != "" {
+			if len(tt.load.targets) > 0 {
 				s.awaitOwners(tt.servers, all...)
 			}
 			for _, p := range processes {
@@ -108,11 +129,13 @@
 			}
 			perSecond := tt.servers * tt.capacity
 			warmUp, cancel := context.WithTimeout(context.Background(), learnTime)
-			offerLoad(warmUp, all, tt.path, tt.target, perSecond/4)
+			tt.load.perSecond = perSecond / 4
+			offerLoad(warmUp, all, tt.load)
 			cancel()
 			ctx, cancel := context.WithTimeout(context.Background(), loadTime)
 			defer cancel()
-			statuses := offerLoad(ctx, all, tt.path, tt.target, 7*perSecond/4)
+			tt.load.perSecond = 7 * perSecond / 4
+			statuses := offerLoad(ctx, all, tt.load)
 			crashes := 0
 			for _, p := range processes {
 				crashes += len(p.Crashes())
--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -20,7 +20,7 @@
 	now := n.now()
 	changes := n.recordBackpressure(now, now.Add(-r.Took), a.Server, r.Backpressure)
 	if r.NoRoom {
-		n.recordRejection(a.Server.ID)
+		n.recordRejection(a.Server.ID, r.Load)
 	}
 	n.recordResponse(now, a, target, r)
 	n.mu.Unlock()
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -71,10 +71,14 @@
 	ch := make(chan instance.PermitResponse, 1)
 	n.permitWaiters[id] = ch
 	defer delete(n.permitWaiters, id)
+	start := n.now()
 	if !n.mesh.Send(issuer, func(b *instance.Bundle) { add(b, id) }) {
 		return p, false
 	}
-	return n.awaitPermit(ctx, ch)
+	if p, responded = n.awaitPermit(ctx, ch); responded {
+		n.metrics.GetOrCreateHistogram(`chestnutstream_permit_response_seconds`).Update(n.now().Sub(start).Seconds())
+	}
+	return p, responded
 }
 
 // awaitPermit waits for an issuer's response, for permitTimeout at most. Callers hold mu,
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -49,6 +50,9 @@
 	mu       sync.Mutex
 	isolated map[string]bool // by peer address
 	conns    []peerLink
+	delay    time.Duration // of what is sent on each every-th new link; 0: none
+	every    int
+	dialled  int
 }
 
 type peerLink struct {
@@ -85,10 +89,59 @@
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.EHOSTUNREACH}
 		}
 		l.conns = append(l.conns, peerLink{*from, address, conn})
+		if l.dialled++; l.delay > 0 && l.dialled%l.every == 0 {
+			return newDelayedConn(conn, l.delay), nil
+		}
 		return conn, nil
 	}
 }
 
+// delayedConn is a connection on which everything that is written arrives late.
+type delayedConn struct {
+	net.Conn
+	delay time.Duration
+	out   chan delayedWrite
+	end   chan struct{}
+	once  sync.Once
+}
+
+type delayedWrite struct {
+	at time.Time
+	b  []byte
+}
+
+func newDelayedConn(conn net.Conn, delay time.Duration) *delayedConn {
+	c := &delayedConn{Conn: conn, delay: delay, out: make(chan delayedWrite, 4096), end: make(chan struct{})}
+	go func() {
+		for {
+			select {
+			case w := <-c.out:
+				time.Sleep(time.Until(w.at))
+				if _, err := conn.Write(w.b); err != nil {
+					return
+				}
+			case <-c.end:
+				return
+			}
+		}
+	}()
+	return c
+}
+
+func (c *delayedConn) Write(b []byte) (int, error) {
+	select {
+	case c.out <- delayedWrite{time.Now().Add(c.delay), slices.Clone(b)}:
+		return len(b), nil
+	case <-c.end:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *delayedConn) Close() error {
+	c.once.Do(func() { close(c.end) })
+	return c.Conn.Close()
+}
+
 // storeGate is a proxy of the store that can make it unavailable.
 type storeGate struct {
 	mu          sync.Mutex
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,7 @@
 	Address       string
 	Software      string // version of its software, named in the events of its streams; empty: "v1", not named
 	Slots         int
+	Queue         int           // requests that wait for a slot; further ones are rejected
 	AdapterSlots  int           // 0 for a plain service
 	WeightsMB     float64       // that an engine holds
 	ModelMB       float64       // size of a base model
@@ -43,6 +45,7 @@
 // BackendCounts holds what a Backend observed.
 type BackendCounts struct {
 	Arrivals                  int            // requests received, including refused ones
+	Rejections                int            // of them, those rejected for want of room
 	Runs                      map[string]int // executions by request id
 	WrongRuns                 int            // executions for an adapter that is not loaded
 	Holders                   []string       // instances that sent orders, in sequence, without immediate repeats
@@ -101,6 +104,8 @@
 	unloadingModel  bool   // the base model's unload waits for requests in progress
 	unloading       string // adapter whose unload waits for requests in progress; empty for none
 	running         int
+	waiting         int           // requests in the queue
+	freed           chan struct{} // closed and replaced when a request ends
 	served          int
 	streams         int
 	admitted        int // requests that could run, including those that a fault rejects
@@ -112,7 +117,7 @@
 // NewBackend returns a backend server. Heartbeat registers it in store.
 func NewBackend(cfg BackendSettings, store *Store) *Backend {
 	b := &Backend{
-		cfg: cfg, store: store, startedMS: time.Now().UnixMilli(), state: "ready", model: cfg.Model,
+		cfg: cfg, store: store, startedMS: time.Now().UnixMilli(), state: "ready", model: cfg.Model, freed: make(chan struct{}),
 		adapters: map[string]*backendAdapter{}, loadedBefore: map[string]bool{}, rejectedIDs: map[string]bool{}, counts: BackendCounts{Runs: map[string]int{}},
 	}
 	r := mux.NewRouter().SkipClean(true)
@@ -286,7 +291,7 @@
 
 // admit decides whether a request is executed. status is 0 if it is admitted and
 // the response status otherwise; fail reports that it is to end with status 500.
-func (b *Backend) admit(r *http.Request) (adapter *backendAdapter, status int, fail bool) {
+func (b *Backend) admit(ctx context.Context, r *http.Request) (adapter *backendAdapter, status int, fail bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Arrivals++
@@ -322,8 +327,7 @@
 		}
 		adapter = a
 	}
-	if b.running >= b.cfg.Slots {
-		b.rejected()
+	if b.running+b.waiting >= b.cfg.Slots && !b.awaitSlot(ctx) {
 		return nil, http.StatusServiceUnavailable, false
 	}
 	b.admitted++
@@ -346,9 +350,31 @@
 	return adapter, 0, b.faults.FailEvery > 0 && b.served%b.faults.FailEvery == 0
 }
 
+// awaitSlot waits in the queue until a slot is free. It reports false if the queue is full or
+// ctx ends. Callers hold mu, which is released meanwhile.
+func (b *Backend) awaitSlot(ctx context.Context) bool {
+	if b.waiting >= b.cfg.Queue {
+		b.rejected()
+		return false
+	}
+	b.waiting++
+	defer func() { b.waiting-- }()
+	for b.running >= b.cfg.Slots && ctx.Err() == nil {
+		freed := b.freed
+		b.mu.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+		}
+		b.mu.Lock()
+	}
+	return ctx.Err() == nil
+}
+
 // rejected counts a rejection for want of room. Callers hold mu.
 func (b *Backend) rejected() {
 	now := time.Now()
+	b.counts.Rejections++
 	b.rejections = append(slices.DeleteFunc(b.rejections, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
 	if n := b.faults.Brittle; n > 0 && len(b.rejections) > n && b.crash != nil {
 		go b.crash()
@@ -356,11 +382,14 @@
 }
 
 func (b *Backend) request(w http.ResponseWriter, r *http.Request) {
-	adapter, status, fail := b.admit(r)
+	ctx, cancel := b.runContext(r)
+	defer cancel()
+	adapter, status, fail := b.admit(ctx, r)
 	h := w.Header()
 	h.Set("X-Chestnutstream-Instance-Id", b.cfg.ID)
 	b.mu.Lock()
-	f, running := b.faults, b.running
+	f := b.faults
+	h.Set("X-Chestnutstream-Server-Load", fmt.Sprintf("%d,%d,%d", b.running, b.waiting, b.cfg.Slots))
 	b.mu.Unlock()
 	f.setHeaders(h)
 	if status != 0 {
@@ -370,6 +399,8 @@
 	defer func() {
 		b.mu.Lock()
 		b.running--
+		close(b.freed)
+		b.freed = make(chan struct{})
 		b.finishModelUnload()
 		if adapter != nil {
 			adapter.activeRequests--
@@ -379,32 +410,35 @@
 	}()
 	b.repeatRejection(r, f.RepeatRejections)
 	h.Set("X-Chestnutstream-Server-Signature", b.cfg.ID+"."+r.Header.Get("X-Chestnutstream-Request-Id"))
-	h.Set("X-Chestnutstream-Server-Load", fmt.Sprintf("%d,0,%d", running, b.cfg.Slots))
 	if adapter != nil {
 		h.Set("X-Chestnutstream-Weight-Versions", strconv.Itoa(adapter.version))
 	}
 	if f.Hang {
-		<-r.Context().Done()
+		<-ctx.Done()
 		return
 	}
 	if status := b.failure(f, fail); status != 0 {
 		if status == http.StatusMisdirectedRequest {
 			h.Del("X-Chestnutstream-Server-Signature")
 		}
-		timer.Sleep(r.Context(), b.cfg.ServiceTime)
+		timer.Sleep(ctx, b.cfg.ServiceTime)
 		w.WriteHeader(status)
 		return
 	}
 	if b.cfg.AdapterSlots == 0 {
-		timer.Sleep(r.Context(), b.cfg.ServiceTime)
+		timer.Sleep(ctx, b.cfg.ServiceTime)
 		if b.crash != nil && f.crashesOn(r) {
 			b.crash()
 			panic(http.ErrAbortHandler)
 		}
+		if ctx.Err() != nil {
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s %s by %s", r.Method, r.RequestURI, b.cfg.ID)
 		return
 	}
-	b.stream(w, r, f)
+	b.stream(ctx, w, r, f)
 }
 
 // event returns an event of a stream.
@@ -417,7 +451,7 @@
 }
 
 // stream writes the events of a response, starting after Last-Event-Id.
-func (b *Backend) stream(w http.ResponseWriter, r *http.Request, f BackendFaults) {
+func (b *Backend) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, f BackendFaults) {
 	from := 0
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		from = last + 1
@@ -438,14 +472,14 @@
 		if f.BreakAfter > 0 && i-from == f.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		timer.Sleep(r.Context(), b.cfg.ServiceTime)
-		if r.Context().Err() != nil {
+		timer.Sleep(ctx, b.cfg.ServiceTime)
+		if ctx.Err() != nil {
 			return
 		}
-		if _, err := io.WriteString(w, b.event(i, r.Header.Get("X-Chestnutstream-Model"))); err != nil {
+		if _, err := io.WriteString(w, b.event(i, r.Header.Get("X-Chestnutstream-Model"))); err != nil && !f.FinishAbandoned {
 			return
 		}
-		if err := flusher.Flush(); err != nil {
+		if err := flusher.Flush(); err != nil && !f.FinishAbandoned {
 			return
 		}
 	}
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -1,12 +1,14 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // BackendFaults are the faults that a Backend injects; SetFaults replaces them
@@ -29,7 +31,10 @@
 	// Brittle makes the process end when it rejects more than this many requests in a second
 	// because it is full; responses say so. 0 for a sturdy server. A crash needs OnCrash.
 	Brittle int
-	Pause   float64 // seconds: requests are refused with this Retry-After; 0 for none
+	// FinishAbandoned makes the server finish a request whose caller has closed the connection,
+	// within the request's deadline. Otherwise it drops the request.
+	FinishAbandoned bool
+	Pause           float64 // seconds: requests are refused with this Retry-After; 0 for none
 
 	// Every n-th request that could run is rejected, by an engine as if its adapter were
 	// not loaded. 0 for none.
@@ -83,6 +88,23 @@
 	}
 }
 
+// runContext returns the context in which a request runs. It ends at the request's deadline
+// and, unless the server finishes what is abandoned, when its caller closes the connection.
+func (b *Backend) runContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	b.mu.Lock()
+	finish := b.faults.FinishAbandoned
+	b.mu.Unlock()
+	if finish {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ms, err := strconv.Atoi(r.Header.Get("X-Chestnutstream-Deadline-Ms"))
+	if err != nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+}
+
 // failure returns the status with which a request that runs is to end; 0: it does not fail.
 func (b *Backend) failure(f BackendFaults, fail bool) int {
 	b.mu.Lock()
