permit: a denied request for a slot waits for a slot of its own

Cause: a request without a slot asked its issuer again after 8 ms, at each engine. Each fall left more requests waiting, which asked more often. A class of congestion collapse: the work of coordination grew with what waits, not with what is served.

Change: the issuer gives each denied request the time of one slot that is about to become free, from the average time for which slots are held, so that few are denied again.

--- a/permit/slots.go
+++ b/permit/slots.go
@@ -1,11 +1,17 @@
 package permit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of slots.
 const (
-	slotRetryInterval   = 8 * time.Millisecond // before the next request of a slot, about the time in which a busy server ends a request
-	rejectionFactor     = 0.75                 // by which a rejection lowers the slots that are granted
+	minSlotWait         = 8 * time.Millisecond // before the next request of a slot
+	maxSlotWait         = time.Second
+	slotUsageTime       = time.Second           // over which the use of the slots is averaged
+	defaultHoldTime     = 50 * time.Millisecond // for which a slot is held, until it is known
+	rejectionFactor     = 0.75                  // by which a rejection lowers the slots that are granted
 	rejectionInterval   = 250 * time.Millisecond
 	slotRecoveryPerSec  = 0.1 // share of the slots that is granted again each second
 	minSlotShare        = 0.2
@@ -40,10 +46,13 @@
 func (h *holder) inProgress() int { return h.held + int(h.granted-h.received) }
 
 type serverSlots struct {
-	holders    map[string]*holder
-	share      float64 // of the slots that is granted
-	updatedAt  time.Time
-	rejectedAt time.Time
+	holders       map[string]*holder
+	share         float64 // of the slots that is granted
+	updatedAt     time.Time
+	rejectedAt    time.Time
+	reservedUntil time.Time // end of the waits given to denied requests
+	slotSeconds   float64   // in which slots were held, and grants, both decaying over slotUsageTime
+	grants        float64
 }
 
 // NewSlots returns an empty record.
@@ -60,28 +69,56 @@
 		state = &serverSlots{holders: map[string]*holder{}, share: 1, updatedAt: now}
 		s.servers[id] = state
 	}
-	state.share = min(state.share+slotRecoveryPerSec*now.Sub(state.updatedAt).Seconds(), 1)
+	elapsed := max(now.Sub(state.updatedAt).Seconds(), 0)
+	state.share = min(state.share+slotRecoveryPerSec*elapsed, 1)
+	decay := math.Exp(-elapsed / slotUsageTime.Seconds())
+	state.slotSeconds = state.slotSeconds*decay + float64(state.inProgress())*elapsed
+	state.grants *= decay
 	state.updatedAt = now
 	return state
 }
 
+// inProgress returns the requests in progress at the server.
+func (s *serverSlots) inProgress() int {
+	total := 0
+	for _, h := range s.holders {
+		total += h.inProgress()
+	}
+	return total
+}
+
+// reserve returns how long a denied request is to wait. Denied requests get different times,
+// one for each slot that is about to become free, so that few are denied again.
+func (s *serverSlots) reserve(now time.Time) time.Duration {
+	hold := defaultHoldTime.Seconds()
+	if s.grants >= 1 {
+		hold = s.slotSeconds / s.grants
+	}
+	interval := time.Duration(hold / float64(max(s.inProgress(), 1)) * float64(time.Second))
+	next := now
+	if s.reservedUntil.After(now) {
+		next = s.reservedUntil
+	}
+	wait := min(max(next.Add(interval).Sub(now), minSlotWait), maxSlotWait)
+	s.reservedUntil = now.Add(wait)
+	return wait
+}
+
 // Request requests a slot of a server for an instance. If it is denied, wait is the time
-// until the next try. The instances that reach one another grant their share of the slots,
-// at least one.
+// until the next try: denied requests get different times, one for each slot that is about
+// to become free. The instances that reach one another grant their share of the slots, at
+// least one.
 func (s *Slots) Request(now time.Time, server string, h Holding, slots int, v View) (ok bool, wait time.Duration) {
 	state := s.server(now, server)
 	asking := state.update(now, h)
-	total := 0
-	for _, other := range state.holders {
-		total += other.inProgress()
-	}
 	granted := float64(slots) * state.share
 	if v.All > 0 {
 		granted *= min(float64(v.Reached)/float64(v.All), 1)
 	}
-	if total >= max(int(granted), 1) {
-		return false, slotRetryInterval
+	if state.inProgress() >= max(int(granted), 1) {
+		return false, state.reserve(now)
 	}
+	state.grants++
 	asking.granted++
 	asking.grantedAt = now
 	return true, 0
--- a/permit/slots_test.go
+++ b/permit/slots_test.go
@@ -129,3 +129,47 @@
 	}
 	assert.Equal(t, granted, 20)
 }
+
+// Guards against requests for slots that grow with what waits: the messages delayed one
+// another until issuers seemed to be gone.
+func TestDeniedSlotRequestsAreFewAndLeaveNoSlotUnused(t *testing.T) {
+	const (
+		slots, instances = 8, 40
+		hold             = 100 * time.Millisecond
+		duration         = 5 * time.Second
+	)
+	issuer, view := NewSlots(), View{Reached: instances, All: instances}
+	held, received, ends := map[string]int{}, map[string]uint64{}, map[string][]time.Time{}
+	start := time.Unix(0, 0)
+	retryAt := make([]time.Time, 400) // requests that wait; each is replaced by another one when it is served
+	requests, grants := 0, 0
+	for now := start; now.Before(start.Add(duration)); now = now.Add(time.Millisecond) {
+		for in, times := range ends {
+			for len(times) > 0 && !times[0].After(now) {
+				times = times[1:]
+				held[in]--
+				issuer.Report(now, "i-1", Holding{in, held[in], received[in]})
+			}
+			ends[in] = times
+		}
+		for i := range retryAt {
+			if now.Before(retryAt[i]) {
+				continue
+			}
+			in := fmt.Sprint("edge-", i%instances)
+			requests++
+			ok, wait := issuer.Request(now, "i-1", Holding{in, held[in], received[in]}, slots, view)
+			retryAt[i] = now.Add(wait)
+			if ok {
+				grants++
+				held[in]++
+				received[in]++
+				ends[in] = append(ends[in], now.Add(hold))
+			}
+		}
+	}
+	possible := slots * int(duration/hold)
+	assert.Assert(t, grants >= possible*9/10, "%d grants of %d possible", grants, possible)
+	atLeast := len(retryAt) * int(duration/maxSlotWait) // no wait is longer
+	assert.Assert(t, requests <= 4*grants+atLeast, "%d requests for %d grants", requests, grants)
+}
