permit, edge: issuers that are late or new do not grant slots that are held

Cause: an issuer that did not respond within 40 ms was passed over, and the next one granted all slots, though it knew only of those that its askers held. The same held for each new issuer, and for instances that were no longer reached: what they had in progress was forgotten at once. A grant that came after its wait stayed counted until the next message about that server. The class: silence taken for absence, as with owners that do not renew.

Change: an instance waits for an issuer as long as its responses take (mean and four deviations, 40 to 250 ms; late responses count, too). An issuer that is not the first choice of all grants a quarter of the slots; a new one begins with that and grants all after a second. Use is reported to the first choice also while another one is asked. What a departed instance has in progress counts for another second. A grant for which no request waits is returned.

The tests of package permit failed before.

In TestBrittleServersStayUpWhenSlotIssuersChange the possible number for the case "isolated" is 5/6 of the others', since each server's sixth slot is left to the isolated instance; the load runs beside the test's goroutine.

--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -29,9 +29,9 @@
 	}
 	now, view := n.now(), n.permitView()
 	issuer := n.permits.IssuerOf(now, server, view)
-	ok, wait, result := false, permitTimeout, "silent"
+	ok, wait, result := false, silentIssuerWait, "silent"
 	if issuer == n.id {
-		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view)
+		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view, n.permits.Primary(server, view) == n.id)
 		if ok {
 			n.slotGrants[server]++
 		}
@@ -74,29 +74,35 @@
 			n.unusedGrants[p.Server]++
 		} else {
 			n.metrics.GetOrCreateCounter(`chestnutstream_slot_grants_late_total`).Inc()
+			n.reportHeld(p.Server) // which returns the slot
 		}
 	}
 	n.handlePermitResponse(p)
 }
 
 // reportHeld tells the issuer of a brittle server's slots how many requests this instance
-// has in progress there. Callers hold mu.
+// has in progress there, also while another instance is asked because it did not respond.
+// Callers hold mu.
 func (n *Node) reportHeld(server string) {
-	s := n.fleet.Server(server)
-	if s == nil {
+	if !n.isBrittle(server) {
 		return
 	}
-	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle {
-		return
+	s, view := n.fleet.Server(server), n.permitView()
+	issuer, primary := n.permits.IssuerOf(n.now(), server, view), n.permits.Primary(server, view)
+	n.sendHeld(issuer, s)
+	if primary != issuer {
+		n.sendHeld(primary, s)
 	}
+}
+
+func (n *Node) sendHeld(issuer string, s *fleet.Server) {
 	h := n.holding(s)
-	issuer := n.permits.IssuerOf(n.now(), server, n.permitView())
 	if issuer == n.id {
-		n.slots.Report(n.now(), server, h)
+		n.slots.Report(n.now(), s.ID, h)
 		return
 	}
 	n.mesh.Send(issuer, func(b *instance.Bundle) {
-		b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: server, Held: h.Held, Received: h.Received})
+		b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: s.ID, Held: h.Held, Received: h.Received})
 	})
 }
 
@@ -108,7 +114,8 @@
 		n.slots.Report(n.now(), r.Server, h)
 		return
 	}
-	ok, wait := n.slots.Request(n.now(), r.Server, h, r.Slots, n.permitView())
+	view := n.permitView()
+	ok, wait := n.slots.Request(n.now(), r.Server, h, r.Slots, view, n.permits.Primary(r.Server, view) == n.id)
 	p := instance.PermitResponse{Server: r.Server, ID: r.ID, OK: ok, WaitMS: wait.Milliseconds() + 1}
 	n.mesh.Send(from, func(b *instance.Bundle) { b.SlotResponses = append(b.SlotResponses, p) })
 }
@@ -116,14 +123,10 @@
 // recordRejection records that a server rejected a request of this instance for want of
 // room, and tells all others if the server is brittle. Callers hold mu.
 func (n *Node) recordRejection(server string, load *platform.ServerLoad) {
-	s := n.fleet.Server(server)
-	if s == nil {
+	if !n.isBrittle(server) {
 		return
 	}
-	if _, _, brittle := n.fleet.Brittle(s.Service); !brittle {
-		return
-	}
-	n.logRejection(s, load)
+	n.logRejection(n.fleet.Server(server), load)
 	n.handleRejection(server)
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Rejections = append(b.Rejections, server) })
 }
@@ -167,3 +170,13 @@
 	message := n.brittleMessage(s.Service)
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.BrittleServices = append(b.BrittleServices, message) })
 }
+
+// isBrittle reports whether a server is brittle. Callers hold mu.
+func (n *Node) isBrittle(server string) bool {
+	s := n.fleet.Server(server)
+	if s == nil {
+		return false
+	}
+	_, _, brittle := n.fleet.Brittle(s.Service)
+	return brittle
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -57,6 +57,7 @@
 	n.updateVerdictRows(now)
 	if now.Sub(n.checkedAt) >= slowCheckInterval {
 		n.checkedAt = now
+		n.responseTimes.Expire(now)
 		n.updateCutOff()
 		n.updateSoftwareRows(now, boot)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -42,7 +42,9 @@
 		}
 	}
 	delete(n.peers, to.Name)
-	n.slots.Forget(to.Name)
+	n.peersChangedAt = n.now()
+	n.slots.Depart(n.now(), to.Name)
+	n.responseTimes.Forget(to.Name)
 	n.failOwnerWaits(to.Name, "owner not reachable")
 	n.mu.Unlock()
 	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
@@ -58,6 +60,9 @@
 		p = &peer{owned: map[string]bool{}}
 		n.peers[from.Name] = p
 	}
+	if b.Incarnation != 0 || (b.Draining && !p.draining) {
+		n.peersChangedAt = n.now()
+	}
 	if b.Incarnation != 0 {
 		p.member, p.incarnation, p.draining = from, b.Incarnation, false
 	}
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -9,13 +9,13 @@
 	"github.com/chestnutstream/chestnutstream/permit"
 )
 
-// permitTimeout is how long to wait for a permit issuer, which responds at once. After
-// that, permits are requested from another instance.
-const permitTimeout = 40 * time.Millisecond
+// silentIssuerWait is how long a server is not chosen after the issuer of its permits did
+// not respond. After that, permits are requested from another instance.
+const silentIssuerWait = 40 * time.Millisecond
 
 // acquirePermit reports whether a request may be sent to a server now. A server that
 // has signalled no limit needs no permit. If a permit is denied, the server is not
-// chosen until the wait that the issuer responded with has passed, or permitTimeout if
+// chosen until the wait that the issuer responded with has passed, or silentIssuerWait if
 // it did not respond. Callers hold mu, which is released while a permit is requested
 // from another instance.
 func (n *Node) acquirePermit(ctx context.Context, server string) bool {
@@ -29,7 +29,7 @@
 	}
 	now, view := n.now(), n.permitView()
 	issuer := n.permits.IssuerOf(now, server, view)
-	ok, wait, result := false, permitTimeout, "silent"
+	ok, wait, result := false, silentIssuerWait, "silent"
 	if issuer == n.id {
 		ok, wait = n.permits.Request(now, server, limit, view)
 		result = permitResult(ok)
@@ -71,22 +71,19 @@
 	ch := make(chan instance.PermitResponse, 1)
 	n.permitWaiters[id] = ch
 	defer delete(n.permitWaiters, id)
-	start := n.now()
 	if !n.mesh.Send(issuer, func(b *instance.Bundle) { add(b, id) }) {
 		return p, false
 	}
-	if p, responded = n.awaitPermit(ctx, ch); responded {
-		n.metrics.GetOrCreateHistogram(`chestnutstream_permit_response_seconds`).Update(n.now().Sub(start).Seconds())
-	}
-	return p, responded
+	n.responseTimes.RecordRequest(n.now(), id, issuer)
+	return n.awaitPermit(ctx, ch, n.responseTimes.Timeout(issuer))
 }
 
-// awaitPermit waits for an issuer's response, for permitTimeout at most. Callers hold mu,
-// which is released meanwhile. A response that comes before mu is held again counts, as
+// awaitPermit waits for an issuer's response, for limit at most. Callers hold mu, which is
+// released meanwhile. A response that comes before mu is held again counts, as
 // its grant has been counted.
-func (n *Node) awaitPermit(ctx context.Context, ch <-chan instance.PermitResponse) (p instance.PermitResponse, responded bool) {
+func (n *Node) awaitPermit(ctx context.Context, ch <-chan instance.PermitResponse, limit time.Duration) (p instance.PermitResponse, responded bool) {
 	n.mu.Unlock()
-	timeout := time.NewTimer(permitTimeout)
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	select {
 	case p = <-ch:
@@ -125,6 +122,9 @@
 // handlePermitResponse passes another instance's response to the waiting permit request.
 // Callers hold mu.
 func (n *Node) handlePermitResponse(p instance.PermitResponse) {
+	if took, ok := n.responseTimes.RecordResponse(n.now(), p.ID); ok {
+		n.metrics.GetOrCreateHistogram(`chestnutstream_permit_response_seconds`).Update(took.Seconds())
+	}
 	if ch := n.permitWaiters[p.ID]; ch != nil {
 		select {
 		case ch <- p:
@@ -136,7 +136,7 @@
 // permitView returns the possible permit issuers: this instance and the peers that are
 // connected both ways, except those that drain. Callers hold mu.
 func (n *Node) permitView() permit.View {
-	v := permit.View{Reached: 1, All: n.regionInstances}
+	v := permit.View{Reached: 1, All: n.regionInstances, ChangedAt: n.peersChangedAt}
 	if v.All == 0 {
 		v.All = n.leases.Instances(n.boot())
 	}
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -41,6 +41,7 @@
 			continue
 		}
 		if s = n.fleet.Server(id); s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) {
+			n.reportHeld(id)
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -51,9 +51,10 @@
 
 // View is what an instance knows of the others.
 type View struct {
-	Candidates []string // reached instances that may issue permits, this one among them
-	Reached    int      // reached instances, this one among them
-	All        int      // all instances
+	Candidates []string  // reached instances that may issue permits, this one among them
+	Reached    int       // reached instances, this one among them
+	All        int       // all instances
+	ChangedAt  time.Time // when an instance was last reached, or no longer reached
 }
 
 // Issuer issues permits on an instance, and finds the instance that issues the
@@ -81,6 +82,12 @@
 	return i.highestRanked(server, v, func(name string) bool { return now.Before(i.unresponsive[name]) })
 }
 
+// Primary returns the instance that issues the permits for a server if all instances
+// respond.
+func (i *Issuer) Primary(server string, v View) string {
+	return i.highestRanked(server, v, func(string) bool { return false })
+}
+
 // highestRanked returns the candidate with the highest hash for a server, or this
 // instance if there is none.
 func (i *Issuer) highestRanked(server string, v View, skip func(name string) bool) string {
@@ -109,7 +116,7 @@
 	if v.All > 0 {
 		perSecond *= min(float64(v.Reached)/float64(v.All), 1)
 	}
-	if i.highestRanked(server, v, func(string) bool { return false }) != i.self {
+	if i.Primary(server, v) != i.self {
 		perSecond *= fallbackShare
 	}
 	b := i.bucket(now, server, perSecond)
--- a/permit/slots.go
+++ b/permit/slots.go
@@ -17,6 +17,13 @@
 	minSlotShare        = 0.2
 	slotStateIdleExpiry = 10 * time.Minute
 	maxGrantFlight      = 500 * time.Millisecond // after which a grant that was not received counts as lost
+	departedHoldTime    = time.Second            // for which the requests of an instance count that is no longer reached
+	// An instance that gets its first request of a slot, or the first one after
+	// takeoverPause, within takeoverWindow after a change of the candidates may be a new issuer. It
+	// does not know of all requests in progress for takeoverTime.
+	takeoverPause  = 500 * time.Millisecond
+	takeoverWindow = 2 * time.Second
+	takeoverTime   = time.Second
 )
 
 // Slots grants the slots of servers whose queues may not be used. The issuer of a server
@@ -36,10 +43,11 @@
 
 // holder is what the issuer knows of an instance's use of a server.
 type holder struct {
-	held      int
-	granted   uint64 // grants sent, counted from the instance's own number
-	received  uint64
-	grantedAt time.Time
+	held       int
+	granted    uint64 // grants sent, counted from the instance's own number
+	received   uint64
+	grantedAt  time.Time
+	departedAt time.Time // when the instance was no longer reached; zero: it is
 }
 
 // inProgress returns the requests in progress, with those whose grants are on their way.
@@ -51,6 +59,8 @@
 	updatedAt     time.Time
 	rejectedAt    time.Time
 	reservedUntil time.Time // end of the waits given to denied requests
+	requestedAt   time.Time // of the latest request
+	takeoverUntil time.Time // until which other instances may have requests in progress that are not known
 	slotSeconds   float64   // in which slots were held, and grants, both decaying over slotUsageTime
 	grants        float64
 }
@@ -69,6 +79,11 @@
 		state = &serverSlots{holders: map[string]*holder{}, share: 1, updatedAt: now}
 		s.servers[id] = state
 	}
+	for name, h := range state.holders {
+		if !h.departedAt.IsZero() && now.Sub(h.departedAt) > departedHoldTime {
+			delete(state.holders, name)
+		}
+	}
 	elapsed := max(now.Sub(state.updatedAt).Seconds(), 0)
 	state.share = min(state.share+slotRecoveryPerSec*elapsed, 1)
 	decay := math.Exp(-elapsed / slotUsageTime.Seconds())
@@ -107,14 +122,25 @@
 // Request requests a slot of a server for an instance. If it is denied, wait is the time
 // until the next try: denied requests get different times, one for each slot that is about
 // to become free. The instances that reach one another grant their share of the slots, at
-// least one.
-func (s *Slots) Request(now time.Time, server string, h Holding, slots int, v View) (ok bool, wait time.Duration) {
+// least one. An instance that is not the issuer for all that it reaches (primary), or has
+// only just become it, grants a part of that.
+func (s *Slots) Request(now time.Time, server string, h Holding, slots int, v View, primary bool) (ok bool, wait time.Duration) {
 	state := s.server(now, server)
 	asking := state.update(now, h)
 	granted := float64(slots) * state.share
 	if v.All > 0 {
 		granted *= min(float64(v.Reached)/float64(v.All), 1)
 	}
+	if now.Sub(state.requestedAt) > takeoverPause && now.Sub(v.ChangedAt) < takeoverWindow {
+		state.takeoverUntil = now.Add(takeoverTime)
+	}
+	state.requestedAt = now
+	switch left := state.takeoverUntil.Sub(now); {
+	case !primary:
+		granted *= fallbackShare
+	case left > 0:
+		granted *= 1 - (1-fallbackShare)*float64(left)/float64(takeoverTime)
+	}
 	if state.inProgress() >= max(int(granted), 1) {
 		return false, state.reserve(now)
 	}
@@ -133,17 +159,20 @@
 		known = &holder{granted: h.Received}
 		s.holders[h.Holder] = known
 	}
-	known.held, known.received = h.Held, h.Received
+	known.held, known.received, known.departedAt = h.Held, h.Received, time.Time{}
 	if known.granted < h.Received || now.Sub(known.grantedAt) > maxGrantFlight {
 		known.granted = h.Received // another issuer has granted slots, or grants were lost
 	}
 	return known
 }
 
-// Forget drops what an instance holds: its requests end with its process.
-func (s *Slots) Forget(holder string) {
+// Depart records that an instance is no longer reached. Its requests, and those that were
+// granted to it, may still be in progress.
+func (s *Slots) Depart(now time.Time, name string) {
 	for _, state := range s.servers {
-		delete(state.holders, holder)
+		if h := state.holders[name]; h != nil && h.departedAt.IsZero() {
+			*h = holder{held: h.inProgress(), departedAt: now}
+		}
 	}
 }
 
