edge: slots of issuers that respond late are kept for the next request

Change: a slot whose issuer takes 10 ms or more to respond is kept for twice that time, and the next request uses it without asking. Such slots count as held.

An issuer that has not responded yet is taken for one like the others, and if the first two do not respond no slot is granted.

--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -28,7 +28,15 @@
 		return true
 	}
 	now, view := n.now(), n.permitView()
-	issuer := n.permits.IssuerOf(now, server, view)
+	if n.spareSlots.take(now, server) {
+		n.metrics.GetOrCreateCounter(`chestnutstream_slots_total{result="spare"}`).Inc()
+		return true
+	}
+	issuer, responsive := n.permits.SlotIssuerOf(now, server, view)
+	if !responsive {
+		n.fleet.RecordNoPermit(now, server, silentIssuerWait)
+		return false
+	}
 	ok, wait, result := false, silentIssuerWait, "silent"
 	if issuer == n.id {
 		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view, n.permits.Primary(server, view) == n.id)
@@ -60,9 +68,9 @@
 }
 
 // holding returns this instance's use of a server, including grants that are about to be
-// used. Callers hold mu.
+// used and spare slots. Callers hold mu.
 func (n *Node) holding(s *fleet.Server) permit.Holding {
-	return permit.Holding{Holder: n.id, Held: s.InFlight + max(n.unusedGrants[s.ID], 0), Received: n.slotGrants[s.ID]}
+	return permit.Holding{Holder: n.id, Held: s.InFlight + max(n.unusedGrants[s.ID], 0) + len(n.spareSlots[s.ID]), Received: n.slotGrants[s.ID]}
 }
 
 // handleSlotResponse counts a grant as it arrives: the request that waits for it has not
@@ -74,7 +82,7 @@
 			n.unusedGrants[p.Server]++
 		} else {
 			n.metrics.GetOrCreateCounter(`chestnutstream_slot_grants_late_total`).Inc()
-			n.reportHeld(p.Server) // which returns the slot
+			n.returnSlot(p.Server)
 		}
 	}
 	n.handlePermitResponse(p)
@@ -88,10 +96,10 @@
 		return
 	}
 	s, view := n.fleet.Server(server), n.permitView()
-	issuer, primary := n.permits.IssuerOf(n.now(), server, view), n.permits.Primary(server, view)
-	n.sendHeld(issuer, s)
-	if primary != issuer {
-		n.sendHeld(primary, s)
+	primary := n.permits.Primary(server, view)
+	n.sendHeld(primary, s)
+	if issuer, _ := n.permits.SlotIssuerOf(n.now(), server, view); issuer != primary {
+		n.sendHeld(issuer, s)
 	}
 }
 
@@ -134,7 +142,7 @@
 // logRejection logs a rejection with what the server states of its load, if it does, and what
 // this instance counts there.
 func (n *Node) logRejection(s *fleet.Server, load *platform.ServerLoad) {
-	fields := log.Fields{"server": s.ID, "held": s.InFlight, "issuer": n.permits.IssuerOf(n.now(), s.ID, n.permitView())}
+	fields := log.Fields{"server": s.ID, "held": s.InFlight, "issuer": n.permits.Primary(s.ID, n.permitView())}
 	if load != nil {
 		fields["running"], fields["waiting"], fields["slots"] = load.Running, load.Waiting, load.Slots
 	}
@@ -146,6 +154,7 @@
 // Callers hold mu.
 func (n *Node) handleRejection(server string) {
 	n.slots.RecordRejection(n.now(), server)
+	n.dropSpareSlots(server)
 	if n.fleet.RecordRejectionOf(n.now(), server) {
 		n.metrics.GetOrCreateCounter(`chestnutstream_brittle_pauses_total`).Inc()
 	}
--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -73,7 +73,7 @@
 		return
 	}
 	n.fleet.RecordDone(a.Server.ID)
-	n.reportHeld(a.Server.ID)
+	n.returnSlot(a.Server.ID)
 	k := adapterKey{a.Server.ID, a.Target}
 	if u := n.usage[k]; u != nil && u.inProgress > 0 {
 		u.inProgress--
--- a/edge/place.go
+++ b/edge/place.go
@@ -182,7 +182,7 @@
 	}
 	s := n.fleet.Server(id)
 	if s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
-		n.reportHeld(id)
+		n.returnSlot(id)
 		return ingress.Assignment{}, placeResult{retryAfter: minRetryAfter, reason: "its engine changed while it waited"}
 	}
 	return n.recordPlacement(s, p, version, n.now().Sub(start)), placeResult{ok: true}
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -18,7 +18,10 @@
 	for ctx.Err() == nil {
 		now := n.now()
 		p.Avoid = n.excludedServers(p)
-		s := n.fleet.PickPlain(now, p.Service, p.Avoid)
+		s := n.serverWithSpareSlot(p)
+		if s == nil {
+			s = n.fleet.PickPlain(now, p.Service, p.Avoid)
+		}
 		if s == nil {
 			if a, ok := n.forwardUnplaced(p); ok {
 				return a, nil
@@ -41,7 +44,7 @@
 			continue
 		}
 		if s = n.fleet.Server(id); s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) {
-			n.reportHeld(id)
+			n.returnSlot(id)
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -88,6 +88,19 @@
 	return i.highestRanked(server, v, func(string) bool { return false })
 }
 
+// SlotIssuerOf returns the instance that grants the slots of a server: the primary issuer, or
+// the next one if that did not respond. ok is false if neither did: several that grant a part
+// each would exceed the slots.
+func (i *Issuer) SlotIssuerOf(now time.Time, server string, v View) (name string, ok bool) {
+	unresponsive := func(name string) bool { return name != i.self && now.Before(i.unresponsive[name]) }
+	primary := i.Primary(server, v)
+	if !unresponsive(primary) {
+		return primary, true
+	}
+	next := i.highestRanked(server, v, func(name string) bool { return name == primary })
+	return next, !unresponsive(next)
+}
+
 // highestRanked returns the candidate with the highest hash for a server, or this
 // instance if there is none.
 func (i *Issuer) highestRanked(server string, v View, skip func(name string) bool) string {
--- a/permit/response_times.go
+++ b/permit/response_times.go
@@ -1,10 +1,14 @@
 package permit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits of the time to wait for an issuer's response.
 const (
 	minResponseTimeout = 40 * time.Millisecond
+	firstTimeout       = 100 * time.Millisecond // while no issuer has responded yet
 	maxResponseTimeout = 250 * time.Millisecond
 	maxResponseTime    = time.Second // after which a response counts as lost
 )
@@ -14,6 +18,7 @@
 // too.
 type ResponseTimes struct {
 	issuers map[string]*responseTime
+	all     *responseTime          // of all issuers; nil: none has responded
 	sent    map[uint64]sentRequest // by ID of the request
 }
 
@@ -42,14 +47,18 @@
 	}
 	delete(r.sent, id)
 	took = now.Sub(sent.at)
-	t := r.issuers[sent.issuer]
+	r.issuers[sent.issuer] = r.issuers[sent.issuer].update(took)
+	r.all = r.all.update(took)
+	return took, true
+}
+
+func (t *responseTime) update(took time.Duration) *responseTime {
 	if t == nil {
-		r.issuers[sent.issuer] = &responseTime{mean: took, deviation: took / 2}
-		return took, true
+		return &responseTime{mean: took, deviation: took / 2}
 	}
 	t.deviation += ((t.mean - took).Abs() - t.deviation) / 4
 	t.mean += (took - t.mean) / 8
-	return took, true
+	return t
 }
 
 // Expire drops the requests whose responses count as lost.
@@ -64,11 +73,20 @@
 // Forget drops what is known of an issuer.
 func (r *ResponseTimes) Forget(issuer string) { delete(r.issuers, issuer) }
 
-// Timeout returns how long to wait for an issuer's response.
+// Mean returns the mean time that an issuer takes to respond, 0 if it is not known.
+func (r *ResponseTimes) Mean(issuer string) time.Duration {
+	if t := r.issuers[issuer]; t != nil {
+		return t.mean
+	}
+	return 0
+}
+
+// Timeout returns how long to wait for an issuer's response. One that has not responded yet
+// is taken for one like the others.
 func (r *ResponseTimes) Timeout(issuer string) time.Duration {
-	t := r.issuers[issuer]
+	t := cmp.Or(r.issuers[issuer], r.all)
 	if t == nil {
-		return minResponseTimeout
+		return firstTimeout
 	}
 	return min(max(t.mean+4*t.deviation, minResponseTimeout), maxResponseTimeout)
 }
