permit: reservations leave fewer slots unused

With one reservation for each slot that is about to become free, slots stayed unused for the time until the next request came: some of those that wait are served elsewhere, or rejected, by then.

Change: three reservations for each slot.

--- a/permit/slots.go
+++ b/permit/slots.go
@@ -9,6 +9,7 @@
 const (
 	minSlotWait         = 8 * time.Millisecond // before the next request of a slot
 	maxSlotWait         = time.Second
+	reservationsPerSlot = 3                     // waits that end with a slot: some of the requests have got another one by then
 	slotUsageTime       = time.Second           // over which the use of the slots is averaged
 	defaultHoldTime     = 50 * time.Millisecond // for which a slot is held, until it is known
 	rejectionFactor     = 0.75                  // by which a rejection lowers the slots that are granted
@@ -109,7 +110,7 @@
 	if s.grants >= 1 {
 		hold = s.slotSeconds / s.grants
 	}
-	interval := time.Duration(hold / float64(max(s.inProgress(), 1)) * float64(time.Second))
+	interval := time.Duration(hold / float64(reservationsPerSlot*max(s.inProgress(), 1)) * float64(time.Second))
 	next := now
 	if s.reservedUntil.After(now) {
 		next = s.reservedUntil
