edge, permit, fleet, ingress: a slot stays in use while its server may go on with a request

Cause: an instance that ended a request before its response (its caller left, a time limit, a retry, a broken connection) counted it as done at once, and its slot was granted anew while the server worked on. What is rejected depends on what the server holds, not on what is waited for.

Change: Release tells whether the server is done: its response was read to the end or rejects the request, or the request never reached it. Another one keeps its slot for as long as the longest recent request there takes or, if it has taken longer, until the deadline that the server knows. Many servers drop such requests, so the instances also report the load that the server states in its responses: the issuer compares it with what all hold and counts the share of the abandoned requests that the server has gone on with. Both travel in a message of their own, which earlier releases ignore.

--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/permit"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -39,6 +40,7 @@
 	}
 	ok, wait, result := false, silentIssuerWait, "silent"
 	if issuer == n.id {
+		n.slots.RecordAbandoned(now, server, n.id, s.Abandoned(now))
 		ok, wait = n.slots.Request(now, server, n.holding(s), s.Slots, view, n.permits.Primary(server, view) == n.id)
 		if ok {
 			n.slotGrants[server]++
@@ -48,6 +50,7 @@
 		h := n.holding(s)
 		p, responded := n.askIssuer(ctx, issuer, func(b *instance.Bundle, id uint64) {
 			b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: server, ID: id, Held: h.Held, Received: h.Received, Slots: s.Slots})
+			b.SlotReports = append(b.SlotReports, n.slotReport(s))
 		})
 		if responded && p.OK {
 			n.unusedGrants[server]-- // its caller sends the request at once
@@ -67,10 +70,10 @@
 	return ok
 }
 
-// holding returns this instance's use of a server, including grants that are about to be
-// used and spare slots. Callers hold mu.
+// holding returns this instance's use of a server, including requests that it has
+// abandoned, grants that are about to be used and spare slots. Callers hold mu.
 func (n *Node) holding(s *fleet.Server) permit.Holding {
-	return permit.Holding{Holder: n.id, Held: s.InFlight + max(n.unusedGrants[s.ID], 0) + len(n.spareSlots[s.ID]), Received: n.slotGrants[s.ID]}
+	return permit.Holding{Holder: n.id, Held: s.InFlight + s.Abandoned(n.now()) + max(n.unusedGrants[s.ID], 0) + len(n.spareSlots[s.ID]), Received: n.slotGrants[s.ID]}
 }
 
 // handleSlotResponse counts a grant as it arrives: the request that waits for it has not
@@ -107,13 +110,35 @@
 	h := n.holding(s)
 	if issuer == n.id {
 		n.slots.Report(n.now(), s.ID, h)
+		n.recordSlotReport(n.id, n.slotReport(s))
 		return
 	}
 	n.mesh.Send(issuer, func(b *instance.Bundle) {
 		b.SlotRequests = append(b.SlotRequests, instance.SlotRequest{Server: s.ID, Held: h.Held, Received: h.Received})
+		b.SlotReports = append(b.SlotReports, n.slotReport(s))
 	})
 }
 
+// maxLoadAge is the age up to which a load that a server has stated is reported.
+const maxLoadAge = 200 * time.Millisecond
+
+// slotReport returns the details for a message about a server's slots. Callers hold mu.
+func (n *Node) slotReport(s *fleet.Server) instance.SlotReport {
+	r := instance.SlotReport{Server: s.ID, Abandoned: s.Abandoned(n.now()), Load: -1}
+	if load, at, ok := s.StatedLoad(); ok && n.now().Sub(at) < maxLoadAge {
+		r.Load = load
+	}
+	return r
+}
+
+// recordSlotReport records the details of an instance's use of a server. Callers hold mu.
+func (n *Node) recordSlotReport(from string, r instance.SlotReport) {
+	n.slots.RecordAbandoned(n.now(), r.Server, from, r.Abandoned)
+	if r.Load >= 0 {
+		n.slots.RecordLoad(n.now(), r.Server, r.Load)
+	}
+}
+
 // handleSlotRequest handles the request of another instance for a slot, or its report.
 // Callers hold mu.
 func (n *Node) handleSlotRequest(from string, r instance.SlotRequest) {
@@ -142,7 +167,7 @@
 // logRejection logs a rejection with what the server states of its load, if it does, and what
 // this instance counts there.
 func (n *Node) logRejection(s *fleet.Server, load *platform.ServerLoad) {
-	fields := log.Fields{"server": s.ID, "held": s.InFlight, "issuer": n.permits.Primary(s.ID, n.permitView())}
+	fields := log.Fields{"server": s.ID, "held": s.InFlight, "abandoned": s.Abandoned(n.now()), "issuer": n.permits.Primary(s.ID, n.permitView())}
 	if load != nil {
 		fields["running"], fields["waiting"], fields["slots"] = load.Running, load.Waiting, load.Slots
 	}
@@ -189,3 +214,25 @@
 	_, _, brittle := n.fleet.Brittle(s.Service)
 	return brittle
 }
+
+// recordDone records that a request of this instance at a server has ended. One that the
+// server may still work on keeps the slot of a brittle server. Callers hold mu.
+func (n *Node) recordDone(server string, e ingress.Ending) {
+	n.fleet.RecordDone(server)
+	if e.Complete {
+		n.fleet.RecordDuration(server, e.Took)
+		n.returnSlot(server)
+		return
+	}
+	if !n.isBrittle(server) {
+		return
+	}
+	n.metrics.GetOrCreateCounter(`chestnutstream_abandoned_requests_total`).Inc()
+	remaining := n.fleet.RecordAbandoned(n.now(), server, e.Took, e.Left)
+	n.reportHeld(server)
+	time.AfterFunc(remaining, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.reportHeld(server)
+	})
+}
--- a/edge/brittle_load_test.go
+++ b/edge/brittle_load_test.go
@@ -110,14 +110,15 @@
 
 func TestBrittleServersStayUpWhenCallersLeave(t *testing.T) {
 	tests := []struct {
-		name  string
-		every int // of how many callers one leaves
-	}{{"all", 1}, {"half", 2}}
+		name   string
+		every  int  // of how many callers one leaves
+		finish bool // the servers finish what their callers have left
+	}{{"all", 1, true}, {"half", 2, true}, {"half, dropped", 2, false}}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newBrittleSite(t, brittleLoad{
 				instances: 24, servers: 7, server: desk(250 * time.Millisecond),
-				faults: standin.BackendFaults{Brittle: 2, FinishAbandoned: true},
+				faults: standin.BackendFaults{Brittle: 2, FinishAbandoned: tt.finish},
 				load:   offeredLoad{path: "/order/1", perSecond: 700, leaveAfter: 120 * time.Millisecond, leaveEvery: tt.every},
 			})
 			r := s.run(6 * time.Second)
@@ -203,3 +204,21 @@
 	assert.Assert(t, r.crashes <= allowedCrashes(24), "%d crashes", r.crashes)
 	assert.Assert(t, r.served >= 8*912*3/4, "%d served", r.served)
 }
+
+func TestBrittleEnginesStayUpWhenCallersLeave(t *testing.T) {
+	for _, finish := range []bool{true, false} {
+		t.Run(fmt.Sprintf("finished %t", finish), func(t *testing.T) {
+			s := newBrittleSite(t, brittleLoad{
+				instances: 24, servers: 12,
+				server: standin.BackendSettings{
+					Service: "assistant", Slots: 8, Queue: 1, AdapterSlots: 4, Model: "m", ServiceTime: 40 * time.Millisecond, Events: 10, LoadTime: 50 * time.Millisecond, ModelLoadTime: 300 * time.Millisecond,
+				},
+				faults: standin.BackendFaults{Brittle: 3, FinishAbandoned: finish},
+				load:   offeredLoad{path: "/once/1", targets: []string{"m/a1", "m/a2", "m/a3", "m/a4"}, perSecond: 360, leaveAfter: 150 * time.Millisecond, leaveEvery: 3},
+			})
+			r := s.run(8 * time.Second)
+			t.Logf("%d crashes, %d rejections, %d served: %v", r.crashes, r.rejections, r.served, r.statuses)
+			assert.Assert(t, r.crashes <= allowedCrashes(12), "%d crashes", r.crashes)
+		})
+	}
+}
--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -63,7 +63,7 @@
 }
 
 // Release implements ingress.Dispatcher.
-func (n *Node) Release(a ingress.Assignment) {
+func (n *Node) Release(a ingress.Assignment, e ingress.Ending) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if a.Peer != "" {
@@ -72,8 +72,7 @@
 		}
 		return
 	}
-	n.fleet.RecordDone(a.Server.ID)
-	n.returnSlot(a.Server.ID)
+	n.recordDone(a.Server.ID, e)
 	k := adapterKey{a.Server.ID, a.Target}
 	if u := n.usage[k]; u != nil && u.inProgress > 0 {
 		u.inProgress--
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -121,9 +121,15 @@
 	for _, r := range b.PermitRequests {
 		n.handlePermitRequest(from.Name, r)
 	}
+	for _, r := range b.SlotReports {
+		n.slots.RecordAbandoned(n.now(), r.Server, from.Name, r.Abandoned)
+	}
 	for _, r := range b.SlotRequests {
 		n.handleSlotRequest(from.Name, r)
 	}
+	for _, r := range b.SlotReports {
+		n.recordSlotReport(from.Name, r)
+	}
 	for _, s := range b.BrittleServices {
 		n.fleet.RecordPeerBrittle(s.Service, n.now().Add(-time.Duration(s.AgeMS)*time.Millisecond), s.Brittle, s.MaxRejections)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,9 @@
 	permitWait             time.Duration // the latest wait for a permit
 	rejected               int           // requests rejected during that wait
 	hash                   uint64
-	rejections             []time.Time // by this server while it is brittle, within rejectionWindow
+	abandoned              []time.Time   // when requests that ended here first are expected to end at the server
+	longest                time.Duration // of a request to the server, falling slowly
+	rejections             []time.Time   // by this server while it is brittle, within rejectionWindow
 }
 
 // loadedAdapter is a model or adapter that is believed to be loaded on an engine.
@@ -68,6 +70,12 @@
 	return max(float64(s.InFlight)+float64(others)*(1-float64(age)/float64(loadReportDecay)), known)
 }
 
+// StatedLoad returns the requests that ran and waited at the server by its latest response
+// that stated them, and when that came.
+func (s *Server) StatedLoad() (requests int, at time.Time, ok bool) {
+	return s.load.total, s.load.at, !s.load.at.IsZero()
+}
+
 // SetTotalRequests records the number of requests that all instances have in progress on
 // a server, as its owner reports it.
 func (f *Fleet) SetTotalRequests(id string, requests int) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -55,7 +55,7 @@
 	x.stall += a.LoadStall
 	x.viewAge = a.ViewAge
 	if x.connectedAttempts > 0 && !x.server.dispatcher.AllowRetry(x.service) {
-		x.server.dispatcher.Release(a)
+		x.server.dispatcher.Release(a, Ending{Complete: true})
 		return Assignment{}, &NoServerError{Reason: "retry budget spent: " + x.reason, RetryAfter: retryAfterDefault}
 	}
 	return a, nil
@@ -102,8 +102,8 @@
 // panics to break the response off. It returns true if the caller has a response or the
 // request cannot be retried.
 func (x *exchange) attempt(a Assignment) bool {
-	defer x.server.dispatcher.Release(a)
-	start := x.server.cfg.Timer.Now()
+	sent := x.startSending()
+	defer x.releaseSent(a, sent)
 	x.recordSend(a)
 	x.responseBegun.Store(false)
 	waitTimeout := x.waitTimeout()
@@ -111,7 +111,8 @@
 		waitTimeout = 0 // the other instance waits for servers
 	}
 	br, connected, err := x.send(a, x.lastEventID(), waitTimeout)
-	took := x.server.cfg.Timer.Now().Sub(start)
+	sent.response, sent.connected = br, connected
+	took := x.server.cfg.Timer.Now().Sub(sent.at)
 	if err != nil {
 		return x.sendFailed(a, connected, took, err)
 	}
@@ -279,6 +280,7 @@
 	switch {
 	case rejected:
 		r.Outcome = fleet.Refused
+		br.rejected = true
 		br.conn.recordRejection(x.header.ID)
 		x.rejections = append(x.rejections, rejection{server: a.Server.ID, status: status, basis: basis, requestsBefore: br.seq - 1})
 		r.WrongServer = otherServer && status == http.StatusMisdirectedRequest
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -182,7 +182,7 @@
 
 func (d *fakeDispatcher) RecordPause(Assignment, time.Duration) {}
 
-func (d *fakeDispatcher) Release(Assignment) {
+func (d *fakeDispatcher) Release(Assignment, Ending) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.openPlacements--
--- a/ingress/promise_test.go
+++ b/ingress/promise_test.go
@@ -46,7 +46,7 @@
 	return Assignment{}, &NoServerError{Reason: "no server left", RetryAfter: time.Millisecond}
 }
 
-func (d *hastyDispatcher) Release(Assignment) {}
+func (d *hastyDispatcher) Release(Assignment, Ending) {}
 
 func (d *hastyDispatcher) Admit(_ context.Context, a Admission) (release func(), err error) {
 	if rand.IntN(4) > 0 {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -95,11 +95,12 @@
 		x.writeResponse(br.resp, first)
 		return true
 	}
-	defer x.server.dispatcher.Release(next)
-	start := x.server.cfg.Timer.Now()
+	sent := x.startSending()
+	defer x.releaseSent(next, sent)
 	x.recordSend(next)
 	second, connected, err := x.send(next, "", 0)
-	took := x.server.cfg.Timer.Now().Sub(start)
+	sent.response, sent.connected = second, connected
+	took := x.server.cfg.Timer.Now().Sub(sent.at)
 	if err != nil {
 		x.server.dispatcher.RecordResult(next, x.header.Target, Result{Took: took, Outcome: x.sendOutcome(connected, err)})
 		x.recordBroken(next, chestnutstream.ResponseNone, err)
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -68,6 +68,8 @@
 	seq       int      // number of the request on its connection
 	earlier   []string // requests sent on the connection before it
 	belongs   attribution
+	rejected  bool         // the server has not run the request
+	body      *trackedBody // of resp
 }
 
 // isValid reports whether the response belongs to the request and carries a server's
@@ -179,6 +181,8 @@
 	resp, err := x.roundTrip(ctx, t, a, lastEventID)
 	if err == nil {
 		br = &backendResponse{resp: resp, conn: t.conn, cancel: stop, connected: t.isNew, seq: t.seq, earlier: t.earlier, belongs: attribute(resp.Header, x.header.ID, t.earlier)}
+		br.body = &trackedBody{ReadCloser: resp.Body}
+		resp.Body = br.body
 		if br.belongs != ownResponse {
 			t.conn.abandon()
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -141,7 +141,7 @@
 	// stream that ended.
 	RecordPause(a Assignment, pause time.Duration)
 	// Release releases an assignment that Place returned.
-	Release(a Assignment)
+	Release(a Assignment, e Ending)
 	// AllowRetry reports whether the retry budget allows sending one more request to
 	// a service, and charges it.
 	AllowRetry(service string) bool
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -45,6 +45,7 @@
 	SoftwareRows     []wireTableRow        `cbor:"31,keyasint,omitempty"`
 	HasCutOff        bool                  `cbor:"32,keyasint,omitempty"`
 	SlotRequests     []wireSlotRequest     `cbor:"34,keyasint,omitempty"`
+	SlotReports      []wireSlotReport      `cbor:"46,keyasint,omitempty"`
 	BrittleServices  []wireBrittleService  `cbor:"35,keyasint,omitempty"`
 	Rejections       []string              `cbor:"36,keyasint,omitempty"`
 	SlotResponses    []wirePermitResponse  `cbor:"37,keyasint,omitempty"`
@@ -149,6 +150,13 @@
 	Received uint64
 }
 
+type wireSlotReport struct {
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	Abandoned int
+	Load      int
+}
+
 type wireBrittleService struct {
 	_             struct{} `cbor:",toarray"`
 	Service       string
@@ -298,6 +306,9 @@
 	for _, x := range b.SlotRequests {
 		w.SlotRequests = append(w.SlotRequests, wireSlotRequest{Server: x.Server, ID: x.ID, Held: x.Held, Slots: x.Slots, Received: x.Received})
 	}
+	for _, x := range b.SlotReports {
+		w.SlotReports = append(w.SlotReports, wireSlotReport{Server: x.Server, Abandoned: x.Abandoned, Load: x.Load})
+	}
 	for _, x := range b.BrittleServices {
 		w.BrittleServices = append(w.BrittleServices, wireBrittleService{Service: x.Service, Brittle: x.Brittle, MaxRejections: x.MaxRejections, AgeMS: x.AgeMS})
 	}
@@ -389,6 +400,9 @@
 	for _, x := range w.SlotRequests {
 		b.SlotRequests = append(b.SlotRequests, SlotRequest{Server: x.Server, ID: x.ID, Held: x.Held, Slots: x.Slots, Received: x.Received})
 	}
+	for _, x := range w.SlotReports {
+		b.SlotReports = append(b.SlotReports, SlotReport{Server: x.Server, Abandoned: x.Abandoned, Load: x.Load})
+	}
 	for _, x := range w.BrittleServices {
 		b.BrittleServices = append(b.BrittleServices, BrittleService{Service: x.Service, Brittle: x.Brittle, MaxRejections: x.MaxRejections, AgeMS: x.AgeMS})
 	}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -67,6 +67,7 @@
 	Evidence         []TraitEvidence           // evidence against parts of prompts
 	EvidenceReplies  []TraitEvidence           // what the receiver's Evidence lacked
 	SlotRequests     []SlotRequest             // requests for slots of brittle servers, and reports of those held
+	SlotReports      []SlotReport              // further details for SlotRequests
 	SlotResponses    []PermitResponse          // responses to SlotRequests
 	BrittleServices  []BrittleService          // services whose servers are brittle, or no longer
 	Rejections       []string                  // brittle servers that have rejected a request of the sender, one entry each
@@ -185,6 +186,15 @@
 	Received uint64
 }
 
+// SlotReport has what a SlotRequest to an instance of an earlier release cannot have.
+type SlotReport struct {
+	Server    string
+	Abandoned int // of the requests that the sender holds: those that ended there before the server's response did
+	// Load counts the requests that run and wait at the server, by a response to the sender just
+	// now; -1: there is none.
+	Load int
+}
+
 // BrittleService is what the servers of a service have last signalled.
 type BrittleService struct {
 	Service       string
@@ -260,5 +270,5 @@
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && b.ConfigVersion == 0 && len(b.Versions) == 0 && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RemovedServers) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
-		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
+		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotReports) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -36,6 +36,7 @@
 	}},
 	EvidenceReplies: []TraitEvidence{{Service: "s", ID: "a1", SurvivedAgeMS: 5, ProbedAgeMS: -1}},
 	SlotRequests:    []SlotRequest{{Server: "i-1", ID: 6, Held: 2, Slots: 8, Received: 40}}, SlotResponses: []PermitResponse{{Server: "i-1", ID: 6, OK: true, WaitMS: 1}}, Rejections: []string{"i-1"},
+	SlotReports:     []SlotReport{{Server: "i-1", Abandoned: 1, Load: 5}},
 	BrittleServices: []BrittleService{{Service: "s", Brittle: true, MaxRejections: 10, AgeMS: 40}},
 	HasCutOff:       true, CutOff: []string{"s"}, SoftwareRows: []chestnutstream.TableRow{{Key: "software/s", Value: []byte("{}"), Version: 6}},
 	StreamOrigins: []software.Origin{{Stream: 7, Software: "v1"}}, OriginRequests: []OriginRequest{{ID: 4, Stream: 7}}, OriginResponses: []OriginResponse{{ID: 4, Known: true, Software: "v1"}},
--- a/permit/slots.go
+++ b/permit/slots.go
@@ -17,6 +17,8 @@
 	slotRecoveryPerSec  = 0.1 // share of the slots that is granted again each second
 	minSlotShare        = 0.2
 	slotStateIdleExpiry = 10 * time.Minute
+	loadUsageTime       = 2 * time.Second        // over which the servers' own counts are compared with those of the instances
+	loadMargin          = 0.5                    // requests and responses on their way, which a server does not count
 	maxGrantFlight      = 500 * time.Millisecond // after which a grant that was not received counts as lost
 	departedHoldTime    = time.Second            // for which the requests of an instance count that is no longer reached
 	// An instance that gets its first request of a slot, or the first one after
@@ -47,6 +49,7 @@
 	held       int
 	granted    uint64 // grants sent, counted from the instance's own number
 	received   uint64
+	abandoned  int // of those held, the ones that ended at the instance before the server's response did
 	grantedAt  time.Time
 	departedAt time.Time // when the instance was no longer reached; zero: it is
 }
@@ -64,6 +67,8 @@
 	takeoverUntil time.Time // until which other instances may have requests in progress that are not known
 	slotSeconds   float64   // in which slots were held, and grants, both decaying over slotUsageTime
 	grants        float64
+	dropped       float64 // abandoned requests that the server did not count, and all of them, by its responses, decaying over loadUsageTime
+	abandoned     float64
 }
 
 // NewSlots returns an empty record.
@@ -90,11 +95,13 @@
 	decay := math.Exp(-elapsed / slotUsageTime.Seconds())
 	state.slotSeconds = state.slotSeconds*decay + float64(state.inProgress())*elapsed
 	state.grants *= decay
+	decay = math.Exp(-elapsed / loadUsageTime.Seconds())
+	state.dropped, state.abandoned = state.dropped*decay, state.abandoned*decay
 	state.updatedAt = now
 	return state
 }
 
-// inProgress returns the requests in progress at the server.
+// inProgress returns the requests in progress at the server, as far as instances know.
 func (s *serverSlots) inProgress() int {
 	total := 0
 	for _, h := range s.holders {
@@ -103,6 +110,45 @@
 	return total
 }
 
+func (s *serverSlots) abandonedNow() int {
+	total := 0
+	for _, h := range s.holders {
+		total += min(h.abandoned, h.held)
+	}
+	return total
+}
+
+// used returns the slots in use. Of the requests that instances have abandoned, the share
+// counts that the server has gone on with lately.
+func (s *serverSlots) used() int {
+	dropped := 0.0
+	if s.abandoned > 0 {
+		dropped = min(max(s.dropped/s.abandoned, 0), 1)
+	}
+	return s.inProgress() - int(dropped*float64(s.abandonedNow()))
+}
+
+// RecordAbandoned records how many of the requests that an instance holds at a server have
+// ended there before the server's response did.
+func (s *Slots) RecordAbandoned(now time.Time, server, name string, n int) {
+	state := s.server(now, server)
+	if h := state.holders[name]; h != nil {
+		h.abandoned = n
+	}
+}
+
+// RecordLoad records how many requests run and wait at a server by its own count. It tells
+// whether the server goes on with what instances have abandoned.
+func (s *Slots) RecordLoad(now time.Time, server string, load int) {
+	state := s.server(now, server)
+	abandoned := state.abandonedNow()
+	if abandoned == 0 {
+		return
+	}
+	state.dropped += float64(state.inProgress()-load) - loadMargin
+	state.abandoned += float64(abandoned)
+}
+
 // reserve returns how long a denied request is to wait. Denied requests get different times,
 // one for each slot that is about to become free, so that few are denied again.
 func (s *serverSlots) reserve(now time.Time) time.Duration {
@@ -142,7 +188,7 @@
 	case left > 0:
 		granted *= 1 - (1-fallbackShare)*float64(left)/float64(takeoverTime)
 	}
-	if state.inProgress() >= max(int(granted), 1) {
+	if state.used() >= max(int(granted), 1) {
 		return false, state.reserve(now)
 	}
 	state.grants++
--- a/permit/slots_test.go
+++ b/permit/slots_test.go
@@ -254,3 +254,30 @@
 		})
 	}
 }
+
+// Guards against slots that are granted anew while the server goes on with what an instance
+// has abandoned, and against slots that stay unused if it does not.
+func TestAbandonedRequestsCountAsTheServerStates(t *testing.T) {
+	tests := []struct {
+		name    string
+		load    int // that the server states, of 20 requests of which 8 are abandoned; -1: none
+		granted int
+	}{
+		{"it goes on", 20, 0},
+		{"it drops them", 12, 7},
+		{"it drops a half", 16, 3},
+		{"it states nothing", -1, 0},
+		{"it has others' requests", 30, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			issuer, now, view := NewSlots(), time.Unix(0, 0), View{Reached: 2, All: 2}
+			issuer.Report(now, "i-1", Holding{"edge-a", 20, 20})
+			issuer.RecordAbandoned(now, "i-1", "edge-a", 8)
+			if tt.load >= 0 {
+				issuer.RecordLoad(now, "i-1", tt.load)
+			}
+			assert.Equal(t, grantable(issuer, now, "edge-b", view, true), tt.granted)
+		})
+	}
+}
