ingress: events without end on many streams stay within the memory for bodies

Reported by other operators: a faulty server sent bytes without end, the instance that had called it kept them and ran out of memory. Here each event was bounded (1 MB), but not all of them together: 200 streams whose event does not end held 351 MB of live heap; the smallest instance has 184 MB.

Change: the beginnings of events count toward the memory for bodies, of which they may take half, so that other requests still find room. A stream whose event finds none is broken off, as one whose event is too large.

--- a/ingress/held.go
+++ b/ingress/held.go
@@ -18,8 +18,9 @@
 
 // heldBytes counts the bytes of bodies that are held for requests in progress.
 type heldBytes struct {
-	limit int64 // 0: none
-	used  atomic.Int64
+	limit   int64 // 0: none
+	used    atomic.Int64
+	partial atomic.Int64 // of those used, by the beginnings of events
 }
 
 func (h *heldBytes) reserve(n int64) bool {
@@ -43,6 +44,32 @@
 	return true
 }
 
+// partialEventShare is the share of Settings.HeldBytes that the beginnings of events may take
+// together, so that a server whose events do not end leaves room for other bodies.
+const partialEventShare = 0.5
+
+// reservePartial reserves memory for a buffer of size bytes that holds the beginning of an
+// event. It reports false if there is none left.
+func (x *exchange) reservePartial(size int64) bool {
+	h := &x.server.held
+	n := size - x.partialReserved
+	if size <= uncountedBytes || n <= 0 {
+		return true
+	}
+	limit := int64(partialEventShare * float64(h.limit))
+	if h.partial.Add(n) > limit && limit > 0 {
+		h.partial.Add(-n)
+		return false
+	}
+	if !h.reserve(n) {
+		h.partial.Add(-n)
+		return false
+	}
+	x.reserved += n
+	x.partialReserved += n
+	return true
+}
+
 // release returns n reserved bytes.
 func (x *exchange) release(n int64) {
 	if n <= uncountedBytes {
@@ -55,7 +82,8 @@
 // releaseAll returns all reserved bytes.
 func (x *exchange) releaseAll() {
 	x.server.held.used.Add(-x.reserved)
-	x.reserved = 0
+	x.server.held.partial.Add(-x.partialReserved)
+	x.reserved, x.partialReserved = 0, 0
 }
 
 // readSized reads a body of a stated size.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -284,6 +284,9 @@
 func (x *exchange) relayEvents(a Assignment, b []byte) (badEvent, writeErr error) {
 	s := x.stream
 	s.partial = append(s.partial, b...)
+	if !x.reservePartial(int64(cap(s.partial))) {
+		return fmt.Errorf("event of more than %d bytes: %w", len(s.partial), errNoRoom), nil
+	}
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
 	if end < 0 {
 		if len(s.partial) >= maxEventBytes {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -206,6 +206,7 @@
 	hash    string // of what the caller sent; a request that comes again has the same
 
 	reserved          int64     // bytes of bodies, of Settings.HeldBytes
+	partialReserved   int64     // of those, for the beginning of an event
 	deadline          time.Time // for the whole response
 	mayHaveRun        bool      // the request may have run, or may still run
 	attempts          int
--- a/ingress/unbounded_test.go
+++ b/ingress/unbounded_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -104,3 +105,56 @@
 	t.Log(fmt.Sprint("status ", resp.StatusCode, ", ", n, " bytes, ", err))
 	return resp.StatusCode, n, err == nil
 }
+
+// Guards against events without end on many streams at once, each below its own limit.
+func TestManyUnboundedEventsStayWithinMemory(t *testing.T) {
+	const (
+		instanceBytes = 184 << 20 // of the smallest instance
+		streams       = 200
+	)
+	release := make(chan struct{})
+	b := newBackend(t, "i-1", func(conn net.Conn, r *http.Request, id string) bool {
+		if !strings.HasPrefix(r.URL.Path, "/once/") {
+			return respondOK(conn, r, id)
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: s\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: ", r.Header.Get("X-Chestnutstream-Request-Id"))
+		block := strings.Repeat("x", 8<<10)
+		for n := 0; n < maxEventBytes-2*len(block) && err == nil; n += len(block) {
+			_, err = io.WriteString(conn, block)
+		}
+		<-release
+		return false
+	})
+	srv := newTestServer(t, b)
+	srv.handler.held.limit = 3 * instanceBytes / 10
+	srv.dispatcher.table.Match("h.example", "/once/1").Timeout = time.Minute
+	other := func() {
+		resp, _, err := srv.send(t, "POST", "/look/1", strings.Repeat("x", 60<<10))
+		assert.NilError(t, err)
+		assert.Check(t, resp.StatusCode == http.StatusOK, "status %d for another request", resp.StatusCode)
+	}
+	other() // the next ones use its connection
+	var open sync.WaitGroup
+	for range streams {
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			readAndDiscard(t, srv, "/once/1")
+		}()
+	}
+	var peak uint64
+	for range 15 {
+		time.Sleep(100 * time.Millisecond)
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc)
+		other()
+	}
+	t.Logf("%d MB of live heap", peak>>20)
+	assert.Check(t, peak < instanceBytes, "%d MB of live heap", peak>>20)
+	close(release)
+	open.Wait()
+	awaitDone(t, srv.handler)
+	assert.Equal(t, srv.handler.held.used.Load(), int64(0))
+}
