--- a/engine/client.go
+++ b/engine/client.go
@@ -32,6 +32,7 @@
 	unackedTimeout   = 2 * time.Second        // the kernel closes an order's connection with unacknowledged bytes after this
 	headerTimeout    = time.Second            // an engine sends a generation's response headers at once
 	maxResponseBytes = 4 << 20                // of a status or error response
+	maxHeaderBytes   = 64 << 10               // of a response
 	resumePause      = 50 * time.Millisecond  // between attempts to resume a stream
 	cancelTimeout    = 500 * time.Millisecond // a cancel is best effort
 )
@@ -56,8 +57,8 @@
 		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: tcp.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	return &Client{
-		orders:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial}},
-		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial, ResponseHeaderTimeout: headerTimeout}},
+		orders:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial, MaxResponseHeaderBytes: maxHeaderBytes}},
+		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeaderBytes}},
 		stall:       DefaultStallSettings(),
 		gaps:        map[string]*GapEstimator{},
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -38,6 +38,7 @@
 	dialTimeout      = time.Second
 	healthTimeout    = time.Second
 	maxResponseBytes = 32 << 20 // of one response body
+	maxHeaderBytes   = 64 << 10 // of one response
 )
 
 // Client calls plain services. Each call uses a new connection: a pooled one may
@@ -60,7 +61,7 @@
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-		DialContext: dial, DisableKeepAlives: true,
+		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
