edge, permit: releases at sturdy servers look at no issuer; comments

A release looked up the issuer of slots, over all peers, before it knew that the server was brittle. Calm services pay nothing for slots again.

--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -106,6 +106,7 @@
 	}
 }
 
+// sendHeld sends an issuer this instance's use of a server. Callers hold mu.
 func (n *Node) sendHeld(issuer string, s *fleet.Server) {
 	h := n.holding(s)
 	if issuer == n.id {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -127,7 +127,7 @@
 	for _, r := range b.SlotRequests {
 		n.handleSlotRequest(from.Name, r)
 	}
-	for _, r := range b.SlotReports {
+	for _, r := range b.SlotReports { // now that the requests have made the sender known
 		n.recordSlotReport(from.Name, r)
 	}
 	for _, s := range b.BrittleServices {
--- a/edge/spare.go
+++ b/edge/spare.go
@@ -40,9 +40,12 @@
 // returnSlot returns a slot of a brittle server to its issuer, or keeps it for the next
 // request if the issuer responds late. Callers hold mu.
 func (n *Node) returnSlot(server string) {
+	if !n.isBrittle(server) {
+		return
+	}
 	issuer := n.permits.Primary(server, n.permitView())
 	granting := n.responseTimes.Mean(issuer)
-	if issuer == n.id || granting < slowIssuerTime || !n.isBrittle(server) {
+	if issuer == n.id || granting < slowIssuerTime {
 		n.reportHeld(server)
 		return
 	}
--- a/permit/slots.go
+++ b/permit/slots.go
@@ -17,7 +17,7 @@
 	slotRecoveryPerSec  = 0.1 // share of the slots that is granted again each second
 	minSlotShare        = 0.2
 	slotStateIdleExpiry = 10 * time.Minute
-	loadUsageTime       = 2 * time.Second        // over which the servers' own counts are compared with those of the instances
+	loadUsageTime       = 2 * time.Second        // over which servers' own counts are compared with those of the instances
 	loadMargin          = 0.5                    // requests and responses on their way, which a server does not count
 	maxGrantFlight      = 500 * time.Millisecond // after which a grant that was not received counts as lost
 	departedHoldTime    = time.Second            // for which the requests of an instance count that is no longer reached
@@ -65,10 +65,12 @@
 	reservedUntil time.Time // end of the waits given to denied requests
 	requestedAt   time.Time // of the latest request
 	takeoverUntil time.Time // until which other instances may have requests in progress that are not known
-	slotSeconds   float64   // in which slots were held, and grants, both decaying over slotUsageTime
-	grants        float64
-	dropped       float64 // abandoned requests that the server did not count, and all of them, by its responses, decaying over loadUsageTime
-	abandoned     float64
+	slotSeconds   float64   // in which slots were held, decaying over slotUsageTime
+	grants        float64   // decaying in the same way
+	// dropped are the abandoned requests that the server did not count by its responses, and
+	// abandoned all of them, both decaying over loadUsageTime.
+	dropped   float64
+	abandoned float64
 }
 
 // NewSlots returns an empty record.
@@ -110,6 +112,7 @@
 	return total
 }
 
+// abandonedNow returns the requests in progress that instances have abandoned.
 func (s *serverSlots) abandonedNow() int {
 	total := 0
 	for _, h := range s.holders {
