--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/tcp"
 )
 
 // Timeouts, intervals and sizes of connections.
@@ -25,6 +26,7 @@
 	minHeartbeatInterval     = time.Second           // between heartbeats on an idle connection
 	heartbeatIntervalPerPeer = 25 * time.Millisecond // per peer, so that an instance sends about 40 heartbeats a second at most
 	maxMissedHeartbeats      = 3                     // a connection is lost if nothing arrives for so many heartbeat intervals
+	maxHandshakeBytes        = 16 << 10              // of a response to a handshake
 	maxFrameBytes            = 8 << 20               // a configuration with many routes is the largest frame
 	bufferBytes              = 1024                  // per connection and direction; frames are small
 )
@@ -320,9 +322,10 @@
 
 // connect dials a peer and sends bundles until the connection fails.
 func (m *Mesh) connect(ctx context.Context, l *link) (up bool, err error) {
+	dial, handshakeComplete := tcp.LimitHandshake(m.cfg.Dial, maxHandshakeBytes)
 	d := websocket.Dialer{
 		HandshakeTimeout: dialTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		NetDialContext: m.cfg.Dial,
+		NetDialContext: dial,
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -330,6 +333,7 @@
 	if err != nil {
 		return false, fmt.Errorf("dial %s: %w", l.member.Name, err)
 	}
+	handshakeComplete()
 	_ = resp.Body.Close()
 	defer conn.Close()
 	// Messages sent while the handler builds the first bundle go into the next
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/tcp"
 )
 
 // Settings are the settings of a mesh.
@@ -34,8 +35,9 @@
 	DefaultIntervalPerPeer = 30 * time.Millisecond
 	writeTimeout           = time.Second
 	dialTimeout            = time.Second
-	ackTimeoutIntervals    = 4   // a link without acknowledgements for this many intervals is dialed again
-	minSendGapNanos        = 4e6 // minimum time between two States on a link
+	ackTimeoutIntervals    = 4        // a link without acknowledgements for this many intervals is dialed again
+	minSendGapNanos        = 4e6      // minimum time between two States on a link
+	maxHandshakeBytes      = 16 << 10 // of a response to a handshake
 	maxFrameBytes          = 8 << 20
 	maxSendTimes           = 256 // send times that a link keeps to compute report leases
 	tickPeriod             = 50 * time.Millisecond
@@ -267,7 +269,8 @@
 
 // connect opens one connection and sends on it until it fails or stalls.
 func (m *Mesh) connect(ctx context.Context, l *link) error {
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: m.cfg.Dial}
+	dial, handshakeComplete := tcp.LimitHandshake(m.cfg.Dial, maxHandshakeBytes)
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: dial}
 	header := http.Header{"Authorization": {signToken(m.cfg.Secret, chestnutstream.InstanceName(m.cfg.Self.Name), time.Now())}}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	conn, resp, err := dialer.DialContext(dialCtx, "ws://"+l.member.Address+Path, header)
@@ -278,6 +281,7 @@
 		}
 		return fmt.Errorf("dial %s: %w", l.member.Name, err)
 	}
+	handshakeComplete()
 	defer conn.Close()
 	closed := make(chan struct{})
 	go func() {
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -1,9 +1,10 @@
-// Package tcp sets a TCP option that package net does not offer: how long the kernel
-// waits for the other end to acknowledge sent bytes.
+// Package tcp has what package net does not offer for connections: how long the kernel
+// waits for the other end to acknowledge sent bytes, and how much a handshake reads.
 //
 // # Usage
 //
 //	d := net.Dialer{Control: tcp.LimitUnacked(1200 * time.Millisecond)}
+//	dial, complete := tcp.LimitHandshake(d.DialContext, 16<<10)
 package tcp
 
 import (
