ingress: the end of an event is searched in new bytes only

Cause: each read searched the whole beginning of the event for its end, so an event of 1 MB that arrives in reads of 8 kB cost 64 MB of searching.

Change: only new bytes are searched, and the byte before them.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -283,17 +283,19 @@
 // that cannot be relayed, with badEvent, or at an error of the caller's connection.
 func (x *exchange) relayEvents(a Assignment, b []byte) (badEvent, writeErr error) {
 	s := x.stream
+	from := max(len(s.partial)-1, 0) // the bytes before do not end an event
 	s.partial = append(s.partial, b...)
 	if !x.reservePartial(int64(cap(s.partial))) {
 		return fmt.Errorf("event of more than %d bytes: %w", len(s.partial), errNoRoom), nil
 	}
-	end := bytes.LastIndex(s.partial, []byte("\n\n"))
+	end := bytes.LastIndex(s.partial[from:], []byte("\n\n"))
 	if end < 0 {
 		if len(s.partial) >= maxEventBytes {
 			return fmt.Errorf("event of %d bytes exceeds the size limit", len(s.partial)), nil
 		}
 		return nil, nil
 	}
+	end += from
 	whole, badEvent := s.accept(s.partial[:end+2])
 	if len(whole) == 0 {
 		return badEvent, nil
