--- a/permit/permit.go
+++ b/permit/permit.go
@@ -26,7 +26,8 @@
 //
 // Brittle servers crash when they have to reject too many requests. A request to one needs
 // a slot, which Slots grants in the same way: it bounds the requests in progress instead of
-// those in a second.
+// those in a second. Only the first and the second choice grant slots. A request that an
+// instance has abandoned stays in progress while the server may go on with it.
 package permit
 
 import (
--- a/permit/slots.go
+++ b/permit/slots.go
@@ -9,12 +9,12 @@
 const (
 	minSlotWait         = 8 * time.Millisecond // before the next request of a slot
 	maxSlotWait         = time.Second
-	reservationsPerSlot = 3                     // waits that end with a slot: some of the requests have got another one by then
-	slotUsageTime       = time.Second           // over which the use of the slots is averaged
-	defaultHoldTime     = 50 * time.Millisecond // for which a slot is held, until it is known
-	rejectionFactor     = 0.75                  // by which a rejection lowers the slots that are granted
-	rejectionInterval   = 250 * time.Millisecond
-	slotRecoveryPerSec  = 0.1 // share of the slots that is granted again each second
+	reservationsPerSlot = 3                      // waits that end as a slot becomes free: some of the requests are served elsewhere by then
+	slotUsageTime       = time.Second            // over which the use of the slots is averaged
+	defaultHoldTime     = 50 * time.Millisecond  // for which a slot is held, until it is known
+	rejectionFactor     = 0.75                   // by which a rejection lowers the slots that are granted
+	rejectionInterval   = 250 * time.Millisecond // in which rejections count as one
+	slotRecoveryPerSec  = 0.1                    // share of the slots that is granted again each second
 	minSlotShare        = 0.2
 	slotStateIdleExpiry = 10 * time.Minute
 	loadUsageTime       = 2 * time.Second        // over which servers' own counts are compared with those of the instances
@@ -153,7 +153,7 @@
 }
 
 // reserve returns how long a denied request is to wait. Denied requests get different times,
-// one for each slot that is about to become free, so that few are denied again.
+// reservationsPerSlot for each slot that is about to become free, so that few are denied again.
 func (s *serverSlots) reserve(now time.Time) time.Duration {
 	hold := defaultHoldTime.Seconds()
 	if s.grants >= 1 {
@@ -170,9 +170,8 @@
 }
 
 // Request requests a slot of a server for an instance. If it is denied, wait is the time
-// until the next try: denied requests get different times, one for each slot that is about
-// to become free. The instances that reach one another grant their share of the slots, at
-// least one. An instance that is not the issuer for all that it reaches (primary), or has
+// until the next try: denied requests get different times, by those at which slots become
+// free. The instances that reach one another grant their share of the slots, at least one. An instance that is not the issuer for all that it reaches (primary), or has
 // only just become it, grants a part of that.
 func (s *Slots) Request(now time.Time, server string, h Holding, slots int, v View, primary bool) (ok bool, wait time.Duration) {
 	state := s.server(now, server)
