edge: the load of brittle servers names headers as package platform does

The test wrote the platform's names out, beside the constants that the site's other requests use. No change of behaviour; TestBrittleServersStayUpUnderOverload passes.

--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/instance"
+	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/standin"
 )
 
@@ -73,10 +74,10 @@
 	}
 	req.Host = "h.example"
 	if len(l.targets) > 0 {
-		req.Header.Set("X-Chestnutstream-Model", l.targets[i%len(l.targets)])
+		req.Header.Set(platform.HeaderModel, l.targets[i%len(l.targets)])
 	}
-	req.Header.Set("X-Chestnutstream-Request-Id", newRequestID())
-	req.Header.Set("X-Chestnutstream-Deadline-Ms", "2000")
+	req.Header.Set(platform.HeaderRequestID, newRequestID())
+	req.Header.Set(platform.HeaderDeadline, "2000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
