ingress, platform: keys of workspaces

Change: the key is looked up by its digest before the body is read; 401 for any other, or 503 while the configuration may be out of date. Servers get the workspace's name instead of the key, also through another instance. A workspace's priority replaces the route's. Charging quotas is an interface, not yet in use.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,7 +64,7 @@
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
 	n.dial, n.dialPeer = dial.servers, dial.peers
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes))}, n)}
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings()}, n)}
 	listeners := []struct {
 		address string
 		handler http.Handler
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -64,7 +64,7 @@
 func (x *exchange) placement(until time.Time) PlacementRequest {
 	return PlacementRequest{
 		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Prompt: x.header.Prompt,
-		TargetLatency: x.route.TargetLatency, Priority: x.route.Priority, Start: x.start, Avoid: x.avoid, Until: until,
+		TargetLatency: x.route.TargetLatency, Priority: x.rank(), Workspace: x.workspaceName(), Start: x.start, Avoid: x.avoid, Until: until,
 		Continues: x.continues, Software: x.streamSoftware,
 		Resumable: x.resumable(),
 		Forwarded: x.forwardedBy != "" || x.forwards >= maxForwards, Unreachable: x.unreachable, AvoidPeers: x.avoidPeers,
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -22,10 +22,13 @@
 	// headerSoftware is, in the request, the software version that has to go on with a
 	// stream, and in the response that of the server.
 	headerSoftware = "Chestnutstream-Stream-Software"
-	headerOutcome  = "Chestnutstream-Outcome" // response that the other instance itself generated: a forwardOutcome
+	// headerWorkspace is the workspace of the request's key, empty for a request without one.
+	// The key itself is not forwarded.
+	headerWorkspace = "Chestnutstream-Workspace"
+	headerOutcome   = "Chestnutstream-Outcome" // response that the other instance itself generated: a forwardOutcome
 )
 
-var forwardHeaders = []string{headerForwardedBy, headerTried, headerSoftware, headerOutcome}
+var forwardHeaders = []string{headerForwardedBy, headerTried, headerSoftware, headerWorkspace, headerOutcome}
 
 // forwardOutcome tells what became of a request that an instance responds to itself.
 type forwardOutcome string
@@ -53,6 +56,9 @@
 	if _, ok := h[headerSoftware]; ok {
 		x.continues, x.streamSoftware = true, h.Get(headerSoftware)
 	}
+	if name, ok := h[headerWorkspace]; ok && len(name) == 1 {
+		x.forwardedWorkspace = &name[0]
+	}
 	removeForwardHeaders(h)
 }
 
@@ -85,6 +91,9 @@
 	if x.continues {
 		h.Set(headerSoftware, x.streamSoftware)
 	}
+	if x.keyChecked {
+		h.Set(headerWorkspace, x.workspaceName())
+	}
 }
 
 // setForwardedResponse adds to the response to a forwarded request what the forwarding
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -249,6 +249,7 @@
 		return nil, fmt.Errorf("request to %s: %w", a.Server.ID, context.DeadlineExceeded)
 	}
 	h := platform.ForwardedHeader(x.r.Header)
+	x.setWorkspace(h)
 	if a.Peer != "" {
 		platform.SetDeadline(h, x.forwardDeadline())
 		x.setForwardHeaders(h)
@@ -287,5 +288,5 @@
 	if s := x.table.Services[x.service]; s == nil || s.Engine == nil {
 		return priorityUnset
 	}
-	return min(highestPriority+priorityStep*x.route.Priority, lowestPriority)
+	return min(highestPriority+priorityStep*x.rank(), lowestPriority)
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,6 +27,8 @@
 	// HeldBytes is the size of the bodies that are held at a time, over all requests; 0: no
 	// limit. A request whose body does not fit is rejected. Responses are held back less.
 	HeldBytes int64
+	Keys      KeySettings
+	Quotas    Quotas // nil: no quotas apply
 }
 
 // PlacementRequest describes a request that needs a backend server.
@@ -36,7 +38,8 @@
 	Target        chestnutstream.ModelAdapter // for services with engines
 	Prompt        chestnutstream.Prompt
 	TargetLatency time.Duration // latency target of the route; 0: none
-	Priority      int           // of the route; 0 is the highest
+	Priority      int           // of the workspace or the route; 0 is the highest
+	Workspace     string        // "": none
 	Start         time.Time     // when the request arrived
 	Avoid         map[string]bool
 	Until         time.Time // the placement is useless after this time; zero: no limit besides the context
@@ -174,6 +177,7 @@
 	durations     durationHistory
 	drain         drainStages
 	held          heldBytes
+	rejectedKeyAt atomic.Int64 // when a rejected key was last logged, in Unix nanoseconds
 }
 
 // NewServer returns a server that places its requests with d.
@@ -202,8 +206,13 @@
 	route   *chestnutstream.Route
 	table   *chestnutstream.RouteTable
 	service string
-	body    []byte
-	hash    string // of what the caller sent; a request that comes again has the same
+	// workspace is that of the caller's key, nil if there are no workspaces or the route is
+	// public. keyChecked is set if the configuration has workspaces.
+	workspace          *chestnutstream.Workspace
+	keyChecked         bool
+	forwardedWorkspace *string // as another instance states it
+	body               []byte
+	hash               string // of what the caller sent; a request that comes again has the same
 
 	reserved          int64     // bytes of bodies, of Settings.HeldBytes
 	partialReserved   int64     // of those, for the beginning of an event
@@ -280,6 +289,15 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	x.ctx = ctx
+	refund, ok := x.chargeQuota(ctx)
+	if !ok {
+		return
+	}
+	defer func() {
+		if !x.mayHaveRun {
+			refund()
+		}
+	}()
 	if forwardedBy == "" {
 		s.dispatcher.RecordRequest(x.service) // the forwarding instance counts it
 	}
@@ -352,6 +370,10 @@
 		x.respond(http.StatusNotFound, "no route for this host and path")
 		return false
 	}
+	x.takeForwardedWorkspace(x.table)
+	if !x.authenticate() {
+		return false
+	}
 	if x.header.ID == "" {
 		x.respond(http.StatusBadRequest, "no request id")
 		return false
--- a/route.go
+++ b/route.go
@@ -30,6 +30,7 @@
 	TargetGap     time.Duration // between the events of a stream
 	Priority      int           // 0 is the most urgent
 	MaxServers    int           // maximum number of servers to which a request is sent
+	Public        bool          // callers need no key of a workspace
 	Targets       []RouteTarget
 }
 
@@ -137,8 +138,11 @@
 	Version  uint64
 	Services map[string]*BackendService
 	Limits   ClientLimits
-	byHost   map[string][]*Route      // longest prefix first
-	minGaps  map[string]time.Duration // smallest TargetGap, by service
+	// Workspaces are the workspaces by name; nil: callers present no keys.
+	Workspaces map[string]*Workspace
+	byKey      map[KeyDigest]*Workspace
+	byHost     map[string][]*Route      // longest prefix first
+	minGaps    map[string]time.Duration // smallest TargetGap, by service
 	// MaxStreamTime is the longest Timeout of a route with streams that can be resumed, and
 	// 0 if one of them has none.
 	MaxStreamTime time.Duration
