platform: a fourth number in X-Chestnutstream-Server-Load

Cause: ReadServerLoad accepted exactly three parts, so where servers also state their pace the whole load was dropped, also for the counts of brittle servers. Change: the first three numbers count whatever follows them. The fourth, how long work takes relative to the usual time, is passed to the fleet; a malformed one or one outside 5 to 2,000 counts as not stated.

--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -38,6 +38,7 @@
 	}
 	if r.Load != nil {
 		n.fleet.RecordLoad(now, a.Server.ID, r.Load.Running, r.Load.Waiting)
+		n.fleet.RecordPace(now, a.Server.ID, r.Load.Pace)
 	}
 	switch {
 	case r.WrongServer:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,7 @@
 	InFlight               int // requests of this instance in progress
 	detector               outlierDetector
 	load                   reportedLoad
+	pace                   statedPace
 	prefillUntil           time.Time // estimated end of the prefill of the large prompts sent to it
 	totalRequests          int       // requests of all instances in progress, by its owner's latest message
 	loaded                 map[chestnutstream.ModelAdapter]loadedAdapter
