ingress: callers that do not read their response are disconnected

Cause: writes to a caller had no time limit, so a caller that reads nothing kept its server's place, a connection and the memory of its response for as long as it liked. Change: each write may take 5 s without progress, where the settings name slow readers. Test: 1,000 callers that read a byte a second; before, their requests did not end within 30 s.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,17 +21,18 @@
 
 // Process settings that the platform's settings file does not contain.
 const (
-	readHeaderTimeout = 10 * time.Second
-	callerIdleTimeout = 90 * time.Second // longer than the idle timeout of callers' connections in any configuration
-	maxHeaderBytes    = 64 << 10
-	memoryLimitShare  = 0.7                     // of the machine's memory, as the soft limit of the Go runtime
-	heldBytesShare    = 0.3                     // of the machine's memory, for the bodies of requests and responses
-	gcPercent         = 200                     // heap growth between collections: processor time is billed at a higher rate than memory
-	drainDelay        = 3200 * time.Millisecond // from SIGTERM until idle connections are closed: the balancer needs two failed readiness checks
-	drainMargin       = 400 * time.Millisecond  // before the end of the grace period
-	lastResponseTime  = 150 * time.Millisecond  // from there, for the responses to requests that have none
-	releaseTimeout    = 150 * time.Millisecond  // then for the release of the lease
-	drainPollInterval = 50 * time.Millisecond
+	readHeaderTimeout  = 10 * time.Second
+	callerIdleTimeout  = 90 * time.Second // longer than the idle timeout of callers' connections in any configuration
+	maxHeaderBytes     = 64 << 10
+	memoryLimitShare   = 0.7                     // of the machine's memory, as the soft limit of the Go runtime
+	callerStallTimeout = 5 * time.Second         // servers abort a response that remains unread for some seconds as well
+	heldBytesShare     = 0.3                     // of the machine's memory, for the bodies of requests and responses
+	gcPercent          = 200                     // heap growth between collections: processor time is billed at a higher rate than memory
+	drainDelay         = 3200 * time.Millisecond // from SIGTERM until idle connections are closed: the balancer needs two failed readiness checks
+	drainMargin        = 400 * time.Millisecond  // before the end of the grace period
+	lastResponseTime   = 150 * time.Millisecond  // from there, for the responses to requests that have none
+	releaseTimeout     = 150 * time.Millisecond  // then for the release of the lease
+	drainPollInterval  = 50 * time.Millisecond
 )
 
 // Instance is a running instance: its state and its listeners.
@@ -64,7 +65,7 @@
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
 	n.dial, n.dialPeer = dial.servers, dial.peers
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings()}, n)}
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings(), CallerStallTimeout: stallTimeout(cfg)}, n)}
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -100,6 +101,14 @@
 	return in, nil
 }
 
+// stallTimeout returns how long a caller may read nothing of its response; 0: no limit.
+func stallTimeout(cfg platform.Settings) time.Duration {
+	if !cfg.SlowReaders {
+		return 0
+	}
+	return callerStallTimeout
+}
+
 func (in *Instance) listen(s *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -28,7 +28,7 @@
 	if r.ContentLength == 0 {
 		return nil, 0, nil
 	}
-	limited := http.MaxBytesReader(x.w, r.Body, limit)
+	limited := http.MaxBytesReader(unlimited(x.w), r.Body, limit)
 	if r.ContentLength > 0 {
 		body, err = x.readSized(limited, r.ContentLength)
 	} else {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,8 +27,11 @@
 	// HeldBytes is the size of the bodies that are held at a time, over all requests; 0: no
 	// limit. A request whose body does not fit is rejected. Responses are held back less.
 	HeldBytes int64
-	Keys      KeySettings
-	Quotas    Quotas // nil: no quotas apply
+	// CallerStallTimeout is how long a caller may read nothing of its response before it is
+	// disconnected; 0: no limit.
+	CallerStallTimeout time.Duration
+	Keys               KeySettings
+	Quotas             Quotas // nil: no quotas apply
 }
 
 // PlacementRequest describes a request that needs a backend server.
@@ -274,7 +277,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, forwardedBy string) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
-	x := &exchange{server: s, w: w, r: r, start: s.cfg.Timer.Now(), header: platform.ReadRequestHeader(r.Header), avoid: map[string]bool{}, avoidPeers: map[string]bool{}, forwardedBy: forwardedBy}
+	x := &exchange{server: s, w: s.limitStall(w), r: r, start: s.cfg.Timer.Now(), header: platform.ReadRequestHeader(r.Header), avoid: map[string]bool{}, avoidPeers: map[string]bool{}, forwardedBy: forwardedBy}
 	if forwardedBy != "" {
 		x.takeForwardHeaders()
 	}
