--- a/route.go
+++ b/route.go
@@ -128,9 +128,10 @@
 
 // ClientLimits limits what callers may send.
 type ClientLimits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
+	HeaderBytes   int
+	HeaderTimeout time.Duration // for the head of a request; 0: not stated
+	BodyBytes     int64
+	IdleTimeout   time.Duration
 }
 
 // RouteTable is the routing part of one configuration version. It is immutable.
