connlimit, edge, entry: one budget for clients that send no whole request

net/http bounds each connection, but not all of them together: clients with heads without end made a process exceed its memory and its descriptors. Each listener of edge and entry now has a part of the connections (from limits.maxFds, -max-descriptors) and of the memory for heads (from limits.memoryMb, -memory-mb). When it is used up, the connection that has been without a whole request for longest is closed, never one with a request in progress; requests of a closed connection never reach the handler. One head is bounded by the configuration's maxHeaderBytes and headerTimeoutMs with slack (431 and close), by 64 KB and 10 s without them. The decisions are a state machine (connlimit.Part).

The reset of broken HTTP/1.0 responses asked for a *net.TCPConn; it asks for SetLinger now, which the wrapped connection has.

--- a/cmd/chestnutstream/entry.go
+++ b/cmd/chestnutstream/entry.go
@@ -45,6 +45,8 @@
 	f.StringVar(&c.cfg.CallerSecret, "caller-secret", "", "secret of the callers' credentials; empty accepts every caller as anonymous")
 	f.StringVar(&c.policy, "policy", string(entry.PolicyDefault), "default or naive")
 	f.DurationVar(&c.cfg.DrainTimeout, "drain-timeout", c.cfg.DrainTimeout, "longest wait for requests in progress after SIGTERM")
+	f.IntVar(&c.cfg.MemoryMB, "memory-mb", 0, "memory that the process may use, in MB, from which the limits of connections follow; 0 assumes 512 for them and sets no limit")
+	f.IntVar(&c.cfg.MaxDescriptors, "max-descriptors", 0, "file descriptors that the process may open, from which the limits of connections follow; 0 is the limit that the system sets")
 	c.log.set(f, "info")
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/connlimit"
 	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/platform"
@@ -21,10 +21,6 @@
 
 // Process settings that the platform's settings file does not contain.
 const (
-	readHeaderTimeout = 10 * time.Second
-	callerIdleTimeout = 90 * time.Second // longer than the idle timeout of callers' connections in any configuration
-	maxHeaderBytes    = 64 << 10
-	memoryLimitShare  = 0.7                     // of the machine's memory, as the soft limit of the Go runtime
 	heldBytesShare    = 0.3                     // of the machine's memory, for the bodies of requests and responses
 	gcPercent         = 200                     // heap growth between collections: processor time is billed at a higher rate than memory
 	drainDelay        = 3200 * time.Millisecond // from SIGTERM until idle connections are closed: the balancer needs two failed readiness checks
@@ -58,7 +54,7 @@
 // start is Start with functions that connect to other processes.
 func start(cfg platform.Settings, logger log.Interface, dial dialers) (*Instance, error) {
 	if cfg.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryBytes)))
+		debug.SetMemoryLimit(connlimit.Machine{MemoryBytes: cfg.MemoryBytes}.SoftMemoryLimit())
 	}
 	debug.SetGCPercent(gcPercent)
 	t := timer.NewSystem()
@@ -66,24 +62,25 @@
 	n.dial, n.dialPeer = dial.servers, dial.peers
 	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings()}, n)}
 	listeners := []struct {
+		kind    connlimit.Kind
 		address string
 		handler http.Handler
 	}{
-		{cfg.CallerAddress, in.ingress},
-		{cfg.ReadinessAddress, in.readiness()},
-		{cfg.PeerAddress, in.peers()},
-		{cfg.MetricsAddress, in.operations()},
+		{connlimit.KindCallers, cfg.CallerAddress, in.ingress},
+		{connlimit.KindReadiness, cfg.ReadinessAddress, in.readiness()},
+		{connlimit.KindPeers, cfg.PeerAddress, in.peers()},
+		{connlimit.KindMetrics, cfg.MetricsAddress, in.operations()},
 	}
-	for i, l := range listeners {
+	for _, l := range listeners {
 		if l.address == "" {
 			continue
 		}
-		s := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-		if err := in.listen(s, l.address); err != nil {
+		s, err := in.listen(l.kind, l.address, l.handler)
+		if err != nil {
 			in.Close()
 			return nil, err
 		}
-		if i == 0 {
+		if l.kind == connlimit.KindCallers {
 			in.callers = s
 		}
 	}
@@ -100,20 +97,6 @@
 	return in, nil
 }
 
-func (in *Instance) listen(s *http.Server, address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	in.servers = append(in.servers, s)
-	go func() {
-		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-			in.node.log.WithError(err).WithField("address", address).Error("listener failed")
-		}
-	}()
-	return nil
-}
-
 func (in *Instance) readiness() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/caller"
+	"github.com/chestnutstream/chestnutstream/connlimit"
 	"github.com/chestnutstream/chestnutstream/engine"
 	"github.com/chestnutstream/chestnutstream/operator"
 	"github.com/chestnutstream/chestnutstream/peer"
@@ -20,8 +22,6 @@
 
 // HTTP limits and drain times of an instance.
 const (
-	readHeaderTimeout  = 10 * time.Second
-	maxHeaderBytes     = 64 << 10
 	idleTimeout        = 2 * time.Minute
 	handOverTimeout    = 15 * time.Second // until other instances have acquired the servers
 	drainPollInterval  = 20 * time.Millisecond
@@ -53,13 +53,16 @@
 		_ = callerLn.Close()
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(connlimit.Machine{MemoryBytes: int64(cfg.MemoryMB) << 20}.SoftMemoryLimit())
+	}
 	cfg.CallerAddress, cfg.PeerAddress = callerLn.Addr().String(), peerLn.Addr().String()
 	in := &Instance{CallerAddress: cfg.CallerAddress, PeerAddress: cfg.PeerAddress, node: newNode(cfg)}
 	in.callers = caller.NewServer(caller.Settings{
 		Instance: cfg.Name, Secret: cfg.CallerSecret, Timer: cfg.Timer, Log: cfg.Log, Metrics: in.node.metrics,
 	}, in.callerDependencies())
-	in.serve(callerLn, in.callerRouter(cfg))
-	in.serve(peerLn, in.peerRouter())
+	in.serve(connlimit.KindCallers, callerLn, in.callerRouter(cfg))
+	in.serve(connlimit.KindPeers, peerLn, in.peerRouter())
 	in.node.addSeeds(cfg.Peers)
 	in.node.start()
 	in.register(chestnutstream.Live)
@@ -80,8 +83,13 @@
 	}
 }
 
-func (in *Instance) serve(ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+// serve serves h within the listener's part of the connections and memory of the process.
+func (in *Instance) serve(kind connlimit.Kind, inner net.Listener, h http.Handler) {
+	cfg := in.node.cfg
+	ln := connlimit.NewListener(inner, connlimit.Settings{
+		Kind: kind, Machine: connlimit.Machine{Descriptors: cfg.MaxDescriptors, MemoryBytes: int64(cfg.MemoryMB) << 20}, Log: in.node.log, Metrics: in.node.metrics,
+	})
+	srv := ln.Server(h, idleTimeout)
 	in.servers = append(in.servers, srv)
 	go func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,8 @@
 	CallerSecret   string // if empty, callers are not authenticated
 	Policy         Policy
 	DrainTimeout   time.Duration
+	MemoryMB       int // memory that the process may use; 0: not stated
+	MaxDescriptors int // file descriptors that the process may open; 0: its limit
 	Timer          chestnutstream.Timer
 	Log            log.Interface
 	Dial           chestnutstream.DialFunc // may be nil; then the network is dialed directly
@@ -88,6 +90,12 @@
 	if s.DrainTimeout <= 0 {
 		return fmt.Errorf("-drain-timeout %v: want more than 0", s.DrainTimeout)
 	}
+	if s.MemoryMB < 0 {
+		return fmt.Errorf("-memory-mb %d: want 0 or more", s.MemoryMB)
+	}
+	if s.MaxDescriptors < 0 {
+		return fmt.Errorf("-max-descriptors %d: want 0 or more", s.MaxDescriptors)
+	}
 	return nil
 }
 
