fleet, edge: placement by the servers' stated pace and learned speed

Cause: all servers of a service counted as equally fast, though they differ by a factor of two for good and state how fast they are now. It chooses plain servers and among engines that have an adapter loaded; overload, prefill waits, prefill grants and the time to the first event follow the engine's pace. A timeout of a slow server counts less as a failure. Services whose servers state no pace are placed as before. Lists of candidates are reused, so that a choice allocates no memory for them.

--- a/edge/dump.go
+++ b/edge/dump.go
@@ -44,6 +44,8 @@
 	Paused   int64   `json:"paused-ms,omitempty"`
 	Slots    int     `json:"slots-taken,omitempty"`
 	AllSlots int     `json:"slots,omitempty"`
+	Pace     float64 `json:"pace"`  // by what it states; 1 is usual, 2 takes twice as long
+	Speed    float64 `json:"speed"` // by what its responses show beyond that
 }
 
 // dump serves the state of the instance as JSON.
@@ -75,6 +77,7 @@
 		Owner: n.ownerOf(s.ID), InFlight: s.InFlight, Load: s.Load(n.now()),
 		Limit: limit, Paused: s.Paused(n.now()).Milliseconds(),
 	}
+	out.Pace, out.Speed = s.PaceAndSpeed(n.now())
 	if e := n.loaders[s.ID]; e != nil {
 		out.Slots, out.AllSlots = e.Slots()
 	}
--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -33,14 +33,20 @@
 	if r.Connected {
 		n.fleet.RecordConnection(now, a.Server.ID, true)
 	}
-	if r.Outcome == fleet.Responded && a.FirstEvent > 0 {
-		n.recordFirstEvent(a, r.Took)
-	}
 	if r.Load != nil {
 		n.fleet.RecordLoad(now, a.Server.ID, r.Load.Running, r.Load.Waiting)
 		n.fleet.RecordPace(now, a.Server.ID, r.Load.Pace)
 	}
 	switch {
+	case r.Outcome != fleet.Responded:
+	case a.FirstEvent > 0:
+		n.recordFirstEvent(now, a, r.Took)
+	case r.Load != nil:
+		n.fleet.RecordServiceTime(now, a.Server.ID, r.Took, r.Load.Waiting)
+	default:
+		n.fleet.RecordServiceTime(now, a.Server.ID, r.Took, 0)
+	}
+	switch {
 	case r.WrongServer:
 		n.fleet.RecordMisplaced(now, a.Server.ID)
 	case r.NotLoaded:
@@ -52,9 +58,9 @@
 
 // recordFirstEvent compares the estimated time to the first event with the measured
 // one. Callers hold mu.
-func (n *Node) recordFirstEvent(a ingress.Assignment, took time.Duration) {
+func (n *Node) recordFirstEvent(now time.Time, a ingress.Assignment, took time.Duration) {
 	if a.PrefillWait == 0 {
-		n.fleet.RecordFirstEvent(a.Server.ID, a.Prompt, took)
+		n.fleet.RecordFirstEvent(now, a.Server.ID, a.Prompt, took)
 	}
 	sign, diff := "under", took-a.FirstEvent
 	if diff < 0 {
--- a/edge/place.go
+++ b/edge/place.go
@@ -231,7 +231,7 @@
 	now := n.now()
 	assignment := ingress.Assignment{
 		Server: s.Backend, Target: p.Target, Version: version, LoadStall: stall, Prompt: p.Prompt, ViewAge: n.recordViewAge(),
-		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, p.Prompt),
+		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, fleetRequest(p, version)),
 	}
 	if n.prefillPaced(p.Service) {
 		n.fleet.RecordPrefill(now, s.ID, p.Prompt.Tokens) // its owner has granted the prefill, so no other instance is notified
--- a/edge/prefill.go
+++ b/edge/prefill.go
@@ -135,7 +135,7 @@
 		return
 	}
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
-	e.SetPace(n.prefillPace(e.Server.Service))
+	e.SetPace(n.prefillPace(r.Server, e.Server.Service))
 	for _, a := range e.RequestPrefill(boot, loader.PrefillRequest{
 		From: from, ID: r.ID, Target: r.Target, Tokens: r.Tokens, Priority: r.Priority,
 		OnTimeUntil: boot + ms(r.OnTimeMS), UsefulUntil: boot + ms(r.UsefulMS), MaxWait: ms(r.MaxWaitMS),
@@ -147,14 +147,13 @@
 	}
 }
 
-// prefillPace returns how fast the engines of a service may be sent prompts. Callers
-// hold mu.
-func (n *Node) prefillPace(service string) loader.Pace {
+// prefillPace returns how fast an engine may be sent prompts. Callers hold mu.
+func (n *Node) prefillPace(server, service string) loader.Pace {
 	t := n.routes.Load()
 	if t == nil {
 		return loader.Pace{}
 	}
-	return loader.Pace{Window: t.MinTargetGap(service), Rate: n.fleet.PrefillRate(service), Share: n.fleet.PrefillShare(service)}
+	return loader.Pace{Window: t.MinTargetGap(service), Rate: n.fleet.PrefillRate(n.now(), server), Share: n.fleet.PrefillShare(service)}
 }
 
 // prefillStates are the response states for a loader's prefill actions.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,9 +22,10 @@
 	InFlight               int // requests of this instance in progress
 	detector               outlierDetector
 	load                   reportedLoad
-	pace                   statedPace
-	prefillUntil           time.Time // estimated end of the prefill of the large prompts sent to it
-	totalRequests          int       // requests of all instances in progress, by its owner's latest message
+	pace                   serverPace
+	times                  *serviceTimes // of its service; nil if no server of it has stated a pace
+	prefillUntil           time.Time     // estimated end of the prefill of the large prompts sent to it
+	totalRequests          int           // requests of all instances in progress, by its owner's latest message
 	loaded                 map[chestnutstream.ModelAdapter]loadedAdapter
 	noLoadRequestsUntil    time.Time // no load requests are sent to its owner before that
 	noPrefillRequestsUntil time.Time // no prefill requests are sent to its owner before that
@@ -51,6 +52,8 @@
 	at       time.Time
 	total    int // running and waiting
 	inFlight int
+	mean     float64 // moving average of total
+	reports  int
 }
 
 // loadReportDecay is the time over which the weight of a reported load falls to
@@ -105,11 +108,15 @@
 	pauses      map[string]*pauseTracker    // by service
 	zones       map[string]*outlierDetector // of connections to the servers of each availability zone
 
-	brittle          map[string]brittleness // by service
-	storeUnavailable bool                   // the latest read of the list failed
-	storeReadAt      time.Time              // latest successful read of the list
-	storeRecoveredAt time.Time              // first successful read after an outage in which entries may have expired
-	heartbeat        time.Duration          // between two writes of a server's entry
+	times            map[string]*serviceTimes // by service, of those whose servers have stated a pace
+	candidates       []*Server                // of the choice in progress, kept to save allocations
+	costs            []float64                // their estimates
+	ranked           []rankedEngine           // the same for engines
+	brittle          map[string]brittleness   // by service
+	storeUnavailable bool                     // the latest read of the list failed
+	storeReadAt      time.Time                // latest successful read of the list
+	storeRecoveredAt time.Time                // first successful read after an outage in which entries may have expired
+	heartbeat        time.Duration            // between two writes of a server's entry
 	ignoredEntries   uint64
 }
 
@@ -121,7 +128,7 @@
 	}
 	return &Fleet{
 		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
-		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
+		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, times: map[string]*serviceTimes{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
 	}
 }
 
@@ -175,7 +182,10 @@
 // RecordLoad records the load that a server's response reports.
 func (f *Fleet) RecordLoad(now time.Time, id string, running, waiting int) {
 	if s := f.servers[id]; s != nil {
-		s.load = reportedLoad{at: now, total: running + waiting, inFlight: s.InFlight}
+		l := &s.load
+		l.reports = min(l.reports+1, maxCounted)
+		l.mean += max(meanWeight(now.Sub(l.at)), 1/float64(l.reports)) * (float64(running+waiting) - l.mean)
+		l.at, l.total, l.inFlight = now, running+waiting, s.InFlight
 	}
 }
 
@@ -185,7 +195,7 @@
 	if s == nil {
 		return
 	}
-	s.detector.record(now, o, took)
+	s.detector.recordWeighted(now, o, took, s.failureWeight(now, o))
 	z := f.zones[s.Zone]
 	if z == nil {
 		z = &outlierDetector{maxConnFailures: maxZoneConnFailures}
@@ -246,6 +256,7 @@
 	f.services = map[string][]*Server{}
 	for _, s := range f.Servers() {
 		f.services[s.Service] = append(f.services[s.Service], s)
+		s.times = f.times[s.Service]
 	}
 }
 
--- a/fleet/outlier.go
+++ b/fleet/outlier.go
@@ -28,6 +28,10 @@
 	latencyWeight          = 0.15                   // of one response in the moving latency
 	defaultMaxConnFailures = 2                      // consecutive failed connections before a server is backed off
 	maxZoneConnFailures    = 4                      // the same for an availability zone
+	// A server that has responded within slowEvidence, and takes at least slowServer times as
+	// long as usual, exceeds timeouts because it is slow rather than because it fails.
+	slowEvidence = time.Second
+	slowServer   = 1.5
 )
 
 // outlierDetector tracks the health of a server by the outcomes of requests. The
@@ -43,8 +47,26 @@
 	latency         time.Duration // moving average of the time to a response
 }
 
+// failureWeight returns the weight of an outcome in the failure rate of its server. A timeout
+// of a slow server counts less, by the server's slowness, but does count: a server that
+// freezes while slow is found by several of them.
+func (s *Server) failureWeight(now time.Time, o Outcome) float64 {
+	if o != Unresponsive || now.Sub(s.pace.responded) > slowEvidence {
+		return failureWeight
+	}
+	if slowness := s.slowness(now); slowness >= slowServer {
+		return failureWeight / slowness
+	}
+	return failureWeight
+}
+
 // record records the outcome of a request.
 func (d *outlierDetector) record(now time.Time, o Outcome, took time.Duration) {
+	d.recordWeighted(now, o, took, failureWeight)
+}
+
+// recordWeighted records the outcome of a request. weight is that of a failure.
+func (d *outlierDetector) recordWeighted(now time.Time, o Outcome, took time.Duration, weight float64) {
 	if o == Refused || o == Inconclusive {
 		return
 	}
@@ -58,7 +80,7 @@
 		d.latency += time.Duration(latencyWeight * float64(took-d.latency))
 		return
 	}
-	d.failureRate += (1 - d.failureRate) * failureWeight
+	d.failureRate += (1 - d.failureRate) * weight
 	if o != Unreachable {
 		return
 	}
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -37,6 +36,20 @@
 // PickPlain chooses a server of a plain service: the one with the least expected
 // wait, with a small extra cost for distance. It returns nil if none may get work.
 func (f *Fleet) PickPlain(now time.Time, service string, avoid map[string]bool) *Server {
+	best := f.leastPlain(now, service, avoid)
+	if best != nil {
+		f.recordPick(now, best)
+	}
+	return best
+}
+
+func (f *Fleet) leastPlain(now time.Time, service string, avoid map[string]bool) *Server {
+	if f.statesPace(service) {
+		if s := f.pickPlainByEstimate(now, service, avoid, false); s != nil {
+			return s
+		}
+		return f.pickPlainByEstimate(now, service, avoid, true)
+	}
 	var best *Server
 	bestCost := 0.0
 	list := f.services[service]
@@ -55,9 +68,6 @@
 			}
 		}
 	}
-	if best != nil {
-		f.recordPick(now, best)
-	}
 	return best
 }
 
@@ -84,7 +94,7 @@
 func (f *Fleet) plainCost(now time.Time, s *Server) float64 {
 	cost := 1 + s.Load(now)
 	if slots := float64(max(s.Slots, 1)); cost > slots {
-		cost += 2 * (cost - slots)
+		cost += beyondSlotsCost * (cost - slots)
 	}
 	switch {
 	case !f.inRegion(s.Zone):
@@ -92,7 +102,7 @@
 	case s.Zone != f.zone:
 		cost += otherZoneCost
 	}
-	return cost * (1 + 4*s.detector.currentFailureRate(now))
+	return cost * (1 + failureCost*s.detector.currentFailureRate(now))
 }
 
 // Choice is the placement of a request for a model.
@@ -107,7 +117,9 @@
 // an adapter is loaded, its reloads are fast and its prompts stay cached. An
 // engine loaded well above the mean is skipped, so that a popular adapter gets
 // another replica before its engine queues. An engine with a prefill backlog is
-// skipped for one that has the adapter loaded or could load it sooner. loadable
+// skipped for one that has the adapter loaded or could load it sooner. Where engines
+// state their pace, their load counts by the time that work takes on them, and one that has
+// the adapter loaded and is faster by a clear margin precedes the order. loadable
 // reports whether a load request can be sent to an engine's owner.
 func (f *Fleet) PickEngine(now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) Choice {
 	order, mean := f.rankedEngines(now, r, avoid, false)
@@ -115,21 +127,35 @@
 		order, mean = f.rankedEngines(now, r, avoid, true)
 	}
 	bound, limit := mean*overloadFactor, r.WaitLimit()
+	isOverloaded := func(s *Server) bool {
+		return s.slowness(now)*s.Load(now) > bound+min(overloadSlackSlots, overloadSlackShare*float64(s.Slots)) || f.batchFull(now, s)
+	}
+	suitable := func(s *Server) bool {
+		return f.IsLoaded(now, s, r.Target, r.Version) && !isOverloaded(s) && s.PrefillWait(now) <= limit
+	}
 	var cold, leastSaturated, shortestWait, replica *Server
-	for _, s := range order {
-		loaded := f.IsLoaded(now, s, r.Target, r.Version)
-		overloaded := s.Load(now) > bound+min(overloadSlackSlots, overloadSlackShare*float64(s.Slots)) || f.batchFull(now, s)
+	coldSeen, coldLimit := 0, 1
+	if f.statesPace(r.Service) {
+		coldLimit = coldEngines
+	}
+	for i, s := range order {
+		loaded, overloaded := f.IsLoaded(now, s, r.Target, r.Version), isOverloaded(s)
 		wait := s.PrefillWait(now)
 		switch {
 		case loaded && !overloaded && wait <= limit:
-			return f.recordChoice(now, Choice{Server: s, Loaded: true, Replica: replica})
+			best := f.bestLoaded(now, r, s, shortestWait, order[i+1:], suitable)
+			return f.recordChoice(now, Choice{Server: best, Loaded: true, Replica: replica})
 		case loaded && !overloaded:
-			if shortestWait == nil || wait < shortestWait.PrefillWait(now) {
+			if shortestWait == nil || f.respondsSooner(now, r, s, shortestWait) {
 				shortestWait = s
 			}
 		case loaded && (leastSaturated == nil || s.saturation(now) < leastSaturated.saturation(now)):
 			leastSaturated = s
-		case !loaded && !overloaded && wait <= adapterLoadTime+limit && cold == nil && s.hasModel(r.Target.Model) && !s.backpressured(now) && loadable(s):
+		case !loaded && !overloaded && wait <= adapterLoadTime+limit && coldSeen < coldLimit && s.hasModel(r.Target.Model) && !s.backpressured(now) && loadable(s):
+			coldSeen++
+			if cold != nil && !f.muchFaster(now, s, cold) {
+				continue
+			}
 			cold = s
 			if leastSaturated != nil {
 				replica = s // the adapter's first engines are overloaded: add a replica
@@ -206,10 +232,10 @@
 	return out
 }
 
-// saturation ranks overloaded engines: the load as a share of the batch, plus the
-// prefill wait in units of fullBatchPrefillWait.
+// saturation ranks overloaded engines: the load as a share of the batch, by the time that
+// work takes there, plus the prefill wait in units of fullBatchPrefillWait.
 func (s *Server) saturation(now time.Time) float64 {
-	return s.Load(now)/float64(max(s.Slots, 1)) + float64(s.PrefillWait(now))/float64(fullBatchPrefillWait)
+	return s.slowness(now)*s.Load(now)/float64(max(s.Slots, 1)) + float64(s.PrefillWait(now))/float64(fullBatchPrefillWait)
 }
 
 // hasModel reports whether the engine's latest entry lists a base model.
@@ -233,16 +259,19 @@
 	return s.Slots > 0 && s.Load(now) >= fullBatchShare*float64(s.Slots)
 }
 
+// rankedEngine is an engine with its rank for a request.
+type rankedEngine struct {
+	s    *Server
+	rank uint64
+}
+
 // rankedEngines returns the engines that may get a request, in the request's
-// order, and their mean load. Engines of other regions are included only if this
-// region has none.
+// order, and their mean load by the time that work takes there. Engines of other
+// regions are included only if this region has none. The list is valid until the
+// next call.
 func (f *Fleet) rankedEngines(now time.Time, r Request, avoid map[string]bool, includeFailing bool) ([]*Server, float64) {
-	type ranked struct {
-		s    *Server
-		rank uint64
-	}
 	h := r.placementHash()
-	list := make([]ranked, 0, len(f.services[r.Service]))
+	list := f.ranked[:0]
 	total, regional := 0.0, false
 	for _, s := range f.services[r.Service] {
 		if !f.mayReceive(now, s, avoid, includeFailing) {
@@ -254,18 +283,19 @@
 		if regional && !f.inRegion(s.Zone) {
 			continue
 		}
-		list = append(list, ranked{s, mix(h, s.hash)})
-		total += s.Load(now)
+		list = append(list, rankedEngine{s, mix(h, s.hash)})
+		total += s.slowness(now) * s.Load(now)
 	}
+	f.ranked = list
 	if len(list) == 0 {
 		return nil, 0
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].rank > list[j].rank })
-	out := make([]*Server, len(list))
-	for i, l := range list {
-		out[i] = l.s
+	slices.SortFunc(list, func(a, b rankedEngine) int { return cmp.Compare(b.rank, a.rank) })
+	f.candidates = f.candidates[:0]
+	for _, l := range list {
+		f.candidates = append(f.candidates, l.s)
 	}
-	return out, total / float64(len(list))
+	return f.candidates, total / float64(len(list))
 }
 
 // IsLoaded reports whether an adapter is believed to be loaded on an engine at a
--- a/fleet/prefill.go
+++ b/fleet/prefill.go
@@ -66,7 +66,8 @@
 	return targetHash(r.Target)
 }
 
-// prefillRate is the estimated prefill rate of the engines of a service.
+// prefillRate is the estimated prefill rate of the engines of a service, at the usual pace
+// where they state one.
 type prefillRate struct {
 	tokensPerMS float64 // moving average
 }
@@ -80,9 +81,14 @@
 	return r
 }
 
-// PrefillRate returns the estimated prefill rate of an engine of a service, in tokens
-// a millisecond.
-func (f *Fleet) PrefillRate(service string) float64 { return f.prefillRate(service).tokensPerMS }
+// PrefillRate returns the estimated prefill rate of an engine now, in tokens a millisecond.
+func (f *Fleet) PrefillRate(now time.Time, id string) float64 {
+	s := f.servers[id]
+	if s == nil {
+		return initialTokensPerMS
+	}
+	return f.prefillRate(s.Service).tokensPerMS / s.slowness(now)
+}
 
 // SetPrefillWait records that an engine prefills other prompts for the duration wait.
 func (f *Fleet) SetPrefillWait(now time.Time, id string, wait time.Duration) {
@@ -91,18 +97,18 @@
 	}
 }
 
-// duration returns how long an engine of the service takes to prefill a prompt.
+// duration returns how long the usual engine of the service takes to prefill a prompt.
 func (r *prefillRate) duration(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / r.tokensPerMS * float64(time.Millisecond))
 }
 
 // record updates the rate by the time to the first event of a large prompt that
-// did not wait for others.
-func (r *prefillRate) record(tokens int, took time.Duration) {
+// did not wait for others, on an engine of the given pace.
+func (r *prefillRate) record(tokens int, took time.Duration, pace float64) {
 	if tokens < LargePrompt || took <= firstEventOverhead {
 		return
 	}
-	measured := float64(tokens) / (float64(took-firstEventOverhead) / float64(time.Millisecond))
+	measured := pace * float64(tokens) / (float64(took-firstEventOverhead) / float64(time.Millisecond))
 	r.tokensPerMS += prefillRateWeight * (min(max(measured, minTokensPerMS), maxTokensPerMS) - r.tokensPerMS)
 }
 
@@ -117,12 +123,17 @@
 	if from.Before(now) {
 		from = now
 	}
-	s.prefillUntil = from.Add(f.prefillRate(s.Service).duration(tokens))
+	s.prefillUntil = from.Add(f.prefillTime(now, s, tokens))
 	if latest := now.Add(maxPrefillWait); s.prefillUntil.After(latest) {
 		s.prefillUntil = latest
 	}
 }
 
+// prefillTime estimates how long an engine takes to prefill a prompt now.
+func (f *Fleet) prefillTime(now time.Time, s *Server, tokens int) time.Duration {
+	return time.Duration(s.slowness(now) * float64(f.prefillRate(s.Service).duration(tokens)))
+}
+
 // PrefillWait estimates how long a prompt sent now waits until the engine has
 // prefilled the large prompts before it.
 func (s *Server) PrefillWait(now time.Time) time.Duration {
@@ -131,18 +142,24 @@
 
 // EstimateFirstEvent estimates the time to the first event of a request sent to
 // an engine now.
-func (f *Fleet) EstimateFirstEvent(now time.Time, id string, p chestnutstream.Prompt) time.Duration {
+func (f *Fleet) EstimateFirstEvent(now time.Time, id string, r Request) time.Duration {
 	s := f.servers[id]
 	if s == nil {
 		return 0
 	}
-	return s.PrefillWait(now) + f.prefillRate(s.Service).duration(p.Tokens) + firstEventOverhead
+	tokens := max(r.Prompt.Tokens-f.cachedTokens(now, s, r), 0)
+	return s.PrefillWait(now) + f.prefillTime(now, s, tokens) + firstEventOverhead
 }
 
 // RecordFirstEvent records the time to the first event of a request that, by the
-// estimate, had no prompts before it.
-func (f *Fleet) RecordFirstEvent(id string, p chestnutstream.Prompt, took time.Duration) {
-	if s := f.servers[id]; s != nil {
-		f.prefillRate(s.Service).record(p.Tokens, took)
+// estimate, had no prompts before it. The pace that the response states is to be recorded
+// before.
+func (f *Fleet) RecordFirstEvent(now time.Time, id string, p chestnutstream.Prompt, took time.Duration) {
+	s := f.servers[id]
+	if s == nil {
+		return
 	}
+	f.learnFirstEvent(now, s, p.Tokens, took)
+	pace, _ := s.PaceAndSpeed(now)
+	f.prefillRate(s.Service).record(p.Tokens, took, pace)
 }
--- a/fleet/prefill_test.go
+++ b/fleet/prefill_test.go
@@ -174,10 +174,10 @@
 		f := engines(1)
 		for range 60 {
 			took := firstEventOverhead + time.Duration(bigPrompt/tokensPerMS*float64(time.Millisecond))
-			f.RecordFirstEvent("e0", chestnutstream.Prompt{Tokens: bigPrompt}, took)
+			f.RecordFirstEvent(start, "e0", chestnutstream.Prompt{Tokens: bigPrompt}, took)
 		}
 		want := firstEventOverhead + time.Duration(bigPrompt/tokensPerMS*float64(time.Millisecond))
-		got := f.EstimateFirstEvent(start, "e0", chestnutstream.Prompt{Tokens: bigPrompt})
+		got := f.EstimateFirstEvent(start, "e0", Request{Prompt: chestnutstream.Prompt{Tokens: bigPrompt}})
 		assert.Assert(t, got > want*9/10 && got < want*11/10, "want about %v, estimated %v", want, got)
 	}
 }
@@ -191,7 +191,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "prompts") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			f.RecordPrefill(now, "e0", rapid.IntRange(-100, 1<<40).Draw(t, "tokens"))
-			f.RecordFirstEvent("e0", chestnutstream.Prompt{Tokens: rapid.Int().Draw(t, "prompt")}, time.Duration(rapid.Int64().Draw(t, "took")))
+			f.RecordFirstEvent(now, "e0", chestnutstream.Prompt{Tokens: rapid.Int().Draw(t, "prompt")}, time.Duration(rapid.Int64().Draw(t, "took")))
 			wait := f.Server("e0").PrefillWait(now)
 			if wait < 0 || wait > maxPrefillWait {
 				t.Fatalf("prefill wait %v out of bounds", wait)
