--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -26,7 +26,7 @@
 	otherRegionTime = 20 * time.Millisecond
 	// nearlyEqual is the part of the least estimate by which servers may exceed it and still be
 	// chosen at random with it, so that instances with the same view choose different servers.
-	nearlyEqual = 0.15
+	nearlyEqual = 0.1
 	// clearMarginShare is the share of the latency target that another engine must save for a
 	// request to leave the first one of its order. Prompts that stay find their parts cached.
 	clearMarginShare = 0.1
@@ -68,20 +68,18 @@
 	return e
 }
 
-// estimatePlain estimates the time that a request to a plain service takes. Where stated paces
-// contain the effect of the load, only requests beyond the load to which the pace belongs, and
-// those beyond the slots, delay it further. Where they do not, each request on the server
-// delays the others by the time of one, as in plainCost. Distance costs as much as there.
+// estimatePlain estimates the time that a request to a plain service takes. Each request on the
+// server counts as one more of the usual time, as in plainCost, besides those whose effect the
+// stated pace contains. Distance costs as much as there.
 func (f *Fleet) estimatePlain(now time.Time, s *Server) Estimate {
 	pace, speed := s.PaceAndSpeed(now)
-	load, slots, usual := s.Load(now), float64(max(s.Slots, 1)), s.times.usual
-	ahead := load
-	beyond := max(load+1-slots, 0)
-	if follows := s.times.paceFollowsLoad(slots); follows > 0 {
-		ahead = (1-follows)*load + follows*max(load-s.loadOfPace(now), 0)/slots
-		beyond *= 1 - follows + follows/slots
-	}
-	e := Estimate{Work: usual * speed, Wait: usual * speed * (ahead + beyondSlotsCost*beyond)}
+	t := s.times
+	if t == nil {
+		t = &unstatedTimes
+	}
+	load, slots, usual := s.Load(now), float64(max(s.Slots, 1)), t.usual
+	ahead := load - t.paceFollowsLoad(slots)*min(load, s.loadOfPace(now)) + beyondSlotsCost*max(load+1-slots, 0)
+	e := Estimate{Work: usual * speed, Wait: usual * speed * ahead}
 	e.Pace = (e.Wait + e.Work) * (pace - 1)
 	switch {
 	case !f.inRegion(s.Zone):
--- a/fleet/outlier.go
+++ b/fleet/outlier.go
@@ -51,7 +51,7 @@
 // of a slow server counts less, by the server's slowness, but does count: a server that
 // freezes while slow is found by several of them.
 func (s *Server) failureWeight(now time.Time, o Outcome) float64 {
-	if o != Unresponsive || now.Sub(s.pace.responded) > slowEvidence {
+	if o != Unresponsive || (now.Sub(s.pace.at) > slowEvidence && now.Sub(s.pace.learnedAt) > slowEvidence) {
 		return failureWeight
 	}
 	if slowness := s.slowness(now); slowness >= slowServer {
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -47,7 +47,7 @@
 	at        time.Time
 	ratio     float64 // moving average of the time of responses over the one expected at the stated pace
 	learned   int     // number of these responses
-	responded time.Time
+	learnedAt time.Time
 }
 
 // serviceTimes is what is known of a service whose servers have stated a pace.
@@ -62,6 +62,9 @@
 	covariance, variance float64
 }
 
+// unstatedTimes is assumed of a service whose servers have stated no pace.
+var unstatedTimes = serviceTimes{usual: float64(initialServiceTime) / float64(time.Millisecond), ratio: 1}
+
 // RecordPace records the pace that a server's response states; 0: none. The load that the
 // response states is to be recorded before.
 func (f *Fleet) RecordPace(now time.Time, id string, pace float64) {
@@ -70,7 +73,8 @@
 		return
 	}
 	if s.times == nil {
-		s.times = &serviceTimes{usual: milliseconds(initialServiceTime), ratio: 1}
+		t := unstatedTimes
+		s.times = &t
 		f.times[s.Service] = s.times
 		for _, other := range f.services[s.Service] {
 			other.times = s.times
@@ -147,7 +151,7 @@
 	if s.pace.learned == 0 {
 		return 1
 	}
-	return 1 + (s.pace.ratio-1)*evidence(now.Sub(s.pace.responded))
+	return 1 + (s.pace.ratio-1)*evidence(now.Sub(s.pace.learnedAt))
 }
 
 // doubtful reports whether the responses of a server contradict the pace that it states.
@@ -204,7 +208,7 @@
 	ratio := s.timeRatio(now)
 	p.learned = min(p.learned+1, maxCounted)
 	p.ratio = ratio + max(minSpeedWeight, 1/float64(p.learned+speedPrior))*(multiple-ratio)
-	p.responded = now
+	p.learnedAt = now
 }
 
 // RecordServiceTime records how long a response of a plain service took, and how many requests
