chestnutstream, platform: parts of a prompt with their tokens

Cause: placement knew the prompt's shared parts as one string only. What an engine need not prefill depends on the size and order of the single parts. SharedParts is unchanged.

--- a/backend.go
+++ b/backend.go
@@ -89,6 +89,15 @@
 	Tokens          int    // prompt tokens to prefill; 0: unknown
 	MaxOutputTokens int    // maximum output tokens; 0: unknown
 	SharedParts     string // the prompt parts shared with other requests, in order; "": none
+	Parts           []PromptPart
+}
+
+// PromptPart is a part of a prompt. An engine that keeps it behind the same parts, for the same
+// model and adapter version, need not prefill it again.
+type PromptPart struct {
+	ID     string
+	Tokens int
+	Own    bool // it belongs to the request or to its session
 }
 
 // BackendReport is the state that an engine reports about itself. It is some
