fleet: a model of the prompts that engines keep

Cause: an engine that keeps the beginning of a prompt prefills less of it, and placement does not know which engine that is. Change: for each engine, the parts of the prompts that it has prefilled, by model, adapter version and the parts before them.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,7 @@
 	abandoned              []time.Time   // when requests that ended here first are expected to end at the server
 	longest                time.Duration // of a request to the server, falling slowly
 	rejections             []time.Time   // by this server while it is brittle, within rejectionWindow
+	prompts                *promptCache  // what it is believed to keep of prompts; nil: nothing
 }
 
 // loadedAdapter is a model or adapter that is believed to be loaded on an engine.
@@ -104,6 +105,9 @@
 	pauses      map[string]*pauseTracker    // by service
 	zones       map[string]*outlierDetector // of connections to the servers of each availability zone
 
+	prompts         map[string]*promptService // by service whose engines state their memory
+	unequalServices map[string]bool           // services whose servers have stated their pace
+
 	brittle          map[string]brittleness // by service
 	storeUnavailable bool                   // the latest read of the list failed
 	storeReadAt      time.Time              // latest successful read of the list
@@ -121,6 +125,7 @@
 	return &Fleet{
 		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
+		prompts: map[string]*promptService{}, unequalServices: map[string]bool{},
 	}
 }
 
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -292,6 +292,7 @@
 func (f *Fleet) RecordNotLoaded(id string, target chestnutstream.ModelAdapter) {
 	if s := f.servers[id]; s != nil {
 		delete(s.loaded, target)
+		s.dropPrompts(target)
 	}
 }
 
