fleet: the simulation of prompt placement limits adapter loads

Cause: an engine loaded any number of adapters at once and evicted ones that requests waited for, 150 a second on a busy load; and where PickEngine names no replica for an overloaded engine late in the request's order, that engine's queue grew without bound in any way of placement. Both hid the differences between the ways. Change: one load after the other per engine, none is evicted while requests wait for it, and the simulation adds the missing replica in all ways alike.

--- a/fleet/promptsim_test.go
+++ b/fleet/promptsim_test.go
@@ -37,6 +37,7 @@
 	places   int
 	adapters map[chestnutstream.ModelAdapter]*simAdapter
 	idleAt   time.Time
+	loadEnd  time.Time   // of the latest load; an engine loads one adapter after the other
 	ends     []time.Time // of the requests in progress, in order
 	parts    map[uint64]*list.Element
 	order    *list.List // most recent first
@@ -46,7 +47,10 @@
 	seen     map[uint64]bool
 }
 
-type simAdapter struct{ ready, used time.Time }
+type simAdapter struct {
+	ready, used time.Time
+	waiting     int // requests
+}
 
 // use returns the tokens of a prompt's beginning that were cached, and caches all its parts.
 func (e *promptEngine) use(r Request) int {
@@ -245,7 +249,7 @@
 	if p.way == byPart && r.Prompt.Parts[0].Tokens >= LargePrompt {
 		return p.chooseByPart(now, f, r)
 	}
-	c := f.PickEngine(now, r, nil, anyLoadable)
+	c := p.addReplica(now, f, r, f.PickEngine(now, r, nil, anyLoadable))
 	if p.way == byAdapter || p.way == byPart {
 		return c
 	}
@@ -264,6 +268,23 @@
 	return c
 }
 
+// addReplica adds a replica where PickEngine names none: if the only engine with the adapter is
+// overloaded and comes late in the request's order. Without it that engine's queue grows in all
+// ways, by no difference between them.
+func (p *promptSimulation) addReplica(now time.Time, f *Fleet, r Request, c Choice) Choice {
+	if c.Replica != nil || !c.Loaded || !f.batchFull(now, c.Server) {
+		return c
+	}
+	order, _ := f.rankedEngines(now, r, nil, false)
+	for _, s := range order {
+		if !f.IsLoaded(now, s, r.Target, r.Version) && !f.batchFull(now, s) {
+			c.Replica = s
+			break
+		}
+	}
+	return c
+}
+
 // chooseByPart chooses the first engine in the order of adapter and part that is not overloaded.
 func (p *promptSimulation) chooseByPart(now time.Time, f *Fleet, r Request) Choice {
 	order := append([]*Server(nil), f.Service(testService)...)
@@ -280,52 +301,59 @@
 	return Choice{Server: order[0], Loaded: f.IsLoaded(now, order[0], r.Target, 1)}
 }
 
-// leastUsed returns the adapter used longest ago. Those that are being loaded come last, as
-// requests wait for them.
-func (e *promptEngine) leastUsed(now time.Time) chestnutstream.ModelAdapter {
-	var targets []chestnutstream.ModelAdapter
-	for t := range e.adapters {
-		targets = append(targets, t)
-	}
-	sort.Slice(targets, func(i, j int) bool {
-		a, b := e.adapters[targets[i]], e.adapters[targets[j]]
-		if x, y := a.ready.After(now), b.ready.After(now); x != y {
-			return y
-		}
-		if !a.used.Equal(b.used) {
-			return a.used.Before(b.used)
+// leastUsed returns the adapter used longest ago for which no request waits; ok is false if
+// there is none.
+func (e *promptEngine) leastUsed() (oldest chestnutstream.ModelAdapter, ok bool) {
+	for t, a := range e.adapters {
+		o := e.adapters[oldest]
+		if a.waiting == 0 && (!ok || a.used.Before(o.used) || (a.used.Equal(o.used) && t.Adapter < oldest.Adapter)) {
+			oldest, ok = t, true
 		}
-		return targets[i].Adapter < targets[j].Adapter
-	})
-	return targets[0]
+	}
+	return oldest, ok
 }
 
-// loadAdapter has an engine load an adapter in place of the one used longest ago.
-func (p *promptSimulation) loadAdapter(now time.Time, id string, target chestnutstream.ModelAdapter) {
+// loadAdapter has an engine load an adapter in place of the one used longest ago. It returns
+// nil if requests wait for all that the engine has.
+func (p *promptSimulation) loadAdapter(now time.Time, id string, target chestnutstream.ModelAdapter) *simAdapter {
 	e := p.engines[id]
-	if e.adapters[target] != nil {
-		return
+	if a := e.adapters[target]; a != nil {
+		return a
 	}
 	if len(e.adapters) >= e.places {
-		oldest := e.leastUsed(now)
-		delete(e.adapters, oldest)
-		h := targetHash(oldest)
-		for el := e.order.Front(); el != nil; {
-			next := el.Next()
-			if el.Value.(simPart).target == h {
-				e.evict(el)
-			}
-			el = next
-		}
-		for _, f := range p.fleets {
-			f.RecordNotLoaded(id, oldest)
+		oldest, ok := e.leastUsed()
+		if !ok {
+			return nil
 		}
+		p.unload(id, oldest)
 	}
 	p.result.loads++
-	e.adapters[target] = &simAdapter{ready: now.Add(adapterLoadTime), used: now}
+	if e.loadEnd.Before(now) {
+		e.loadEnd = now
+	}
+	e.loadEnd = e.loadEnd.Add(adapterLoadTime)
+	a := &simAdapter{ready: e.loadEnd, used: now}
+	e.adapters[target] = a
 	for _, f := range p.fleets {
 		f.RecordLoaded(now, id, target, 1)
 	}
+	return a
+}
+
+// unload removes an adapter and what is cached for it.
+func (p *promptSimulation) unload(id string, target chestnutstream.ModelAdapter) {
+	e, h := p.engines[id], targetHash(target)
+	delete(e.adapters, target)
+	for el := e.order.Front(); el != nil; {
+		next := el.Next()
+		if el.Value.(simPart).target == h {
+			e.evict(el)
+		}
+		el = next
+	}
+	for _, f := range p.fleets {
+		f.RecordNotLoaded(id, target)
+	}
 }
 
 func (p *promptSimulation) arrive(now time.Time) {
@@ -334,7 +362,6 @@
 	r, large := p.draw()
 	c := p.choose(now, f, r)
 	id := c.Server.ID
-	p.loadAdapter(now, id, r.Target)
 	if c.Replica != nil {
 		p.loadAdapter(now, c.Replica.ID, r.Target)
 	}
@@ -343,12 +370,19 @@
 
 // send sends a request that arrived at a moment to an engine, once its adapter is loaded there.
 func (p *promptSimulation) send(now, arrived time.Time, f *Fleet, id string, r Request, large bool) {
-	p.loadAdapter(now, id, r.Target) // it may have been evicted again
-	e := p.engines[id]
-	a := e.adapters[r.Target]
+	e, a := p.engines[id], p.loadAdapter(now, id, r.Target)
+	if a == nil {
+		later := now.Add(100 * time.Millisecond)
+		p.at(later, func() { p.send(later, arrived, f, id, r, large) })
+		return
+	}
 	a.used = now
 	if a.ready.After(now) {
-		p.at(a.ready, func() { p.send(a.ready, arrived, f, id, r, large) })
+		a.waiting++
+		p.at(a.ready, func() {
+			a.waiting--
+			p.send(a.ready, arrived, f, id, r, large)
+		})
 		return
 	}
 	f.SamplePromptLoad(now, testService)
