fleet: choose a server without recording the choice

Cause: PickPlain and PickEngine spend the probe of a failing server and move the random source, so nobody could ask where a request would go without changing that. Change: choosing is split from recording. Placement is unchanged.

--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -37,13 +37,23 @@
 // PickPlain chooses a server of a plain service: the one with the least expected
 // wait, with a small extra cost for distance. It returns nil if none may get work.
 func (f *Fleet) PickPlain(now time.Time, service string, avoid map[string]bool) *Server {
+	start := 0
+	if n := len(f.services[service]); n > 0 {
+		start = f.rand.IntN(n)
+	}
+	best := f.choosePlain(now, service, avoid, start)
+	if best != nil {
+		f.recordPick(now, best)
+	}
+	return best
+}
+
+// choosePlain chooses as PickPlain does and records nothing. Of servers with the same cost it
+// returns the first one from index start on.
+func (f *Fleet) choosePlain(now time.Time, service string, avoid map[string]bool, start int) *Server {
 	var best *Server
 	bestCost := 0.0
 	list := f.services[service]
-	start := 0
-	if len(list) > 0 {
-		start = f.rand.IntN(len(list))
-	}
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for i := range list {
 			s := list[(start+i)%len(list)]
@@ -55,9 +65,6 @@
 			}
 		}
 	}
-	if best != nil {
-		f.recordPick(now, best)
-	}
 	return best
 }
 
@@ -110,6 +117,15 @@
 // skipped for one that has the adapter loaded or could load it sooner. loadable
 // reports whether a load request can be sent to an engine's owner.
 func (f *Fleet) PickEngine(now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) Choice {
+	c := f.chooseEngine(now, r, avoid, loadable)
+	if c.Server != nil {
+		f.recordPick(now, c.Server)
+	}
+	return c
+}
+
+// chooseEngine chooses as PickEngine does and records nothing.
+func (f *Fleet) chooseEngine(now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) Choice {
 	order, mean := f.rankedEngines(now, r, avoid, false)
 	if len(order) == 0 {
 		order, mean = f.rankedEngines(now, r, avoid, true)
@@ -118,11 +134,11 @@
 	var cold, leastSaturated, shortestWait, replica *Server
 	for _, s := range order {
 		loaded := f.IsLoaded(now, s, r.Target, r.Version)
-		overloaded := s.Load(now) > bound+min(overloadSlackSlots, overloadSlackShare*float64(s.Slots)) || f.batchFull(now, s)
+		overloaded := s.Load(now) > bound+overloadSlack(s) || f.batchFull(now, s)
 		wait := s.PrefillWait(now)
 		switch {
 		case loaded && !overloaded && wait <= limit:
-			return f.recordChoice(now, Choice{Server: s, Loaded: true, Replica: replica})
+			return Choice{Server: s, Loaded: true, Replica: replica}
 		case loaded && !overloaded:
 			if shortestWait == nil || wait < shortestWait.PrefillWait(now) {
 				shortestWait = s
@@ -138,16 +154,16 @@
 	}
 	switch {
 	case shortestWait != nil && cold != nil && shortestWait.PrefillWait(now) > adapterLoadTime+limit:
-		return f.recordChoice(now, Choice{Server: cold})
+		return Choice{Server: cold}
 	case shortestWait != nil:
-		return f.recordChoice(now, Choice{Server: shortestWait, Loaded: true})
+		return Choice{Server: shortestWait, Loaded: true}
 	case leastSaturated != nil:
-		return f.recordChoice(now, Choice{Server: leastSaturated, Loaded: true, Replica: replica})
+		return Choice{Server: leastSaturated, Loaded: true, Replica: replica}
 	case cold != nil:
-		return f.recordChoice(now, Choice{Server: cold})
+		return Choice{Server: cold}
 	}
 	if s := f.fallback(now, r, order, loadable); s != nil {
-		return f.recordChoice(now, Choice{Server: s})
+		return Choice{Server: s}
 	}
 	return Choice{}
 }
@@ -222,11 +238,9 @@
 	return false
 }
 
-// recordChoice records that the server of a choice was picked, and returns the
-// choice.
-func (f *Fleet) recordChoice(now time.Time, c Choice) Choice {
-	f.recordPick(now, c.Server)
-	return c
+// overloadSlack returns by how many requests an engine's load may exceed its bound.
+func overloadSlack(s *Server) float64 {
+	return min(overloadSlackSlots, overloadSlackShare*float64(s.Slots))
 }
 
 func (f *Fleet) batchFull(now time.Time, s *Server) bool {
