--- a/cmd/chestnutstream/main.go
+++ b/cmd/chestnutstream/main.go
@@ -11,6 +11,7 @@
 //	chestnutstream config   read and change the configuration document
 //	chestnutstream dump     the state of one or more instances
 //	chestnutstream explain  the decisions on a request or a backend server
+//	chestnutstream where    where an instance on the users' platform would send a request now
 //	chestnutstream token    the credential of a caller or a team
 //
 // The sub-commands other than edge and soak also read their flags from environment
@@ -40,7 +41,7 @@
 	for _, c := range []subcommands.Command{&entryCommand{}, &edgeCommand{}, &standinCommand{}, &demoCommand{}, &loadCommand{}, &soakCommand{}} {
 		subcommands.Register(c, "running")
 	}
-	for _, c := range []subcommands.Command{&configCommand{}, &dumpCommand{}, &explainCommand{}, &tokenCommand{}} {
+	for _, c := range []subcommands.Command{&configCommand{}, &dumpCommand{}, &explainCommand{}, &whereCommand{}, &tokenCommand{}} {
 		subcommands.Register(c, "operating")
 	}
 	flag.Parse()
--- a/edge/cutoff.go
+++ b/edge/cutoff.go
@@ -52,9 +52,25 @@
 // forward chooses the instance that a request is forwarded to: of two that may take it the
 // one with fewer forwarded requests, from this zone if there are any. Callers hold mu.
 func (n *Node) forward(p ingress.PlacementRequest) (ingress.Assignment, bool) {
-	if p.Forwarded {
+	choices := n.forwardTargets(p)
+	if len(choices) == 0 {
 		return ingress.Assignment{}, false
 	}
+	chosen, other := choices[rand.IntN(len(choices))], choices[rand.IntN(len(choices))]
+	if other.forwarded < chosen.forwarded {
+		chosen = other
+	}
+	chosen.forwarded++
+	n.metrics.GetOrCreateCounter(`chestnutstream_forwarded_requests_total{service=` + strconv.Quote(p.Service) + `}`).Inc()
+	return ingress.Assignment{Peer: chosen.member.Name, Server: chestnutstream.Backend{Service: p.Service, Address: chosen.member.Address}, Target: p.Target}, true
+}
+
+// forwardTargets returns the instances that may take a request, of this zone if there are any.
+// Callers hold mu.
+func (n *Node) forwardTargets(p ingress.PlacementRequest) []*peer {
+	if p.Forwarded {
+		return nil
+	}
 	now := n.now()
 	var near, far []*peer
 	for _, name := range n.mesh.Peers() {
@@ -68,20 +84,10 @@
 			far = append(far, peer)
 		}
 	}
-	choices := near
-	if len(choices) == 0 {
-		choices = far
-	}
-	if len(choices) == 0 {
-		return ingress.Assignment{}, false
-	}
-	chosen, other := choices[rand.IntN(len(choices))], choices[rand.IntN(len(choices))]
-	if other.forwarded < chosen.forwarded {
-		chosen = other
+	if len(near) == 0 {
+		return far
 	}
-	chosen.forwarded++
-	n.metrics.GetOrCreateCounter(`chestnutstream_forwarded_requests_total{service=` + strconv.Quote(p.Service) + `}`).Inc()
-	return ingress.Assignment{Peer: chosen.member.Name, Server: chestnutstream.Backend{Service: p.Service, Address: chosen.member.Address}, Target: p.Target}, true
+	return near
 }
 
 // recordForward records the outcome of forwarding a request. Callers hold mu.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,6 +144,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	r.HandleFunc("/dump", in.node.dump)
+	r.HandleFunc("/where", in.node.where).Methods(http.MethodGet)
 	r.HandleFunc("/quarantine/{service}/{trait:.+}", in.node.releaseTrait).Methods(http.MethodDelete)
 	return r
 }
