--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -274,7 +274,7 @@
 		models = fmt.Sprintf(`{"name":"m","weightsMb":90,"loadTimeS":0.3,"adapters":50,"adapterSizeMb":%g}`, s.adapterMB)
 	}
 	s.store.Put(platform.TableOperator, "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[
-		{"name":"assistant","healthPath":"/health","maxConnections":100,"engine":{"slots":16,"weightsMb":100,"adapterSlots":3,"models":[%s]}},
+		{"name":"assistant","healthPath":"/health","maxConnections":100,"engine":{"slots":16,"kvCapacity":200000,"weightsMb":100,"adapterSlots":3,"models":[%s]}},
 		{"name":"desk","healthPath":"/health","maxConnections":100}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, s.version, routes, models)))
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,7 +106,7 @@
 	zones       map[string]*outlierDetector // of connections to the servers of each availability zone
 
 	prompts         map[string]*promptService // by service whose engines state their memory
-	unequalServices map[string]bool           // services whose servers have stated their pace
+	UnequalServices map[string]bool           // services whose servers have stated their pace; only tests set it so far
 
 	brittle          map[string]brittleness // by service
 	storeUnavailable bool                   // the latest read of the list failed
@@ -125,7 +125,7 @@
 	return &Fleet{
 		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
-		prompts: map[string]*promptService{}, unequalServices: map[string]bool{},
+		prompts: map[string]*promptService{}, UnequalServices: map[string]bool{},
 	}
 }
 
--- a/fleet/promptcache.go
+++ b/fleet/promptcache.go
@@ -171,7 +171,7 @@
 // promptService returns what is known of a service's engines, or nil if cached prompts do not
 // count in its placement.
 func (f *Fleet) promptService(service string) *promptService {
-	if !f.unequalServices[service] {
+	if !f.UnequalServices[service] {
 		return nil
 	}
 	return f.prompts[service]
--- a/fleet/promptcache_test.go
+++ b/fleet/promptcache_test.go
@@ -15,7 +15,7 @@
 // cachingEngines returns engines whose cached prompts count in placement.
 func cachingEngines(n, capacity int) *Fleet {
 	f := engines(n)
-	f.unequalServices[testService] = true
+	f.UnequalServices[testService] = true
 	f.SetKVCapacity(testService, capacity)
 	return f
 }
@@ -61,7 +61,7 @@
 			shared, _ := prompted("d", 1, "", 0, "x", "y").SharedPart()
 			f.RecordPeerPrompt(start, "e0", shared)
 		}, prompted("d", 1, "own", 300, "x", "y"), 800},
-		{"speed not stated", func(f *Fleet) { delete(f.unequalServices, testService) }, sent, 0},
+		{"speed not stated", func(f *Fleet) { delete(f.UnequalServices, testService) }, sent, 0},
 		{"memory not configured", func(f *Fleet) { f.SetKVCapacity(testService, 0) }, sent, 0},
 	}
 	for _, tt := range cases {
--- a/fleet/promptsim_test.go
+++ b/fleet/promptsim_test.go
@@ -181,7 +181,7 @@
 		f := engines(promptEngines)
 		f.prefillRate(testService).tokensPerMS = promptPerMS
 		if way == byOwnMemory || way == byPeers {
-			f.unequalServices[testService] = true
+			f.UnequalServices[testService] = true
 			f.SetKVCapacity(testService, promptCapacity)
 		}
 		p.fleets = append(p.fleets, f)
