--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Estimate is the time that a request sent to a server now is expected to take until its
 // response begins, in milliseconds by what it consists of.
@@ -40,10 +43,6 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// cachedTokens returns how many tokens of a request's prompt an engine need not prefill, since
-// it has them cached.
-func (f *Fleet) cachedTokens(time.Time, *Server, Request) int { return 0 }
-
 // estimate estimates the time to the response to a request that is sent to a server now. For
 // an engine, which a request with a model needs, that is the time to its first event.
 func (f *Fleet) estimate(now time.Time, s *Server, r Request) Estimate {
@@ -101,15 +100,15 @@
 	return s.load.mean + (float64(s.load.total)-s.load.mean)*(1-float64(max(age, 0))/float64(paceDecay))
 }
 
-// pickNearlyBest returns a random one of the servers whose estimates are nearly the least.
-// costs are their estimates.
-func (f *Fleet) pickNearlyBest(servers []*Server, costs []float64) *Server {
+// pickNearlyBest returns a random one of the servers whose estimates are nearly the least, or
+// without random the first one with the least. costs are their estimates.
+func (f *Fleet) pickNearlyBest(servers []*Server, costs []float64, random bool) *Server {
 	if len(servers) == 0 {
 		return nil
 	}
-	least := costs[0]
-	for _, c := range costs {
-		least = min(least, c)
+	least := slices.Min(costs)
+	if !random {
+		return servers[slices.Index(costs, least)]
 	}
 	var best *Server
 	count := 0
@@ -126,7 +125,7 @@
 }
 
 // pickPlainByEstimate chooses a server of a plain service whose servers state their pace.
-func (f *Fleet) pickPlainByEstimate(now time.Time, service string, avoid map[string]bool, includeFailing bool) *Server {
+func (f *Fleet) pickPlainByEstimate(now time.Time, service string, avoid map[string]bool, includeFailing, random bool) *Server {
 	f.candidates, f.costs = f.candidates[:0], f.costs[:0]
 	for _, s := range f.services[service] {
 		if f.mayReceive(now, s, avoid, includeFailing) {
@@ -134,7 +133,7 @@
 			f.costs = append(f.costs, f.estimatePlain(now, s).Total())
 		}
 	}
-	return f.pickNearlyBest(f.candidates, f.costs)
+	return f.pickNearlyBest(f.candidates, f.costs, random)
 }
 
 // clearMargin returns the time in milliseconds that another engine must save to be preferred.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,7 @@
 	abandoned              []time.Time   // when requests that ended here first are expected to end at the server
 	longest                time.Duration // of a request to the server, falling slowly
 	rejections             []time.Time   // by this server while it is brittle, within rejectionWindow
+	prompts                *promptCache  // what it is believed to keep of prompts; nil: nothing
 }
 
 // loadedAdapter is a model or adapter that is believed to be loaded on an engine.
@@ -108,15 +109,16 @@
 	pauses      map[string]*pauseTracker    // by service
 	zones       map[string]*outlierDetector // of connections to the servers of each availability zone
 
-	times            map[string]*serviceTimes // by service, of those whose servers have stated a pace
-	candidates       []*Server                // of the choice in progress, kept to save allocations
-	costs            []float64                // their estimates
-	ranked           []rankedEngine           // the same for engines
-	brittle          map[string]brittleness   // by service
-	storeUnavailable bool                     // the latest read of the list failed
-	storeReadAt      time.Time                // latest successful read of the list
-	storeRecoveredAt time.Time                // first successful read after an outage in which entries may have expired
-	heartbeat        time.Duration            // between two writes of a server's entry
+	times            map[string]*serviceTimes  // by service, of those whose servers have stated a pace
+	candidates       []*Server                 // of the choice in progress, kept to save allocations
+	costs            []float64                 // their estimates
+	ranked           []rankedEngine            // the same for engines
+	prompts          map[string]*promptService // by service whose engines state their memory
+	brittle          map[string]brittleness    // by service
+	storeUnavailable bool                      // the latest read of the list failed
+	storeReadAt      time.Time                 // latest successful read of the list
+	storeRecoveredAt time.Time                 // first successful read after an outage in which entries may have expired
+	heartbeat        time.Duration             // between two writes of a server's entry
 	ignoredEntries   uint64
 }
 
@@ -129,6 +131,7 @@
 	return &Fleet{
 		zone: zone, inRegion: inRegion, rand: r, servers: map[string]*Server{}, services: map[string][]*Server{},
 		versions: map[chestnutstream.ModelAdapter]int{}, zones: map[string]*outlierDetector{}, times: map[string]*serviceTimes{}, brittle: map[string]brittleness{}, prefill: map[string]*prefillRate{}, pauses: map[string]*pauseTracker{},
+		prompts: map[string]*promptService{},
 	}
 }
 
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -36,25 +36,27 @@
 // PickPlain chooses a server of a plain service: the one with the least expected
 // wait, with a small extra cost for distance. It returns nil if none may get work.
 func (f *Fleet) PickPlain(now time.Time, service string, avoid map[string]bool) *Server {
-	best := f.leastPlain(now, service, avoid)
+	best := f.choosePlain(now, service, avoid, true)
 	if best != nil {
 		f.recordPick(now, best)
 	}
 	return best
 }
 
-func (f *Fleet) leastPlain(now time.Time, service string, avoid map[string]bool) *Server {
+// choosePlain chooses as PickPlain does and records nothing. Without random it returns the first
+// one of servers with the same cost.
+func (f *Fleet) choosePlain(now time.Time, service string, avoid map[string]bool, random bool) *Server {
 	if f.statesPace(service) {
-		if s := f.pickPlainByEstimate(now, service, avoid, false); s != nil {
+		if s := f.pickPlainByEstimate(now, service, avoid, false, random); s != nil {
 			return s
 		}
-		return f.pickPlainByEstimate(now, service, avoid, true)
+		return f.pickPlainByEstimate(now, service, avoid, true, random)
 	}
 	var best *Server
 	bestCost := 0.0
 	list := f.services[service]
 	start := 0
-	if len(list) > 0 {
+	if random && len(list) > 0 {
 		start = f.rand.IntN(len(list))
 	}
 	for pass := 0; pass < 2 && best == nil; pass++ {
@@ -122,13 +124,22 @@
 // the adapter loaded and is faster by a clear margin precedes the order. loadable
 // reports whether a load request can be sent to an engine's owner.
 func (f *Fleet) PickEngine(now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) Choice {
+	c := f.chooseEngine(now, r, avoid, loadable)
+	if c.Server != nil {
+		f.recordPick(now, c.Server)
+	}
+	return c
+}
+
+// chooseEngine chooses as PickEngine does and records nothing.
+func (f *Fleet) chooseEngine(now time.Time, r Request, avoid map[string]bool, loadable func(*Server) bool) Choice {
 	order, mean := f.rankedEngines(now, r, avoid, false)
 	if len(order) == 0 {
 		order, mean = f.rankedEngines(now, r, avoid, true)
 	}
 	bound, limit := mean*overloadFactor, r.WaitLimit()
 	isOverloaded := func(s *Server) bool {
-		return s.slowness(now)*s.Load(now) > bound+min(overloadSlackSlots, overloadSlackShare*float64(s.Slots)) || f.batchFull(now, s)
+		return s.slowness(now)*s.Load(now) > bound+overloadSlack(s) || f.batchFull(now, s)
 	}
 	suitable := func(s *Server) bool {
 		return f.IsLoaded(now, s, r.Target, r.Version) && !isOverloaded(s) && s.PrefillWait(now) <= limit
@@ -144,7 +155,7 @@
 		switch {
 		case loaded && !overloaded && wait <= limit:
 			best := f.bestLoaded(now, r, s, shortestWait, order[i+1:], suitable)
-			return f.recordChoice(now, Choice{Server: best, Loaded: true, Replica: replica})
+			return Choice{Server: best, Loaded: true, Replica: replica}
 		case loaded && !overloaded:
 			if shortestWait == nil || f.respondsSooner(now, r, s, shortestWait) {
 				shortestWait = s
@@ -164,16 +175,16 @@
 	}
 	switch {
 	case shortestWait != nil && cold != nil && shortestWait.PrefillWait(now) > adapterLoadTime+limit:
-		return f.recordChoice(now, Choice{Server: cold})
+		return Choice{Server: cold}
 	case shortestWait != nil:
-		return f.recordChoice(now, Choice{Server: shortestWait, Loaded: true})
+		return Choice{Server: shortestWait, Loaded: true}
 	case leastSaturated != nil:
-		return f.recordChoice(now, Choice{Server: leastSaturated, Loaded: true, Replica: replica})
+		return Choice{Server: leastSaturated, Loaded: true, Replica: replica}
 	case cold != nil:
-		return f.recordChoice(now, Choice{Server: cold})
+		return Choice{Server: cold}
 	}
 	if s := f.fallback(now, r, order, loadable); s != nil {
-		return f.recordChoice(now, Choice{Server: s})
+		return Choice{Server: s}
 	}
 	return Choice{}
 }
@@ -248,11 +259,9 @@
 	return false
 }
 
-// recordChoice records that the server of a choice was picked, and returns the
-// choice.
-func (f *Fleet) recordChoice(now time.Time, c Choice) Choice {
-	f.recordPick(now, c.Server)
-	return c
+// overloadSlack returns by how many requests an engine's load may exceed its bound.
+func overloadSlack(s *Server) float64 {
+	return min(overloadSlackSlots, overloadSlackShare*float64(s.Slots))
 }
 
 func (f *Fleet) batchFull(now time.Time, s *Server) bool {
@@ -322,6 +331,7 @@
 func (f *Fleet) RecordNotLoaded(id string, target chestnutstream.ModelAdapter) {
 	if s := f.servers[id]; s != nil {
 		delete(s.loaded, target)
+		s.dropPrompts(target)
 	}
 }
 
