instance, loader: prefill requests name their workspace

The owner of an engine could not tell whose requests wait, so it could not share the engine between workspaces. Prefill requests carry the workspace and the maximum output tokens, in an element of their own that instances of an earlier release ignore.

loader: order of prefill requests that compete

Where the routes of a service have several priorities, or the configuration has workspaces, the most urgent requests that can all be on time are granted by their on-time limits; the others wait. Workspaces and sizes that are served on time too rarely go first, and late requests age.

--- a/edge/prefill.go
+++ b/edge/prefill.go
@@ -68,6 +68,7 @@
 	request := instance.PrefillRequest{
 		Server: server, ID: id, Target: p.Target, Tokens: max(p.Prompt.Tokens, 1), Priority: p.Priority,
 		OnTimeMS: (p.TargetLatency - now.Sub(p.Start)).Milliseconds(), UsefulMS: until.Milliseconds(), MaxWaitMS: limit.Milliseconds(),
+		Workspace: p.Workspace, OutputTokens: p.Prompt.MaxOutputTokens,
 	}
 	sent := n.sendPrefillRequest(owner, request)
 	n.mu.Unlock()
@@ -139,6 +140,7 @@
 	for _, a := range e.RequestPrefill(boot, loader.PrefillRequest{
 		From: from, ID: r.ID, Target: r.Target, Tokens: r.Tokens, Priority: r.Priority,
 		OnTimeUntil: boot + ms(r.OnTimeMS), UsefulUntil: boot + ms(r.UsefulMS), MaxWait: ms(r.MaxWaitMS),
+		Workspace: r.Workspace, OutputTokens: max(r.OutputTokens, 0),
 	}) {
 		n.notify(r.Server, a)
 	}
@@ -154,7 +156,7 @@
 	if t == nil {
 		return loader.Pace{}
 	}
-	return loader.Pace{Window: t.MinTargetGap(service), Rate: n.fleet.PrefillRate(service), Share: n.fleet.PrefillShare(service)}
+	return loader.Pace{Window: t.MinTargetGap(service), Rate: n.fleet.PrefillRate(service), Share: n.fleet.PrefillShare(service), Competing: t.HasCompetingRequests(service)}
 }
 
 // prefillStates are the response states for a loader's prefill actions.
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -53,6 +53,9 @@
 	RemovedServers   []wireRemovedServer   `cbor:"45,keyasint,omitempty"`
 	UpdateAgesMS     []uint64              `cbor:"38,keyasint,omitempty"` // of TableUpdates: since the store was read
 	ConfigVersion    uint64                `cbor:"39,keyasint,omitempty"`
+	// PrefillDetails belong to PrefillRequests in the same order, if any of them names a
+	// workspace. Instances of an earlier release ignore them.
+	PrefillDetails []wirePrefillDetail `cbor:"50,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -203,6 +206,11 @@
 	MaxWaitMS int64
 }
 
+type wirePrefillDetail struct {
+	Workspace    string `cbor:"1,keyasint,omitempty"`
+	OutputTokens int    `cbor:"2,keyasint,omitempty"`
+}
+
 type wirePrefillResponse struct {
 	_      struct{} `cbor:",toarray"`
 	Server string
@@ -300,6 +308,7 @@
 			Priority: r.Priority, OnTimeMS: r.OnTimeMS, UsefulMS: r.UsefulMS, MaxWaitMS: r.MaxWaitMS,
 		})
 	}
+	w.PrefillDetails = encodePrefillDetails(b.PrefillRequests)
 	for _, r := range b.PrefillResponses {
 		w.PrefillResponses = append(w.PrefillResponses, wirePrefillResponse{Server: r.Server, ID: r.ID, State: string(r.State), WaitMS: r.WaitMS})
 	}
@@ -377,11 +386,15 @@
 	for _, x := range w.Prefills {
 		b.Prefills = append(b.Prefills, Prefill{Server: x.Server, Tokens: x.Tokens})
 	}
-	for _, x := range w.PrefillRequests {
-		b.PrefillRequests = append(b.PrefillRequests, PrefillRequest{
+	for i, x := range w.PrefillRequests {
+		r := PrefillRequest{
 			Server: x.Server, ID: x.ID, Target: modelAdapter(x.Model, x.Adapter), Tokens: x.Tokens,
 			Priority: x.Priority, OnTimeMS: x.OnTimeMS, UsefulMS: x.UsefulMS, MaxWaitMS: x.MaxWaitMS,
-		})
+		}
+		if i < len(w.PrefillDetails) {
+			r.Workspace, r.OutputTokens = w.PrefillDetails[i].Workspace, w.PrefillDetails[i].OutputTokens
+		}
+		b.PrefillRequests = append(b.PrefillRequests, r)
 	}
 	for _, x := range w.PrefillResponses {
 		b.PrefillResponses = append(b.PrefillResponses, PrefillResponse{Server: x.Server, ID: x.ID, State: PrefillState(x.State), WaitMS: x.WaitMS})
@@ -454,6 +467,21 @@
 	return out
 }
 
+// encodePrefillDetails returns nil if no request names a workspace.
+func encodePrefillDetails(requests []PrefillRequest) []wirePrefillDetail {
+	var out []wirePrefillDetail
+	for i, r := range requests {
+		if r.Workspace == "" {
+			continue
+		}
+		if out == nil {
+			out = make([]wirePrefillDetail, len(requests))
+		}
+		out[i] = wirePrefillDetail{Workspace: r.Workspace, OutputTokens: r.OutputTokens}
+	}
+	return out
+}
+
 func encodeEvidence(evidence []TraitEvidence) []wireTraitEvidence {
 	var out []wireTraitEvidence
 	for _, e := range evidence {
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -233,6 +233,10 @@
 	OnTimeMS  int64 // time left until the latency target is missed
 	UsefulMS  int64 // for how long a grant is of use
 	MaxWaitMS int64 // maximum wait
+
+	// Both are unset in requests of an earlier release, and in those that name no workspace.
+	Workspace    string
+	OutputTokens int // maximum output tokens
 }
 
 // PrefillState is the decision of an owner on a prefill request.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -58,6 +58,34 @@
 	}
 }
 
+// Guards against a release whose prefill requests, with the workspace, end the connections
+// to instances of an earlier release or are read wrongly from them.
+func TestPrefillRequestsNameWorkspaces(t *testing.T) {
+	plain := PrefillRequest{Server: "i-1", ID: 3, Target: modelAdapter("m", "a"), Tokens: 9190, Priority: 2, OnTimeMS: 800, UsefulMS: 2900, MaxWaitMS: 200}
+	named := plain
+	named.Workspace, named.OutputTokens = "w-1", 120
+	for _, requests := range [][]PrefillRequest{{plain}, {named}, {plain, named, plain}} {
+		frame, err := Encode(Bundle{PrefillRequests: requests})
+		assert.NilError(t, err)
+		b, err := Decode(frame)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b.PrefillRequests, requests)
+
+		var earlier struct {
+			PrefillRequests []wirePrefillRequest `cbor:"19,keyasint,omitempty"`
+		}
+		assert.NilError(t, decoding.Unmarshal(frame, &earlier))
+		assert.Equal(t, len(earlier.PrefillRequests), len(requests))
+		frame, err = cbor.Marshal(earlier)
+		assert.NilError(t, err)
+		b, err = Decode(frame)
+		assert.NilError(t, err)
+		for i, r := range b.PrefillRequests {
+			assert.Equal(t, r, plain, "request %d", i)
+		}
+	}
+}
+
 // An update counted from its arrival: one that was held up on its way made a view look
 // fresher than it was.
 func TestUpdatesStateTheirAge(t *testing.T) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -14,7 +14,8 @@
 //
 // loader.go holds the engine's state and the actions due now, choose.go selects
 // the next call, models.go the base models, responses.go handles reports and responses to orders, slots.go
-// defines slots and load requests, room.go computes what fits, prefill.go limits the rate of prompts.
+// defines slots and load requests, room.go computes what fits, prefill.go limits the rate of prompts,
+// order.go orders those that compete.
 //
 // All times are durations on the boot clock.
 //
--- a/loader/prefill.go
+++ b/loader/prefill.go
@@ -24,6 +24,9 @@
 	OnTimeUntil time.Duration // boot time until which a response is on time
 	UsefulUntil time.Duration // boot time after which a grant is useless
 	MaxWait     time.Duration // longest accepted wait; beyond it the instance tries another engine
+
+	Workspace    string // "": none
+	OutputTokens int    // maximum output tokens; 0: unknown
 }
 
 // Limits of prefill admission.
@@ -44,6 +47,9 @@
 	Window time.Duration // longest acceptable stall of the engine's streams; 0 disables the limit
 	Rate   float64       // prompt tokens that the engine processes per millisecond
 	Share  float64       // share of the window that prefill may use
+	// Competing is set where requests of several workspaces or priorities compete, as
+	// described in order.go.
+	Competing bool
 }
 
 // budget returns how many prompt tokens may be sent in a window.
@@ -59,7 +65,8 @@
 type prefillThrottle struct {
 	pace  Pace
 	sent  []sentPrompt     // within the window, in order of time
-	queue []PrefillRequest // in order of arrival
+	queue []waitingPrefill // in order of arrival
+	order prefillOrder
 }
 
 type sentPrompt struct {
@@ -76,9 +83,10 @@
 	t := &e.throttle
 	wait := t.estimate(boot, r)
 	if wait > r.MaxWait || boot+wait > r.UsefulUntil {
+		t.recordRefusal(boot, r)
 		return []Action{prefillAction(RefusePrefill, r, wait)}
 	}
-	t.queue = append(t.queue, r)
+	t.queue = append(t.queue, waitingPrefill{r, boot})
 	actions := t.grant(boot)
 	for _, g := range actions {
 		if g.To[0] == r.From && g.PrefillID == r.ID {
@@ -103,7 +111,7 @@
 func (e *Engine) GrantAllPrefills() []Action {
 	var actions []Action
 	for _, r := range e.throttle.queue {
-		actions = append(actions, prefillAction(GrantPrefill, r, 0))
+		actions = append(actions, prefillAction(GrantPrefill, r.PrefillRequest, 0))
 	}
 	e.throttle.queue = nil
 	return actions
@@ -136,7 +144,8 @@
 	for i := 0; i < len(t.queue); {
 		if r := t.queue[i]; boot > r.UsefulUntil {
 			t.queue = append(t.queue[:i], t.queue[i+1:]...)
-			actions = append(actions, prefillAction(RefusePrefill, r, t.pace.Window))
+			t.recordRefusal(boot, r.PrefillRequest)
+			actions = append(actions, prefillAction(RefusePrefill, r.PrefillRequest, t.pace.Window))
 			continue
 		}
 		i++
@@ -149,8 +158,9 @@
 			break
 		}
 		t.queue = append(t.queue[:i], t.queue[i+1:]...)
-		actions = append(actions, prefillAction(GrantPrefill, r, t.pace.prefillTime(t.tokensInWindow())))
-		t.sent = append(t.sent, sentPrompt{boot, min(r.Tokens, t.pace.budget())})
+		t.recordGrant(boot, r)
+		actions = append(actions, prefillAction(GrantPrefill, r.PrefillRequest, t.pace.prefillTime(t.tokensInWindow())))
+		t.sent = append(t.sent, sentPrompt{boot, t.charge(r.Tokens)})
 	}
 	return actions
 }
@@ -175,6 +185,9 @@
 	return t.pace.Window <= 0 || len(t.sent) == 0 || t.tokensInWindow()+t.requiredBudget(tokens) <= t.pace.budget()
 }
 
+// charge returns how many tokens of the window's budget a prompt uses.
+func (t *prefillThrottle) charge(tokens int) int { return min(tokens, t.pace.budget()) }
+
 // requiredBudget returns how many tokens of the budget have to be free for a
 // prompt. A prompt over the budget stalls the streams whenever it is processed,
 // so it does not wait for an empty window.
@@ -187,11 +200,15 @@
 }
 
 // next returns the index of the prefill request to grant next: those that can
-// still be on time first, then by on-time limit and priority.
+// still be on time first, then by on-time limit and priority. order.go has the order where
+// requests compete.
 func (t *prefillThrottle) next(boot time.Duration) int {
+	if t.pace.Competing && competing(t.queue) {
+		return t.nextCompeting(boot)
+	}
 	best := 0
 	for i := range t.queue {
-		if t.before(boot, t.queue[i], t.queue[best]) {
+		if t.before(boot, t.queue[i].PrefillRequest, t.queue[best].PrefillRequest) {
 			best = i
 		}
 	}
@@ -203,10 +220,14 @@
 	if x, y := t.inTime(boot, r), t.inTime(boot, earlier); x != y {
 		return x
 	}
-	rank := func(r PrefillRequest) time.Duration { return r.OnTimeUntil + time.Duration(r.Priority)*priorityStep }
 	return rank(r) < rank(earlier)
 }
 
+// rank returns the on-time limit of a request, later for those of lower priority.
+func rank(r PrefillRequest) time.Duration {
+	return r.OnTimeUntil + time.Duration(r.Priority)*priorityStep
+}
+
 // inTime reports whether the response to a request that is granted now can be on
 // time.
 func (t *prefillThrottle) inTime(boot time.Duration, r PrefillRequest) bool {
@@ -219,12 +240,7 @@
 	if len(t.queue) == 0 && t.fits(r.Tokens) {
 		return 0
 	}
-	ahead := t.tokensInWindow() + t.requiredBudget(r.Tokens) - t.pace.budget()
-	for _, q := range t.queue {
-		if !t.before(boot, r, q) {
-			ahead += q.Tokens
-		}
-	}
+	ahead := t.tokensInWindow() + t.requiredBudget(r.Tokens) - t.pace.budget() + t.tokensAhead(boot, r)
 	return t.pace.prefillTime(max(ahead, 1))
 }
 
--- a/route.go
+++ b/route.go
@@ -143,18 +143,22 @@
 	byKey      map[KeyDigest]*Workspace
 	byHost     map[string][]*Route      // longest prefix first
 	minGaps    map[string]time.Duration // smallest TargetGap, by service
+	priorities map[string]priorityRange // of the routes, by service
 	// MaxStreamTime is the longest Timeout of a route with streams that can be resumed, and
 	// 0 if one of them has none.
 	MaxStreamTime time.Duration
 }
 
+// priorityRange is the range of the priorities of routes.
+type priorityRange struct{ first, last int }
+
 // NewRouteTable returns a table of the routes, indexed by host and prefix.
 func NewRouteTable(version uint64, routes []*Route, services []*BackendService, limits ClientLimits) *RouteTable {
 	t := &RouteTable{Version: version, Services: map[string]*BackendService{}, Limits: limits, byHost: map[string][]*Route{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
-	t.minGaps = map[string]time.Duration{}
+	t.minGaps, t.priorities = map[string]time.Duration{}, map[string]priorityRange{}
 	unlimited := false
 	for _, r := range routes {
 		if r.Kind == RouteStreaming && r.Resumable {
@@ -165,6 +169,11 @@
 			if gap, ok := t.minGaps[target.Service]; r.TargetGap > 0 && (!ok || r.TargetGap < gap) {
 				t.minGaps[target.Service] = r.TargetGap
 			}
+			p, ok := t.priorities[target.Service]
+			if !ok {
+				p = priorityRange{r.Priority, r.Priority}
+			}
+			t.priorities[target.Service] = priorityRange{min(p.first, r.Priority), max(p.last, r.Priority)}
 		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
@@ -196,6 +205,13 @@
 // route sets one.
 func (t *RouteTable) MinTargetGap(service string) time.Duration { return t.minGaps[service] }
 
+// HasCompetingRequests reports whether requests for a service may be of several workspaces
+// or priorities.
+func (t *RouteTable) HasCompetingRequests(service string) bool {
+	p := t.priorities[service]
+	return t.HasWorkspaces() || p.first != p.last
+}
+
 // Routes returns the number of routes.
 func (t *RouteTable) Routes() int {
 	n := 0
