--- a/loader/order_test.go
+++ b/loader/order_test.go
@@ -76,3 +76,28 @@
 		}
 	})
 }
+
+// Guards against a large prompt that small urgent ones, which need all that an engine
+// prefills, keep waiting until a grant is useless.
+func TestLateLargePromptAges(t *testing.T) {
+	e := &Engine{}
+	e.SetPace(Pace{Window: 300 * time.Millisecond, Rate: 44, Share: 0.8, Competing: true})
+	start, granted := 10*time.Second, time.Duration(0)
+	for now := time.Duration(0); now < start+3*time.Second; now += 10 * time.Millisecond {
+		requests := []PrefillRequest{{From: "n", ID: uint64(now), Tokens: 600, OnTimeUntil: now + 800*time.Millisecond, UsefulUntil: now + time.Second, MaxWait: time.Second}}
+		if now == start {
+			requests = append(requests, PrefillRequest{From: "n", ID: 1, Tokens: 9190, Priority: 1, OnTimeUntil: now, UsefulUntil: now + 2800*time.Millisecond, MaxWait: 5 * time.Second})
+		}
+		for _, r := range requests {
+			for _, a := range e.RequestPrefill(now, r) {
+				if a.PrefillID == 1 {
+					assert.Assert(t, a.Kind != RefusePrefill)
+				}
+				if a.PrefillID == 1 && a.Kind == GrantPrefill {
+					granted = now - start
+				}
+			}
+		}
+	}
+	assert.Assert(t, granted >= 1400*time.Millisecond && granted < 2800*time.Millisecond, "granted after %v", granted)
+}
--- a/loader/prefill_test.go
+++ b/loader/prefill_test.go
@@ -142,7 +142,7 @@
 func TestPrefillAdmissionKeepsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := &Engine{}
-		pace := Pace{Window: 300 * time.Millisecond, Rate: 20, Share: 0.8}
+		pace := Pace{Window: 300 * time.Millisecond, Rate: 20, Share: 0.8, Competing: rapid.Bool().Draw(t, "competing")}
 		e.SetPace(pace)
 		now := time.Second
 		type sentGrant struct {
@@ -177,6 +177,7 @@
 				open[id] = now + time.Duration(rapid.IntRange(0, 2000).Draw(t, "until"))*time.Millisecond
 				handle(e.RequestPrefill(now, PrefillRequest{
 					From: "n", ID: id, Tokens: tokens[id], Priority: rapid.IntRange(0, 3).Draw(t, "priority"), UsefulUntil: open[id],
+					Workspace:   rapid.SampledFrom([]string{"", "w-1", "w-2"}).Draw(t, "workspace"),
 					OnTimeUntil: now + 500*time.Millisecond, MaxWait: time.Duration(rapid.IntRange(0, 2000).Draw(t, "limit")) * time.Millisecond,
 				}))
 			case "back":
