edge, waitlist: order of the requests that an instance holds back

A request that arrived, or whose retry was due, took a server that another one had waited for, whatever their priorities; requests of a short latency target were rejected after a quarter of it while less urgent ones waited on. Where requests compete, a request now yields to those held back that precede it, by the fair share of workspaces, priority and arrival, and is rejected at once if its estimated wait is too long. Retry-After follows from those held back and spreads the returns. Rejections are counted by cause.

--- a/edge/node.go
+++ b/edge/node.go
@@ -89,6 +89,7 @@
 	slotGrants        map[string]uint64 // by server: grants of slots received
 	unusedGrants      map[string]int    // by server: of those, the ones whose requests are about to be sent
 	spareSlots        spareSlots
+	waitlists         waitlists
 	lastPermitID      uint64                                  // of the newest permit request
 	permitWaiters     map[uint64]chan instance.PermitResponse // by ID of the permit request
 	regionInstances   int                                     // instances with a lease that this one exchanges messages with, and this one; 0: not read yet
@@ -173,7 +174,7 @@
 		fleet:   fleet.New(cfg.Zone, cfg.SameRegion, rand.New(rand.NewPCG(incarnation, 1))),
 		loaders: map[string]*loader.Engine{}, peers: map[string]*peer{}, modelDemands: map[string]*modelDemand{}, loadWaits: map[adapterKey]*loadWait{}, prefillWaits: map[uint64]*prefillWait{},
 		usage: map[adapterKey]*adapterUsage{}, changedUsage: map[adapterKey]bool{}, sentLoads: map[string]int{}, sentEntries: map[string]entryDigest{}, polls: map[string]poll{}, budgets: map[string]*fleet.Budget{},
-		permits: permit.NewIssuer(id), responseTimes: permit.NewResponseTimes(), slots: permit.NewSlots(), slotGrants: map[string]uint64{}, unusedGrants: map[string]int{}, spareSlots: spareSlots{}, permitWaiters: map[uint64]chan instance.PermitResponse{},
+		permits: permit.NewIssuer(id), responseTimes: permit.NewResponseTimes(), slots: permit.NewSlots(), slotGrants: map[string]uint64{}, unusedGrants: map[string]int{}, spareSlots: spareSlots{}, waitlists: newWaitlists(), permitWaiters: map[uint64]chan instance.PermitResponse{},
 		started: t.Now(), views: map[string]*view{}, crashChecks: map[processKey]*crashCheck{},
 		quarantine: quarantine.NewTracker(quarantine.DefaultSettings()), flights: map[*flight]struct{}{}, verdictRows: map[string]verdictRow{},
 		versions: software.NewVersions(streamRetention(nil)), origins: software.NewOrigins(streamRetention(nil)), originWaits: map[uint64]*originWait{},
--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -73,6 +73,7 @@
 		return
 	}
 	n.recordDone(a.Server.ID, e)
+	n.recordEnded(a)
 	k := adapterKey{a.Server.ID, a.Target}
 	if u := n.usage[k]; u != nil && u.inProgress > 0 {
 		u.inProgress--
--- a/edge/place.go
+++ b/edge/place.go
@@ -11,7 +11,6 @@
 	"github.com/chestnutstream/chestnutstream/fleet"
 	"github.com/chestnutstream/chestnutstream/ingress"
 	"github.com/chestnutstream/chestnutstream/instance"
-	"github.com/chestnutstream/chestnutstream/timer"
 )
 
 // Time limits of placement.
@@ -41,6 +40,7 @@
 	noPermit   bool // the server has a limit and there is no permit for it
 	retryAfter time.Duration
 	reason     string
+	cause      string // of the metric of rejections
 }
 
 // Place implements ingress.Dispatcher.
@@ -55,10 +55,13 @@
 	if p.Forwarded && cutOff {
 		return ingress.Assignment{}, &ingress.NoServerError{Reason: "this instance reaches no server of " + p.Service, RetryAfter: cutOffRejectionRetry}
 	}
+	place := n.placeEngine
 	if n.engineSpec(p.Service) == nil {
-		return n.placePlain(ctx, p)
+		place = n.placePlain
 	}
-	return n.placeEngine(ctx, p)
+	a, err := place(ctx, p)
+	n.countRejection(err)
+	return a, err
 }
 
 // placeEngine finds an engine on which the request's adapter is loaded, or has it
@@ -74,15 +77,34 @@
 	avoid := map[string]bool{}
 	last := placeResult{retryAfter: noServerRetryAfter, reason: "no engine may take work"}
 	n.recordModelDemand(p)
-	refused := 0 // prefill requests refused by owners: their engines have other prompts to prefill
+	n.mu.Lock()
+	w := n.enterWaitlist(p)
+	n.mu.Unlock()
+	defer n.leaveWaitlist(w)
+	refused := 0                   // prefill requests refused by owners: their engines have other prompts to prefill
+	var shortestWait time.Duration // of the engines whose owners refused
 	for ctx.Err() == nil {
 		n.mu.Lock()
+		if !w.mayProceed() {
+			var err error
+			if !n.yield(ctx, w, maxHold(n.now(), p)) {
+				err = n.displaced(w, p.Service)
+			}
+			n.mu.Unlock()
+			if err != nil {
+				return ingress.Assignment{}, err
+			}
+			continue
+		}
 		excluded := n.excludedServers(p)
 		for id := range excluded {
 			avoid[id] = true
 		}
 		version := n.fleet.Version(p.Target)
 		c := n.fleet.PickEngine(n.now(), fleetRequest(p, version), avoid, n.loadable)
+		if c.Server != nil {
+			w.resume() // its wait for a load or a prefill grant is not for a server that takes more
+		}
 		spec := n.engineSpec(p.Service)
 		fits := spec == nil || spec.Fits(p.Target)
 		if c.Replica != nil && fits {
@@ -104,6 +126,9 @@
 			if last = r; r.noPermit {
 				continue // the fleet does not choose this engine again until its permit wait has passed
 			}
+			if refused == 0 || r.retryAfter < shortestWait {
+				shortestWait = r.retryAfter
+			}
 			if refused > maxLimitedEngines {
 				break
 			}
@@ -116,15 +141,16 @@
 				return a, nil
 			}
 			wait, ok := n.fleet.AvailableIn(n.now(), p.Service, excluded)
+			late := ok && n.exceedsTarget(p, w, wait)
 			unservable := p.Continues && !n.hasSoftware(p.Service, p.Software) && !n.mayFindSoftware(p)
 			n.mu.Unlock()
 			if unservable {
 				last = placeResult{retryAfter: noServerRetryAfter, reason: fmt.Sprintf("no server of software version %q, which began the stream", p.Software)}
 				break
 			}
-			if ok && wait > p.TargetLatency {
+			if late {
 				n.mu.Lock()
-				last = placeResult{retryAfter: n.fleet.RecordRejection(n.now(), p.Service, wait), reason: "all engines take no more for now"}
+				last = placeResult{retryAfter: n.recordBlocked(n.now(), p, w, wait), reason: "all engines take no more for now", cause: causeBlocked}
 				n.mu.Unlock()
 				break
 			}
@@ -132,7 +158,9 @@
 				break
 			}
 			clear(avoid)
-			timer.Sleep(ctx, placeRetryInterval)
+			n.mu.Lock()
+			n.holdFor(ctx, n.now(), p, w, placeRetryInterval)
+			n.mu.Unlock()
 			continue
 		}
 		if !fits {
@@ -158,7 +186,12 @@
 			avoid[c.Server.ID] = true
 		}
 	}
-	return ingress.Assignment{}, &ingress.NoServerError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, minRetryAfter)}
+	if last.cause == causePrefill && w != nil {
+		n.mu.Lock()
+		last.retryAfter = w.retryAfter(n.now(), shortestWait)
+		n.mu.Unlock()
+	}
+	return ingress.Assignment{}, &ingress.NoServerError{Reason: "no engine for " + p.Target.String() + ": " + last.reason, RetryAfter: max(last.retryAfter, minRetryAfter), Cause: last.cause}
 }
 
 // admitAndPlace places a request on an engine on which its adapter is loaded. If
@@ -174,11 +207,11 @@
 		n.mu.Lock()
 		n.fleet.SetPrefillWait(n.now(), id, wait)
 		if !ok {
-			return ingress.Assignment{}, placeResult{retryAfter: wait, reason: "its engine has other prompts to read"}
+			return ingress.Assignment{}, placeResult{retryAfter: wait, reason: "its engine has other prompts to read", cause: causePrefill}
 		}
 	}
 	if !n.acquirePermit(ctx, id) || !n.acquireSlot(ctx, id) {
-		return ingress.Assignment{}, placeResult{noPermit: true, retryAfter: minRetryAfter, reason: "its engine takes no more for now"}
+		return ingress.Assignment{}, placeResult{noPermit: true, retryAfter: minRetryAfter, reason: "its engine takes no more for now", cause: causeBlocked}
 	}
 	s := n.fleet.Server(id)
 	if s == nil || !n.mayRun(s, p) || !s.Unpaused(n.now()) || version != n.fleet.Version(p.Target) || (version > 0 && !n.fleet.IsLoaded(n.now(), s, p.Target, version)) {
@@ -219,6 +252,7 @@
 // recordPlacement records that a request is sent to a server. Callers hold mu.
 func (n *Node) recordPlacement(s *fleet.Server, p ingress.PlacementRequest, version int, stall time.Duration) ingress.Assignment {
 	n.fleet.RecordSent(s.ID)
+	n.recordPlaced(n.now(), p)
 	k := adapterKey{s.ID, p.Target}
 	u := n.usage[k]
 	if u == nil {
@@ -231,6 +265,7 @@
 	now := n.now()
 	assignment := ingress.Assignment{
 		Server: s.Backend, Target: p.Target, Version: version, LoadStall: stall, Prompt: p.Prompt, ViewAge: n.recordViewAge(),
+		Workspace:   p.Workspace,
 		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, p.Prompt),
 	}
 	if n.prefillPaced(p.Service) {
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -16,8 +16,16 @@
 func (n *Node) placePlain(ctx context.Context, p ingress.PlacementRequest) (ingress.Assignment, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	w := n.enterWaitlist(p)
+	defer w.leave()
 	for ctx.Err() == nil {
 		now := n.now()
+		if !w.mayProceed() {
+			if !n.yield(ctx, w, plainWaitLimit(now, p, w)) {
+				return ingress.Assignment{}, n.displaced(w, p.Service)
+			}
+			continue
+		}
 		p.Avoid = n.excludedServers(p)
 		s := n.serverWithSpareSlot(p)
 		if s == nil {
@@ -28,7 +36,7 @@
 				return a, nil
 			}
 		}
-		if s == nil && n.awaitAvailableServer(ctx, now, p) {
+		if s == nil && n.awaitAvailableServer(ctx, now, p, w) {
 			continue
 		}
 		if s == nil && n.mayFindSoftware(p) {
@@ -38,12 +46,12 @@
 			continue
 		}
 		if s == nil {
-			return ingress.Assignment{}, n.noPlainServer(now, p)
+			return ingress.Assignment{}, n.noPlainServer(now, p, w)
 		}
 		id := s.ID
 		if !n.acquirePermit(ctx, id) || !n.acquireSlot(ctx, id) {
 			if p.TargetLatency > 0 && n.now().Sub(p.Start) > p.TargetLatency {
-				return ingress.Assignment{}, &ingress.NoServerError{Reason: fmt.Sprintf("all servers of %s take no more for now", p.Service), RetryAfter: minRetryAfter}
+				return ingress.Assignment{}, &ingress.NoServerError{Reason: fmt.Sprintf("all servers of %s take no more for now", p.Service), RetryAfter: w.retryAfter(n.now(), minRetryAfter), Cause: causeBlocked}
 			}
 			continue
 		}
@@ -52,34 +60,47 @@
 			continue // it changed while the permit was requested
 		}
 		n.fleet.RecordSent(id)
-		return ingress.Assignment{Server: s.Backend, ViewAge: n.recordViewAge()}, nil
+		n.recordPlaced(now, p)
+		return ingress.Assignment{Server: s.Backend, ViewAge: n.recordViewAge(), Workspace: p.Workspace}, nil
 	}
 	return ingress.Assignment{}, fmt.Errorf("place on %s: %w", p.Service, ctx.Err())
 }
 
-// plainWaitShare is the share of its latency target that a request to a plain
-// service may wait for a server.
-const plainWaitShare = 0.25
+// The share of its latency target that a request to a plain service may wait for a server.
+const (
+	plainWaitShare = 0.25
+	// competingWaitShare is that share where requests compete. With plainWaitShare, those of
+	// a short latency target are rejected while less urgent ones go on waiting, and these
+	// take the servers.
+	competingWaitShare = 0.6
+)
+
+// plainWaitLimit returns for how much longer a request may wait for a server.
+func plainWaitLimit(now time.Time, p ingress.PlacementRequest, w *waiting) time.Duration {
+	share := plainWaitShare
+	if w != nil {
+		share = competingWaitShare
+	}
+	return time.Duration(share*float64(p.TargetLatency)) - now.Sub(p.Start)
+}
 
 // awaitAvailableServer waits until a server of a service may accept more work, and reports
 // false at once when that would take too long for the request. Callers hold mu, which
 // is released meanwhile.
-func (n *Node) awaitAvailableServer(ctx context.Context, now time.Time, p ingress.PlacementRequest) bool {
+func (n *Node) awaitAvailableServer(ctx context.Context, now time.Time, p ingress.PlacementRequest, w *waiting) bool {
 	wait, ok := n.fleet.AvailableIn(now, p.Service, p.Avoid)
-	if !ok || now.Add(wait).Sub(p.Start) > time.Duration(plainWaitShare*float64(p.TargetLatency)) {
+	if !ok || w.estimate(wait) > plainWaitLimit(now, p, w) {
 		return false
 	}
-	n.mu.Unlock()
-	defer n.mu.Lock()
-	timer.Sleep(ctx, wait)
+	n.holdFor(ctx, now, p, w, wait)
 	return true
 }
 
 // noPlainServer returns the error for a request that no plain server can accept.
 // Callers hold mu.
-func (n *Node) noPlainServer(now time.Time, p ingress.PlacementRequest) error {
+func (n *Node) noPlainServer(now time.Time, p ingress.PlacementRequest, w *waiting) error {
 	if wait, ok := n.fleet.AvailableIn(now, p.Service, p.Avoid); ok {
-		return &ingress.NoServerError{Reason: fmt.Sprintf("all servers of %s take no more for now", p.Service), RetryAfter: n.fleet.RecordRejection(now, p.Service, wait)}
+		return &ingress.NoServerError{Reason: fmt.Sprintf("all servers of %s take no more for now", p.Service), RetryAfter: n.recordBlocked(now, p, w, wait), Cause: causeBlocked}
 	}
 	return &ingress.NoServerError{Reason: fmt.Sprintf("no server of %s may take work, of %d", p.Service, len(n.fleet.Service(p.Service))), RetryAfter: noServerRetryAfter}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -41,7 +41,7 @@
 
 func (x *exchange) place() (Assignment, error) {
 	if x.attempts >= maxAttempts {
-		return Assignment{}, &NoServerError{Reason: fmt.Sprintf("not taken by %d servers: %s", x.attempts, x.reason), RetryAfter: retryAfterDefault}
+		return Assignment{}, &NoServerError{Reason: fmt.Sprintf("not taken by %d servers: %s", x.attempts, x.reason), RetryAfter: x.retryAfter()}
 	}
 	ctx, cancel := x.waitContext()
 	defer cancel()
@@ -56,11 +56,16 @@
 	x.viewAge = a.ViewAge
 	if x.connectedAttempts > 0 && !x.server.dispatcher.AllowRetry(x.service) {
 		x.server.dispatcher.Release(a, Ending{Complete: true})
-		return Assignment{}, &NoServerError{Reason: "retry budget spent: " + x.reason, RetryAfter: retryAfterDefault}
+		return Assignment{}, &NoServerError{Reason: "retry budget spent: " + x.reason, RetryAfter: x.retryAfter()}
 	}
 	return a, nil
 }
 
+// retryAfter returns the Retry-After of a request that no server has taken.
+func (x *exchange) retryAfter() time.Duration {
+	return x.server.dispatcher.RetryAfter(x.service, retryAfterDefault)
+}
+
 func (x *exchange) placement(until time.Time) PlacementRequest {
 	return PlacementRequest{
 		RequestID: x.header.ID, Service: x.service, Target: x.header.Target, Prompt: x.header.Prompt,
@@ -336,10 +341,12 @@
 		x.respondFailed(err)
 		return
 	}
-	retryAfter := retryAfterDefault
+	var retryAfter time.Duration
 	var noServer *NoServerError
 	if errors.As(err, &noServer) {
 		retryAfter = noServer.RetryAfter
+	} else {
+		retryAfter = x.retryAfter()
 	}
 	retryAfter = max(retryAfter, x.forwardRetryAfter)
 	x.reject(retryAfter, err.Error())
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -190,6 +190,8 @@
 
 func (d *fakeDispatcher) AllowRetry(string) bool { return d.allowRetry }
 
+func (d *fakeDispatcher) RetryAfter(_ string, usual time.Duration) time.Duration { return usual }
+
 func (d *fakeDispatcher) CanRetry(_ string, avoid map[string]bool) bool {
 	for _, b := range d.backends {
 		if !avoid[b.id] {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -67,12 +67,14 @@
 	PrefillWait time.Duration // estimated time until the engine has prefilled the prompts queued before
 	FirstEvent  time.Duration // estimated time from sending to the first event; 0: no estimate
 	ViewAge     time.Duration // age of the list of servers that the choice rests on
+	Workspace   string        // of the request; "": none
 }
 
 // NoServerError reports why no backend server can take a request now.
 type NoServerError struct {
 	Reason     string
 	RetryAfter time.Duration
+	Cause      string // one of a few, for metrics; "": not stated
 }
 
 // Error implements the error interface.
@@ -148,6 +150,9 @@
 	// AllowRetry reports whether the retry budget allows sending one more request to
 	// a service, and charges it.
 	AllowRetry(service string) bool
+	// RetryAfter returns when a request that no server has taken should return. usual is the
+	// time if nothing is known of the requests that wait for the service.
+	RetryAfter(service string, usual time.Duration) time.Duration
 	// CanRetry reports whether a request can be retried now on a server of its
 	// service that is not in avoid.
 	CanRetry(service string, avoid map[string]bool) bool
