--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -90,7 +90,7 @@
 		{"slots", float64(s.Slots)},
 		{"failure-rate", s.detector.currentFailureRate(now)},
 	}
-	if f.statesPace(s.Service) {
+	if f.StatesPace(s.Service) {
 		return append(terms, f.estimatePlain(now, s).terms()...)
 	}
 	return append(terms, Term{"cost", f.plainCost(now, s)})
@@ -124,7 +124,7 @@
 		{"cached-tokens", float64(cached)},
 		{"first-event-ms", first.Seconds() * 1000},
 	}
-	if f.statesPace(s.Service) {
+	if f.StatesPace(s.Service) {
 		terms = append(terms, f.estimate(now, s, r).terms()...)
 	}
 	return terms
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -146,7 +146,7 @@
 // of the order, others the ones after it, and waiting one before it with a longer prefill wait,
 // or nil.
 func (f *Fleet) bestLoaded(now time.Time, r Request, first, waiting *Server, others []*Server, suitable func(*Server) bool) *Server {
-	if !f.statesPace(r.Service) {
+	if !f.StatesPace(r.Service) {
 		return first
 	}
 	best, least := first, f.estimate(now, first, r).Total()-r.clearMargin()
@@ -175,7 +175,7 @@
 
 // respondsSooner reports whether an engine with a prefill backlog is preferred to another one.
 func (f *Fleet) respondsSooner(now time.Time, r Request, s, than *Server) bool {
-	if !f.statesPace(r.Service) {
+	if !f.StatesPace(r.Service) {
 		return s.PrefillWait(now) < than.PrefillWait(now)
 	}
 	return f.estimate(now, s, r).Total() < f.estimate(now, than, r).Total()
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// statesPace reports whether a server of a service has stated a pace.
-func (f *Fleet) statesPace(service string) bool { return f.times[service] != nil }
+// StatesPace reports whether a server of a service has stated a pace.
+func (f *Fleet) StatesPace(service string) bool { return f.times[service] != nil }
 
 // meanWeight returns the weight of a statement in a server's means, by the time since the one
 // before it.
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -46,7 +46,7 @@
 // choosePlain chooses as PickPlain does and records nothing. Without random it returns the first
 // one of servers with the same cost.
 func (f *Fleet) choosePlain(now time.Time, service string, avoid map[string]bool, random bool) *Server {
-	if f.statesPace(service) {
+	if f.StatesPace(service) {
 		if s := f.pickPlainByEstimate(now, service, avoid, false, random); s != nil {
 			return s
 		}
@@ -146,7 +146,7 @@
 	}
 	var cold, leastSaturated, shortestWait, replica *Server
 	coldSeen, coldLimit := 0, 1
-	if f.statesPace(r.Service) {
+	if f.StatesPace(r.Service) {
 		coldLimit = coldEngines
 	}
 	for i, s := range order {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -72,12 +72,14 @@
 	ViewAge     time.Duration // age of the list of servers that the choice rests on
 	// CachedTokens is the estimate of how many tokens of the prompt the server has cached.
 	CachedTokens int
+	Workspace    string // of the request; "": none
 }
 
 // NoServerError reports why no backend server can take a request now.
 type NoServerError struct {
 	Reason     string
 	RetryAfter time.Duration
+	Cause      string // one of a few, for metrics; "": not stated
 }
 
 // Error implements the error interface.
@@ -153,6 +155,9 @@
 	// AllowRetry reports whether the retry budget allows sending one more request to
 	// a service, and charges it.
 	AllowRetry(service string) bool
+	// RetryAfter returns when a request that no server has taken should return. usual is the
+	// time if nothing is known of the requests that wait for the service.
+	RetryAfter(service string, usual time.Duration) time.Duration
 	// CanRetry reports whether a request can be retried now on a server of its
 	// service that is not in avoid.
 	CanRetry(service string, avoid map[string]bool) bool
