workspace, instance, platform: shares of workspaces' quotas

Cause: a workspace's limit holds over all instances together, and no code divides it between them. Change: package workspace keeps a token bucket by workspace on each instance (Buckets), moves the shares of the limits between instances (Allocator), and finds allocator and standby by rendezvous hashing (Instance). Debt is limited to the share's part of the platform's slack and keeps the share until it is repaid, so that moved shares never add to what a window lets through. Messages QuotaReports and QuotaShares carry names of workspaces only.

--- a/instance/codec.go
+++ b/instance/codec.go
@@ -53,6 +53,8 @@
 	RemovedServers   []wireRemovedServer   `cbor:"45,keyasint,omitempty"`
 	UpdateAgesMS     []uint64              `cbor:"38,keyasint,omitempty"` // of TableUpdates: since the store was read
 	ConfigVersion    uint64                `cbor:"39,keyasint,omitempty"`
+	QuotaReports     []wireQuotaReport     `cbor:"47,keyasint,omitempty"`
+	QuotaShares      []wireQuotaShare      `cbor:"48,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -254,6 +256,7 @@
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
 		HasCutOff: b.HasCutOff, CutOff: b.CutOff, Rejections: b.Rejections,
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
+		QuotaReports: encodeQuotaReports(b.QuotaReports), QuotaShares: encodeQuotaShares(b.QuotaShares),
 	}
 	for _, x := range b.LoadRequests {
 		w.LoadRequests = append(w.LoadRequests, wireAdapterCounts{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Count: x.Waiting})
@@ -348,6 +351,7 @@
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
 		HasCutOff: w.HasCutOff, CutOff: w.CutOff, Rejections: w.Rejections,
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
+		QuotaReports: decodeQuotaReports(w.QuotaReports), QuotaShares: decodeQuotaShares(w.QuotaShares),
 	}
 	for _, x := range w.LoadRequests {
 		b.LoadRequests = append(b.LoadRequests, LoadRequest{Server: x.Server, Target: modelAdapter(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -27,6 +27,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/software"
+	"github.com/chestnutstream/chestnutstream/workspace"
 )
 
 // Path is the HTTP path of the protocol.
@@ -79,6 +80,8 @@
 	OriginResponses  []OriginResponse          // responses to OriginRequests
 	RemovedServers   []RemovedServer           // servers whose entries were removed, as the sender is the first to know
 	TableUpdates     []TableUpdate             // table changes that the sender has read for its availability zone
+	QuotaReports     []workspace.Report        // the sender's shares of workspaces' limits, to their allocators and standbys
+	QuotaShares      []workspace.Grant         // responses to QuotaReports
 }
 
 // LoadRequest requests that the owner of a server loads an adapter there.
@@ -270,5 +273,6 @@
 	return !b.HasOwned && !b.Draining && len(b.LoadRequests) == 0 && len(b.LoadResponses) == 0 && len(b.Usage) == 0 && !b.ConfigRequested && b.Config == nil && b.ConfigVersion == 0 && len(b.Versions) == 0 && len(b.TableUpdates) == 0 && len(b.EngineLoads) == 0 && len(b.Prefills) == 0 &&
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RemovedServers) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
-		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotReports) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0
+		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotReports) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0 &&
+		len(b.QuotaReports) == 0 && len(b.QuotaShares) == 0
 }
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -285,6 +285,10 @@
 	return max(minHeartbeatInterval, time.Duration(len(m.links))*heartbeatIntervalPerPeer)
 }
 
+// LossTime returns the time within which a peer notices that its connection to this instance
+// is lost.
+func (m *Mesh) LossTime() time.Duration { return maxMissedHeartbeats * m.heartbeatInterval() }
+
 func (m *Mesh) maintain(ctx context.Context, l *link) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRedialDelay, maxRedialDelay
--- /dev/null
+++ b/workspace/simulation_test.go
@@ -0,0 +1,261 @@
+package workspace
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// simulation plays instances that share the quota of one workspace over a network with
+// delays and faults.
+type simulation struct {
+	now      time.Duration
+	rng      *rand.Rand
+	quota    chestnutstream.Quota
+	cfg      Settings
+	tick     time.Duration
+	nodes    []*simNode
+	byName   map[string]*simNode
+	names    []string
+	messages []simMessage
+	cut      map[[2]string]simCut // by ordered pair
+	lossTime time.Duration
+
+	lost, late float64 // share of messages
+	maxDelay   time.Duration
+	passed     []simRequest
+	refused    []simRequest // requests that found no room within maxWait
+	sent       int          // messages
+}
+
+type simNode struct {
+	name        string
+	state       *Instance
+	incarnation uint64
+	frozenUntil time.Duration
+	rate        float64 // requests per second that it gets
+	cost        func() float64
+	waiting     []simRequest
+}
+
+type simRequest struct{ at, cost float64 }
+
+type simMessage struct {
+	at       time.Duration
+	from, to string
+	report   *Report
+	grant    *Grant
+}
+
+// simCut is a connection that is cut, and from when each side notices it.
+type simCut struct{ noticed [2]time.Duration }
+
+const (
+	simWait         = 200 * time.Millisecond // that a request may wait for room: a quarter of a latency target of 800 ms
+	simViewInterval = 200 * time.Millisecond // between looks at the view of instances that have nothing to report
+)
+
+func newSimulation(n int, seed uint64, quota chestnutstream.Quota, cfg Settings) *simulation {
+	s := &simulation{
+		now: time.Hour, rng: rand.New(rand.NewPCG(seed, 7)), quota: quota, cfg: cfg, tick: 20 * time.Millisecond,
+		byName: map[string]*simNode{}, cut: map[[2]string]simCut{}, lossTime: 3 * time.Second, maxDelay: 30 * time.Millisecond,
+	}
+	for i := range n {
+		node := &simNode{name: fmt.Sprintf("n%02d", i), cost: func() float64 { return 1 }}
+		s.nodes = append(s.nodes, node)
+		s.byName[node.name] = node
+		s.names = append(s.names, node.name)
+		s.start(node)
+	}
+	return s
+}
+
+// start starts a process of an instance, which has lost what an earlier one knew.
+func (s *simulation) start(node *simNode) {
+	node.incarnation = s.rng.Uint64()
+	cfg := s.cfg
+	cfg.Incarnation = node.incarnation
+	node.state = NewInstance(node.name, cfg, s.now)
+	s.setQuota(node)
+	for _, other := range s.nodes {
+		other.state.Connected(node.name)
+	}
+}
+
+func (s *simulation) setQuota(node *simNode) {
+	node.state.Buckets.SetWorkspaces(s.now, map[string]*chestnutstream.Workspace{"w": {Name: "w", Quota: s.quota}})
+}
+
+func pair(a, b string) [2]string {
+	if a < b {
+		return [2]string{a, b}
+	}
+	return [2]string{b, a}
+}
+
+// setCut cuts the connection of two instances, or connects them again.
+func (s *simulation) setCut(a, b string, cut bool) {
+	p := pair(a, b)
+	_, is := s.cut[p]
+	switch {
+	case cut && !is:
+		notice := func() time.Duration { return s.now + time.Duration(s.rng.Float64()*float64(s.lossTime)) }
+		s.cut[p] = simCut{[2]time.Duration{notice(), notice()}}
+	case !cut && is:
+		delete(s.cut, p)
+		s.byName[a].state.Connected(b)
+		s.byName[b].state.Connected(a)
+	}
+}
+
+// partition cuts the instances for which side is true off from the others.
+func (s *simulation) partition(side func(i int) bool) {
+	for i, a := range s.nodes {
+		for j, b := range s.nodes[:i] {
+			s.setCut(a.name, b.name, side(i) != side(j))
+		}
+	}
+}
+
+func (s *simulation) view(node *simNode) View {
+	v := View{All: len(s.nodes), LossTime: s.lossTime}
+	if len(s.cut) == 0 {
+		v.Reached = s.names
+		return v
+	}
+	for _, other := range s.nodes {
+		c, cut := s.cut[pair(node.name, other.name)]
+		side := 0
+		if node.name > other.name {
+			side = 1
+		}
+		if !cut || s.now < c.noticed[side] {
+			v.Reached = append(v.Reached, other.name)
+		}
+	}
+	return v
+}
+
+func (s *simulation) send(m simMessage) {
+	s.sent++
+	if _, cut := s.cut[pair(m.from, m.to)]; cut || s.rng.Float64() < s.lost {
+		return
+	}
+	delay := time.Duration(s.rng.Float64() * float64(s.maxDelay))
+	if s.rng.Float64() < s.late {
+		delay += time.Duration(s.rng.Float64() * float64(3*time.Second))
+	}
+	m.at = s.now + delay
+	s.messages = append(s.messages, m)
+}
+
+func (s *simulation) receive(m simMessage) {
+	node := s.byName[m.to]
+	if m.grant != nil {
+		node.state.Buckets.Apply(s.now, *m.grant)
+		return
+	}
+	for _, g := range node.state.Allocator.Report(s.now, m.from, *m.report) {
+		if g.To == m.to {
+			node.state.Buckets.Apply(s.now, g.Grant)
+			continue
+		}
+		s.send(simMessage{from: m.to, to: g.To, grant: &g.Grant})
+	}
+}
+
+// run plays a time.
+func (s *simulation) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += s.tick
+		due := s.messages[:0:0]
+		s.messages = slices.DeleteFunc(s.messages, func(m simMessage) bool {
+			if m.at > s.now || s.now < s.byName[m.to].frozenUntil {
+				return false
+			}
+			due = append(due, m)
+			return true
+		})
+		sort.SliceStable(due, func(i, j int) bool { return due[i].at < due[j].at })
+		for _, m := range due {
+			s.receive(m)
+		}
+		for _, node := range s.nodes {
+			if s.now >= node.frozenUntil {
+				s.step(node)
+			}
+		}
+	}
+}
+
+func (s *simulation) step(node *simNode) {
+	b := node.state.Buckets
+	expected := node.rate * s.tick.Seconds()
+	arriving := int(expected)
+	if s.rng.Float64() < expected-math.Floor(expected) {
+		arriving++
+	}
+	for range arriving {
+		r := simRequest{s.now.Seconds(), node.cost()}
+		b.RecordDemand(s.now, "w", r.cost)
+		node.waiting = append(node.waiting, r)
+	}
+	left := node.waiting[:0]
+	for _, r := range node.waiting {
+		switch {
+		case len(left) == 0 && b.Take(s.now, "w", r.cost):
+			s.passed = append(s.passed, simRequest{s.now.Seconds(), r.cost})
+		case s.now.Seconds()-r.at > simWait.Seconds():
+			s.refused = append(s.refused, r)
+			b.Refuse(s.now, "w", r.cost)
+		default:
+			left = append(left, r)
+		}
+	}
+	node.waiting = left
+	if due, ok := b.NextReportAt(s.now); (!ok || due > s.now) && s.now%simViewInterval >= s.tick {
+		return
+	}
+	v := s.view(node)
+	for to, reports := range node.state.Step(s.now, v, v.Reached) {
+		for _, r := range reports {
+			if to == node.name {
+				s.receive(simMessage{from: to, to: to, report: &r})
+			} else {
+				s.send(simMessage{from: node.name, to: to, report: &r})
+			}
+		}
+	}
+}
+
+// largestWindow returns the most units that were let through in any window.
+func (s *simulation) largestWindow(window time.Duration) float64 {
+	largest, sum, first := 0.0, 0.0, 0
+	for _, r := range s.passed {
+		sum += r.cost
+		for ; s.passed[first].at <= r.at-window.Seconds(); first++ {
+			sum -= s.passed[first].cost
+		}
+		largest = max(largest, sum)
+	}
+	return largest
+}
+
+// refusedBetween returns the share of requests refused of those that arrived in a time.
+func (s *simulation) refusedBetween(from, to time.Duration) float64 {
+	count := func(list []simRequest) (n float64) {
+		for _, r := range list {
+			if r.at >= from.Seconds() && r.at < to.Seconds() {
+				n++
+			}
+		}
+		return n
+	}
+	refused := count(s.refused)
+	return refused / max(refused+count(s.passed), 1)
+}
