edge: requests are charged to their workspaces' quotas

Cause: ingress.Quotas had no implementation, so a limit was not applied. Change: a type of its own charges requests, lets them wait for room in order of arrival, sends reports batched by instance, and returns the shares at the end of a drain. It is idle, and sends nothing, without a workspace that has a limit. The dump lists limits, shares, usage and allocators; metrics count units and refusals by workspace, of 200 at most; a changed list of workspaces is logged in one line.

--- a/edge/dump.go
+++ b/edge/dump.go
@@ -19,6 +19,8 @@
 	Views    map[string]int64 `json:"view-ages-ms"` // by table of the platform's store
 	Servers  []wireServer     `json:"servers"`
 	Verdicts []wireVerdict    `json:"quarantine"`
+
+	Workspaces []wireWorkspace `json:"workspaces,omitempty"` // with a limit
 }
 
 type wireVerdict struct {
@@ -62,6 +64,7 @@
 		d.Verdicts = append(d.Verdicts, n.dumpVerdict(v))
 	}
 	n.mu.Unlock()
+	d.Workspaces = n.quotas.dump()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(d); err != nil {
 		n.log.WithError(err).Warn("writing the dump failed")
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,7 +64,7 @@
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
 	n.dial, n.dialPeer = dial.servers, dial.peers
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings()}, n)}
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings(), Quotas: n.quotas}, n)}
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -91,6 +91,7 @@
 		go n.watch(w)
 	}
 	go n.control()
+	go n.quotas.run(n.ctx)
 	go n.loadOrigins()
 	for _, seed := range cfg.Seeds {
 		if seed != cfg.PeerAddress {
@@ -161,6 +162,7 @@
 	n.mu.Unlock()
 	in.ingress.StartDrain()
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Draining = true })
+	n.quotas.notify()
 	for n.now().Sub(start) < drainDelay && n.now().Before(end) {
 		n.sleep(drainPollInterval)
 	}
@@ -175,6 +177,7 @@
 	if err != nil {
 		n.sleep(lastResponseTime)
 	}
+	n.quotas.giveUp()
 	n.releaseLease()
 	in.Close()
 	if err != nil {
--- a/edge/node.go
+++ b/edge/node.go
@@ -119,6 +119,8 @@
 	originStore    originStore
 	originRead     freshRead // of the origins that are kept in the store
 	softwareRead   freshRead // of the rows with the software versions of services
+
+	quotas *quotas
 }
 
 // adapterKey identifies an adapter on a server.
@@ -199,6 +201,7 @@
 		return n.dialPeer(ctx, network, address)
 	}
 	n.mesh = instance.NewMesh(instance.Settings{Self: self, Incarnation: incarnation, Timer: t, Log: logger, Dial: dial}, n)
+	n.quotas = newQuotas(n)
 	return n
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -30,6 +30,7 @@
 	b.SoftwareRows = n.knownSoftwareRows()
 	b.Evidence = evidenceMessages(n.now(), n.quarantine.Evidence(maxFirstEvidence))
 	n.log.WithField("peer", to.Name).Info("peer linked")
+	n.quotas.notify()
 	return b
 }
 
@@ -47,6 +48,7 @@
 	n.responseTimes.Forget(to.Name)
 	n.failOwnerWaits(to.Name, "owner not reachable")
 	n.mu.Unlock()
+	n.quotas.notify()
 	n.log.WithError(err).WithField("peer", to.Name).Warn("peer lost")
 }
 
@@ -150,6 +152,7 @@
 		cached = n.rows.bundle()
 	}
 	n.mu.Unlock()
+	n.quotas.received(from.Name, b)
 	n.logServerChanges(removals, from.Name, view)
 	n.logBackpressure(changes, from.Name)
 	n.logVerdicts(verdicts)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -364,6 +364,8 @@
 	n.rows.config, n.rows.configRowVersion = value, rowVersion
 	n.mu.Unlock()
 	n.log.WithFields(log.Fields{"version": t.Version, "row": rowVersion, "routes": t.Routes(), "from": from}).Info("configuration in force")
+	n.logWorkspaces(old, t)
+	n.quotas.notify()
 	n.wakeControl()
 }
 
