--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,7 +61,7 @@
 	t := timer.NewSystem()
 	n := newNode(cfg, logger, t, timer.Boot)
 	n.dial, n.dialPeer = dial.servers, dial.peers
-	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings(), CallerStallTimeout: stallTimeout(cfg)}, n)}
+	in := &Instance{node: n, ingress: ingress.NewServer(ingress.Settings{Instance: n.id, Timer: t, Log: logger, Metrics: n.metrics, Dial: dial.servers, HeldBytes: int64(heldBytesShare * float64(cfg.MemoryBytes)), Keys: n.keySettings(), Quotas: n.quotas, CallerStallTimeout: stallTimeout(cfg)}, n)}
 	listeners := []struct {
 		kind    connlimit.Kind
 		address string
@@ -89,6 +89,7 @@
 		go n.watch(w)
 	}
 	go n.control()
+	go n.quotas.run(n.ctx)
 	go n.loadOrigins()
 	for _, seed := range cfg.Seeds {
 		if seed != cfg.PeerAddress {
@@ -154,6 +155,7 @@
 	n.mu.Unlock()
 	in.ingress.StartDrain()
 	n.mesh.Broadcast(func(b *instance.Bundle) { b.Draining = true })
+	n.quotas.notify()
 	for n.now().Sub(start) < drainDelay && n.now().Before(end) {
 		n.sleep(drainPollInterval)
 	}
@@ -168,6 +170,7 @@
 	if err != nil {
 		n.sleep(lastResponseTime)
 	}
+	n.quotas.giveUp()
 	n.releaseLease()
 	in.Close()
 	if err != nil {
--- a/edge/node.go
+++ b/edge/node.go
@@ -120,6 +120,8 @@
 	originStore    originStore
 	originRead     freshRead // of the origins that are kept in the store
 	softwareRead   freshRead // of the rows with the software versions of services
+
+	quotas *quotas
 }
 
 // adapterKey identifies an adapter on a server.
@@ -200,6 +202,7 @@
 		return n.dialPeer(ctx, network, address)
 	}
 	n.mesh = instance.NewMesh(instance.Settings{Self: self, Incarnation: incarnation, Timer: t, Log: logger, Dial: dial}, n)
+	n.quotas = newQuotas(n)
 	return n
 }
 
