--- a/edge/workspaces.go
+++ b/edge/workspaces.go
@@ -49,7 +49,7 @@
 }
 
 func newQuotas(n *Node) *quotas {
-	cfg := workspace.Settings{Incarnation: n.incarnation, Window: n.cfg.QuotaWindow, Slack: n.cfg.QuotaSlack}
+	cfg := workspace.Settings{Incarnation: n.incarnation, Window: n.cfg.QuotaWindow, Slack: n.cfg.QuotaSlack, Overshoot: n.cfg.QuotaOvershoot}
 	state := workspace.NewInstance(n.id, cfg, n.boot())
 	return &quotas{
 		node: n, wake: make(chan struct{}, 1), state: state, buckets: state.Buckets,
--- a/workspace/buckets.go
+++ b/workspace/buckets.go
@@ -37,6 +37,7 @@
 	Incarnation uint64        // of this process
 	Window      time.Duration // in which requests are counted
 	Slack       float64       // units that may be let through beyond the limit in a window; 0: not stated
+	Overshoot   float64       // the same, as a fraction of the limit in a window
 }
 
 // Buckets holds this instance's share of the quota of each workspace.
@@ -133,13 +134,14 @@
 
 // credit returns the debt that a share of 1 allows.
 func (b *Buckets) credit(boot time.Duration, k *bucket) float64 {
-	if b.cfg.Slack <= 0 {
+	slack := b.cfg.Slack + b.cfg.Overshoot*(k.quota.PerSecond*b.cfg.Window.Seconds()+k.quota.Burst)
+	if slack <= 0 {
 		return max(k.quota.PerSecond*softDebtTime.Seconds(), 1)
 	}
 	if boot-b.startedAt < b.cfg.Window {
-		return startCreditPart * b.cfg.Slack
+		return startCreditPart * slack
 	}
-	return creditPart * b.cfg.Slack
+	return creditPart * slack
 }
 
 // softDebt returns the debt at which a bucket lets nothing more through.
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -26,7 +26,7 @@
 //
 // The shares that instances hold sum to at most maxHeld, and with the base shares of all of
 // them to 1. A bucket holds at most its share of the burst and owes at most its share of the
-// credit, a part of the platform's slack. A share is given up only once the debt that it
+// credit, a part of the platform's slack and overshoot. A share is given up only once the debt that it
 // covers is repaid. So the requests let through in a time t are at most
 // rate*t + burst + credit, however shares move.
 //
@@ -86,6 +86,9 @@
 	reclaimTimeout     = 35 * time.Second // after which the share of an instance that doesn't report may be given to others; above shareTimeout by more than a message's time of travel
 	silentTimeout      = 2 * time.Second  // for which what an instance has said of its allocator counts as recent
 	maxStepInterval    = 2 * time.Second  // a longer time between two steps of an allocator means that it was frozen
+	// needTime is the time in which a large request may wait for tokens to accumulate. A share
+	// that lets it through at once would leave the others none.
+	needTime = 200 * time.Millisecond
 	// settleMargin is added to the time in which lost connections are noticed.
 	settleMargin = 2 * time.Second
 )
