docs: servers of unequal speed

Cause: nothing said what was weighed for placement by pace, or what a wrong or missing number costs. The simulation's test is shorter, with the same results.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -14,7 +14,8 @@
 //
 // directory.go keeps the list of servers, outlier.go detects failing servers
 // from request outcomes, placement.go chooses servers, prefill.go estimates the
-// prefill backlog of engines, pacing.go decides when prefill admission applies,
+// prefill backlog of engines, pace.go keeps how fast servers are, estimate.go compares them
+// by it, pacing.go decides when prefill admission applies,
 // backpressure.go applies the limits that servers signal, and budget.go is the
 // retry budget.
 //
--- a/fleet/uneven_test.go
+++ b/fleet/uneven_test.go
@@ -17,8 +17,8 @@
 // them by the responses to their own requests.
 type unevenSimulation struct {
 	now     time.Time
-	events  []simEvent // the next one is the last
 	r       *rand.Rand
+	events  []simEvent // the next one is the last
 	fleets  []*Fleet
 	servers map[string]*simServer
 	stated  func(s *simServer, pace float64) float64 // what a server states; 0: nothing
@@ -44,17 +44,13 @@
 	unevenServers   = 24
 	plainSlots      = 6
 	plainTime       = 40 * time.Millisecond
-	plainTarget     = 160 * time.Millisecond
 	engineSlots     = 32
 	unevenWarmUp    = 3 * time.Second
 	unevenTime      = 8 * time.Second
 	minShareOfMean  = 0.05 // of the work that a server must get
 	maxShareOfMean  = 3.0  // and may get
-	tolerableLoss   = 0.01
 	networkTime     = time.Millisecond
-	reportedEvery   = 150 * time.Millisecond // loads of engines, by their owners
-	noticeTime      = 5 * time.Millisecond   // of a large prompt, to other instances
-	engineTokensPMS = 44.0                   // prompt tokens per millisecond at the usual pace
+	engineTokensPMS = 44.0 // prompt tokens per millisecond at the usual pace
 )
 
 func newUneven(seed uint64, instances, slots int, speeds []float64, stated func(*simServer, float64) float64) *unevenSimulation {
@@ -80,15 +76,11 @@
 	u.events = slices.Insert(u.events, i, simEvent{at, do})
 }
 
-func (u *unevenSimulation) random(mean time.Duration) time.Duration {
-	return time.Duration(u.r.ExpFloat64() * float64(mean))
-}
-
 func (u *unevenSimulation) changeNeighbours(s *simServer) {
 	if s.neighbours = 0; u.r.IntN(4) == 0 {
 		s.neighbours = 0.8 * u.r.Float64()
 	}
-	u.after(u.random(300*time.Millisecond), func() { u.changeNeighbours(s) })
+	u.after(time.Duration(u.r.ExpFloat64()*float64(300*time.Millisecond)), func() { u.changeNeighbours(s) })
 }
 
 // run sends requests with a mean interval. It returns the share on time of each kind, and the
@@ -97,7 +89,7 @@
 	var next func()
 	next = func() {
 		request()
-		u.after(u.random(interval), next)
+		u.after(time.Duration(u.r.ExpFloat64()*float64(interval)), next)
 	}
 	next()
 	for u.now.Before(start.Add(unevenTime)) {
@@ -152,7 +144,7 @@
 				f.RecordPace(u.now, id, stated)
 				f.RecordServiceTime(u.now, id, u.now.Sub(sentAt), waiting)
 				f.RecordDone(id)
-				u.record("plain", u.now.Sub(sentAt), plainTarget)
+				u.record("plain", u.now.Sub(sentAt), 4*plainTime)
 			})
 		})
 	}
@@ -171,7 +163,7 @@
 			f.SetTotalRequests(id, s.running)
 		}
 	}
-	u.after(reportedEvery, u.reportEngines)
+	u.after(loadReportPeriod, u.reportEngines)
 }
 
 // engineRequest sends a request for an adapter. One prompt in fifteen is large.
@@ -199,7 +191,7 @@
 	waits := !c.Loaded || c.Server.PrefillWait(u.now) > 0
 	f.RecordSent(id)
 	f.RecordPrefill(u.now, id, r.Prompt.Tokens)
-	u.after(noticeTime, func() {
+	u.after(5*networkTime, func() { // the notice of a large prompt
 		for _, g := range u.fleets {
 			if g != f {
 				g.RecordPrefill(u.now, id, r.Prompt.Tokens)
@@ -235,40 +227,40 @@
 // servers or all of them lie, hardly less than before.
 func TestUnequalServers(t *testing.T) {
 	slow := func(s *simServer) bool { return s.speed > 1.1 }
-	none := func(*simServer, float64) float64 { return 0 }
+	none, all := func(*simServer) bool { return false }, func(*simServer) bool { return true }
+	silent := func(*simServer, float64) float64 { return 0 }
 	tests := []struct {
-		name   string
-		stated func(s *simServer, pace float64) float64
-		lies   bool
-	}{
-		{"true", func(_ *simServer, pace float64) float64 { return pace }, false},
-		{"slow servers state 55", func(s *simServer, pace float64) float64 { return map[bool]float64{true: 0.55, false: pace}[slow(s)] }, true},
-		{"slow servers state 1000", func(s *simServer, pace float64) float64 { return map[bool]float64{true: 10, false: pace}[slow(s)] }, true},
-		{"slow servers state nothing", func(s *simServer, pace float64) float64 { return map[bool]float64{true: 0, false: pace}[slow(s)] }, true},
-		{"all state 55", func(*simServer, float64) float64 { return 0.55 }, true},
-	}
-	plain := func(seed uint64, instances int, stated func(*simServer, float64) float64) (map[string]float64, [2]float64) {
-		u := newUneven(seed, instances, plainSlots, []float64{0.55, 1, 1.3, 0.8, 1.2, 0.7}, stated)
+		name string
+		lies func(s *simServer) bool
+		lie  float64
+	}{{"true", none, 0}, {"slow servers state 55", slow, 0.55}, {"slow servers state 1000", slow, 10}, {"slow servers state nothing", slow, 0}, {"all state 55", all, 0.55}}
+	run := func(engines bool, instances int, stated func(*simServer, float64) float64) (map[string]float64, [2]float64) {
+		if engines {
+			u := newUneven(1, instances, engineSlots, []float64{0.55, 1.2}, stated)
+			u.reportEngines()
+			return u.run(1300*time.Microsecond, u.engineRequest)
+		}
+		u := newUneven(1, instances, plainSlots, []float64{0.55, 1, 1.3, 0.8, 1.2, 0.7}, stated)
 		return u.run(800*time.Microsecond, u.plainRequest)
 	}
-	engines := func(seed uint64, instances int, stated func(*simServer, float64) float64) (map[string]float64, [2]float64) {
-		u := newUneven(seed, instances, engineSlots, []float64{0.55, 1.2}, stated)
-		u.reportEngines()
-		return u.run(1300*time.Microsecond, u.engineRequest)
-	}
 	for _, instances := range []int{8, 30} {
-		for _, run := range []func(uint64, int, func(*simServer, float64) float64) (map[string]float64, [2]float64){plain, engines} {
-			before, workBefore := run(1, instances, none)
+		for _, engines := range []bool{false, true} {
+			before, workBefore := run(engines, instances, silent)
 			for _, tt := range tests {
-				now, work := run(1, instances, tt.stated)
+				now, work := run(engines, instances, func(s *simServer, pace float64) float64 {
+					if tt.lies(s) {
+						return tt.lie
+					}
+					return pace
+				})
 				t.Logf("%d instances, %s: %v %.2f, before %v %.2f", instances, tt.name, now, work, before, workBefore)
 				assert.Check(t, work[0] > minShareOfMean && work[1] < maxShareOfMean, "%s: %v", tt.name, work)
 				for kind, share := range before {
-					if tt.lies {
-						assert.Check(t, now[kind] > share-tolerableLoss, "%s: %s", tt.name, kind)
-					} else {
-						assert.Check(t, 1-now[kind] < 0.6*(1-share), "%s: %s", tt.name, kind)
+					late := 1.01 - share // a lie may cost that much
+					if tt.name == "true" {
+						late = 0.6 * (1 - share)
 					}
+					assert.Check(t, 1-now[kind] < late, "%s: %s", tt.name, kind)
 				}
 			}
 		}
