loader: size is judged by more outcomes, less urgent priorities yield later

Large prompts that went first by chance displaced 4 in 100 of all requests, and a priority that yielded at once another 1 in 100. Load cases with prompts of all sizes, more demand than is served and a workspace of low priority are added; each rule of the order has one that fails without it.

--- a/loader/order.go
+++ b/loader/order.go
@@ -43,13 +43,16 @@
 	// a quarter as often as all together; the rest is margin for the control loop.
 	workspaceFloor = 0.4
 	// sizeFloor is the same for requests of one size, relative to those of their
-	// priority. They are to be served at least half as often; the rest is margin.
-	sizeFloor = 0.8
+	// priority. They are to be served at least half as often; the rest is margin. With 0.8,
+	// and judged by half the outcomes, the large prompts displaced 4 in 100 of all.
+	sizeFloor = 0.7
 	// minOutcomes is how many recent requests of a class its share is judged by.
 	minOutcomes = 1.5
-	// yieldMargin is the share of requests by which a less urgent priority may be served on
-	// time more often than a more urgent one. Callers accept 5 in 100.
-	yieldMargin = 0.03
+	// yieldMargin is the share of requests by which a less urgent priority may recently have
+	// been served on time more often than a more urgent one. Callers accept 5 in 100 over
+	// all; recent shares are of a few requests. In the load of order_load_test.go, 0.2 let
+	// it be 6 in 100, and 0.03 served a further 1 in 100 late.
+	yieldMargin = 0.15
 	// agedShare is the share of the requested tokens that may go to aged requests while
 	// others can still be on time. With 0.03, up to 6 in 100 of the less urgent requests
 	// were served late instead of on time (order_load_test.go).
@@ -113,6 +116,12 @@
 	return c.onTime.now(boot, orderHalfLife) / max(ended, 1e-9), ended >= minOutcomes
 }
 
+// lagsBySize is lags for requests of one size. There are few large prompts, so chance would
+// often put the small ones behind: it takes twice the outcomes.
+func (c *classRecord) lagsBySize(boot time.Duration, other *classRecord) bool {
+	return c != nil && c.ended.now(boot, orderHalfLife) >= 2*minOutcomes && c.lags(boot, other, sizeFloor)
+}
+
 // lags reports whether requests of a class have been served on time less often than floor
 // times as often as those of another class.
 func (c *classRecord) lags(boot time.Duration, other *classRecord, floor float64) bool {
--- a/loader/order_load_test.go
+++ b/loader/order_load_test.go
@@ -35,12 +35,14 @@
 // loadCase is a load of an engine.
 type loadCase struct {
 	name       string
-	load       float64 // mean tokens that arrive, as a share of what may be sent
-	waves      bool    // of 0.27 and 0.55 of the mean
-	burst      string  // kind that arrives 2.4 times as often in every third interval of 5 s
-	leave      float64 // share of the callers that disconnect while they wait
-	retry      bool    // callers repeat refused requests at once, twice at most
-	heavy      bool    // the first of six workspaces sends six times as much
+	load       float64    // mean tokens that arrive, as a share of what may be sent
+	waves      bool       // of 0.27 and 0.55 of the mean
+	burst      string     // kind that arrives 2.4 times as often in every third interval of 5 s
+	leave      float64    // share of the callers that disconnect while they wait
+	retry      bool       // callers repeat refused requests at once, twice at most
+	heavy      bool       // the first of six workspaces sends six times as much
+	kinds      []loadKind // instead of loadKinds
+	low        bool       // the last of them has the lowest priority for all its requests
 	workspaces bool
 }
 
@@ -84,7 +86,10 @@
 	var all, leaving []*simulatedPrompt
 	byID := map[uint64]*simulatedPrompt{}
 	engineFree := time.Duration(0)
-	next := make([]time.Duration, len(loadKinds))
+	if c.kinds == nil {
+		c.kinds = loadKinds
+	}
+	next := make([]time.Duration, len(c.kinds))
 	var send func(now time.Duration, p *simulatedPrompt)
 	handle := func(now time.Duration, actions []Action) {
 		for _, a := range actions {
@@ -105,7 +110,7 @@
 		}
 	}
 	send = func(now time.Duration, p *simulatedPrompt) {
-		k := loadKinds[p.kind]
+		k := c.kinds[p.kind]
 		p.ID, p.arrivedAt = uint64(len(all)+1), now
 		p.OnTimeUntil, p.UsefulUntil, p.MaxWait = now+k.target, now+2750*time.Millisecond, 2750*time.Millisecond
 		p.leavesAt = math.MaxInt64
@@ -117,7 +122,7 @@
 		handle(now, e.RequestPrefill(now, p.PrefillRequest))
 	}
 	for now := time.Duration(0); now < loadTime; now += 5 * time.Millisecond {
-		for i, k := range loadKinds {
+		for i, k := range c.kinds {
 			mean := float64(k.tokens) * math.Exp(k.spread*k.spread/2)
 			rate := c.load * k.share * pace.Share * pace.Rate / mean // requests a millisecond
 			if c.waves {
@@ -138,6 +143,9 @@
 					if c.heavy && now > 15*time.Second {
 						w = max(r.IntN(11)-5, 0)
 					}
+					if c.low && w == 5 {
+						p.Priority = 3
+					}
 					p.Workspace, p.OutputTokens = fmt.Sprint("w-", w), 150
 				}
 				send(now, p)
@@ -153,18 +161,18 @@
 		})
 		handle(now, e.throttle.grant(now))
 	}
-	result.count(all)
+	result.count(c.kinds, all)
 }
 
 // count counts the requests whose callers stayed, by kind, workspace and size.
-func (l loadResult) count(all []*simulatedPrompt) {
+func (l loadResult) count(kinds []loadKind, all []*simulatedPrompt) {
 	byKind := map[int][]*simulatedPrompt{}
 	for _, p := range all {
 		if p.leavesAt != math.MaxInt64 || p.again != nil {
 			continue
 		}
 		l.add("all", p.onTime)
-		l.add(loadKinds[p.kind].name, p.onTime)
+		l.add(kinds[p.kind].name, p.onTime)
 		l.add(p.Workspace, p.onTime)
 		byKind[p.kind] = append(byKind[p.kind], p)
 	}
@@ -173,9 +181,9 @@
 		for i, p := range list {
 			switch {
 			case i < len(list)/10:
-				l.add(loadKinds[kind].name+" largest tenth", p.onTime)
+				l.add(kinds[kind].name+" largest tenth", p.onTime)
 			case i < len(list)*3/10:
-				l.add(loadKinds[kind].name+" next fifth", p.onTime)
+				l.add(kinds[kind].name+" next fifth", p.onTime)
 			}
 		}
 	}
@@ -193,6 +201,9 @@
 		{name: "burst of documents", load: 0.9, burst: "documents", workspaces: true},
 		{name: "burst of batch", load: 0.9, burst: "batch", workspaces: true},
 		{name: "callers leave and retry", load: 1.1, waves: true, leave: 0.15, retry: true, workspaces: true},
+		{name: "prompts of all sizes", load: 1.4, workspaces: true, kinds: []loadKind{{"prompts", 0, 800 * time.Millisecond, 700, 1.2, 1}}},
+		{name: "more than is served", load: 1.4, waves: true, workspaces: true},
+		{name: "workspace of low priority", load: 1.4, waves: true, low: true, workspaces: true},
 		{name: "heavy workspace", load: 0.8, heavy: true, workspaces: true},
 	} {
 		before, after := loadResult{}, loadResult{}
@@ -217,6 +228,9 @@
 		if !c.workspaces {
 			continue
 		}
+		if c.low { // required is a quarter; below 0.45 the workspace does not go first when it lags
+			assert.Check(t, after.share("w-5") >= 0.45*after.share("all"), "%s: %.2f of %.2f", c.name, after.share("w-5"), after.share("all"))
+		}
 		for w := range 6 {
 			name := fmt.Sprint("w-", w)
 			assert.Check(t, after.share(name) >= after.share("all")/4, "%s: %s", c.name, name)
--- a/loader/plan.go
+++ b/loader/plan.go
@@ -93,7 +93,7 @@
 			yield = o.yields(p.boot, r.Priority)
 			yields[r.Priority] = yield
 		}
-		c := candidate{i, o.sizes[sizeOf(r.PrefillRequest)].lags(p.boot, o.priorities[r.Priority], sizeFloor)}
+		c := candidate{i, o.sizes[sizeOf(r.PrefillRequest)].lagsBySize(p.boot, o.priorities[r.Priority])}
 		if yield {
 			w.yielding = append(w.yielding, c)
 		} else {
