--- a/loader/plan.go
+++ b/loader/plan.go
@@ -78,7 +78,7 @@
 
 // addCandidates adds the requests that can be on time to the candidates.
 func (p *planner) addCandidates() {
-	o, yields := &p.t.order, map[int]bool{}
+	o, yields, lag := &p.t.order, map[int]bool{}, map[sizeClass]bool{}
 	for i, r := range p.t.queue {
 		if !p.t.inTime(p.boot, r.PrefillRequest) {
 			continue
@@ -93,8 +93,13 @@
 			yield = o.yields(p.boot, r.Priority)
 			yields[r.Priority] = yield
 		}
-		c := candidate{i, o.sizes[sizeOf(r.PrefillRequest)].lagsBySize(p.boot, o.priorities[r.Priority])}
-		if yield {
+		size := sizeOf(r.PrefillRequest)
+		lags, ok := lag[size]
+		if !ok {
+			lags = o.sizes[size].lagsBySize(p.boot, o.priorities[r.Priority])
+			lag[size] = lags
+		}
+		if c := (candidate{i, lags}); yield {
 			w.yielding = append(w.yielding, c)
 		} else {
 			w.candidates = append(w.candidates, c)
