--- a/loader/order.go
+++ b/loader/order.go
@@ -21,7 +21,7 @@
 // urgent one yields to it.
 //
 // The load that this handles: waves and bursts of some seconds, in which requests of a few
-// kinds need up to 1.8 times what an engine may be sent. A prompt that is too large to be
+// kinds need 1.4 times what an engine may be sent, and more at the peak of a wave. A prompt that is too large to be
 // on time even at an idle engine is only granted as a late one. At 2.4 times, the most
 // urgent kind takes nearly all, and large prompts of the others hardly any.
 
