waitlist: the interval between placements counts under saturation only

After a calm time it was that of the demand, up to a second: a request with another one before it was rejected although the servers were blocked for some milliseconds.

--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -65,9 +65,10 @@
 	inProgress map[string]int // by workspace
 	present    map[string]int // by workspace: in progress or held back
 	total      int            // in progress
-	placedAt   time.Time
-	interval   time.Duration // moving average of the time between placements
-	returnAt   time.Time     // when the latest rejected request returns
+	placedAt   time.Time      // of the latest placement, if requests were held back or rejected then
+	interval   time.Duration  // moving average of the time between such placements
+	rejectedAt time.Time
+	returnAt   time.Time // when the latest rejected request returns
 }
 
 // New returns an empty list.
@@ -175,6 +176,10 @@
 	l.inProgress[workspace]++
 	l.present[workspace]++
 	l.total++
+	if len(l.held) == 0 && now.Sub(l.rejectedAt) > maxInterval {
+		l.placedAt = time.Time{} // the interval shows the demand, not what the servers can take
+		return
+	}
 	if !l.placedAt.IsZero() {
 		sample := min(max(now.Sub(l.placedAt), 0), maxInterval)
 		l.interval += time.Duration(intervalWeight * float64(sample-l.interval))
@@ -215,6 +220,6 @@
 	if latest := now.Add(wait + maxSpread); at.After(latest) {
 		at = latest
 	}
-	l.returnAt = at
+	l.returnAt, l.rejectedAt = at, now
 	return at.Sub(now)
 }
--- a/waitlist/waitlist_test.go
+++ b/waitlist/waitlist_test.go
@@ -159,9 +159,16 @@
 	expect(true, late)
 }
 
-// Guards against callers that are rejected together and return together.
+// Guards against callers that are rejected together and return together, and against
+// rejections after a calm time because requests then came slowly.
 func TestReturnsAreSpread(t *testing.T) {
 	l, now := New(), time.Unix(100, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		l.RecordPlaced(now, "")
+	}
+	l.Hold(l.Enter(Request{}))
+	assert.Equal(t, l.EstimateWait(l.Enter(Request{}), 10*time.Millisecond), 10*time.Millisecond)
 	for range 100 {
 		now = now.Add(20 * time.Millisecond)
 		l.RecordPlaced(now, "")
