--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -35,10 +35,6 @@
 	clearMarginShare = 0.1
 	// maxLoadedEngines bounds the engines of the order that are compared.
 	maxLoadedEngines = 8
-	// An adapter that is loaded nowhere is loaded on the first suitable engine of its order
-	// unless one of the next coldEngines - 1 takes at most coldMargin of the time.
-	coldEngines = 2
-	coldMargin  = 0.7
 )
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -166,13 +162,6 @@
 	return best
 }
 
-// muchFaster reports whether an engine is so much faster than another one that an adapter that
-// is loaded nowhere is loaded there, though it is later in the adapter's order. Only usual
-// speeds count, of which all instances know nearly the same.
-func (f *Fleet) muchFaster(now time.Time, s, than *Server) bool {
-	return s.times != nil && s.usualSlowness(now) < coldMargin*than.usualSlowness(now)
-}
-
 // respondsSooner reports whether an engine with a prefill backlog is preferred to another one.
 func (f *Fleet) respondsSooner(now time.Time, r Request, s, than *Server) bool {
 	if !f.StatesPace(r.Service) {
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -188,15 +188,6 @@
 	return pace * speed
 }
 
-// usualSlowness returns the mean of slowness over a longer time. It differs little between
-// instances.
-func (s *Server) usualSlowness(now time.Time) float64 {
-	if s.times == nil {
-		return 1
-	}
-	return s.usualTime(now, s.timeRatio(now))
-}
-
 // learn updates what is known of a server, and the mean of its service, by the time of a
 // response in multiples of the expected one at the server's stated pace.
 func (s *Server) learn(now time.Time, multiple float64, serviceMean *float64) {
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -145,10 +145,6 @@
 		return f.IsLoaded(now, s, r.Target, r.Version) && !isOverloaded(s) && s.PrefillWait(now) <= limit
 	}
 	var cold, leastSaturated, shortestWait, replica *Server
-	coldSeen, coldLimit := 0, 1
-	if f.StatesPace(r.Service) {
-		coldLimit = coldEngines
-	}
 	for i, s := range order {
 		loaded, overloaded := f.IsLoaded(now, s, r.Target, r.Version), isOverloaded(s)
 		wait := s.PrefillWait(now)
@@ -162,11 +158,7 @@
 			}
 		case loaded && (leastSaturated == nil || s.saturation(now) < leastSaturated.saturation(now)):
 			leastSaturated = s
-		case !loaded && !overloaded && wait <= adapterLoadTime+limit && coldSeen < coldLimit && s.hasModel(r.Target.Model) && !s.backpressured(now) && loadable(s):
-			coldSeen++
-			if cold != nil && !f.muchFaster(now, s, cold) {
-				continue
-			}
+		case !loaded && !overloaded && wait <= adapterLoadTime+limit && cold == nil && s.hasModel(r.Target.Model) && !s.backpressured(now) && loadable(s):
 			cold = s
 			if leastSaturated != nil {
 				replica = s // the adapter's first engines are overloaded: add a replica
