--- a/soak/soak.go
+++ b/soak/soak.go
@@ -228,6 +228,7 @@
 		{"servers-misdirect-what-they-ran", func() { r.misdirect(ctx, duration) }, nil},
 		{"servers-repeat-rejections", func() { r.repeatRejections(ctx, duration) }, nil},
 		{"store-returns-from-copy", func() { r.returnFromCopy(ctx, engine, seed) }, nil},
+		{"hostile-clients", func() { r.sendHostileClients(ctx, inst, duration, seed) }, nil},
 	}
 	kind := kinds[r.rng.IntN(len(kinds))]
 	r.resultsMu.Lock()
