workspace: instances without a share may owe an equal part of the overshoot

Cause: most workspaces have a request at an instance every few seconds. Change: 0.45 of the overshoot is divided equally as debt that needs no share.

--- a/workspace/buckets.go
+++ b/workspace/buckets.go
@@ -15,6 +15,11 @@
 	// owed as much: both together stay below the slack.
 	creditPart      = 0.6
 	startCreditPart = 0.3
+	// evenPart is the part of the overshoot that all instances may owe in equal parts, without a
+	// share. With it an instance lets single requests of a workspace with few requests
+	// through at once, and gets the share that repays them afterwards; most would wait too
+	// long for a share. It is below a half as the predecessor of a process may have owed as much.
+	evenPart = 0.45
 	// softDebtTime is the time at the bucket's rate that it may owe before it lets no more
 	// requests through. It covers the time in which shares move.
 	softDebtTime   = time.Second
@@ -134,19 +139,34 @@
 
 // credit returns the debt that a share of 1 allows.
 func (b *Buckets) credit(boot time.Duration, k *bucket) float64 {
-	slack := b.cfg.Slack + b.cfg.Overshoot*(k.quota.PerSecond*b.cfg.Window.Seconds()+k.quota.Burst)
-	if slack <= 0 {
+	if b.cfg.Slack <= 0 {
 		return max(k.quota.PerSecond*softDebtTime.Seconds(), 1)
 	}
 	if boot-b.startedAt < b.cfg.Window {
-		return startCreditPart * slack
+		return startCreditPart * b.cfg.Slack
 	}
-	return creditPart * slack
+	return creditPart * b.cfg.Slack
+}
+
+// evenCredit returns the debt that each instance may have without a share.
+func (b *Buckets) evenCredit(k *bucket) float64 {
+	limit := k.quota.PerSecond*b.cfg.Window.Seconds() + k.quota.Burst
+	return evenPart * b.cfg.Overshoot * limit / float64(b.all)
+}
+
+// allowance returns the debt that this instance may have.
+func (b *Buckets) allowance(boot time.Duration, k *bucket) float64 {
+	return b.effective(k)*b.credit(boot, k) + b.evenCredit(k)
+}
+
+// shareFor returns the share that allows a debt, with the tokens that accumulate in a time.
+func (b *Buckets) shareFor(boot time.Duration, k *bucket, debt float64, within time.Duration) float64 {
+	return max((debt-b.evenCredit(k))/(b.credit(boot, k)+k.quota.PerSecond*within.Seconds())-b.base(), 0)
 }
 
 // softDebt returns the debt at which a bucket lets nothing more through.
 func (b *Buckets) softDebt(boot time.Duration, k *bucket) float64 {
-	return b.effective(k) * min(b.credit(boot, k)/2, k.quota.PerSecond*softDebtTime.Seconds())
+	return b.effective(k)*min(b.credit(boot, k)/2, k.quota.PerSecond*softDebtTime.Seconds()) + b.evenCredit(k)/2
 }
 
 // advance brings a bucket up to date. Time is counted as long as shares are valid: a share
@@ -175,8 +195,7 @@
 
 // missing returns by how much the level is too low for a request, 0 if there is room.
 func (b *Buckets) missing(boot time.Duration, k *bucket, cost float64) float64 {
-	soft, credit := b.softDebt(boot, k), b.effective(k)*b.credit(boot, k)
-	return max(-soft-k.level, cost-credit-k.level, 0)
+	return max(-b.softDebt(boot, k)-k.level, cost-b.allowance(boot, k)-k.level, 0)
 }
 
 // RecordDemand records a request for a workspace, whether or not it is let through.
--- a/workspace/reports.go
+++ b/workspace/reports.go
@@ -80,7 +80,7 @@
 		r.Demand, r.LongDemand = k.currentDemand(boot)/k.quota.PerSecond, k.longDemand/k.quota.PerSecond
 	}
 	if k.need > 0 {
-		r.Need = min(max((k.need-k.level)/(b.credit(boot, k)+k.quota.PerSecond*needTime.Seconds())-b.base(), 0), 1)
+		r.Need = min(b.shareFor(boot, k, k.need-k.level, needTime), 1)
 	}
 	k.reportedAt, k.reported, k.unanswered, k.reportedDemand = boot, true, true, k.demand
 	k.short, k.changed, k.need = false, false, 0
@@ -89,7 +89,7 @@
 
 // cover returns the share that covers the debt.
 func (b *Buckets) cover(boot time.Duration, k *bucket) float64 {
-	return max(-k.level/b.credit(boot, k)-b.base(), 0)
+	return b.shareFor(boot, k, -k.level, 0)
 }
 
 // Apply applies a grant if it answers the latest report, and reports whether it did. A share
