workspace: an allocator waits before it gives out what it may not know of

Cause: the stateful test, extended by the sum of all shares and by single cut connections, found up to 1.16 of the limit held: after instances were reached again an allocator relied on old reports of theirs; a new allocator relied on the standby's copy of what an unreached instance held, and counted a frozen one with an equal part; one that was frozen gave out shares at once; an instance that others don't report to became a second allocator after some time. Change: what nobody holds is given out only once all reached instances report to the allocator, also after one is reached again, and after a wait if one is not reached: 35 s if its share is unknown. Late reports of an ended process are ignored.

--- a/workspace/allocator.go
+++ b/workspace/allocator.go
@@ -28,6 +28,9 @@
 	members map[string]*member
 	primary bool          // this instance is the allocator in its own view
 	since   time.Duration // when it became so, or was last frozen
+	// joinedAt is when an instance was last reached that was not reached before.
+	joinedAt time.Duration
+	thawedAt time.Duration // when it was last frozen; 0: never
 	// established is set once all reached instances report to this one as the allocator.
 	// Then it gives out what nobody holds. Until then it moves only the pool, which consists
 	// of what the instances held when they began to report to it.
@@ -42,6 +45,7 @@
 	at      time.Duration
 	needAt  time.Duration // since when it has needed a larger share; 0: it doesn't
 	lowered bool          // it was told of a smaller share since the report
+	former  uint64        // incarnation before that of the report
 }
 
 // held returns the share that the member may hold.
@@ -60,11 +64,13 @@
 	gap := boot - a.steppedAt
 	a.steppedAt = boot
 	var left []string
+	joined := false
 	if !slices.Equal(v.Reached, a.view.Reached) {
 		before := a.reached
 		a.reached = make(map[string]bool, len(v.Reached))
 		for _, name := range v.Reached {
 			a.reached[name] = true
+			joined = joined || !before[name]
 		}
 		for name := range before {
 			if !a.reached[name] {
@@ -74,8 +80,13 @@
 	}
 	a.view = v
 	for _, w := range a.allocations {
+		if joined { // what is known of an instance that was not reached is out of date
+			w.joinedAt = boot
+			w.keepPool()
+		}
 		if frozen {
-			w.takeOver(boot)
+			w.since, w.thawedAt = boot, boot
+			w.keepPool()
 			for _, m := range w.members {
 				m.at += gap
 			}
@@ -103,8 +114,8 @@
 	if w.primary == primary {
 		return
 	}
-	w.primary = primary
-	w.takeOver(boot)
+	w.primary, w.since = primary, boot
+	w.keepPool()
 	a.establish(boot, w)
 }
 
@@ -126,9 +137,9 @@
 	}
 }
 
-// takeOver begins the time in which only the pool is moved.
-func (w *allocation) takeOver(boot time.Duration) {
-	w.since, w.established, w.pool = boot, false, 0
+// keepPool begins a time in which only what the members hold is moved between them.
+func (w *allocation) keepPool() {
+	w.established, w.pool = false, 0
 	for _, m := range w.members {
 		if m.report.Primary {
 			w.pool += m.held()
@@ -157,25 +168,38 @@
 	if w.established || !w.primary {
 		return
 	}
-	settled := boot-w.since >= a.view.LossTime+settleMargin
-	unknown := a.view.All - len(a.reached)
+	if w.thawedAt > 0 && boot-w.thawedAt < thawTime {
+		return // what others have sent meanwhile may not have been read yet
+	}
 	for name, m := range w.members {
-		if !a.reached[name] {
-			unknown--
-		} else if !m.report.Primary && boot-m.at < silentTimeout {
+		if a.reached[name] && !m.report.Primary {
 			return // another instance is the allocator for it
 		}
 	}
-	if settled {
-		w.established = true
-		return
-	}
+	complete, known := true, len(a.reached)
 	for name := range a.reached {
-		if m := w.members[name]; m == nil || !m.report.Primary {
-			return
+		if w.members[name] == nil {
+			complete = false
 		}
 	}
-	w.established = unknown <= 0
+	for name := range w.members {
+		if !a.reached[name] {
+			known++
+		}
+	}
+	// An instance that isn't reached, or is silent, may hold more than is known here: until
+	// it notices that it is cut off if its share is known, until that has ended if it isn't.
+	settle := a.view.LossTime + settleMargin
+	switch sinceJoin := boot - max(w.since, w.joinedAt); {
+	case !complete:
+		w.established = sinceJoin >= reclaimTimeout
+	case a.view.All <= len(a.reached):
+		w.established = true
+	case known >= a.view.All:
+		w.established = sinceJoin >= settle
+	default:
+		w.established = sinceJoin >= settle && boot-w.since >= reclaimTimeout
+	}
 }
 
 // reserved returns what instances hold, or may hold, that don't report to this one as their
@@ -230,6 +254,12 @@
 		m = &member{}
 		w.members[from] = m
 	}
+	if r.Incarnation == m.former && m.former != 0 {
+		return nil // a late report of a process that has ended
+	}
+	if r.Incarnation != m.report.Incarnation {
+		m.former = m.report.Incarnation
+	}
 	// A process's earlier incarnation has ended, and grants to earlier reports are not
 	// applied any more.
 	wasPrimary, held := m.report.Primary, m.held()
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -84,8 +84,8 @@
 	maxResponseTimeout = 4 * time.Second
 	shareTimeout       = 30 * time.Second // after which a share without a response from an allocator is given up
 	reclaimTimeout     = 35 * time.Second // after which the share of an instance that doesn't report may be given to others; above shareTimeout by more than a message's time of travel
-	silentTimeout      = 2 * time.Second  // for which what an instance has said of its allocator counts as recent
 	maxStepInterval    = 2 * time.Second  // a longer time between two steps of an allocator means that it was frozen
+	thawTime           = time.Second      // after that, in which the messages that have come meanwhile are read
 	// settleMargin is added to the time in which lost connections are noticed.
 	settleMargin = 2 * time.Second
 )
