edge, workspace: the allocator charges requests that find no room elsewhere

Change: such a request asks the allocator, which charges it to its own share; the sum of what is let through stays as it was.

--- a/edge/workspaces.go
+++ b/edge/workspaces.go
@@ -35,7 +35,8 @@
 	state   *workspace.Instance
 	buckets *workspace.Buckets // of state
 	turns   map[string]*quotaTurn
-	granted chan struct{} // closed and replaced when a share has changed
+	askAt   map[string]time.Duration // by workspace: its allocator is asked to charge a request from then on
+	granted chan struct{}            // closed and replaced when a share has changed
 	gaveUp  bool
 	metrics quotaMetrics
 }
@@ -53,7 +54,7 @@
 	state := workspace.NewInstance(n.id, cfg, n.boot())
 	return &quotas{
 		node: n, wake: make(chan struct{}, 1), state: state, buckets: state.Buckets,
-		turns: map[string]*quotaTurn{}, granted: make(chan struct{}), metrics: quotaMetrics{set: n.metrics},
+		turns: map[string]*quotaTurn{}, askAt: map[string]time.Duration{}, granted: make(chan struct{}), metrics: quotaMetrics{set: n.metrics},
 	}
 }
 
@@ -163,6 +164,9 @@
 	if len(b.QuotaShares) > 0 {
 		q.apply(b.QuotaShares)
 	}
+	if len(b.QuotaCharges) > 0 {
+		q.chargeFor(from, b.QuotaCharges)
+	}
 }
 
 // allocate responds to reports.
@@ -235,6 +239,14 @@
 		}
 		return q.charged(w.Name, cost), nil
 	}
+	if allocator := q.allocatorToAsk(boot, w.Name); allocator != "" {
+		q.mu.Unlock()
+		if q.chargeAt(ctx, allocator, w.Name, cost, maxWait) {
+			return q.charged(w.Name, cost), nil
+		}
+		q.mu.Lock()
+		turn = q.turns[w.Name]
+	}
 	if turn == nil {
 		turn = &quotaTurn{first: make(chan struct{}, 1)}
 		q.turns[w.Name] = turn
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -59,6 +59,7 @@
 	PrefillDetails []wirePrefillDetail `cbor:"50,keyasint,omitempty"`
 	QuotaReports   []wireQuotaReport   `cbor:"47,keyasint,omitempty"`
 	QuotaShares    []wireQuotaShare    `cbor:"48,keyasint,omitempty"`
+	QuotaCharges   []wireQuotaCharge   `cbor:"49,keyasint,omitempty"`
 }
 
 // wireAdapterCounts is a LoadRequest (version, waiting requests) or a Usage (requests
@@ -265,7 +266,7 @@
 		Servers: encodeRows(b.Servers), Versions: encodeRows(b.Versions), SoftwareRows: encodeRows(b.SoftwareRows),
 		HasCutOff: b.HasCutOff, CutOff: b.CutOff, Rejections: b.Rejections,
 		Evidence: encodeEvidence(b.Evidence), EvidenceReplies: encodeEvidence(b.EvidenceReplies),
-		QuotaReports: encodeQuotaReports(b.QuotaReports), QuotaShares: encodeQuotaShares(b.QuotaShares),
+		QuotaReports: encodeQuotaReports(b.QuotaReports), QuotaShares: encodeQuotaShares(b.QuotaShares), QuotaCharges: encodeQuotaCharges(b.QuotaCharges),
 	}
 	for _, x := range b.LoadRequests {
 		w.LoadRequests = append(w.LoadRequests, wireAdapterCounts{Server: x.Server, Model: x.Target.Model, Adapter: x.Target.Adapter, Version: x.Version, Count: x.Waiting})
@@ -362,7 +363,7 @@
 		Servers: decodeRows(w.Servers), Versions: decodeRows(w.Versions), SoftwareRows: decodeRows(w.SoftwareRows),
 		HasCutOff: w.HasCutOff, CutOff: w.CutOff, Rejections: w.Rejections,
 		Evidence: decodeEvidence(w.Evidence), EvidenceReplies: decodeEvidence(w.EvidenceReplies),
-		QuotaReports: decodeQuotaReports(w.QuotaReports), QuotaShares: decodeQuotaShares(w.QuotaShares),
+		QuotaReports: decodeQuotaReports(w.QuotaReports), QuotaShares: decodeQuotaShares(w.QuotaShares), QuotaCharges: decodeQuotaCharges(w.QuotaCharges),
 	}
 	for _, x := range w.LoadRequests {
 		b.LoadRequests = append(b.LoadRequests, LoadRequest{Server: x.Server, Target: modelAdapter(x.Model, x.Adapter), Version: x.Version, Waiting: x.Count})
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -61,6 +61,7 @@
 	SharedPrompts    []SharedPrompt            // shared beginnings of large prompts that the sender has sent to engines
 	PrefillRequests  []PrefillRequest          // prefill requests for engines that the receiver owns
 	PrefillResponses []PrefillResponse         // responses to PrefillRequests
+	QuotaCharges     []QuotaCharge             // requests to charge to quotas that the receiver allocates; PermitResponses respond
 	PacedServices    []string                  // services with prefill admission
 	ServerNotices    []ServerNotice            // server states, reported in responses, that concern all instances
 	RateLimits       []RateLimit               // rate limits of servers
@@ -151,6 +152,14 @@
 	Rate   float64 // the server's rate limit as known to the sender
 }
 
+// QuotaCharge requests that the receiver charges a request of the sender to its own share of a
+// workspace's quota. A PermitResponse responds.
+type QuotaCharge struct {
+	Workspace string
+	ID        uint64 // chosen by the sender
+	Cost      float64
+}
+
 // PermitResponse is the response to a PermitRequest.
 type PermitResponse struct {
 	Server string
@@ -279,5 +288,5 @@
 		len(b.PrefillRequests) == 0 && len(b.PrefillResponses) == 0 && len(b.PacedServices) == 0 && len(b.ServerNotices) == 0 && len(b.RemovedServers) == 0 && len(b.RateLimits) == 0 && len(b.PermitRequests) == 0 && len(b.PermitResponses) == 0 &&
 		len(b.Evidence) == 0 && len(b.EvidenceReplies) == 0 &&
 		!b.HasCutOff && len(b.SlotRequests) == 0 && len(b.SlotReports) == 0 && len(b.SlotResponses) == 0 && len(b.BrittleServices) == 0 && len(b.Rejections) == 0 && len(b.SoftwareRows) == 0 && len(b.StreamOrigins) == 0 && len(b.OriginRequests) == 0 && len(b.OriginResponses) == 0 &&
-		len(b.QuotaReports) == 0 && len(b.QuotaShares) == 0
+		len(b.QuotaReports) == 0 && len(b.QuotaShares) == 0 && len(b.QuotaCharges) == 0
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -43,6 +43,7 @@
 	StreamOrigins: []software.Origin{{Stream: 7, Software: "v1"}}, OriginRequests: []OriginRequest{{ID: 4, Stream: 7}}, OriginResponses: []OriginResponse{{ID: 4, Known: true, Software: "v1"}},
 	Prefills: []Prefill{{Server: "i-1", Tokens: 9000}}, SharedPrompts: []SharedPrompt{{Server: "i-1", Target: 1 << 63, Key: 5, Tokens: 6300}},
 	QuotaReports: []workspace.Report{{Workspace: "w", Incarnation: 3, Sequence: 4, Primary: true, Final: true, Share: 0.1, Demand: 0.2, LongDemand: 0.3, Need: 0.4, Floor: 0.5}},
+	QuotaCharges: []QuotaCharge{{Workspace: "w", ID: 7, Cost: 9190}},
 	QuotaShares:  []workspace.Grant{{Workspace: "w", Incarnation: 3, Sequence: 4, Share: 0.25}},
 	TableUpdates: []TableUpdate{{Table: "t", After: 3, To: 9, Rows: []chestnutstream.TableRow{{Table: "t", Key: "k", Value: []byte("v"), Version: 8}, {Table: "t", Key: "l", Version: 9, Removed: true}}}},
 	Servers:      []chestnutstream.TableRow{{Key: "i-1", Value: []byte("{}"), Version: 3}}, Versions: []chestnutstream.TableRow{{Key: "version/m.a", Value: []byte("x"), Version: 4}},
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -63,3 +63,26 @@
 	}
 	return out
 }
+
+type wireQuotaCharge struct {
+	_         struct{} `cbor:",toarray"`
+	Workspace string
+	ID        uint64
+	Cost      float64
+}
+
+func encodeQuotaCharges(charges []QuotaCharge) []wireQuotaCharge {
+	var out []wireQuotaCharge
+	for _, c := range charges {
+		out = append(out, wireQuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost})
+	}
+	return out
+}
+
+func decodeQuotaCharges(charges []wireQuotaCharge) []QuotaCharge {
+	var out []QuotaCharge
+	for _, c := range charges {
+		out = append(out, QuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost})
+	}
+	return out
+}
--- a/workspace/buckets.go
+++ b/workspace/buckets.go
@@ -27,6 +27,7 @@
 	longDemandTime = 10 * time.Second
 	demandGrowth   = 1.5              // growth of the demand since the latest report at which an allocator should soon know
 	maxDemandPeak  = 2                // of the present demand, relative to the demand of the last ten seconds
+	movedPart      = 0.5              // of the demand of a request that another instance has charged
 	minDemandKnown = time.Second      // least time by which a demand that has just begun is estimated
 	minDemand      = 1e-3             // fraction of the limit; less counts as none
 	minWait        = time.Millisecond // of estimates
@@ -122,6 +123,9 @@
 // Len returns the number of limited workspaces.
 func (b *Buckets) Len() int { return len(b.buckets) }
 
+// Limited reports whether a workspace has a limit.
+func (b *Buckets) Limited(name string) bool { return b.buckets[name] != nil }
+
 // Names returns the limited workspaces in order.
 func (b *Buckets) Names() []string {
 	names := make([]string, 0, len(b.buckets))
@@ -246,6 +250,19 @@
 	*u = max(*u-cost, 0)
 }
 
+// MoveDemand records that another instance has charged a request whose demand was recorded
+// here, and records it as well. Half of it stays here, so that an instance with many
+// requests gets a share of its own.
+func (b *Buckets) MoveDemand(boot time.Duration, name string, cost float64) {
+	k := b.buckets[name]
+	if k == nil {
+		return
+	}
+	b.advance(boot, k)
+	k.demand = max(k.demand-movedPart*cost/demandTime.Seconds(), 0)
+	k.longDemand = max(k.longDemand-movedPart*cost/longDemandTime.Seconds(), 0)
+}
+
 // Wait returns how long it takes until the bucket has room for a request at its present
 // share. hopeless is true if a larger share isn't to be expected soon either.
 func (b *Buckets) Wait(boot time.Duration, name string, cost float64) (wait time.Duration, hopeless bool) {
