--- a/workspace/allocator.go
+++ b/workspace/allocator.go
@@ -176,12 +176,17 @@
 			return // another instance is the allocator for it
 		}
 	}
-	complete, known := true, len(a.reached)
+	complete, known, silent := true, len(a.reached), 0
 	for name := range a.reached {
 		if w.members[name] == nil {
 			complete = false
+			silent++
 		}
 	}
+	if float64(a.view.All-len(a.reached)+silent) <= fewMissing*float64(a.view.All) {
+		w.established = true
+		return
+	}
 	for name := range w.members {
 		if !a.reached[name] {
 			known++
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -68,6 +68,10 @@
 	// maxSpare limits the spare share, relative to the demand: without it the first instances with
 	// demand after a start got all, and the next ones waited until they had returned it.
 	maxSpare = 2
+	// fewMissing is the part of the instances that an allocator may lack without waiting: where
+	// instances are replaced one after the other, one is missing nearly always. What these hold
+	// beyond their equal part of the limit may then be given out twice.
+	fewMissing = 0.1
 	// minDecrease is the relative decrease of a share below which it is left as it is, so
 	// that a fluctuating demand doesn't cause messages.
 	minDecrease = 0.1
