fleet: what the counts of a cached part cover

Cause: the comment said that they are this instance's, which does not hold for parts whose uses other instances tell. Change: comments only.

--- a/fleet/promptcache.go
+++ b/fleet/promptcache.go
@@ -82,8 +82,8 @@
 	key        uint64 // of the part and those before it, with the model and the adapter version
 	target     uint64 // hash of the model and adapter
 	tokens     int
-	uses       decayingSum // by this instance
-	complete   bool        // the uses by other instances are known too
+	uses       decayingSum // by this instance; by all if complete
+	complete   bool        // other instances tell this one of their uses
 	prev, next *cachedPart
 }
 
