--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -211,6 +211,7 @@
 	assert.Equal(t, s.handled.Load(), int64(1))
 	close(s.release)
 	assert.Equal(t, status(t, first), 200)
+	s.await(t, 1, PhaseIdle) // its head is kept until the server has sent the whole response
 	assert.Equal(t, status(t, s.dial(t, large)), 200)
 }
 
