--- a/fleet/promptcache_test.go
+++ b/fleet/promptcache_test.go
@@ -172,3 +172,33 @@
 		}
 	})
 }
+
+// Guards against a cached prompt that decides the choice whatever the wait, and against one that
+// does not count: the engine that keeps 6,300 of 9,190 tokens is chosen while it has room, and
+// passed over behind two prompts of that size and with a full batch.
+func TestEngineThatKeepsALongPromptIsChosenWhileItHasRoom(t *testing.T) {
+	f := cachingEngines(3, 200_000)
+	target := chestnutstream.ModelAdapter{Model: "m", Adapter: "a"}
+	r := Request{Service: testService, Target: target, Version: 1, Latency: 800 * time.Millisecond}
+	r.Prompt = chestnutstream.Prompt{Tokens: 9190, Parts: []chestnutstream.PromptPart{{ID: "s", Tokens: 6300}, {ID: "o", Tokens: 2890, Own: true}}}
+	now := start
+	for _, s := range f.services[testService] {
+		s.Slots = 16
+		f.RecordPace(now, s.ID, 1)
+		f.RecordLoaded(now, s.ID, target, 1)
+	}
+	order, _ := f.rankedEngines(now, r, nil, false)
+	first, last := order[0], order[2]
+	// pick returns the engine that is chosen now.
+	pick := func() string { return f.PickEngine(now, r, nil, anyLoadable).Server.ID }
+	assert.Equal(t, pick(), first.ID)
+	f.RecordPrompt(now, last.ID, last.Born, r)
+	assert.Equal(t, pick(), last.ID)
+	f.RecordPrefill(now, last.ID, 9190)
+	f.RecordPrefill(now, last.ID, 9190)
+	assert.Equal(t, pick(), first.ID)
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, pick(), last.ID)
+	f.RecordLoad(now, last.ID, 16, 3)
+	assert.Equal(t, pick(), first.ID)
+}
