--- a/edge/waiting_test.go
+++ b/edge/waiting_test.go
@@ -19,7 +19,7 @@
 
 // Guards against requests that wait for a server with a limit, or arrive meanwhile, and take
 // the place of a more urgent one that waits too; and against waitlists where routes have one
-// priority.
+// priority, or servers state no pace.
 func TestUrgentRequestIsPlacedFirst(t *testing.T) {
 	boot := time.Now()
 	n := newNode(platform.Settings{Instance: "n", Zone: "z1"}, &log.Logger{Handler: discard.New()}, timer.NewSystem(), func() time.Duration { return time.Since(boot) })
@@ -40,6 +40,8 @@
 	n.mu.Lock()
 	n.regionInstances = 1
 	n.fleet.ApplySnapshot(now, 1, []fleet.Entry{{Key: "i-1", RowVersion: 1, Backend: b}})
+	assert.Assert(t, n.enterWaitlist(ingress.PlacementRequest{Service: "s"}) == nil) // its servers state no pace
+	n.fleet.RecordPace(now, "i-1", 1)
 	n.fleet.RecordBackpressure(now, now, "i-1", chestnutstream.Backpressure{RateLimit: 5, RetryAfter: 300 * time.Millisecond})
 	n.mu.Unlock()
 	var mu sync.Mutex
