fleet, ingress, instance: work done twice for each request

The cached tokens of a prompt were estimated twice for each placement: the estimate of the first event takes the tokens that are left to prefill now. The age of the configuration, which takes the node's lock, was looked up for each key, also where no limit needs it. No change of behaviour; tests call the changed signature with the same values. Run: tests of fleet and instance; those of ingress and edge that concern it, no more.

--- a/edge/place.go
+++ b/edge/place.go
@@ -269,7 +269,7 @@
 	assignment := ingress.Assignment{
 		Server: s.Backend, Target: p.Target, Version: version, LoadStall: stall, Prompt: p.Prompt, ViewAge: n.recordViewAge(),
 		Workspace:   p.Workspace,
-		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, fleetRequest(p, version)), CachedTokens: cached,
+		PrefillWait: s.PrefillWait(now), FirstEvent: n.fleet.EstimateFirstEvent(now, s.ID, left.Tokens), CachedTokens: cached,
 	}
 	if n.prefillPaced(p.Service) {
 		n.fleet.RecordPrefill(now, s.ID, left.Tokens) // its owner has granted the prefill, so no other instance is notified
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -65,7 +65,7 @@
 	for id, slowness := range map[string]float64{"e0": 0.5, "e1": 1.5} {
 		usual := bigPrompt / initialTokensPerMS
 		assert.Assert(t, math.Abs(f.PrefillRate(now, id)*slowness/initialTokensPerMS-1) < 0.05)
-		estimate := milliseconds(f.EstimateFirstEvent(now, id, r) - firstEventOverhead)
+		estimate := milliseconds(f.EstimateFirstEvent(now, id, r.Prompt.Tokens) - firstEventOverhead)
 		assert.Assert(t, math.Abs(estimate/(slowness*usual)-1) < 0.05, "%s: %f", id, estimate)
 		f.RecordPrefill(now, id, bigPrompt)
 		assert.Assert(t, math.Abs(milliseconds(f.Server(id).PrefillWait(now))/(slowness*usual)-1) < 0.05)
--- a/fleet/prefill.go
+++ b/fleet/prefill.go
@@ -141,13 +141,12 @@
 }
 
 // EstimateFirstEvent estimates the time to the first event of a request sent to
-// an engine now.
-func (f *Fleet) EstimateFirstEvent(now time.Time, id string, r Request) time.Duration {
+// an engine now, which has to prefill a number of tokens of its prompt.
+func (f *Fleet) EstimateFirstEvent(now time.Time, id string, tokens int) time.Duration {
 	s := f.servers[id]
 	if s == nil {
 		return 0
 	}
-	tokens := max(r.Prompt.Tokens-f.cachedTokens(now, s, r), 0)
 	return s.PrefillWait(now) + f.prefillTime(now, s, tokens) + firstEventOverhead
 }
 
--- a/fleet/prefill_test.go
+++ b/fleet/prefill_test.go
@@ -177,7 +177,7 @@
 			f.RecordFirstEvent(start, "e0", chestnutstream.Prompt{Tokens: bigPrompt}, took)
 		}
 		want := firstEventOverhead + time.Duration(bigPrompt/tokensPerMS*float64(time.Millisecond))
-		got := f.EstimateFirstEvent(start, "e0", Request{Prompt: chestnutstream.Prompt{Tokens: bigPrompt}})
+		got := f.EstimateFirstEvent(start, "e0", bigPrompt)
 		assert.Assert(t, got > want*9/10 && got < want*11/10, "want about %v, estimated %v", want, got)
 	}
 }
--- a/ingress/workspace.go
+++ b/ingress/workspace.go
@@ -44,6 +44,12 @@
 	MaxAge time.Duration
 }
 
+// olderThan reports whether the view of the configuration is older than a limit; 0: none. The
+// age is looked up only if there is a limit, as that takes a lock that all requests use.
+func (s *KeySettings) olderThan(limit time.Duration) bool {
+	return limit > 0 && s.ConfigAge != nil && s.ConfigAge() > limit
+}
+
 // Parameters of workspaces.
 const (
 	staleKeysRetryAfter = 500 * time.Millisecond // a configuration that is out of date is usually read soon after
@@ -64,15 +70,11 @@
 		x.keyChecked = true
 		return true
 	}
-	keys, stale := &x.server.cfg.Keys, false
-	if keys.ConfigAge != nil {
-		age := keys.ConfigAge()
-		stale = keys.FreshAge > 0 && age > keys.FreshAge
-		if keys.MaxAge > 0 && age > keys.MaxAge {
-			x.countKey("expired")
-			x.reject(staleKeysRetryAfter, "keys can't be checked: the configuration may be out of date")
-			return false
-		}
+	keys := &x.server.cfg.Keys
+	if keys.olderThan(keys.MaxAge) {
+		x.countKey("expired")
+		x.reject(staleKeysRetryAfter, "keys can't be checked: the configuration may be out of date")
+		return false
 	}
 	values := x.r.Header[platform.HeaderKey]
 	if len(values) == 1 {
@@ -83,7 +85,7 @@
 		x.keyChecked = true
 		x.countKey("accepted")
 		return true
-	case stale && len(values) == 1:
+	case len(values) == 1 && keys.olderThan(keys.FreshAge):
 		x.countKey("unknown-stale")
 		x.reject(staleKeysRetryAfter, "unknown key, and the configuration may be out of date")
 	default:
--- a/instance/codec.go
+++ b/instance/codec.go
@@ -459,22 +459,6 @@
 	return out
 }
 
-func encodePermitResponses(responses []PermitResponse) []wirePermitResponse {
-	var out []wirePermitResponse
-	for _, x := range responses {
-		out = append(out, wirePermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
-	return out
-}
-
-func decodePermitResponses(responses []wirePermitResponse) []PermitResponse {
-	var out []PermitResponse
-	for _, x := range responses {
-		out = append(out, PermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
-	return out
-}
-
 // encodePrefillDetails returns nil if no request names a workspace.
 func encodePrefillDetails(requests []PrefillRequest) []wirePrefillDetail {
 	var out []wirePrefillDetail
