loader, edge: large prompts wait for half of the budget, and count what is to be prefilled

Where requests compete, a large prompt needs half of the budget free while all that wait fit into one. A request for a grant counts the tokens to be prefilled, without the parts of the prompt that the engine is believed to keep.

--- a/edge/place.go
+++ b/edge/place.go
@@ -203,7 +203,7 @@
 	defer n.mu.Unlock()
 	if n.prefillPaced(p.Service) {
 		n.mu.Unlock()
-		ok, wait := n.awaitPrefillGrant(ctx, id, p, limit)
+		ok, wait := n.awaitPrefillGrant(ctx, id, p, version, limit)
 		n.mu.Lock()
 		n.fleet.SetPrefillWait(n.now(), id, wait)
 		if !ok {
--- a/edge/prefill.go
+++ b/edge/prefill.go
@@ -49,7 +49,7 @@
 // awaitPrefillGrant waits until a prompt may be sent to an engine. When the wait would
 // exceed limit it returns false and the wait. If the engine's owner cannot be reached,
 // or does not respond, the prompt may be sent at once. Callers do not hold mu.
-func (n *Node) awaitPrefillGrant(ctx context.Context, server string, p ingress.PlacementRequest, limit time.Duration) (ok bool, wait time.Duration) {
+func (n *Node) awaitPrefillGrant(ctx context.Context, server string, p ingress.PlacementRequest, version int, limit time.Duration) (ok bool, wait time.Duration) {
 	n.mu.Lock()
 	now := n.now()
 	s, owner := n.fleet.Server(server), n.ownerOf(server)
@@ -66,7 +66,7 @@
 	w := &prefillWait{server: server, owner: owner, ch: make(chan instance.PrefillResponse, 2)}
 	n.prefillWaits[id] = w
 	request := instance.PrefillRequest{
-		Server: server, ID: id, Target: p.Target, Tokens: max(p.Prompt.Tokens, 1), Priority: p.Priority,
+		Server: server, ID: id, Target: p.Target, Tokens: n.tokensToPrefill(now, server, p, version), Priority: p.Priority,
 		OnTimeMS: (p.TargetLatency - now.Sub(p.Start)).Milliseconds(), UsefulMS: until.Milliseconds(), MaxWaitMS: limit.Milliseconds(),
 		Workspace: p.Workspace, OutputTokens: p.Prompt.MaxOutputTokens,
 	}
--- a/edge/prompts.go
+++ b/edge/prompts.go
@@ -46,6 +46,16 @@
 	return cached
 }
 
+// tokensToPrefill returns how many tokens of a request's prompt an engine has to prefill, less
+// those that it is believed to keep. Callers hold mu.
+func (n *Node) tokensToPrefill(now time.Time, server string, p ingress.PlacementRequest, version int) int {
+	tokens := p.Prompt.Tokens
+	if n.fleet.WeighsPrompts(p.Service) {
+		tokens -= n.fleet.CachedTokens(now, server, fleetRequest(p, version))
+	}
+	return max(tokens, 1)
+}
+
 // recordPrompt records that an engine has responded to a request, so that it has prefilled its
 // prompt. Callers hold mu.
 func (n *Node) recordPrompt(now time.Time, a ingress.Assignment, target chestnutstream.ModelAdapter) {
--- a/loader/prefill.go
+++ b/loader/prefill.go
@@ -34,9 +34,11 @@
 	// firstEventSlack is added to the prefill time of a prompt when estimating
 	// whether its response can still be on time.
 	firstEventSlack = 50 * time.Millisecond
-	// largePromptShare is the share of the budget that has to be free for prompts
-	// larger than the budget.
+	// largePromptShare is the share of the budget that has to be free for large prompts.
 	largePromptShare = 0.5
+	// scarceBudgets is how many budgets may wait before large prompts need all of what they
+	// use. With more, at 1.4 times the load that fits, large prompts displaced the others.
+	scarceBudgets = 1
 	// priorityStep is the head start of a prefill request over one of the next
 	// lower priority. With a larger step, requests of low priority would starve.
 	priorityStep = 150 * time.Millisecond
@@ -190,15 +192,27 @@
 
 // requiredBudget returns how many tokens of the budget have to be free for a
 // prompt. A prompt over the budget stalls the streams whenever it is processed,
-// so it does not wait for an empty window.
+// so it does not wait for an empty window. Where requests compete, nor does a large one while
+// few others wait: small ones that are sent at once keep the window from getting as empty, and it
+// waited until it was late and then, as a late one, for half of its useful time.
 func (t *prefillThrottle) requiredBudget(tokens int) int {
 	budget := t.pace.budget()
-	if tokens > budget {
-		return int(largePromptShare * float64(budget))
+	most := int(largePromptShare * float64(budget))
+	if tokens > budget || t.pace.Competing && tokens > most && t.tokensWaiting() <= scarceBudgets*budget {
+		return most
 	}
 	return tokens
 }
 
+// tokensWaiting returns the prompt tokens of the waiting requests.
+func (t *prefillThrottle) tokensWaiting() int {
+	n := 0
+	for _, r := range t.queue {
+		n += r.Tokens
+	}
+	return n
+}
+
 // next returns the index of the prefill request to grant next: those that can
 // still be on time first, then by on-time limit and priority. order.go has the order where
 // requests compete.
