edge: a reader pauses only after changes in quick succession

A pause of 250 ms after each change also delayed single declarations of adapter versions, which need none: the link is free then.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -35,11 +35,13 @@
 	// hold a poll to the end of its wait although there are changes.
 	operatorPollShare   = 0.5
 	minOperatorPollWait = 250 * time.Millisecond // of a reader's poll, however short the time limit
-	// operatorPauseShare is the share of that time limit for which a reader waits after a
-	// change before it polls again: configurations written in quick succession then reach its
+	// operatorPauseShare is the share of that time limit for which a reader waits after the
+	// second of two changes before it polls again: configurations written in quick succession then reach its
 	// followers as one, instead of each occupying its link for a third of a second.
 	operatorPauseShare = 1.0 / 12
 	maxOperatorPause   = 250 * time.Millisecond // below maxViewAge, after which polls don't wait
+	// quickSuccession is the time between two changes within which the reader pauses.
+	quickSuccession = time.Second
 )
 
 // tableWatch describes how one table of the store is watched.
@@ -119,7 +121,8 @@
 	tableWatch
 	version  uint64
 	synced   bool          // all of the table is known up to version
-	changed  bool          // by the latest read
+	quick    bool          // by the latest read, in quick succession of an earlier change
+	changeAt time.Time     // of the latest read that brought changes
 	pause    time.Duration // before the next read, for which it waits the less
 	failures int           // of the latest reads
 }
@@ -172,7 +175,10 @@
 		n.handleReadError(f, err)
 		return false
 	}
-	f.version, f.failures, f.changed = version, 0, len(rows) > 0
+	f.version, f.failures, f.quick = version, 0, false
+	if len(rows) > 0 {
+		f.quick, f.changeAt = readAt.Sub(f.changeAt) < quickSuccession, readAt
+	}
 	if f.table == platform.TableOperator {
 		rows = newestRows(rows)
 	}
@@ -210,12 +216,12 @@
 
 // pauseAfterRead returns the time until the next read of a table. The leases are read
 // more often just after the start, and after the store has returned from a copy. A reader
-// that passes changes of the operator table on pauses after each.
+// that passes changes of the operator table on pauses after those in quick succession.
 func (n *Node) pauseAfterRead(f *feed, up time.Duration) time.Duration {
 	if f.startInterval > 0 && (up < startLeasesPeriod || n.recentlyRestored()) {
 		return f.startInterval
 	}
-	if f.table == platform.TableOperator && f.changed && n.follows(f.tableWatch, up) {
+	if f.table == platform.TableOperator && f.quick && n.follows(f.tableWatch, up) {
 		return min(time.Duration(operatorPauseShare*float64(n.cfg.ConfigApplyBound)), maxOperatorPause)
 	}
 	return n.intervalAfterRead(f.tableWatch)
