workspace: the allocator keeps a share to charge requests of other instances

Cause: a limit was divided by each instance's demand of the last 0.7 s. A workspace with a request a second at an instance has shares that are idle much of the time, and a share by demand was added to what covers a debt, so that shares moved with each request and what moved was held by nobody. One large request also stopped all small ones at its instance, at half of the debt that the share allows. Change: the allocator's instance keeps 0.4 to 0.75 of what it may give, by the demand of all, and charges requests that find no room elsewhere to it; it does not while more than a tenth of the instances are not reached. Others get the larger of their debt and a share by the demand of 2 s. Large requests concentrate shares at the allocator only. Small requests are let through up to 0.75 of the debt. Large raises of a share are reported to the standby at once. The simulation plays charges at the allocator, as edge does; the stateful test itself is unchanged.

--- a/workspace/allocator.go
+++ b/workspace/allocator.go
@@ -43,9 +43,8 @@
 	report  Report
 	granted float64 // the largest grant since the report
 	at      time.Duration
-	needAt  time.Duration // since when it has needed a larger share; 0: it doesn't
-	lowered bool          // it was told of a smaller share since the report
-	former  uint64        // incarnation before that of the report
+	lowered bool   // it was told of a smaller share since the report
+	former  uint64 // incarnation before that of the report
 }
 
 // held returns the share that the member may hold.
@@ -275,12 +274,6 @@
 	case !r.Primary && wasPrimary:
 		w.pool = max(w.pool-held, 0)
 	}
-	switch {
-	case r.Need <= r.Share:
-		m.needAt = 0
-	case m.needAt == 0:
-		m.needAt = boot
-	}
 	if r.Final || !r.Primary {
 		return nil
 	}
@@ -337,56 +330,39 @@
 }
 
 // targets returns how a budget is to be divided among the members that report to this
-// instance: first what covers their debts, then what they need for requests that are large
-// relative to it, in the order in which they came to need it, then by their demand, and what
-// is left by their demand over a longer time, but for a part that is kept for instances
-// whose demand grows. It also returns the members' names in that order.
+// instance, and their names in order. Each gets what covers its debt, and shares by demand where that is
+// more. What is left is given by the demand over a longer time, but for a part that is kept for instances
+// whose demand grows.
 func (a *Allocator) targets(w *allocation, budget float64) (targets map[string]float64, names []string) {
 	targets, names = make(map[string]float64, len(w.members)), make([]string, 0, len(w.members))
-	left := budget * distributed
 	for name, m := range w.members {
 		if m.report.Primary {
 			names = append(names, name)
-			targets[name] = min(m.report.Floor, m.held())
-			left -= targets[name]
 		}
 	}
-	left = max(left, 0)
-	slices.SortFunc(names, func(x, y string) int {
-		mx, my := w.members[x], w.members[y]
-		if mx.needAt != my.needAt {
-			return int(max(min(mx.needAt-my.needAt, 1), -1))
-		}
-		if x < y {
-			return -1
-		}
-		return 1
-	})
-	neededLeft := left * neededPart
-	for _, name := range names {
-		m := w.members[name]
-		more := m.report.Need - targets[name]
-		if m.needAt == 0 || more <= 0 || more > neededLeft {
-			continue
-		}
-		targets[name] += more
-		neededLeft -= more
-		left -= more
-	}
-	wanted, weight := 0.0, 0.0
+	slices.Sort(names) // sums of floating-point numbers depend on the order
+	// While instances are not reached, another one may be the allocator as well and know this
+	// instance's share as it was: it stays small then.
+	charging := w.established && float64(a.view.All-len(a.reached)) <= fewMissing*float64(a.view.All)
+	demand, weight, wanted := 0.0, 0.0, 0.0
 	for _, name := range names {
 		r := w.members[name].report
-		wanted += max(headroom*r.Demand-targets[name], 0)
+		demand += r.Demand
 		weight += r.LongDemand
 	}
-	scale := 1.0
-	if wanted > left {
-		scale = left / wanted
+	for _, name := range names {
+		m := w.members[name]
+		targets[name] = min(m.report.Floor, m.held())
+		if name == a.self && weight > 0 && charging {
+			targets[name] = max(targets[name], chargeShare(budget, demand), min(m.report.Need, neededPart*budget))
+		}
+		wanted += max(targets[name], headroom*m.report.Demand)
 	}
-	spare := sparePart * max(left-wanted, 0)
+	scale := w.scale(names, targets, budget, wanted)
+	spare := sparePart * max(budget-wanted, 0)
 	for _, name := range names {
 		r := w.members[name].report
-		targets[name] += scale * max(headroom*r.Demand-targets[name], 0)
+		targets[name] = max(targets[name], scale*headroom*r.Demand)
 		if weight > 0 {
 			targets[name] += min(spare*r.LongDemand/weight, maxSpare*max(r.Demand, r.LongDemand))
 		}
@@ -394,6 +370,38 @@
 	return targets, names
 }
 
+// chargeShare returns the share that the allocator's instance keeps to charge requests of the others.
+func chargeShare(budget, demand float64) float64 {
+	return min(max(minChargePart*budget, chargeDemandPart*demand), maxChargePart*budget)
+}
+
+// scale returns the factor for shares by demand with which all members get a budget together, 1 if it
+// suffices for what is wanted. Members whose least share is larger than that keep the least share. If that
+// were added to the shares by demand, shares would move with each request, and what moves
+// is held by nobody for two messages' time.
+func (w *allocation) scale(names []string, least map[string]float64, budget, wanted float64) float64 {
+	scale := 1.0
+	if wanted <= budget {
+		return scale
+	}
+	for range scaleRounds {
+		rest, others := budget, 0.0
+		for _, name := range names {
+			if want := headroom * w.members[name].report.Demand; least[name] >= scale*want {
+				rest -= least[name]
+			} else {
+				others += want
+			}
+		}
+		next := max(rest, 0) / max(others, minDemand)
+		if next >= scale {
+			break
+		}
+		scale = next
+	}
+	return scale
+}
+
 // Shares returns the shares of a workspace by instance, as far as they are known here. ok is
 // false if this instance isn't its allocator.
 func (a *Allocator) Shares(workspace string) (shares map[string]float64, ok bool) {
--- a/workspace/buckets.go
+++ b/workspace/buckets.go
@@ -20,10 +20,17 @@
 	// through at once, and gets the share that repays them afterwards; most would wait too
 	// long for a share. It is below a half as the predecessor of a process may have owed as much.
 	evenPart = 0.45
-	// softDebtTime is the time at the bucket's rate that it may owe before it lets no more
-	// requests through. It covers the time in which shares move.
-	softDebtTime   = time.Second
-	demandTime     = 700 * time.Millisecond
+	// softDebtPart is the part of the debt that its share allows which a bucket may owe before it lets no
+	// more requests through. The rest is for requests that are large relative to it. With 0.5, one of
+	// these stopped all small ones for up to a second.
+	softDebtPart = 0.75
+	// softDebtTime limits that debt to a time at the bucket's rate, so that room is soon found again.
+	softDebtTime = 2 * time.Second
+	// unstatedCreditTime is the time at the limit's rate that may be owed where the platform states no slack.
+	unstatedCreditTime = time.Second
+	// demandTime is long enough that shares don't move with single requests. Demand that grows faster
+	// is charged by the allocator's instance meanwhile.
+	demandTime     = 2 * time.Second
 	longDemandTime = 10 * time.Second
 	demandGrowth   = 1.5              // growth of the demand since the latest report at which an allocator should soon know
 	maxDemandPeak  = 2                // of the present demand, relative to the demand of the last ten seconds
@@ -33,6 +40,7 @@
 	minWait        = time.Millisecond // of estimates
 	maxWait        = 30 * time.Second // of estimates
 	minChange      = 0.01             // decrease of a share that is reported at once
+	largeRaise     = 0.05             // increase of a share that is reported at once
 	maxPromised    = 10 * time.Second // of the bucket's rate that is expected to go to refused requests that return
 	usageSlots     = 16               // into which the window of the usage is divided
 	defaultWindow  = 8 * time.Second
@@ -144,7 +152,7 @@
 // credit returns the debt that a share of 1 allows.
 func (b *Buckets) credit(boot time.Duration, k *bucket) float64 {
 	if b.cfg.Slack <= 0 {
-		return max(k.quota.PerSecond*softDebtTime.Seconds(), 1)
+		return max(k.quota.PerSecond*unstatedCreditTime.Seconds(), 1)
 	}
 	if boot-b.startedAt < b.cfg.Window {
 		return startCreditPart * b.cfg.Slack
@@ -170,7 +178,7 @@
 
 // softDebt returns the debt at which a bucket lets nothing more through.
 func (b *Buckets) softDebt(boot time.Duration, k *bucket) float64 {
-	return b.effective(k)*min(b.credit(boot, k)/2, k.quota.PerSecond*softDebtTime.Seconds()) + b.evenCredit(k)/2
+	return b.effective(k)*min(softDebtPart*b.credit(boot, k), k.quota.PerSecond*softDebtTime.Seconds()) + b.evenCredit(k)/2
 }
 
 // advance brings a bucket up to date. Time is counted as long as shares are valid: a share
--- a/workspace/instance.go
+++ b/workspace/instance.go
@@ -27,6 +27,7 @@
 	primary, standby string
 	former           []string // earlier ones that are still to be told of the change
 	standbyAt        time.Duration
+	standbyShare     float64 // of the latest report to the standby
 }
 
 // NewInstance returns the state of the instance self.
@@ -139,8 +140,8 @@
 		out[name] = append(out[name], r)
 	}
 	to.former = nil
-	if to.standby != "" && (to.standbyAt == 0 || boot-to.standbyAt >= standbyInterval || r.Final) {
-		to.standbyAt = boot
+	if to.standby != "" && (to.standbyAt == 0 || boot-to.standbyAt >= standbyInterval || r.Share-to.standbyShare >= largeRaise || r.Final) {
+		to.standbyAt, to.standbyShare = boot, r.Share
 		out[to.standby] = append(out[to.standby], r)
 	}
 	if to.primary != "" {
--- a/workspace/reports.go
+++ b/workspace/reports.go
@@ -112,6 +112,8 @@
 	switch {
 	case k.share > old:
 		k.urgentInterval, k.saturated = minUrgentInterval, false
+		// A standby should know of it before it takes over.
+		k.changed = k.changed || k.share-old >= largeRaise
 	case k.share < old:
 		// The allocator gives it to others once it knows. Less is reported with the next
 		// periodic report.
--- a/workspace/simulation_test.go
+++ b/workspace/simulation_test.go
@@ -24,7 +24,8 @@
 	byName   map[string]*simNode
 	names    []string
 	messages []simMessage
-	cut      map[[2]string]simCut // by ordered pair
+	cut      map[[2]string]simCut        // by ordered pair
+	opening  map[[2]string]time.Duration // when connections are established after a restart, by ordered pair
 	lossTime time.Duration
 
 	lost, late float64 // share of messages
@@ -44,6 +45,8 @@
 	rate        float64 // requests per second that it gets
 	cost        func() float64
 	waiting     []simRequest
+	asked       []simRequest  // that wait for the allocator
+	askAt       time.Duration // the allocator is asked to charge requests from then on
 }
 
 type simRequest struct{ at, cost float64 }
@@ -53,6 +56,14 @@
 	from, to string
 	report   *Report
 	grant    *Grant
+	charge   *simCharge
+}
+
+// simCharge asks an allocator to charge a request, or is its response.
+type simCharge struct {
+	simRequest
+	response, ok bool
+	wait         time.Duration
 }
 
 // simCut is a connection that is cut, and from when each side notices it.
@@ -94,6 +105,29 @@
 	node.state.Buckets.SetWorkspaces(s.now, map[string]*chestnutstream.Workspace{"w": {Name: "w", Quota: s.quota}})
 }
 
+// restartAll restarts all instances. Their connections are established within a time.
+func (s *simulation) restartAll(within time.Duration) {
+	s.opening, s.messages = map[[2]string]time.Duration{}, nil
+	for i, node := range s.nodes {
+		node.waiting, node.asked, node.askAt = nil, nil, 0
+		s.start(node)
+		for _, other := range s.nodes[:i] {
+			s.opening[pair(node.name, other.name)] = s.now + time.Duration(s.rng.Float64()*float64(within))
+		}
+	}
+}
+
+// open establishes the connections that are due.
+func (s *simulation) open() {
+	for _, p := range slices.SortedFunc(maps.Keys(s.opening), func(x, y [2]string) int { return slices.Compare(x[:], y[:]) }) {
+		if s.opening[p] <= s.now {
+			delete(s.opening, p)
+			s.byName[p[0]].state.Connected(p[1])
+			s.byName[p[1]].state.Connected(p[0])
+		}
+	}
+}
+
 func pair(a, b string) [2]string {
 	if a < b {
 		return [2]string{a, b}
@@ -128,7 +162,7 @@
 
 func (s *simulation) view(node *simNode) View {
 	v := View{All: len(s.nodes), LossTime: s.lossTime}
-	if len(s.cut) == 0 {
+	if len(s.cut) == 0 && len(s.opening) == 0 {
 		v.Reached = s.names
 		return v
 	}
@@ -138,7 +172,7 @@
 		if node.name > other.name {
 			side = 1
 		}
-		if !cut || s.now < c.noticed[side] {
+		if _, opening := s.opening[pair(node.name, other.name)]; !opening && (!cut || s.now < c.noticed[side]) {
 			v.Reached = append(v.Reached, other.name)
 		}
 	}
@@ -147,6 +181,9 @@
 
 func (s *simulation) send(m simMessage) {
 	s.sent++
+	if _, opening := s.opening[pair(m.from, m.to)]; opening {
+		return
+	}
 	if _, cut := s.cut[pair(m.from, m.to)]; cut || s.rng.Float64() < s.lost {
 		return
 	}
@@ -160,6 +197,10 @@
 
 func (s *simulation) receive(m simMessage) {
 	node := s.byName[m.to]
+	if m.charge != nil {
+		s.receiveCharge(node, m.from, *m.charge)
+		return
+	}
 	if m.grant != nil {
 		node.state.Buckets.Apply(s.now, *m.grant)
 		return
@@ -177,6 +218,7 @@
 func (s *simulation) run(d time.Duration) {
 	for end := s.now + d; s.now < end; {
 		s.now += s.tick
+		s.open()
 		due := s.messages[:0:0]
 		s.messages = slices.DeleteFunc(s.messages, func(m simMessage) bool {
 			if m.at > s.now || s.now < s.byName[m.to].frozenUntil {
@@ -221,8 +263,13 @@
 	for range arriving {
 		r := simRequest{s.now.Seconds(), node.cost()}
 		b.RecordDemand(s.now, "w", r.cost)
-		node.waiting = append(node.waiting, r)
+		if len(node.waiting) == 0 && b.Take(s.now, "w", r.cost) {
+			s.passed = append(s.passed, simRequest{s.now.Seconds(), r.cost})
+		} else if !s.ask(node, r) {
+			node.waiting = append(node.waiting, r)
+		}
 	}
+	s.expireAsked(node)
 	left := node.waiting[:0]
 	for _, r := range node.waiting {
 		switch {
@@ -252,6 +299,55 @@
 	}
 }
 
+// ask asks the allocator to charge a request that finds no room at a node, if that is due, as
+// edge/workspace_charges.go does.
+func (s *simulation) ask(node *simNode, r simRequest) bool {
+	allocator, _ := node.state.Roles("w")
+	if allocator == "" || allocator == node.name || s.now < node.askAt {
+		return false
+	}
+	node.asked = append(node.asked, r)
+	s.send(simMessage{from: node.name, to: allocator, charge: &simCharge{simRequest: r}})
+	return true
+}
+
+// expireAsked lets the requests to which the allocator has not responded in time wait for local room.
+func (s *simulation) expireAsked(node *simNode) {
+	for len(node.asked) > 0 && s.now.Seconds()-node.asked[0].at > simWait.Seconds() {
+		node.waiting = append(node.waiting, node.asked[0])
+		node.asked, node.askAt = node.asked[1:], s.now+time.Second
+	}
+}
+
+// receiveCharge handles a request to charge, or the response to one.
+func (s *simulation) receiveCharge(node *simNode, from string, c simCharge) {
+	b := node.state.Buckets
+	if !c.response {
+		b.RecordDemand(s.now, "w", c.cost)
+		c.response, c.ok = true, b.Take(s.now, "w", c.cost)
+		c.wait, _ = b.Wait(s.now, "w", c.cost)
+		s.send(simMessage{from: node.name, to: from, charge: &c})
+		return
+	}
+	i := slices.Index(node.asked, c.simRequest)
+	if i < 0 {
+		return // it waits for local room by now
+	}
+	node.asked = slices.Delete(node.asked, i, i+1)
+	if c.ok {
+		b.MoveDemand(s.now, "w", c.cost)
+		s.passed = append(s.passed, simRequest{s.now.Seconds(), c.cost})
+		return
+	}
+	node.askAt = s.now + min(max(c.wait, 20*time.Millisecond), 500*time.Millisecond)
+	if wait, hopeless := b.Wait(s.now, "w", c.cost); hopeless && wait > simWait {
+		s.refused = append(s.refused, c.simRequest)
+		b.Refuse(s.now, "w", c.cost)
+		return
+	}
+	node.waiting = append(node.waiting, c.simRequest)
+}
+
 // largestWindow returns the most units that were let through in any window.
 func (s *simulation) largestWindow(window time.Duration) float64 {
 	largest, sum, first := 0.0, 0.0, 0
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -48,14 +48,23 @@
 	// baseHeld is the part of a limit that all base shares take together: each instance has
 	// one, so that a workspace gets something where no allocator can give it a share.
 	baseHeld = 1 - maxHeld
-	// distributed is the part of what an allocator may give that it gives according to
-	// demand. The rest is for instances whose demand has just begun.
-	distributed = 0.92
 	// headroom is the share that covers the present demand, relative to that demand.
 	headroom = 1.25
-	// neededPart is the part of the shares that may be concentrated on instances that wait
-	// with a request larger than their share allows.
+	// neededPart is the part of the shares that the allocator's instance may have while a request
+	// waits there that is larger than its share allows.
 	neededPart = 0.7
+	// chargeDemandPart is the share that the allocator's instance keeps to charge requests of the others,
+	// relative to the demand of all. Requests of a workspace with one a second at an instance
+	// come so unevenly that shares by demand are idle for a fifth of the time.
+	chargeDemandPart = 0.6
+	// minChargePart and maxChargePart limit that share, relative to what the allocator may give. The first
+	// serves demand that has just begun, as after a restart of all instances. The rest stays
+	// available if the allocator's instance fails.
+	minChargePart = 0.4
+	maxChargePart = 0.75
+	// scaleRounds is the number of approximations to shares that sum to what may be given. A
+	// sum that is still larger is cut when the shares are given.
+	scaleRounds = 5
 	// sparePart is the part that is given out, according to demand, of what is left when all
 	// demand is covered. The rest can be given at once to instances whose demand grows.
 	sparePart = 0.5
@@ -107,9 +116,9 @@
 	Primary     bool   // the receiver is the allocator in the sender's view
 	Final       bool   // the sender stops; it has given up its share
 	Share       float64
-	Demand      float64 // moving average over about a second
+	Demand      float64 // moving average over about two seconds
 	LongDemand  float64 // moving average over about ten seconds
-	Need        float64 // share without which the largest waiting request cannot be let through
+	Need        float64 // share without which the largest waiting request cannot be let through; counts for the allocator's instance, which charges such requests of others
 	Floor       float64 // share that covers the debt
 }
 
