soak: workspaces and the fourth number of the load header

Cause: the soak test did not cover the parts built last: keys, quotas, the workspace's header and the pace that servers state.

Change: seeds select parts (workspaces, strict-revoke, pace) whose faults are injected beside the others by sources of random numbers of their own, so that injectFault draws the same faults with and without them. With workspaces the configuration has three, one with a quota below its demand, and a public route; keys are added and removed, also while the store is away or an instance is cut off from it, the quota moves, and clients send unknown, empty, duplicate, long and removed keys. Servers may state a correct, wrong, missing, malformed or followed pace. Checks: keys at servers, in logs, metrics, dumps and responses; the workspace of each request; 401; removal; the public route; the quota in any window; service after the last fault; no assumed pace without a valid number. The stand-in server has an observer of its requests and a factor of its service time.

--- a/cmd/chestnutstream/soak.go
+++ b/cmd/chestnutstream/soak.go
@@ -51,6 +51,7 @@
 type soakReport struct {
 	Seed         uint64         `json:"seed"`
 	Folder       string         `json:"folder,omitempty"`
+	Parts        []string       `json:"parts,omitempty"`
 	Requests     int            `json:"requests"`
 	Answered     int            `json:"answered"`
 	Rejected     int            `json:"refused-not-run"`
@@ -58,6 +59,7 @@
 	Faults       map[string]int `json:"faults"`
 	UnloadsInUse int            `json:"unloads-of-adapters-in-use"`
 	Unloads      int            `json:"unloads"`
+	Checked      map[string]int `json:"checked,omitempty"`
 	Violations   []string       `json:"broken"`
 }
 
@@ -90,7 +92,7 @@
 		}
 		return
 	}
-	fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d failed, faults %v\n", r.Seed, r.Requests, r.Answered, r.Rejected, r.Failed, r.Faults)
+	fmt.Printf("seed %d: parts %v, %d requests, %d answered, %d refused, %d failed, faults %v, checked %v\n", r.Seed, r.Parts, r.Requests, r.Answered, r.Rejected, r.Failed, r.Faults, r.Checked)
 	for _, violation := range r.Violations {
 		fmt.Printf("  broken: %s\n", violation)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,7 @@
 	parts             string // of the prompt
 	path              string // below the route's prefix; "": any
 	headers           map[string]string
+	auth              *authentication // nil: in a run without workspaces
 	sentAt            time.Time
 	status            int
 	signed            bool
@@ -86,7 +87,7 @@
 		r.reportViolation("%s: status %d promised that the request was not executed, but it was", res.id, res.status)
 	}
 	again := r.newResult(res.instance, res.id)
-	again.route, again.adapter, again.parts = res.route, res.adapter, res.parts
+	again.route, again.adapter, again.parts, again.auth = res.route, res.adapter, res.parts, res.auth
 	r.checkResult(r.send(client, again))
 }
 
@@ -104,12 +105,18 @@
 }
 
 // atMostOnce reports whether the request must not run twice.
-func (res result) atMostOnce() bool { return res.route != "look" && res.route != "ask" }
+func (res result) atMostOnce() bool {
+	return res.route != "look" && res.route != "ask" && res.route != routeOpen
+}
 
 // requestRandomRoute sends a request to a random route of a random instance.
 func (r *run) requestRandomRoute(client *http.Client, rng *rand.Rand, id string) result {
 	res := r.newResult(r.instances[rng.IntN(len(r.instances))], id)
-	res.route = []string{"order", "look", "ask", "ask", "once"}[rng.IntN(5)]
+	routes := []string{"order", "look", "ask", "ask", "once"}
+	if r.workspaces != nil {
+		routes = append(routes, routeOpen)
+	}
+	res.route = routes[rng.IntN(len(routes))]
 	if res.route == "ask" || res.route == "once" {
 		res.adapter = fmt.Sprintf("a%d", min(rng.IntN(adapterCount), rng.IntN(adapterCount)))
 		res.parts = fmt.Sprintf("first:100,caller-%d:40,%s:150", rng.IntN(30), id)
@@ -133,7 +140,7 @@
 func (r *run) send(client *http.Client, res result) result {
 	method, prefix := http.MethodPost, "/"+res.route+"/"
 	switch res.route {
-	case "look":
+	case "look", routeOpen:
 		method = http.MethodGet
 	case "news":
 		prefix = versionedPrefix(res.routeVersion)
@@ -160,6 +167,9 @@
 	for name, value := range res.headers {
 		req.Header.Set(name, value)
 	}
+	if r.workspaces != nil {
+		r.workspaces.setHeaders(req.Header, &res)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		res.err = err
@@ -189,6 +199,9 @@
 	if res.routeVersion > 0 {
 		r.checkConfigVersion(res)
 	}
+	if res.auth != nil {
+		r.checkKeys(res)
+	}
 	r.recordResult(res)
 }
 
@@ -247,11 +260,17 @@
 
 // stateDump is what the checks read of an instance's dump.
 type stateDump struct {
-	Version uint64 `json:"configuration-version"`
-	Servers []struct {
-		ID       string `json:"id"`
-		InFlight int    `json:"in-flight"`
-	} `json:"servers"`
+	Version uint64         `json:"configuration-version"`
+	Servers []dumpedServer `json:"servers"`
+}
+
+// dumpedServer is a server in an instance's dump.
+type dumpedServer struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	InFlight int     `json:"in-flight"`
+	Pace     float64 `json:"pace"`
+	Speed    float64 `json:"speed"`
 }
 
 func fetchDump(client *http.Client, inst *instance) (d stateDump, ok bool) {
@@ -278,6 +297,9 @@
 	}
 }
 
+// recoveryIDPrefix begins the IDs of requests after the last fault.
+const recoveryIDPrefix = "again-"
+
 // checkRecovery checks that after the last fault at least 9 of 10 requests are
 // served.
 func (r *run) checkRecovery() {
@@ -286,7 +308,7 @@
 	served := 0
 	const requests = 60
 	for n := range requests {
-		res := r.requestRandomRoute(client, rng, fmt.Sprintf("again-%d-%d", r.cfg.Seed, n))
+		res := r.requestRandomRoute(client, rng, fmt.Sprintf("%s%d-%d", recoveryIDPrefix, r.cfg.Seed, n))
 		r.checkResult(res)
 		if res.err == nil && res.status == http.StatusOK {
 			served++
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -34,6 +34,9 @@
 	dir         string
 	store       *standin.Store
 	faultyStore *faultyStore
+	parts       parts
+	workspaces  *workspaces // nil: the configuration has none
+	paceRNG     *rand.Rand  // draws what new servers state of their pace; guarded by mu
 
 	mu                sync.Mutex
 	backends          []*backend
@@ -48,13 +51,20 @@
 // backend is a stand-in backend server that is reached through a proxy.
 type backend struct {
 	*standin.BackendProcess
-	id    string
-	proxy *proxy
+	id      string
+	service string
+	proxy   *proxy
+
+	paceMu sync.Mutex
+	pace   serverPace
 }
 
 // setFaults replaces the faults in force.
 func (b *backend) setFaults(f standin.BackendFaults) {
 	f.CrashPart, f.CrashPath = crashPart, "/order/"+crashPath
+	b.paceMu.Lock()
+	f = b.pace.apply(f)
+	b.paceMu.Unlock()
 	b.SetFaults(f)
 }
 
@@ -73,6 +83,7 @@
 	incarnation int               // number of processes started so far
 	exits       map[int]time.Time // by incarnation: when the process ended
 	paused      bool              // by SIGSTOP
+	changedAt   time.Time         // latest start or signal
 }
 
 // faultyStore is an HTTP handler that injects faults into calls of the store.
@@ -84,6 +95,7 @@
 	lossRate      float64 // share of calls that take effect and get no response
 	lateWriteRate float64 // share of writes that take effect a second late and get no response
 	unavailable   bool
+	changedAt     time.Time
 }
 
 // setFaults replaces the faults in force.
@@ -91,6 +103,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.delay, f.lossRate, f.lateWriteRate, f.unavailable = delay, lossRate, lateWriteRate, unavailable
+	f.changedAt = time.Now()
 }
 
 // ServeHTTP implements http.Handler.
@@ -137,12 +150,15 @@
 }
 
 // newDeployment starts the platform stand-ins and the instances.
-func newDeployment(cfg Settings, rng *rand.Rand) (*deployment, error) {
+func newDeployment(cfg Settings, p parts, rng *rand.Rand) (*deployment, error) {
 	dir, err := os.MkdirTemp(cfg.Folder, fmt.Sprintf("soak-%d-", cfg.Seed))
 	if err != nil {
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
-	d := &deployment{cfg: cfg, dir: dir, store: standin.NewStore(), adapterVersions: map[string]int{}, declaredAt: map[string]time.Time{}}
+	d := &deployment{cfg: cfg, dir: dir, store: standin.NewStore(), adapterVersions: map[string]int{}, declaredAt: map[string]time.Time{}, parts: p, paceRNG: rand.New(rand.NewPCG(cfg.Seed, 12))}
+	if p.workspaces {
+		d.workspaces = newWorkspaces(p.strictRevoke)
+	}
 	d.faultyStore = &faultyStore{next: d.store, rng: rng}
 	for i := range engineCount {
 		if err := d.addBackend(standin.BackendSettings{
@@ -191,13 +207,19 @@
 		return err
 	}
 	cfg.Address = link.address()
+	if w := d.workspaces; w != nil {
+		cfg.Observe = func(req *http.Request) { w.observe(cfg.ID, req) }
+	}
 	process := standin.StartProcessOn(l, standin.ProcessSettings{
 		Backend: cfg, Heartbeat: heartbeatInterval, RestartTime: restartTime, KeepID: len(d.backends)%2 == 1, Crashed: link.refuse, Restarted: link.restore,
 	}, d.store)
-	b := &backend{BackendProcess: process, id: cfg.ID, proxy: link}
-	b.setFaults(standin.BackendFaults{})
+	b := &backend{BackendProcess: process, id: cfg.ID, service: cfg.Service, proxy: link}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.parts.pace {
+		b.setPace(drawPace(d.paceRNG, d.parts.statesPace(cfg.Service)))
+	}
+	b.setFaults(standin.BackendFaults{})
 	d.backends = append(d.backends, b)
 	return nil
 }
@@ -213,9 +235,9 @@
  {"name":"once","host":"h.example","prefix":"/once/","type":"streaming","maxAttempts":1,"timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"service":"assistant"},
  {"name":"order","host":"h.example","prefix":"/order/","type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"},
  {"name":"look","host":"h.example","prefix":"/look/","type":"idempotent","maxAttempts":2,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"},
- {"name":"news","host":"h.example","prefix":%q,"type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"}],
+ {"name":"news","host":"h.example","prefix":%q,"type":"non_idempotent","maxAttempts":1,"timeoutMs":2500,"targetLatencyMs":300,"service":"desk"}%s],
  "services":[{"name":"assistant","healthPath":"/health","maxConnections":200,"engine":{"slots":24,"weightsMb":100,"adapterSlots":%d,"models":[{"name":"m","weightsMb":90,"loadTimeS":0.3,"adapters":%d,"adapterSizeMb":1}]}},
- {"name":"desk","healthPath":"/health","maxConnections":200}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}}`, d.configVersion, versionedPrefix(d.configVersion), adapterSlots, adapterCount)))
+ {"name":"desk","healthPath":"/health","maxConnections":200}],"limits":{"maxBodyBytes":100000,"idleTimeoutMs":15000}%s}`, d.configVersion, versionedPrefix(d.configVersion), d.workspaces.route(), adapterSlots, adapterCount, d.workspaces.tenants())))
 	d.acknowledgedAt = append(d.acknowledgedAt, time.Now())
 }
 
@@ -260,8 +282,9 @@
 		}
 		settingsText += fmt.Sprintf("%q", seed)
 	}
-	settingsText += fmt.Sprintf("]\nlimits: {memoryMb: 256, maxFds: 2000}\nheartbeatMs: %d\nbounds: {drainMs: 2000, graceS: %d, configApplyMs: 2000, version_ms: 5000, leaseMs: 3000, retryBudgetRatio: 0.2, retryBudgetExtra: 58, budgetWindowS: 10}\nplatform: {address: %q}\n",
-		heartbeatInterval.Milliseconds(), int(gracePeriod.Seconds()), storeLink.address())
+	contracts, bounds := d.workspaces.settings()
+	settingsText += fmt.Sprintf("]\n%slimits: {memoryMb: 256, maxFds: 2000}\nheartbeatMs: %d\nbounds: {drainMs: 2000, graceS: %d, configApplyMs: 2000, version_ms: 5000, leaseMs: 3000, retryBudgetRatio: 0.2, retryBudgetExtra: 58, budgetWindowS: 10%s}\nplatform: {address: %q}\n",
+		contracts, heartbeatInterval.Milliseconds(), int(gracePeriod.Seconds()), bounds, storeLink.address())
 	if err := os.WriteFile(inst.settingsPath, []byte(settingsText), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -315,7 +338,7 @@
 	}
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
-	inst.cmd, inst.paused = cmd, false
+	inst.cmd, inst.paused, inst.changedAt = cmd, false, time.Now()
 	inst.incarnation++
 	return nil
 }
@@ -328,6 +351,7 @@
 		return
 	}
 	_ = inst.cmd.Process.Signal(sig)
+	inst.changedAt = time.Now()
 	switch sig {
 	case syscall.SIGSTOP:
 		inst.paused = true
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -19,6 +19,7 @@
 	delay         time.Duration
 	dropAll       bool // drop bytes in both directions; connections stay open
 	dropResponses bool // drop bytes from the server to the client
+	changedAt     time.Time
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -97,12 +98,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.delay, p.dropAll, p.dropResponses = delay, dropAll, dropResponses
+	p.changedAt = time.Now()
 }
 
 // reset closes all open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changedAt = time.Now()
 	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -46,6 +46,7 @@
 	known := leaves && r.faultFree() && old.Current() == server // one that has crashed since starts anew, and is ready
 	arrivals := server.Counts().Arrivals
 	r.beginFault()
+	r.beginRestore()
 	begun := r.faultsBegun()
 	rewritten := r.store.ReturnFrom(older, randomDuration(rng, 0, maxAwayTime), operatorRewriteTime, rng)
 	if rng.IntN(2) == 0 {
@@ -53,6 +54,7 @@
 		r.store.ReturnFrom(r.someCopy(older, rng), randomDuration(rng, 0, maxAwayTime), operatorRewriteTime, rng)()
 	}
 	rewritten()
+	r.endRestore()
 	r.endFault()
 	timer.Sleep(ctx, recoveryBound)
 	if n := server.Counts().Arrivals - arrivals; known && n > 0 && r.faultsBegun() == begun {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,7 +27,8 @@
 // Report summarizes a run.
 type Report struct {
 	Seed         uint64
-	Folder       string // the run's folder, kept only if there were violations
+	Folder       string   // the run's folder, kept only if there were violations
+	Parts        []string // what the seed selected in addition to faults
 	Requests     int
 	Answered     int
 	Rejected     int // the status states that the request was not executed
@@ -35,6 +36,7 @@
 	Faults       map[string]int
 	UnloadsInUse int // orders to unload an adapter in use; engines defer these
 	Unloads      int
+	Checked      map[string]int // requests to which the checks of keys with a time bound applied, by use, and the part of the quota used
 	Violations   []string
 }
 
@@ -56,13 +58,14 @@
 // folder, or of ctx.
 func Run(ctx context.Context, cfg Settings) (Report, error) {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 1))
-	d, err := newDeployment(cfg, rand.New(rand.NewPCG(cfg.Seed, 2)))
+	d, err := newDeployment(cfg, drawParts(cfg.Seed), rand.New(rand.NewPCG(cfg.Seed, 2)))
 	if err != nil {
 		return Report{}, err
 	}
 	r := &run{deployment: d, rng: rng, faults: map[string]int{}}
 	timer.Sleep(ctx, warmUpDuration)
 	stopClients := r.startClients(cfg.Seed)
+	stopPartFaults, stopPartClients := r.startParts(cfg.Seed)
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	go r.watchConfigVersions(watchCtx)
 	end := time.Now().Add(cfg.Duration)
@@ -70,14 +73,18 @@
 		r.injectFault(ctx)
 		timer.Sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultInterval))))
 	}
+	stopPartFaults()
 	r.faultsInProgress.Wait()
 	timer.Sleep(ctx, coolDownDuration/2)
 	r.checkRecovery()
+	r.checkParts()
+	stopPartClients()
 	stopClients()
 	stopWatch()
 	time.Sleep(coolDownDuration / 2)
 	r.checkServerCounts()
 	r.checkNothingInProgress()
+	r.checkPartRecords()
 	d.close()
 	report := r.report(cfg)
 	if len(report.Violations) == 0 {
@@ -105,6 +112,9 @@
 	suppressedWatches int               // faults in progress that suppress the updates of the store's watches
 	backpressured     map[*backend]bool // servers that signal backpressure; guarded by deployment.mu
 	replaced          map[*backend]bool // servers that leave or have left; guarded by deployment.mu
+	watchesChangedAt  time.Time         // when suppressedWatches last changed
+	restoring         int               // restores of the store in progress
+	restoredAt        time.Time         // when the latest restore was complete
 }
 
 // reportViolation records a violated guarantee.
@@ -169,6 +179,7 @@
 	r.resultsMu.Lock()
 	defer r.resultsMu.Unlock()
 	r.suppressedWatches++
+	r.watchesChangedAt = time.Now()
 	r.store.SuppressUpdates(true)
 	r.store.DropHistory()
 }
@@ -179,6 +190,7 @@
 	r.resultsMu.Lock()
 	defer r.resultsMu.Unlock()
 	r.suppressedWatches--
+	r.watchesChangedAt = time.Now()
 	r.store.SuppressUpdates(r.suppressedWatches > 0)
 }
 
@@ -326,7 +338,7 @@
 
 // report summarizes the run.
 func (r *run) report(cfg Settings) Report {
-	out := Report{Seed: cfg.Seed, Folder: r.dir, Faults: r.faults, Violations: r.violations, Requests: len(r.results)}
+	out := Report{Seed: cfg.Seed, Folder: r.dir, Parts: r.parts.names(), Faults: r.faults, Violations: r.violations, Requests: len(r.results)}
 	for _, res := range r.results {
 		switch {
 		case res.err == nil && res.signed:
@@ -344,6 +356,9 @@
 			out.Unloads += c.Unloads
 		}
 	}
+	if r.workspaces != nil {
+		out.Checked = r.workspaces.dueUses()
+	}
 	sort.Strings(out.Violations)
 	return out
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -247,7 +247,7 @@
 
 // startFaultFreeRun starts a deployment into which no faults are injected.
 func startFaultFreeRun(t *testing.T, program string, arguments ...string) (*deployment, *run) {
-	d, err := newDeployment(Settings{Program: program, Arguments: arguments, Seed: 1, Folder: t.TempDir()}, rand.New(rand.NewPCG(1, 2)))
+	d, err := newDeployment(Settings{Program: program, Arguments: arguments, Seed: 1, Folder: t.TempDir()}, parts{}, rand.New(rand.NewPCG(1, 2)))
 	assert.NilError(t, err)
 	r := &run{deployment: d, rng: rand.New(rand.NewPCG(1, 1)), faults: map[string]int{}}
 	time.Sleep(500 * time.Millisecond)
--- a/soak/software.go
+++ b/soak/software.go
@@ -28,6 +28,9 @@
 		res.route, res.adapter, res.parts = begun.route, begun.adapter, begun.parts
 		res.headers = map[string]string{platform.HeaderResumes: begun.id, platform.HeaderLastEventID: fmt.Sprint(strings.Count(events, "\n\n") - 1)}
 		res = r.send(client, res)
+		if res.auth != nil {
+			r.checkKeys(res)
+		}
 		r.recordResult(res)
 		if res.status != http.StatusOK {
 			continue
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -27,16 +27,17 @@
 	Address       string
 	Software      string // version of its software, named in the events of its streams; empty: "v1", not named
 	Slots         int
-	Queue         int           // requests that wait for a slot; further ones are rejected
-	AdapterSlots  int           // 0 for a plain service
-	WeightsMB     float64       // that an engine holds
-	ModelMB       float64       // size of a base model
-	AdapterMB     float64       // size of an adapter
-	Model         string        // base model that an engine has loaded at the start; empty for none
-	ServiceTime   time.Duration // duration of a plain request, or interval between the events of a stream
-	Events        int           // number of events in a stream
-	LoadTime      time.Duration // of an adapter that was not loaded before; a repeated load takes a tenth
-	ModelLoadTime time.Duration // load time of the base model
+	Queue         int                   // requests that wait for a slot; further ones are rejected
+	AdapterSlots  int                   // 0 for a plain service
+	WeightsMB     float64               // that an engine holds
+	ModelMB       float64               // size of a base model
+	AdapterMB     float64               // size of an adapter
+	Model         string                // base model that an engine has loaded at the start; empty for none
+	ServiceTime   time.Duration         // duration of a plain request, or interval between the events of a stream
+	Events        int                   // number of events in a stream
+	LoadTime      time.Duration         // of an adapter that was not loaded before; a repeated load takes a tenth
+	ModelLoadTime time.Duration         // load time of the base model
+	Observe       func(r *http.Request) // called with each request and call before it is handled; may be nil
 }
 
 // defaultSoftware is the software version of backend servers whose settings name none.
@@ -130,6 +131,9 @@
 
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.cfg.Observe != nil {
+		b.cfg.Observe(r)
+	}
 	if id := r.Header.Get("X-Chestnutstream-Request-Id"); id != "" {
 		w.Header().Set("X-Chestnutstream-Request-Id", id)
 	}
@@ -421,12 +425,12 @@
 		if status == http.StatusMisdirectedRequest {
 			h.Del("X-Chestnutstream-Server-Signature")
 		}
-		timer.Sleep(ctx, b.cfg.ServiceTime)
+		timer.Sleep(ctx, f.serviceTime(b.cfg.ServiceTime))
 		w.WriteHeader(status)
 		return
 	}
 	if b.cfg.AdapterSlots == 0 {
-		timer.Sleep(ctx, b.cfg.ServiceTime)
+		timer.Sleep(ctx, f.serviceTime(b.cfg.ServiceTime))
 		if b.crash != nil && f.crashesOn(r) {
 			b.crash()
 			panic(http.ErrAbortHandler)
@@ -460,7 +464,7 @@
 	flusher := http.NewResponseController(w)
 	if b.crash != nil && f.crashesOn(r) {
 		_ = flusher.Flush()
-		timer.Sleep(r.Context(), b.cfg.ServiceTime)
+		timer.Sleep(r.Context(), f.serviceTime(b.cfg.ServiceTime))
 		b.crash()
 		panic(http.ErrAbortHandler)
 	}
@@ -472,7 +476,7 @@
 		if f.BreakAfter > 0 && i-from == f.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		timer.Sleep(ctx, b.cfg.ServiceTime)
+		timer.Sleep(ctx, f.serviceTime(b.cfg.ServiceTime))
 		if ctx.Err() != nil {
 			return
 		}
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -26,9 +26,10 @@
 	// the adapter or model CrashLoad. These have an effect only where OnCrash is set.
 	CrashPart, CrashAdapter, CrashPath, CrashLoad string
 
-	Pace    string // sent in responses as the fourth number of the server's load; empty for none
-	Limit   string // requests per second, sent in responses as the server's limit; empty for none
-	Leaving bool   // responses announce that the server is leaving
+	Pace     string  // sent in responses as the fourth number of the server's load; empty for none
+	Slowdown float64 // factor of the duration of work; 0 for none
+	Limit    string  // requests per second, sent in responses as the server's limit; empty for none
+	Leaving  bool    // responses announce that the server is leaving
 	// Brittle makes the process end when it rejects more than this many requests in a second
 	// because it is full; responses say so. 0 for a sturdy server. A crash needs OnCrash.
 	Brittle int
@@ -73,6 +74,14 @@
 	})
 }
 
+// serviceTime returns how long work takes that usually takes d.
+func (f BackendFaults) serviceTime(d time.Duration) time.Duration {
+	if f.Slowdown <= 0 {
+		return d
+	}
+	return time.Duration(f.Slowdown * float64(d))
+}
+
 // setHeaders sets the pace and the backpressure headers of a response.
 func (f BackendFaults) setHeaders(h http.Header) {
 	if f.Pace != "" {
