--- a/edge/watch.go
+++ b/edge/watch.go
@@ -119,12 +119,12 @@
 // feed is the state of the loop that watches a table.
 type feed struct {
 	tableWatch
-	version  uint64
-	synced   bool          // all of the table is known up to version
-	quick    bool          // by the latest read, in quick succession of an earlier change
-	changeAt time.Time     // of the latest read that brought changes
-	pause    time.Duration // before the next read, for which it waits the less
-	failures int           // of the latest reads
+	version      uint64
+	synced       bool          // all of the table is known up to version
+	inSuccession bool          // the latest read brought a change soon after an earlier one
+	changeAt     time.Time     // of the latest read that brought changes
+	pause        time.Duration // before the next read, for which it waits the less
+	failures     int           // of the latest reads
 }
 
 // watch reads a snapshot of a table, then its changes, until the node stops. After the
@@ -175,9 +175,9 @@
 		n.handleReadError(f, err)
 		return false
 	}
-	f.version, f.failures, f.quick = version, 0, false
+	f.version, f.failures, f.inSuccession = version, 0, false
 	if len(rows) > 0 {
-		f.quick, f.changeAt = readAt.Sub(f.changeAt) < quickSuccession, readAt
+		f.inSuccession, f.changeAt = readAt.Sub(f.changeAt) < quickSuccession, readAt
 	}
 	if f.table == platform.TableOperator {
 		rows = newestRows(rows)
@@ -221,7 +221,7 @@
 	if f.startInterval > 0 && (up < startLeasesPeriod || n.recentlyRestored()) {
 		return f.startInterval
 	}
-	if f.table == platform.TableOperator && f.quick && n.follows(f.tableWatch, up) {
+	if f.table == platform.TableOperator && f.inSuccession && n.follows(f.tableWatch, up) {
 		return min(time.Duration(operatorPauseShare*float64(n.cfg.ConfigApplyBound)), maxOperatorPause)
 	}
 	return n.intervalAfterRead(f.tableWatch)
