loader: stop counting waiting tokens once a budget is exceeded

requiredBudget walked the whole queue for each large prompt, also inside the plan. It needs to know only whether more than one budget waits. Same decisions.

--- a/loader/prefill.go
+++ b/loader/prefill.go
@@ -36,9 +36,6 @@
 	firstEventSlack = 50 * time.Millisecond
 	// largePromptShare is the share of the budget that has to be free for large prompts.
 	largePromptShare = 0.5
-	// scarceBudgets is how many budgets may wait before large prompts need all of what they
-	// use. With more, at 1.4 times the load that fits, large prompts displaced the others.
-	scarceBudgets = 1
 	// priorityStep is the head start of a prefill request over one of the next
 	// lower priority. With a larger step, requests of low priority would starve.
 	priorityStep = 150 * time.Millisecond
@@ -198,19 +195,22 @@
 func (t *prefillThrottle) requiredBudget(tokens int) int {
 	budget := t.pace.budget()
 	most := int(largePromptShare * float64(budget))
-	if tokens > budget || t.pace.Competing && tokens > most && t.tokensWaiting() <= scarceBudgets*budget {
+	if tokens > budget || t.pace.Competing && tokens > most && !t.scarce() {
 		return most
 	}
 	return tokens
 }
 
-// tokensWaiting returns the prompt tokens of the waiting requests.
-func (t *prefillThrottle) tokensWaiting() int {
-	n := 0
+// scarce reports whether the waiting requests need more than one budget. With as many, at 1.4
+// times the load that fits, large prompts displaced the others.
+func (t *prefillThrottle) scarce() bool {
+	left := t.pace.budget()
 	for _, r := range t.queue {
-		n += r.Tokens
+		if left -= r.Tokens; left < 0 {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 // next returns the index of the prefill request to grant next: those that can
