--- a/instance/codec.go
+++ b/instance/codec.go
@@ -257,6 +257,16 @@
 	Version uint64
 }
 
+// convert returns what f makes of each element of a list; nil for an empty one, which is then
+// left out of the frame.
+func convert[S, T any](list []S, f func(S) T) []T {
+	var out []T
+	for _, x := range list {
+		out = append(out, f(x))
+	}
+	return out
+}
+
 // Encode returns the frame of a bundle, in CBOR.
 func Encode(b Bundle) ([]byte, error) {
 	w := wireBundle{
--- a/instance/prompts.go
+++ b/instance/prompts.go
@@ -19,17 +19,13 @@
 }
 
 func encodeSharedPrompts(list []SharedPrompt) []wireSharedPrompt {
-	var out []wireSharedPrompt
-	for _, p := range list {
-		out = append(out, wireSharedPrompt{Server: p.Server, Target: p.Target, Key: p.Key, Tokens: p.Tokens})
-	}
-	return out
+	return convert(list, func(p SharedPrompt) wireSharedPrompt {
+		return wireSharedPrompt{Server: p.Server, Target: p.Target, Key: p.Key, Tokens: p.Tokens}
+	})
 }
 
 func decodeSharedPrompts(list []wireSharedPrompt) []SharedPrompt {
-	var out []SharedPrompt
-	for _, p := range list {
-		out = append(out, SharedPrompt{Server: p.Server, Target: p.Target, Key: p.Key, Tokens: p.Tokens})
-	}
-	return out
+	return convert(list, func(p wireSharedPrompt) SharedPrompt {
+		return SharedPrompt{Server: p.Server, Target: p.Target, Key: p.Key, Tokens: p.Tokens}
+	})
 }
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -27,41 +27,33 @@
 }
 
 func encodeQuotaReports(reports []workspace.Report) []wireQuotaReport {
-	var out []wireQuotaReport
-	for _, r := range reports {
-		out = append(out, wireQuotaReport{
+	return convert(reports, func(r workspace.Report) wireQuotaReport {
+		return wireQuotaReport{
 			Workspace: r.Workspace, Incarnation: r.Incarnation, Sequence: r.Sequence, Primary: r.Primary, Final: r.Final,
 			Share: r.Share, Demand: r.Demand, LongDemand: r.LongDemand, Need: r.Need, Floor: r.Floor,
-		})
-	}
-	return out
+		}
+	})
 }
 
 func decodeQuotaReports(reports []wireQuotaReport) []workspace.Report {
-	var out []workspace.Report
-	for _, r := range reports {
-		out = append(out, workspace.Report{
+	return convert(reports, func(r wireQuotaReport) workspace.Report {
+		return workspace.Report{
 			Workspace: r.Workspace, Incarnation: r.Incarnation, Sequence: r.Sequence, Primary: r.Primary, Final: r.Final,
 			Share: r.Share, Demand: r.Demand, LongDemand: r.LongDemand, Need: r.Need, Floor: r.Floor,
-		})
-	}
-	return out
+		}
+	})
 }
 
 func encodeQuotaShares(grants []workspace.Grant) []wireQuotaShare {
-	var out []wireQuotaShare
-	for _, g := range grants {
-		out = append(out, wireQuotaShare{Workspace: g.Workspace, Incarnation: g.Incarnation, Sequence: g.Sequence, Share: g.Share})
-	}
-	return out
+	return convert(grants, func(g workspace.Grant) wireQuotaShare {
+		return wireQuotaShare{Workspace: g.Workspace, Incarnation: g.Incarnation, Sequence: g.Sequence, Share: g.Share}
+	})
 }
 
 func decodeQuotaShares(grants []wireQuotaShare) []workspace.Grant {
-	var out []workspace.Grant
-	for _, g := range grants {
-		out = append(out, workspace.Grant{Workspace: g.Workspace, Incarnation: g.Incarnation, Sequence: g.Sequence, Share: g.Share})
-	}
-	return out
+	return convert(grants, func(g wireQuotaShare) workspace.Grant {
+		return workspace.Grant{Workspace: g.Workspace, Incarnation: g.Incarnation, Sequence: g.Sequence, Share: g.Share}
+	})
 }
 
 type wireQuotaCharge struct {
@@ -72,33 +64,25 @@
 }
 
 func encodeQuotaCharges(charges []QuotaCharge) []wireQuotaCharge {
-	var out []wireQuotaCharge
-	for _, c := range charges {
-		out = append(out, wireQuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost})
-	}
-	return out
+	return convert(charges, func(c QuotaCharge) wireQuotaCharge {
+		return wireQuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost}
+	})
 }
 
 func decodeQuotaCharges(charges []wireQuotaCharge) []QuotaCharge {
-	var out []QuotaCharge
-	for _, c := range charges {
-		out = append(out, QuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost})
-	}
-	return out
+	return convert(charges, func(c wireQuotaCharge) QuotaCharge {
+		return QuotaCharge{Workspace: c.Workspace, ID: c.ID, Cost: c.Cost}
+	})
 }
 
 func encodePermitResponses(responses []PermitResponse) []wirePermitResponse {
-	var out []wirePermitResponse
-	for _, x := range responses {
-		out = append(out, wirePermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
-	return out
+	return convert(responses, func(x PermitResponse) wirePermitResponse {
+		return wirePermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS}
+	})
 }
 
 func decodePermitResponses(responses []wirePermitResponse) []PermitResponse {
-	var out []PermitResponse
-	for _, x := range responses {
-		out = append(out, PermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS})
-	}
-	return out
+	return convert(responses, func(x wirePermitResponse) PermitResponse {
+		return PermitResponse{Server: x.Server, ID: x.ID, OK: x.OK, WaitMS: x.WaitMS}
+	})
 }
