--- a/soak/workspace_checks_test.go
+++ b/soak/workspace_checks_test.go
@@ -154,7 +154,7 @@
 // Guards against a server's observer that overlooks a key in a header or target.
 func TestObserverFindsKeys(t *testing.T) {
 	tests := []struct{ target, id, header, value, leak string }{
-		{"/order/1", "r-1", "X-Chestnutstream-Tenant", "north", ""},
+		{"/order/1", "r-1", platform.HeaderTenant, "north", ""},
 		{"/order/1", "r-1", platform.HeaderKey, permanentKey("north"), platform.HeaderKey},
 		{"/order/1", "r-1", "X-Other", "Bearer " + permanentKey("north"), "X-Other"},
 		{"/order/1?key=" + permanentKey("north"), "r-1", "X-Other", "", "target"},
--- a/soak/workspaces.go
+++ b/soak/workspaces.go
@@ -291,19 +291,16 @@
 		h.Add(platform.HeaderKey, key)
 	}
 	if xxhash.Sum64String(res.id)%3 == 0 {
-		h.Set(headerWorkspace, "forged")
+		h.Set(platform.HeaderTenant, "forged")
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sent[res.id] = *res.auth
 }
 
-// headerWorkspace names a request's workspace to servers.
-const headerWorkspace = "X-Chestnutstream-Tenant"
-
 // observe records a request or another call at a server.
 func (w *workspaces) observe(server string, r *http.Request) {
-	a := arrival{id: r.Header.Get(platform.HeaderRequestID), server: server, at: time.Now(), workspaces: slices.Clone(r.Header.Values(headerWorkspace))}
+	a := arrival{id: r.Header.Get(platform.HeaderRequestID), server: server, at: time.Now(), workspaces: slices.Clone(r.Header.Values(platform.HeaderTenant))}
 	if strings.Contains(r.RequestURI, keyMarker) {
 		a.leak = "target"
 	}
