--- a/edge/workspaces.go
+++ b/edge/workspaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -134,6 +135,7 @@
 	}
 	q.table = table
 	q.buckets.SetWorkspaces(q.node.boot(), table.Workspaces)
+	maps.DeleteFunc(q.askAt, func(name string, _ time.Duration) bool { return !q.buckets.Limited(name) })
 	q.metrics.setWorkspaces(q.buckets.Names())
 }
 
