--- a/hostile/crowd.go
+++ b/hostile/crowd.go
@@ -34,7 +34,7 @@
 	First  string        // sent at once
 	Repeat string        // sent again and again afterwards; empty: nothing more
 	Pause  time.Duration // between repetitions
-	Deaf   bool          // responses are not read
+	Unread bool          // responses are not read
 	Reset  bool          // the connection is reset once First is sent
 }
 
@@ -71,7 +71,7 @@
 		{Name: "trailers without end", First: chunked + "0\r\n", Repeat: block("X-More: 1\r\n")},
 		{Name: "bodies of one byte per second", First: requestLine + host + requestID + "Content-Length: 90000\r\n\r\n", Repeat: "x", Pause: time.Second},
 		{Name: "large heads, bodies of one byte per second", First: requestLine + host + requestID + "Content-Length: 90000\r\n" + shortLines(15<<10) + "\r\n", Repeat: "x", Pause: time.Second},
-		{Name: "pipelined requests, responses not read", Repeat: block("GET /none HTTP/1.1\r\n" + host + "\r\n"), Deaf: true},
+		{Name: "pipelined requests, responses not read", Repeat: block("GET /none HTTP/1.1\r\n" + host + "\r\n"), Unread: true},
 		{Name: "TLS hello", First: tlsHello},
 		{Name: "connections opened and reset", First: first, Reset: true},
 	}...)
@@ -132,7 +132,7 @@
 		return
 	}
 	closed := make(chan struct{})
-	if !c.Deaf {
+	if !c.Unread {
 		go func() {
 			defer close(closed)
 			_, _ = io.Copy(io.Discard, conn)
@@ -142,7 +142,7 @@
 		return
 	}
 	for c.Repeat != "" {
-		if err := send(conn, c.Repeat); err != nil && !c.Deaf {
+		if err := send(conn, c.Repeat); err != nil && !c.Unread {
 			return
 		} else if err != nil {
 			break // nothing more fits into the buffers between both ends
