review: a stream that ends inside its first event ends as complete

Cause: what is left at the end of a stream without a whole event counts as text, also where it is the beginning of an event of a text/event-stream.

--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -21,9 +21,11 @@
 	events    int
 	gap       time.Duration
 	unframed  bool // answers have no length and end with their connection
+	breakOff  int  // this answer, counted from 1, ends in order inside its first event; 0: none
 
 	mu       sync.Mutex
 	sequence int
+	answers  int // to requests
 }
 
 // serve serves a server process with the given flags.
@@ -36,6 +38,7 @@
 	f.IntVar(&s.events, "events", 10, "events of a stream")
 	f.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between events")
 	f.BoolVar(&s.unframed, "unframed", false, "answers without a length")
+	f.IntVar(&s.breakOff, "break-off", 0, "number of the answer that ends inside its first event")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -107,7 +110,16 @@
 		fmt.Fprintf(b, "\r\n")
 		out, flush = b, func() { _ = b.Flush() }
 	}
+	s.mu.Lock()
+	s.answers++
+	breaksOff := s.answers == s.breakOff
+	s.mu.Unlock()
 	for i := first + 1; i <= s.events; i++ {
+		if breaksOff {
+			fmt.Fprintf(out, "id: %d\ndata: par", i)
+			fmt.Printf("breaks off %s %s inside event %d\n", s.id, id, i)
+			return
+		}
 		fmt.Fprintf(out, "id: %d\ndata: part %d of %d\n\n", i, i, s.events)
 		flush()
 		time.Sleep(s.gap)
