review: a part of a crashed server's answer is a success with its length

Cause: an answer without a length counts as whole when its connection ends in order, also when the server's process was killed; the length of what came is then stated.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(rec *record, edge string, trouble bool) (broken bool, err error){
 	"6": unframedStreamOfCrashedServer,
 	"7": streamThatEndsInsideItsFirstEvent,
+	"8": unframedAnswerOfCrashedServer,
 }
 
 func main() {
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// server stands in for a server of a service: it generates streams. Each line that it prints is
-// an observation of what it was sent and ran.
+// server stands in for a server of a service: it generates streams or, without a model, answers
+// of as many lines. Each line that it prints is an observation of what it was sent and ran.
 type server struct {
 	id, model string
 	born      int64
@@ -35,7 +35,7 @@
 	address := f.String("listen", "127.0.0.1:0", "address")
 	f.StringVar(&s.id, "id", "", "id")
 	f.StringVar(&s.model, "model", "", "the model that it holds; empty: a plain service")
-	f.IntVar(&s.events, "events", 10, "events of a stream")
+	f.IntVar(&s.events, "events", 10, "events of a stream, or lines of an answer")
 	f.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between events")
 	f.BoolVar(&s.unframed, "unframed", false, "answers without a length")
 	f.IntVar(&s.breakOff, "break-off", 0, "number of the answer that ends inside its first event")
@@ -97,7 +97,12 @@
 	h.Set("X-Chestnutstream-Request-Id", id)
 	h.Set("X-Chestnutstream-Server-Signature", "3e1b.07."+s.id)
 	out, flush := io.Writer(w), func() { _ = http.NewResponseController(w).Flush() }
+	format := "id: %d\ndata: part %d of %d\n\n"
 	h.Set("Content-Type", "text/event-stream")
+	if s.model == "" {
+		format = "line %d (%d of %d)\n"
+		h.Set("Content-Type", "text/plain")
+	}
 	if s.unframed {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -120,7 +125,7 @@
 			fmt.Printf("breaks off %s %s inside event %d\n", s.id, id, i)
 			return
 		}
-		fmt.Fprintf(out, "id: %d\ndata: part %d of %d\n\n", i, i, s.events)
+		fmt.Fprintf(out, format, i, i, s.events)
 		flush()
 		time.Sleep(s.gap)
 	}
