--- a/review/stand2/case6.go
+++ b/review/stand2/case6.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -47,8 +46,7 @@
 			go func() {
 				server := <-runs
 				time.Sleep(killDelay)
-				rec.printf("server %s is killed", server)
-				d.servers[server].signal(syscall.SIGKILL)
+				d.kill(server)
 			}()
 		}
 		complete, err := sendStream(rec, instances[i%2], fmt.Sprintf("c0ffee%02d", i))
--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -127,6 +127,20 @@
 	return nil
 }
 
+// kill kills a server, and records what a connection to its address meets then.
+func (d *deployment) kill(id string) {
+	d.mu.Lock()
+	b := d.servers[id]
+	d.mu.Unlock()
+	b.signal(syscall.SIGKILL)
+	<-b.ended
+	conn, err := net.DialTimeout("tcp", b.address, time.Second)
+	if err == nil {
+		_ = conn.Close()
+	}
+	d.rec.printf("server %s was killed; a new connection to its address: %v", id, err)
+}
+
 func (d *deployment) beat(b *backend) {
 	models := []any{}
 	if b.model != "" {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,8 +21,8 @@
 // cases are the cases by number. They report whether the rule was broken.
 var cases = map[string]func(rec *record, edge string, trouble bool) (broken bool, err error){
 	"6": unframedStreamOfCrashedServer,
-	"7": streamThatEndsInsideItsFirstEvent,
-	"8": unframedAnswerOfCrashedServer,
+	"7": unframedAnswerOfCrashedServer,
+	"8": streamThatEndsInsideItsFirstEvent,
 }
 
 func main() {
