http1, all clients: a status that is not final is no response

What callers saw: a server answered with the status 000. The caller's connection was closed without any response, also where another server could have taken the request; through another instance it got 502 "EOF". 001, 099 and +20 (which strconv reads) ended the same way; 101, 600 and 999 reached the caller as they were. The outlier detector counted all but 6xx as responses.

Cause: net/http's client takes any three characters that strconv.Atoi takes for a status, and its server panics when it is to write one below 100. Nothing between them looked at it. Other readers believed such responses as well: /healthz with any status, a service's call (status 0 ended the caller's connection in the same way), an engine's refusal by its body alone ("queue-full" with the status 000 counted as not run).

Change: package http1, by which all clients of servers, instances and the store send requests. A connection checks the head of each response, line by line, before net/http sees it; here the status line: HTTP/1, a status of 100 to 599 but not 101, no control byte in the reason phrase. A violation is the error of the read, so that each client treats it as a broken connection: another attempt where the route and the budget allow one, else 502 that promises nothing. It is logged with the request's ID and the line, counted, and a failure of the server.

--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/http1"
 	"github.com/chestnutstream/chestnutstream/tcp"
 )
 
@@ -57,8 +58,8 @@
 		orderDial = (&net.Dialer{Timeout: dialTimeout, Control: tcp.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	return &Client{
-		orders:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: orderDial, MaxResponseHeaderBytes: maxHeaderBytes}},
-		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeaderBytes}},
+		orders:      &http.Client{Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: orderDial, MaxResponseHeaderBytes: maxHeaderBytes})},
+		generations: &http.Client{Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: dial, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeaderBytes})},
 		stall:       DefaultStallSettings(),
 		gaps:        map[string]*GapEstimator{},
 	}
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,126 @@
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// Fault is how a response violates the grammar.
+type Fault string
+
+// The faults.
+const (
+	FaultVersion Fault = "version" // not one of HTTP/1
+	FaultStatus  Fault = "status"  // not three digits of 100 to 599, or 101, which no client asks for
+	FaultReason  Fault = "reason"  // a control byte in the reason phrase
+)
+
+// MalformedError is the error of a response that violates the grammar.
+type MalformedError struct {
+	Fault Fault
+	Line  string // the line with the fault, of at most maxErrorBytes bytes
+}
+
+// maxErrorBytes limits how much of a line is kept for an error.
+const maxErrorBytes = 80
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed response: %s: %q", e.Fault, e.Line)
+}
+
+func malformed(f Fault, line []byte) error {
+	return &MalformedError{f, string(line[:min(len(line), maxErrorBytes)])}
+}
+
+// Statuses of responses.
+const (
+	minStatus = 100
+	minFinal  = 200
+	maxStatus = 599
+)
+
+// head checks the head of a response, and those of the interim responses before it, as its
+// bytes arrive.
+type head struct {
+	partial []byte // beginning of a line whose end has not arrived
+	fields  bool   // the status line was read
+	final   bool   // it is not that of an interim response
+	done    bool   // what follows is the body
+}
+
+// read checks the next bytes. Those behind the head are not looked at.
+func (h *head) read(b []byte) error {
+	for len(b) > 0 && !h.done {
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			h.partial = append(h.partial, b...)
+			return nil
+		}
+		line := b[:end]
+		if len(h.partial) > 0 {
+			h.partial = append(h.partial, line...)
+			line = h.partial
+		}
+		if err := h.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+		h.partial, b = h.partial[:0], b[end+1:]
+	}
+	if h.done {
+		h.partial = nil
+	}
+	return nil
+}
+
+func (h *head) readLine(line []byte) error {
+	switch {
+	case !h.fields:
+		h.fields = true
+		return h.readStatusLine(line)
+	case len(line) == 0:
+		h.fields, h.done = false, h.final
+	}
+	return nil
+}
+
+var versionPrefix = []byte("HTTP/1.")
+
+func (h *head) readStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, ok := bytes.CutPrefix(version, versionPrefix)
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+		return malformed(FaultVersion, line)
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, ok := parseStatus(code)
+	if !ok || status == http.StatusSwitchingProtocols {
+		return malformed(FaultStatus, line)
+	}
+	if slices.ContainsFunc(reason, isControl) {
+		return malformed(FaultReason, line)
+	}
+	h.final = status >= minFinal
+	return nil
+}
+
+// parseStatus returns a status; ok is false if it is none.
+func parseStatus(code []byte) (status int, ok bool) {
+	if len(code) != 3 {
+		return 0, false
+	}
+	for _, c := range code {
+		if !isDigit(c) {
+			return 0, false
+		}
+		status = 10*status + int(c-'0')
+	}
+	return status, status >= minStatus && status <= maxStatus
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// isControl reports whether a byte may not be part of a reason phrase.
+func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
--- /dev/null
+++ b/http1/head_test.go
@@ -0,0 +1,68 @@
+package http1
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// heads are heads of responses with the fault of each; "" for those that are well-formed.
+var heads = []struct {
+	head  string
+	fault Fault
+}{
+	{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", ""},
+	{"HTTP/1.1 200\r\n\r\n", ""},
+	{"HTTP/1.0  404 \n\n", ""},
+	{"HTTP/1.1 599 \xe9\t!\r\nA: 1\r\n b\r\n\r\n", ""},
+	{"HTTP/1.1 103 Early\r\nA: 1\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", ""},
+	{"HTTP/1.1 000 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 099 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 101 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 600 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 +20 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 2000 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 20\r\n\r\n", FaultStatus},
+	{"HTTP/1.1\r\n\r\n", FaultStatus},
+	{"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n", FaultStatus},
+	{"HTTP/2.0 200 OK\r\n\r\n", FaultVersion},
+	{"HTTP/1.10 200 OK\r\n\r\n", FaultVersion},
+	{"http/1.1 200 OK\r\n\r\n", FaultVersion},
+	{"\r\nHTTP/1.1 200 OK\r\n\r\n", FaultVersion},
+	{"HTTP/1.1 200 O\x00K\r\n\r\n", FaultReason},
+	{"HTTP/1.1 200 OK\r\r\n\r\n", FaultReason},
+}
+
+// readAll passes a head on in pieces of n bytes and more, and returns the error of the first
+// piece with one.
+func readAll(h *head, b []byte, n func() int) error {
+	for len(b) > 0 {
+		size := min(n(), len(b))
+		if err := h.read(b[:size]); err != nil {
+			return err
+		}
+		b = b[size:]
+	}
+	return nil
+}
+
+// Guards against verdicts that depend on how the bytes of a head arrive, or on the body.
+func TestHeadIsCheckedHoweverItArrives(t *testing.T) {
+	for _, tt := range heads {
+		rapid.Check(t, func(rt *rapid.T) {
+			var h head
+			body := rapid.SliceOf(rapid.Byte()).Draw(rt, "body")
+			err := readAll(&h, append([]byte(tt.head), body...), func() int { return rapid.IntRange(1, 20).Draw(rt, "size") })
+			if tt.fault == "" {
+				assert.NilError(rt, err, "%q", tt.head)
+				assert.Assert(rt, h.done, "%q", tt.head)
+				return
+			}
+			var malformed *MalformedError
+			assert.Assert(rt, errors.As(err, &malformed), "%q: %v", tt.head, err)
+			assert.Equal(rt, malformed.Fault, tt.fault, "%q", tt.head)
+		})
+	}
+}
--- /dev/null
+++ b/http1/transport.go
@@ -0,0 +1,73 @@
+// Package http1 reads responses of HTTP/1.1 servers. Package net/http does so too, but passes
+// over some violations of the grammar (RFC 9110, RFC 9112) and takes some ends of a connection
+// for the end of a response. Here, such a response fails like one whose connection broke. All
+// clients of servers, instances and the platform's store use this package.
+//
+// # Usage
+//
+//	t := http1.NewTransport(&http.Transport{DialContext: dial})
+//	resp, err := t.RoundTrip(req)
+//	var malformed *http1.MalformedError
+//	if errors.As(err, &malformed) { ... malformed.Fault ... }
+//
+// The error of a malformed body comes from reading it.
+//
+// # Responses
+//
+// A Conn checks each line of a head before net/http sees it, those of interim responses
+// included. It does not parse what frames a body, which net/http does well: a head begins with
+// the first byte after a request begins, and ends with a blank line.
+//
+// Everything else that RFC 9112 allows a recipient to accept is accepted, such as lines that end
+// in LF alone, more than one blank after the version, no reason phrase, and folded values.
+package http1
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/chestnutstream/chestnutstream"
+)
+
+// Transport is an http.RoundTripper that fails for malformed responses.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport that sends requests by t, whose DialContext it replaces by
+// one that checks the connections. A nil DialContext stands for that of a net.Dialer.
+func NewTransport(t *http.Transport) *Transport {
+	var dial chestnutstream.DialFunc = t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("connect: %w", err)
+		}
+		return &Conn{Conn: conn}, nil
+	}
+	return &Transport{base: t}
+}
+
+// gotConn tells a connection that a request begins on it.
+func gotConn(i httptrace.GotConnInfo) {
+	if c, ok := i.Conn.(*Conn); ok {
+		c.beginRequest()
+	}
+}
+
+// RoundTrip implements http.RoundTripper. A malformed head fails with a *MalformedError.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if !t.base.DisableKeepAlives {
+		// A trace cannot be shared: httptrace changes it where the request has one already.
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: gotConn}))
+	}
+	resp, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	return resp, nil
+}
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -1,12 +1,15 @@
 package ingress
 
 import (
+	"cmp"
 	"io"
 	"syscall"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/http1"
 )
 
 // isDisconnect reports whether an error means that the server's end of a connection
@@ -20,6 +23,7 @@
 // is not sent to another one.
 func (x *exchange) recordBroken(a Assignment, p chestnutstream.ResponseProgress, err error) {
 	x.serverCrashed, x.suspected = false, false
+	x.logMalformed(a, err)
 	if a.Peer != "" || !isDisconnect(err) {
 		return
 	}
@@ -42,3 +46,15 @@
 	}
 	return chestnutstream.ResponseBegun
 }
+
+// logMalformed counts and logs a response that is malformed, if err means that.
+func (x *exchange) logMalformed(a Assignment, err error) {
+	var malformed *http1.MalformedError
+	if !errors.As(err, &malformed) {
+		return
+	}
+	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_malformed_responses_total{fault="` + string(malformed.Fault) + `"}`).Inc()
+	x.server.cfg.Log.WithFields(log.Fields{
+		"request-id": x.header.ID, "server": cmp.Or(a.Peer, a.Server.ID), "fault": string(malformed.Fault), "line": malformed.Line,
+	}).Warn("malformed response")
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -179,6 +179,7 @@
 		x.recordForward(a, fleet.Unreachable, took)
 		return false
 	}
+	x.logMalformed(a, err)
 	x.recordForward(a, fleet.Failed, took)
 	x.mayHaveRun = true
 	x.respondFailed(err)
--- /dev/null
+++ b/ingress/malformed_test.go
@@ -0,0 +1,176 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutstream/chestnutstream/fleet"
+)
+
+// rawHead is a responder whose response begins with a status line and some lines, and goes on
+// with the fields that every response of a server has, and body.
+func rawHead(lines, body string) responder {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(c, "%s\r\nX-Chestnutstream-Request-Id: %s\r\nX-Chestnutstream-Server-Signature: sig\r\n\r\n%s", lines, r.Header.Get(requestIDHeader), body)
+		return false
+	}
+}
+
+// sendRaw sends a request and reads its connection to the end. status is 0 if there is no
+// response; err tells of one that is visibly not whole.
+func (f *testServer) sendRaw(t *testing.T, path string) (status int, body string, err error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.URL, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: r-1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", path, requestIDHeader)
+	assert.NilError(t, err)
+	response, err := io.ReadAll(conn)
+	if len(response) == 0 {
+		return 0, "", err
+	}
+	resp, parseErr := http.ReadResponse(bufio.NewReader(bytes.NewReader(response)), nil)
+	assert.NilError(t, parseErr, "%q", response)
+	defer resp.Body.Close()
+	text, bodyErr := io.ReadAll(resp.Body)
+	if err == nil {
+		err = bodyErr
+	}
+	return resp.StatusCode, string(text), err
+}
+
+// assertMalformed asserts that a response that is no response counts as a broken connection: its
+// request is sent to another server if that is allowed, and otherwise fails as one that may have
+// run.
+func assertMalformed(t *testing.T, respond responder) {
+	t.Helper()
+	malformed, sound := newBackend(t, "i-malformed", respond), newBackend(t, "i-sound", respondOK)
+	alone, both, unbudgeted := newTestServer(t, malformed), newTestServer(t, malformed, sound), newTestServer(t, malformed, sound)
+	unbudgeted.dispatcher.allowRetry = false
+	peer := forwardingServer(t, malformed.l.Addr().String())
+	servers := []struct {
+		name   string
+		server *testServer
+		retry  bool
+	}{
+		{"direct", alone, false},
+		{"through an instance", forwardingServer(t, alone.peerAddress(t)), false},
+		{"from an instance", peer, false},
+		{"without budget", unbudgeted, false},
+		{"another server left", both, true},
+		{"another server left, through an instance", forwardingServer(t, both.peerAddress(t)), true},
+	}
+	for _, s := range servers {
+		for _, path := range []string{"/look/1", "/order/1", "/once/1", "/ask/1"} {
+			before := sound.requestCount()
+			status, body, err := s.server.sendRaw(t, path)
+			assert.Check(t, err == nil, "%s, %s: %v", s.name, path, err)
+			if s.retry && (path == "/look/1" || path == "/ask/1") {
+				assert.Check(t, status == http.StatusOK && body == "from i-sound", "%s, %s: %d %q", s.name, path, status, body)
+				continue
+			}
+			assert.Check(t, status == http.StatusBadGateway, "%s, %s: %d %q", s.name, path, status, body)
+			assert.Check(t, sound.requestCount() == before, "%s, %s: sent again", s.name, path)
+		}
+		s.server.dispatcher.mu.Lock()
+		for _, r := range s.server.dispatcher.results {
+			assert.Check(t, r.Outcome == fleet.Failed || s.retry || s.name == "through an instance", "%s: %s", s.name, r.Outcome)
+		}
+		assert.Check(t, len(s.server.dispatcher.results) > 0, s.name)
+		s.server.dispatcher.mu.Unlock()
+		awaitDone(t, s.server.handler)
+	}
+}
+
+// Guards against a status that is relayed, or ends the caller's connection, though it is none of
+// a final response.
+func TestStatusThatIsNotFinalIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "099", "+20", "-20", "101", "600", "999", "20", "2000", "20x", ""} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			assertMalformed(t, rawHead("HTTP/1.1 "+status+" Odd\r\nContent-Length: 4", "oops"))
+		})
+	}
+}
+
+// Guards against a response of another version of the protocol.
+func TestAnotherVersionIsNoResponse(t *testing.T) {
+	t.Parallel()
+	tests := []struct{ name, head, body string }{
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 4", "oops"},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\nContent-Length: 4", "oops"},
+		{"no version", "200 OK\r\nContent-Length: 4", "oops"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			assertMalformed(t, rawHead(tt.head, tt.body))
+		})
+	}
+}
+
+// Guards against control bytes in a reason phrase.
+func TestReasonWithControlBytesIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, reason := range []string{"O\x00K", "OK\r", "\x1b[31mOK", "O\x7fK"} {
+		t.Run(fmt.Sprintf("%q", reason), func(t *testing.T) {
+			t.Parallel()
+			assertMalformed(t, rawHead("HTTP/1.1 200 "+reason+"\r\nContent-Length: 4", "oops"))
+		})
+	}
+}
+
+// Guards against responses that are odd but allowed and do not reach the caller.
+func TestOddResponseIsRelayed(t *testing.T) {
+	t.Parallel()
+	const length = "\r\nContent-Length: 4"
+	tests := []struct {
+		name, head, body string // body as the server sends it
+		status           int
+		want             string // body
+	}{
+		{"any token as a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n1: 2" + length, "fine", 200, "fine"},
+		{"no reason phrase", "HTTP/1.1 200 " + length, "fine", 200, "fine"},
+		{"no blank after the status", "HTTP/1.1 200" + length, "fine", 200, "fine"},
+		{"reason phrase with a tab and obs-text", "HTTP/1.1 200 tr\xe8s\tbien" + length, "fine", 200, "fine"},
+		{"lines that end in LF", "HTTP/1.1 200 OK\nX-A: 1\nContent-Length: 4", "fine", 200, "fine"},
+		{"empty value", "HTTP/1.1 200 OK\r\nX-Odd:" + length, "fine", 200, "fine"},
+		{"value with a colon and obs-text", "HTTP/1.1 200 OK\r\nX-Odd: a : \xe9\t" + length, "fine", 200, "fine"},
+		{"folded value", "HTTP/1.1 200 OK\r\nX-Odd: a\r\n b : c\r\n\td" + length, "fine", 200, "fine"},
+		{"folded length", "HTTP/1.1 200 OK\r\nContent-Length:\r\n 4", "fine", 200, "fine"},
+		{"a status that has no name", "HTTP/1.1 299 Fine" + length, "fine", 299, "fine"},
+		{"the highest status", "HTTP/1.1 599 Bad" + length, "fine", 599, "fine"},
+		{"a later minor version", "HTTP/1.7 200 OK" + length, "fine", 200, "fine"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK" + length, "fine", 200, "fine"},
+		{"HTTP/1.0 without a length", "HTTP/1.0 200 OK\r\nServer: old", "fine", 200, "fine"},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", "4;a=\"b c\"\r\nfine\r\n0\r\nX-T!: a\r\n\r\n", 200, "fine"},
+		{"interim responses", "HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK" + length, "fine", 200, "fine"},
+		{"no body", "HTTP/1.1 204 No Content\r\nX-Odd: 1", "", 204, ""},
+		{"what looks like a malformed head in the body", "HTTP/1.1 200 OK\r\nContent-Length: 27", "HTTP/1.1 000\r\nX Odd: 1\r\n\r\n!", 200, "HTTP/1.1 000\r\nX Odd: 1\r\n\r\n!"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			here := newTestServer(t, newBackend(t, "i-1", rawHead(tt.head, tt.body)))
+			for i, s := range []*testServer{here, forwardingServer(t, here.peerAddress(t))} {
+				for _, path := range []string{"/look/1", "/order/1"} {
+					status, body, err := s.sendRaw(t, path)
+					assert.NilError(t, err, "server %d, %s", i, path)
+					assert.Equal(t, status, tt.status, "server %d, %s: %q", i, path, body)
+					assert.Equal(t, body, tt.want, "server %d, %s", i, path)
+				}
+			}
+		})
+	}
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/http1"
 	"github.com/chestnutstream/chestnutstream/platform"
 	"github.com/chestnutstream/chestnutstream/tcp"
 )
@@ -41,11 +42,13 @@
 	return conn, nil
 }
 
-func newTransport(dial chestnutstream.DialFunc, idle time.Duration) *http.Transport {
+// newTransport returns a transport whose idle connections are closed after idle; 0: each request
+// has a connection of its own.
+func newTransport(dial chestnutstream.DialFunc, idle time.Duration) *http1.Transport {
 	if dial == nil {
 		dial = Dial
 	}
-	return &http.Transport{
+	return http1.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -53,10 +56,10 @@
 			}
 			return &serverConn{Conn: conn}, nil
 		},
-		MaxIdleConns: 0, MaxIdleConnsPerHost: maxIdleConnsPerServer, IdleConnTimeout: idle,
+		MaxIdleConns: 0, MaxIdleConnsPerHost: maxIdleConnsPerServer, IdleConnTimeout: idle, DisableKeepAlives: idle == 0,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-	}
+	})
 }
 
 // backendResponse is the response of one attempt whose header has arrived.
@@ -143,7 +146,7 @@
 }
 
 func (t *connTrace) gotConn(i httptrace.GotConnInfo) {
-	t.conn, t.isNew = i.Conn.(*serverConn), !i.Reused
+	t.conn, t.isNew = i.Conn.(*http1.Conn).Conn.(*serverConn), !i.Reused
 	t.refused = t.conn.hasRejected(t.requestID)
 	if t.refused {
 		t.conn.abandon()
@@ -223,7 +226,7 @@
 	return x.roundTripOn(ctx, x.server.singleUse, a, lastEventID)
 }
 
-func (x *exchange) roundTripOn(ctx context.Context, t *http.Transport, a Assignment, lastEventID string) (*http.Response, error) {
+func (x *exchange) roundTripOn(ctx context.Context, t *http1.Transport, a Assignment, lastEventID string) (*http.Response, error) {
 	req, err := x.request(ctx, a, lastEventID)
 	if err != nil {
 		return nil, err
@@ -235,7 +238,7 @@
 	return resp, nil
 }
 
-func (x *exchange) transport() *http.Transport {
+func (x *exchange) transport() *http1.Transport {
 	if x.route.Repeatable() {
 		return x.server.repeatable
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/fleet"
+	"github.com/chestnutstream/chestnutstream/http1"
 	"github.com/chestnutstream/chestnutstream/platform"
 )
 
@@ -184,9 +185,9 @@
 type Server struct {
 	cfg           Settings
 	dispatcher    Dispatcher
-	nonRepeatable *http.Transport // for requests that must not run twice: reuses no connection that was idle for long
-	repeatable    *http.Transport
-	singleUse     *http.Transport // opens a connection for each request
+	nonRepeatable *http1.Transport // for requests that must not run twice: reuses no connection that was idle for long
+	repeatable    *http1.Transport
+	singleUse     *http1.Transport // opens a connection for each request
 	inProgress    atomic.Int64
 	durations     durationHistory
 	drain         drainStages
@@ -200,7 +201,6 @@
 		cfg: cfg, dispatcher: d, nonRepeatable: newTransport(cfg.Dial, idleTimeoutNonRepeatable),
 		repeatable: newTransport(cfg.Dial, idleTimeoutRepeatable), singleUse: newTransport(cfg.Dial, 0), drain: newDrainStages(),
 	}
-	s.singleUse.DisableKeepAlives = true
 	s.held.limit = cfg.HeldBytes
 	cfg.Metrics.NewGauge(`chestnutstream_held_body_bytes`, func() float64 { return float64(s.held.used.Load()) })
 	return s
--- a/service/client.go
+++ b/service/client.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/http1"
 )
 
 var _ chestnutstream.Services = (*Client)(nil)
@@ -60,9 +61,9 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+	return &Client{http: &http.Client{CheckRedirect: noRedirect, Transport: http1.NewTransport(&http.Transport{
 		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}}
+	})}}
 }
 
 // unforwardedHeaders lists headers that apply to one connection or message, or
