http1: a field whose name is no token makes a response malformed

What callers saw: a server's response had a field whose name held a blank ("X-Odd : 1", "X Odd: 1"). The caller got a 200 without that line. Where the line frames the body, it got a body that is not the server's, as a whole response: with "Content-Length : 4" all bytes up to the end of the connection, with "Transfer-Encoding : chunked" the chunks with their sizes. In an interim response before the final one the line was passed over as well.

Cause: net/textproto accepts blanks in names, and leaves such a name as it is, so that nobody finds the field. A name is a token (RFC 9110, 5.1). RFC 9112, 5.1, has a proxy remove blanks before the colon; the users ask that such a response counts as broken, and what a blank hides may frame the body.

Values stay net/http's, which rejects control bytes in them.

Evidence: 18 of the 38 cases of TestFieldWhoseNameIsNoTokenIsNoResponse failed before, all with blanks: direct, through an instance, from an instance. Control bytes, a tab, DEL, obs-text and delimiters in a name, an empty name and a line without a colon were 502 before; their cases stay. Any token as a name, folded values and empty ones are relayed as before (TestOddResponseIsRelayed).

--- a/cmd/chestnutstream/malformed_head_test.go
+++ b/cmd/chestnutstream/malformed_head_test.go
@@ -111,6 +111,11 @@
 		{"status 600", "HTTP/1.1 600 Trouble", http1.FaultStatus},
 		{"another protocol", "HTTP/2.0 200 OK", http1.FaultVersion},
 		{"control byte in the reason", "HTTP/1.1 200 O\x00K", http1.FaultReason},
+		{"any token as a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: 1", ""},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1", http1.FaultField},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : 1", http1.FaultField},
+		{"blank behind a name that frames", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", http1.FaultField},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: 1", http1.FaultField},
 	}
 	for _, r := range responseReaders() {
 		for _, tt := range heads {
--- a/http1/head.go
+++ b/http1/head.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"slices"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Fault is how a response violates the grammar.
@@ -15,6 +17,7 @@
 	FaultVersion Fault = "version" // not one of HTTP/1
 	FaultStatus  Fault = "status"  // not three digits of 100 to 599, or 101, which no client asks for
 	FaultReason  Fault = "reason"  // a control byte in the reason phrase
+	FaultField   Fault = "field"   // a field whose name is no token, or that has no colon
 )
 
 // MalformedError is the error of a response that violates the grammar.
@@ -82,8 +85,9 @@
 		return h.readStatusLine(line)
 	case len(line) == 0:
 		h.fields, h.done = false, h.final
+		return nil
 	}
-	return nil
+	return readField(line)
 }
 
 var versionPrefix = []byte("HTTP/1.")
@@ -124,3 +128,17 @@
 
 // isControl reports whether a byte may not be part of a reason phrase.
 func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
+// readField checks the name of a field. net/http checks values.
+func readField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil // more of the value before; net/http rejects it in the first field
+	}
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || len(name) == 0 || slices.ContainsFunc(name, isNoTokenByte) {
+		return malformed(FaultField, line)
+	}
+	return nil
+}
+
+func isNoTokenByte(c byte) bool { return !httpguts.IsTokenRune(rune(c)) }
--- a/http1/head_test.go
+++ b/http1/head_test.go
@@ -33,6 +33,16 @@
 	{"\r\nHTTP/1.1 200 OK\r\n\r\n", FaultVersion},
 	{"HTTP/1.1 200 O\x00K\r\n\r\n", FaultReason},
 	{"HTTP/1.1 200 OK\r\r\n\r\n", FaultReason},
+	{"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ:\r\n\r\n", ""},
+	{"HTTP/1.1 200 OK\r\nA: b c: d\r\n e f : g\r\n\t\r\n\r\n", ""},
+	{"HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA : 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA\t: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\n: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\n\xe9: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 103 Early\r\nA : 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", FaultField},
 }
 
 // readAll passes a head on in pieces of n bytes and more, and returns the error of the first
--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -104,6 +104,44 @@
 	}
 }
 
+// Guards against a field that is dropped, or body that is read without the field that frames it,
+// as the field's name is none.
+func TestFieldWhoseNameIsNoTokenIsNoResponse(t *testing.T) {
+	t.Parallel()
+	const length = "Content-Length: 4"
+	tests := []struct{ name, fields, body string }{
+		{"blank inside", "X Odd: 1\r\n" + length, "oops"},
+		{"blank at the end", "X-Odd : 1\r\n" + length, "oops"},
+		{"blank in the last field", length + "\r\nX-Odd : 1", "oops"},
+		{"two words", "Oops I did it: 1\r\n" + length, "oops"},
+		{"length", "Content-Length : 4", "oops and what follows"},
+		{"length inside", "Content Length: 4", "oops and what follows"},
+		{"coding", "Transfer-Encoding : chunked", "4\r\noops\r\n0\r\n\r\n"},
+		{"length beside a coding", "Transfer-Encoding : chunked\r\nContent-Length: 14", "4\r\noops\r\n0\r\n\r\n"},
+		{"request ID", requestIDHeader + " : r-2\r\n" + length, "oops"},
+		{"empty", ": 1\r\n" + length, "oops"},
+		{"blank only", "X-Odd: 1\r\n : 2\r\n" + length + "\r\n\t\r\n X Odd : 2\r\nX : 1", "oops"},
+		{"tab", "X-Odd\t: 1\r\n" + length, "oops"},
+		{"NUL", "X\x00Odd: 1\r\n" + length, "oops"},
+		{"escape", "X\x1bOdd: 1\r\n" + length, "oops"},
+		{"CR", "X\rOdd: 1\r\n" + length, "oops"},
+		{"DEL", "X\x7fOdd: 1\r\n" + length, "oops"},
+		{"obs-text", "X\xe9Odd: 1\r\n" + length, "oops"},
+		{"delimiter", "X(Odd): 1\r\n" + length, "oops"},
+		{"no colon", "X-Odd\r\n" + length, "oops"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			assertMalformed(t, rawHead("HTTP/1.1 200 OK\r\n"+tt.fields, tt.body))
+		})
+		t.Run(tt.name+", of an interim response", func(t *testing.T) {
+			t.Parallel()
+			assertMalformed(t, rawHead("HTTP/1.1 103 Early Hints\r\n"+tt.fields+"\r\n\r\nHTTP/1.1 200 OK\r\n"+length, "oops"))
+		})
+	}
+}
+
 // Guards against a response of another version of the protocol.
 func TestAnotherVersionIsNoResponse(t *testing.T) {
 	t.Parallel()
