http1: a transfer coding in HTTP/1.0 makes a response malformed

What callers saw (found while going through the framings; not reported): a server's HTTP/1.0 response with "Transfer-Encoding: chunked" reached the caller as a whole 200 whose body had the sizes of the chunks in it.

Cause: net/http removes the field and ignores it in HTTP/1.0. RFC 9112, 6.1, has the recipient take the framing for faulty, also beside a Content-Length.

Change: the check of a head rejects it.

Evidence: three cases of TestFramingOfAnotherVersionIsNoResponse failed before, direct, through and from an instance. A coding beside a length in HTTP/1.1 is relayed by its coding, as before (TestOddResponseIsRelayed).

--- a/cmd/chestnutstream/malformed_head_test.go
+++ b/cmd/chestnutstream/malformed_head_test.go
@@ -115,6 +115,7 @@
 		{"blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1", http1.FaultField},
 		{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : 1", http1.FaultField},
 		{"blank behind a name that frames", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", http1.FaultField},
+		{"transfer coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", http1.FaultFraming},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: 1", http1.FaultField},
 	}
 	for _, r := range responseReaders() {
--- a/http1/head.go
+++ b/http1/head.go
@@ -18,6 +18,7 @@
 	FaultStatus  Fault = "status"  // not three digits of 100 to 599, or 101, which no client asks for
 	FaultReason  Fault = "reason"  // a control byte in the reason phrase
 	FaultField   Fault = "field"   // a field whose name is no token, or that has no colon
+	FaultFraming Fault = "framing" // a transfer coding in HTTP/1.0 (RFC 9112, 6.1)
 )
 
 // MalformedError is the error of a response that violates the grammar.
@@ -51,6 +52,7 @@
 	partial []byte // beginning of a line whose end has not arrived
 	fields  bool   // the status line was read
 	final   bool   // it is not that of an interim response
+	http10  bool   // its version is HTTP/1.0
 	done    bool   // what follows is the body
 }
 
@@ -87,7 +89,7 @@
 		h.fields, h.done = false, h.final
 		return nil
 	}
-	return readField(line)
+	return h.readField(line)
 }
 
 var versionPrefix = []byte("HTTP/1.")
@@ -106,7 +108,7 @@
 	if slices.ContainsFunc(reason, isControl) {
 		return malformed(FaultReason, line)
 	}
-	h.final = status >= minFinal
+	h.final, h.http10 = status >= minFinal, minor[0] == '0'
 	return nil
 }
 
@@ -129,8 +131,10 @@
 // isControl reports whether a byte may not be part of a reason phrase.
 func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
+var transferEncoding = []byte("Transfer-Encoding")
+
 // readField checks the name of a field. net/http checks values.
-func readField(line []byte) error {
+func (h *head) readField(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return nil // more of the value before; net/http rejects it in the first field
 	}
@@ -138,6 +142,9 @@
 	if !ok || len(name) == 0 || slices.ContainsFunc(name, isNoTokenByte) {
 		return malformed(FaultField, line)
 	}
+	if h.http10 && bytes.EqualFold(name, transferEncoding) {
+		return malformed(FaultFraming, line)
+	}
 	return nil
 }
 
--- a/http1/head_test.go
+++ b/http1/head_test.go
@@ -42,6 +42,9 @@
 	{"HTTP/1.1 200 OK\r\nA\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\n\xe9: 1\r\n\r\n", FaultField},
+	{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", FaultFraming},
+	{"HTTP/1.0 200 OK\r\ntransfer-encoding:\r\n\r\n", FaultFraming},
+	{"HTTP/1.0 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
 	{"HTTP/1.1 103 Early\r\nA : 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", FaultField},
 }
 
--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -142,10 +142,14 @@
 	}
 }
 
-// Guards against a response of another version of the protocol.
-func TestAnotherVersionIsNoResponse(t *testing.T) {
+// Guards against a response whose framing is that of another version of the protocol.
+func TestFramingOfAnotherVersionIsNoResponse(t *testing.T) {
 	t.Parallel()
+	const chunks = "4\r\noops\r\n0\r\n\r\n"
 	tests := []struct{ name, head, body string }{
+		{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", chunks},
+		{"coding in HTTP/1.0, lower case", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked", chunks},
+		{"coding beside a length in HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 14\r\nTransfer-Encoding: chunked", chunks},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 4", "oops"},
 		{"HTTP/0.9", "HTTP/0.9 200 OK\r\nContent-Length: 4", "oops"},
 		{"no version", "200 OK\r\nContent-Length: 4", "oops"},
@@ -193,6 +197,8 @@
 		{"HTTP/1.0", "HTTP/1.0 200 OK" + length, "fine", 200, "fine"},
 		{"HTTP/1.0 without a length", "HTTP/1.0 200 OK\r\nServer: old", "fine", 200, "fine"},
 		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", "4;a=\"b c\"\r\nfine\r\n0\r\nX-T!: a\r\n\r\n", 200, "fine"},
+		{"an announced trailer that does not come", "HTTP/1.1 200 OK\r\nTrailer: X T\r\nTransfer-Encoding: chunked", "4\r\nfine\r\n0\r\n\r\n", 200, "fine"},
+		{"a coding beside a length", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked", "4\r\nfine\r\n0\r\n\r\n", 200, "fine"},
 		{"interim responses", "HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK" + length, "fine", 200, "fine"},
 		{"no body", "HTTP/1.1 204 No Content\r\nX-Odd: 1", "", 204, ""},
 		{"what looks like a malformed head in the body", "HTTP/1.1 200 OK\r\nContent-Length: 27", "HTTP/1.1 000\r\nX Odd: 1\r\n\r\n!", 200, "HTTP/1.1 000\r\nX Odd: 1\r\n\r\n!"},
