http1: a trailer whose name is no token breaks its response off

What callers saw (found by reading, not reported): chunks followed by a trailer "X-Odd : 1" were relayed as a whole response; with a control byte in the name it was broken off.

Cause: the same as in heads: net/textproto accepts blanks in names. Trailers come behind the body, where the check of heads does not look.

Change: at the end of a body in chunks, the names of its trailers are checked. A name that is only announced, in the field Trailer, is not.

--- a/http1/head.go
+++ b/http1/head.go
@@ -17,7 +17,7 @@
 	FaultVersion Fault = "version" // not one of HTTP/1
 	FaultStatus  Fault = "status"  // not three digits of 100 to 599, or 101, which no client asks for
 	FaultReason  Fault = "reason"  // a control byte in the reason phrase
-	FaultField   Fault = "field"   // a field whose name is no token, or that has no colon
+	FaultField   Fault = "field"   // a field, also a trailer, whose name is no token, or that has no colon
 	FaultFraming Fault = "framing" // a transfer coding in HTTP/1.0 (RFC 9112, 6.1)
 )
 
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -25,10 +25,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/chestnutstream/chestnutstream"
 )
 
@@ -69,5 +72,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
+
+// chunkedBody is a body in chunks, which end with the trailers.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader. A body with a malformed trailer ends with a *MalformedError.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name, values := range b.resp.Trailer {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) { // else it is announced only
+			return n, malformed(FaultField, []byte(name+": "+values[0]))
+		}
+	}
+	return n, io.EOF
+}
--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -162,6 +162,26 @@
 	}
 }
 
+// Guards against a trailer that net/http passes over though its name is no token.
+func TestMalformedTrailerBreaksOffResponse(t *testing.T) {
+	t.Parallel()
+	for _, trailer := range []string{"X Odd: 1", "X-Odd : 1", "X-A: 1\r\nX-Odd : 1", "X\x01: 1", ": 1"} {
+		for _, announced := range []string{"", "Trailer: X-Odd\r\n"} {
+			t.Run(fmt.Sprintf("%q, %q", trailer, announced), func(t *testing.T) {
+				t.Parallel()
+				body := fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(eventsOfTruncated), eventsOfTruncated, trailer)
+				here := newTestServer(t, newBackend(t, "i-1", rawHead("HTTP/1.1 200 OK\r\n"+announced+"Transfer-Encoding: chunked", body)))
+				for i, s := range []*testServer{here, forwardingServer(t, here.peerAddress(t))} {
+					for _, path := range []string{"/look/1", "/order/1", "/once/1", "/ask/1"} {
+						status, _, err := s.sendRaw(t, path)
+						assert.Check(t, err != nil || status == http.StatusBadGateway, "server %d, %s: whole, with status %d", i, path, status)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against control bytes in a reason phrase.
 func TestReasonWithControlBytesIsNoResponse(t *testing.T) {
 	t.Parallel()
