http1: a reset that a write gets breaks the response off

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. Streams ended as complete in the same way.

Cause: Linux hands the error of a socket out once. If the write takes ECONNRESET, the read gets the plain end of the connection, which ends a response without a length. net/http closes the connection after the failed write, but the read may be faster. The same holds for every error of a socket (ETIMEDOUT of unacknowledged bytes), and for all connections that are written and read at once.

--- a/http1/transport.go
+++ b/http1/transport.go
@@ -18,6 +18,10 @@
 // included. It does not parse what frames a body, which net/http does well: a head begins with
 // the first byte after a request begins, and ends with a blank line.
 //
+// A response without a length ends with its connection. One whose connection was reset, or given
+// up by the kernel, fails, also if a write of the request got that error. A response that is
+// whole is read to its end although the server takes no more of its request.
+//
 // Everything else that RFC 9112 allows a recipient to accept is accepted, such as lines that end
 // in LF alone, more than one blank after the version, no reason phrase, and folded values.
 package http1
