soak, standin: servers that respond with what is no response

Cause: no check of the project saw the faults that the users report, as its stand-in servers write responses by net/http, which keeps them well-formed, and the soak's checks looked at neither the status nor the body of a plain server's response.

Change: a fault of the stand-in servers that sends malformed heads in turn, drawn by the soak, and two checks: a status is that of a final response, a plain body is that of a server. Two planted faults show that these find something.

--- a/soak/check.go
+++ b/soak/check.go
@@ -187,15 +187,29 @@
 	return res
 }
 
+// isPlainResponse reports whether a body is that of a plain server: METHOD TARGET by ID.
+func isPlainResponse(body string) bool {
+	words := strings.Split(body, " ")
+	return len(words) == 4 && strings.HasPrefix(words[1], "/") && words[2] == "by"
+}
+
+// isFinal reports whether a status is one of a final response.
+func isFinal(status int) bool { return status >= 200 && status < 600 }
+
 // checkResult checks what a single result shows and stores it for
 // checkServerCounts.
 func (r *run) checkResult(res result) {
+	if res.status != 0 && !isFinal(res.status) {
+		r.reportViolation("%s: status %d is not that of a final response", res.id, res.status)
+	}
 	if res.err == nil && res.status == http.StatusOK {
 		switch {
 		case !res.signed:
 			r.reportViolation("%s: response without a server's signature", res.id)
 		case res.adapter != "" && (!beginsExpectedStream(res.body, res.adapter) || strings.Count(res.body, "\n\n") != eventsPerStream):
 			r.reportViolation("%s: response body is not the whole stream of %s: %.200q", res.id, res.adapter, res.body)
+		case res.adapter == "" && !isPlainResponse(res.body):
+			r.reportViolation("%s: response body is not that of a plain server: %.200q", res.id, res.body)
 		case res.adapter != "" && res.adapterVersion < res.minAdapterVersion:
 			r.reportViolation("%s: version %d of %s served more than %v after version %d was declared", res.id, res.adapterVersion, res.adapter, versionApplyBound, res.minAdapterVersion)
 		}
--- a/soak/rejections.go
+++ b/soak/rejections.go
@@ -25,6 +25,11 @@
 	r.failServers(ctx, duration, standin.BackendFaults{FailEvery: 5, EndEarlyEvery: 7})
 }
 
+// malformResponses makes servers begin some responses with what is no head of one.
+func (r *run) malformResponses(ctx context.Context, duration time.Duration) {
+	r.failServers(ctx, duration, standin.BackendFaults{MalformedEvery: 4})
+}
+
 // failServers puts faults in force on all servers that have none.
 func (r *run) failServers(ctx context.Context, duration time.Duration, f standin.BackendFaults) {
 	r.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -237,6 +237,7 @@
 		{"server-pause", func() { r.signalPause(b) }, nil},
 		{"server-says-it-leaves", r.signalLeaving, nil},
 		{"streams-end-early", func() { r.endStreamsEarly(ctx, duration) }, nil},
+		{"servers-respond-malformed", func() { r.malformResponses(ctx, duration) }, nil},
 		{"servers-misdirect-what-they-ran", func() { r.misdirect(ctx, duration) }, nil},
 		{"servers-repeat-rejections", func() { r.repeatRejections(ctx, duration) }, nil},
 		{"store-returns-from-copy", func() { r.returnFromCopy(ctx, engine, seed) }, nil},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -165,9 +165,17 @@
 	playServerFault(t, func(r *run) { r.endStreamsEarly(context.Background(), 6*time.Second) }, func(c standin.BackendCounts) int { return c.EarlyEnds })
 }
 
+// Guards against relaying what a server sends instead of a response, or no response at all.
+func TestMalformedResponsesAreNotRelayed(t *testing.T) {
+	r := playServerFault(t, func(r *run) { r.malformResponses(context.Background(), 6*time.Second) }, func(c standin.BackendCounts) int { return c.Malformed })
+	for _, res := range r.results {
+		assert.Check(t, res.err == nil || res.status != 0, "%s: no response: %v", res.id, res.err)
+	}
+}
+
 // playServerFault plays a fault of servers that random runs rarely draw, and then for a
 // short time. injected counts how often it occurred.
-func playServerFault(t *testing.T, inject func(r *run), injected func(standin.BackendCounts) int) {
+func playServerFault(t *testing.T, inject func(r *run), injected func(standin.BackendCounts) int) *run {
 	t.Helper()
 	d, r := startFaultFreeRun(t, buildProgram(t), "edge")
 	time.Sleep(warmUpDuration)
@@ -186,6 +194,7 @@
 	t.Logf("injected %d times", count)
 	assert.Assert(t, len(r.violations) == 0, strings.Join(r.violations, "\n"))
 	assert.Assert(t, count > 0)
+	return r
 }
 
 // Guards against checks that pass on a faulty instance: each planted fault must be
@@ -205,6 +214,8 @@
 		{"ignores-crashes", "prompts with a part that crashes engines reached them more than"},
 		{"ignores-repeated-crashes", "requests that crash plain servers reached them more than"},
 		{"cuts-streams", "not the whole stream"},
+		{"believes-any-head", "not that of a plain server"},
+		{"believes-any-status", "not that of a final response"},
 		{"joins-versions", ": taken up by "},
 		{"serves-any-name", ", though the configuration does not list it"},
 		{"logs-nothing", "without a log line that gives the reason"},
@@ -222,6 +233,8 @@
 			switch tt.mutant {
 			case "believes-rejections":
 				r.repeatRejections(context.Background(), 3*time.Second)
+			case "believes-any-head", "believes-any-status":
+				r.malformResponses(context.Background(), 3*time.Second)
 			case "sends-to-leaving":
 				r.retirePlainServer((*standin.Backend).Drain)
 			case "believes-copies":
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -56,6 +56,7 @@
 	UnloadsInUse              int            // unload orders for an adapter with requests in progress
 	ModelUnloads              int
 	EarlyEnds                 int // streams that ended inside an event
+	Malformed                 int // responses with a malformed head
 	Unloads                   int
 	Orders                    int
 	LatestArrivalAfterDrain   time.Duration // time from the start of draining, or from Leave, to the latest request
@@ -421,6 +422,11 @@
 		<-ctx.Done()
 		return
 	}
+	if head, ok := b.malformed(f); ok {
+		timer.Sleep(ctx, f.serviceTime(b.cfg.ServiceTime))
+		writeMalformed(w, head)
+		return
+	}
 	if status := b.failure(f, fail); status != 0 {
 		if status == http.StatusMisdirectedRequest {
 			h.Del("X-Chestnutstream-Server-Signature")
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -19,6 +20,7 @@
 	BreakAfter     int  // number of events after which a stream is aborted; 0 for never
 	EndEarlyEvery  int  // every n-th stream ends in order inside an event, in each framing in turn; 0 for none
 	Unframed       bool // streams have no length, and end with their connection
+	MalformedEvery int  // every n-th request that runs gets a response with a malformed head; 0 for none
 	LoseOrderEvery int  // every n-th order gets no response and is not executed; 0 for none
 
 	// The process ends when it begins to respond to a prompt with the part CrashPart, for
@@ -171,3 +173,37 @@
 	_ = http.NewResponseController(w).Flush()
 	_, _ = io.WriteString(w, body)
 }
+
+// malformedHeads are the beginnings of heads that are those of no response.
+var malformedHeads = []string{
+	"HTTP/1.1 000 Trouble\r\nContent-Length: 4",
+	"HTTP/1.1 600 Trouble\r\nContent-Length: 4",
+	"HTTP/1.1 101 Switching Protocols\r\nContent-Length: 4",
+	"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4",
+	"HTTP/1.1 200 OK\r\nContent-Length : 4",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+}
+
+// malformed reports whether the next response is to have a malformed head, and which one.
+func (b *Backend) malformed(f BackendFaults) (head string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if f.MalformedEvery == 0 || b.served%f.MalformedEvery != 0 {
+		return "", false
+	}
+	b.counts.Malformed++
+	return malformedHeads[(b.counts.Malformed-1)%len(malformedHeads)], true
+}
+
+// writeMalformed writes a response that begins with a malformed head, and ends its connection.
+func writeMalformed(w http.ResponseWriter, head string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	var fields bytes.Buffer
+	_ = w.Header().Write(&fields) // a Buffer returns no error
+	_, _ = io.WriteString(conn, head+"\r\n"+fields.String()+"\r\n4\r\noops\r\n0\r\n\r\n")
+}
