--- a/http1/transport.go
+++ b/http1/transport.go
@@ -59,18 +59,23 @@
 	return &Transport{base: t}
 }
 
-// gotConn tells a connection that a request begins on it.
-func gotConn(i httptrace.GotConnInfo) {
-	if c, ok := i.Conn.(*Conn); ok {
-		c.beginRequest()
-	}
-}
-
 // RoundTrip implements http.RoundTripper. A malformed head fails with a *MalformedError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	if !t.base.DisableKeepAlives {
-		// A trace cannot be shared: httptrace changes it where the request has one already.
-		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: gotConn}))
+	return t.RoundTripConn(req, nil)
+}
+
+// RoundTripConn is RoundTrip that calls gotConn, unless it is nil, with each connection that the
+// request is given, before it is written. A second trace in the request's context would cost
+// more than all checks.
+func (t *Transport) RoundTripConn(req *http.Request, gotConn func(c *Conn, reused bool)) (*http.Response, error) {
+	if gotConn != nil || !t.base.DisableKeepAlives {
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+			c := i.Conn.(*Conn)
+			c.beginRequest()
+			if gotConn != nil {
+				gotConn(c, i.Reused)
+			}
+		}}))
 	}
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -8,7 +8,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync"
@@ -145,8 +144,8 @@
 	withheld  bool        // the server may no longer be sent requests, and the connection is closed
 }
 
-func (t *connTrace) gotConn(i httptrace.GotConnInfo) {
-	t.conn, t.isNew = i.Conn.(*http1.Conn).Conn.(*serverConn), !i.Reused
+func (t *connTrace) gotConn(c *http1.Conn, reused bool) {
+	t.conn, t.isNew = c.Conn.(*serverConn), !reused
 	t.refused = t.conn.hasRejected(t.requestID)
 	if t.refused {
 		t.conn.abandon()
@@ -179,7 +178,6 @@
 	t := &connTrace{requestID: x.header.ID}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	stop := func() { cancel(nil) }
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { t.gotConn(i); x.checkServer(t, a) }})
 	if waitTimeout > 0 {
 		defer x.startWaitTimer(a, waitTimeout, func() { cancel(errNoResponse) })()
 	}
@@ -215,7 +213,7 @@
 // roundTrip sends the request. If it is given a connection that has rejected it before, it
 // goes on a new one instead.
 func (x *exchange) roundTrip(ctx context.Context, t *connTrace, a Assignment, lastEventID string) (*http.Response, error) {
-	resp, err := x.roundTripOn(ctx, x.transport(), a, lastEventID)
+	resp, err := x.roundTripOn(ctx, x.transport(), t, a, lastEventID)
 	if !t.refused {
 		return resp, err
 	}
@@ -223,15 +221,15 @@
 		_ = resp.Body.Close() // a late copy that had arrived already
 	}
 	*t = connTrace{requestID: t.requestID}
-	return x.roundTripOn(ctx, x.server.singleUse, a, lastEventID)
+	return x.roundTripOn(ctx, x.server.singleUse, t, a, lastEventID)
 }
 
-func (x *exchange) roundTripOn(ctx context.Context, t *http1.Transport, a Assignment, lastEventID string) (*http.Response, error) {
+func (x *exchange) roundTripOn(ctx context.Context, transport *http1.Transport, t *connTrace, a Assignment, lastEventID string) (*http.Response, error) {
 	req, err := x.request(ctx, a, lastEventID)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := t.RoundTrip(req)
+	resp, err := transport.RoundTripConn(req, func(c *http1.Conn, reused bool) { t.gotConn(c, reused); x.checkServer(t, a) })
 	if err != nil {
 		return nil, fmt.Errorf("round trip: %w", err)
 	}
