caller, engine: a malformed response is logged and counts against its server

Cause: at the own interface a generation whose response is malformed left no word of it if its time ended while the stream was resumed, and the engine was used on as if nothing had happened; calls of services named it in the trace only. A report of an engine with a malformed head was passed over without a line.

Change: http1.LogMalformed, the same line and counter for relayed requests, requests of the own interface and reports. A generation that ends while it is resumed names the error before. An engine with a malformed response is suspect for a while, as one that cannot be reached. Orders were logged with their error already.

--- a/caller/call.go
+++ b/caller/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
+	"github.com/chestnutstream/chestnutstream/http1"
 	"github.com/chestnutstream/chestnutstream/service"
 )
 
@@ -40,6 +41,7 @@
 			return
 		}
 		lastErr = err
+		http1.LogMalformed(s.cfg.Log, s.cfg.Metrics, err, name, x.ID)
 		x.trace(s, "attempt", name+": "+err.Error())
 		avoid[name] = true
 		if !x.Idempotent && x.Outcome != chestnutstream.NotRun {
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutstream/chestnutstream"
 	"github.com/chestnutstream/chestnutstream/engine"
+	"github.com/chestnutstream/chestnutstream/http1"
 )
 
 // maxAttempts limits the attempts of one request, the first included.
@@ -46,6 +47,7 @@
 			out.finish()
 			return
 		}
+		http1.LogMalformed(s.cfg.Log, s.cfg.Metrics, lastErr, dispatch.Server, x.ID)
 		x.trace(s, "attempt", fmt.Sprintf("%s: %v", dispatch.Server, lastErr))
 		if out.started() || x.Ctx.Err() != nil {
 			break
@@ -109,6 +111,7 @@
 func failureOf(err error) engine.Failure {
 	var wrongAdapter *wrongAdapterError
 	var refused *engine.RefusedError
+	var malformed *http1.MalformedError
 	switch {
 	case err == nil:
 		return engine.NoFailure
@@ -118,7 +121,7 @@
 		return engine.NotLoaded
 	case errors.As(err, &refused):
 		return engine.Busy
-	case errors.Is(err, engine.ErrNotSent):
+	case errors.Is(err, engine.ErrNotSent), errors.As(err, &malformed):
 		return engine.Unreachable
 	default:
 		return engine.NoFailure
--- a/cmd/chestnutstream/malformed_head_test.go
+++ b/cmd/chestnutstream/malformed_head_test.go
@@ -131,9 +131,6 @@
 				}
 				assert.Assert(t, err != nil)
 				assert.Check(t, !engine.DidNotRun(err) && !errors.Is(err, service.ErrNotSent), "taken for not run: %v", err)
-				if ctx.Err() != nil {
-					return // a generation is resumed until its time is over
-				}
 				var malformed *http1.MalformedError
 				if assert.Check(t, errors.As(err, &malformed), "%v", err) {
 					assert.Equal(t, malformed.Fault, tt.fault)
--- a/edge/control.go
+++ b/edge/control.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
+	"github.com/chestnutstream/chestnutstream/http1"
 	"github.com/chestnutstream/chestnutstream/instance"
 	"github.com/chestnutstream/chestnutstream/lease"
 	"github.com/chestnutstream/chestnutstream/loader"
@@ -261,6 +262,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
 	defer cancel()
 	r, err := n.engineClient.Report(ctx, server)
+	http1.LogMalformed(n.log, n.metrics, err, server.ID, "")
 	n.mu.Lock()
 	e := n.loaders[id]
 	if e != nil && e.Server.Born == server.Born {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -116,6 +116,7 @@
 	cur := &streamCursor{}
 	sent := false
 	gaps := c.gapEstimator(address)
+	var before error // of the connection before
 	for attempt := 0; ; attempt++ {
 		err := c.openConnection(ctx, address, g, cur, &sent, gaps, emit)
 		if err == nil {
@@ -131,11 +132,15 @@
 		var emitErr *emitError
 		if errors.As(err, &emitErr) || ctx.Err() != nil {
 			c.cancel(address, g.RequestID)
+			if before != nil {
+				return fmt.Errorf("generate on %s: %w, after %w", address, err, before)
+			}
 			return fmt.Errorf("generate on %s: %w", address, err)
 		}
 		if endsStream(err, cur) || attempt >= maxResumes {
 			return fmt.Errorf("generate on %s after %d chunks: %w", address, cur.next, err)
 		}
+		before = err
 		if attempt > 0 {
 			timer.Sleep(ctx, resumePause<<min(attempt, 5))
 		}
--- a/ingress/broken.go
+++ b/ingress/broken.go
@@ -5,7 +5,6 @@
 	"io"
 	"syscall"
 
-	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/chestnutstream/chestnutstream"
@@ -47,14 +46,7 @@
 	return chestnutstream.ResponseBegun
 }
 
-// logMalformed counts and logs a response that is malformed, if err means that.
+// logMalformed logs and counts a malformed response, if err means that there was one.
 func (x *exchange) logMalformed(a Assignment, err error) {
-	var malformed *http1.MalformedError
-	if !errors.As(err, &malformed) {
-		return
-	}
-	x.server.cfg.Metrics.GetOrCreateCounter(`chestnutstream_malformed_responses_total{fault="` + string(malformed.Fault) + `"}`).Inc()
-	x.server.cfg.Log.WithFields(log.Fields{
-		"request-id": x.header.ID, "server": cmp.Or(a.Peer, a.Server.ID), "fault": string(malformed.Fault), "line": malformed.Line,
-	}).Warn("malformed response")
+	http1.LogMalformed(x.server.cfg.Log, x.server.cfg.Metrics, err, cmp.Or(a.Peer, a.Server.ID), x.header.ID)
 }
