--- a/http1/head_test.go
+++ b/http1/head_test.go
@@ -1,9 +1,13 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"testing"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -79,3 +83,28 @@
 		})
 	}
 }
+
+// FuzzHead reads arbitrary bytes as a response. What is read has the status, version and names of
+// one.
+func FuzzHead(f *testing.F) {
+	for _, tt := range heads {
+		f.Add([]byte(tt.head))
+	}
+	f.Fuzz(func(t *testing.T, response []byte) {
+		in := bufio.NewReader(&Conn{Conn: &scriptedConn{response: bytes.NewReader(response)}})
+		for {
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				return
+			}
+			assert.Assert(t, resp.StatusCode >= minStatus && resp.StatusCode <= maxStatus && resp.StatusCode != http.StatusSwitchingProtocols, "%d", resp.StatusCode)
+			assert.Equal(t, resp.ProtoMajor, 1)
+			for name := range resp.Header {
+				assert.Assert(t, httpguts.ValidHeaderFieldName(name), "%q", name)
+			}
+			if resp.StatusCode >= minFinal {
+				return
+			}
+		}
+	})
+}
--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -17,13 +17,16 @@
 )
 
 // FuzzServerBytes lets a backend server respond with arbitrary bytes. The caller
-// gets a success only if they are a complete, signed response with its id.
+// gets a success only if they are a complete, signed response with its id, and always a
+// response.
 func FuzzServerBytes(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: r-1\r\nX-Chestnutstream-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: r-0\r\nX-Chestnutstream-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Chestnutstream-Request-Id: r-1\r\nX-Chestnutstream-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"))
 	f.Add([]byte("HTTP/1.1 503 Full\r\nX-Chestnutstream-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("\x00\xff"))
+	f.Add([]byte("HTTP/1.1 000 Odd\r\nX-Chestnutstream-Request-Id: r-1\r\nX-Chestnutstream-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nX-Chestnutstream-Request-Id: r-1\r\nX-Chestnutstream-Server-Signature: s\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, response []byte) {
 		b := newBackend(t, "i-1", func(c net.Conn, _ *http.Request, _ string) bool {
 			_, _ = c.Write(response)
@@ -31,6 +34,12 @@
 		})
 		srv := newTestServer(t, b)
 		resp, body, err := srv.send(t, "POST", "/order/1", "x")
+		if resp == nil {
+			t.Fatalf("%q: no response: %v", response, err)
+		}
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > 599 {
+			t.Fatalf("%q was relayed with status %d", response, resp.StatusCode)
+		}
 		if err != nil || resp.StatusCode/100 != 2 {
 			return
 		}
--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutstream/chestnutstream/fleet"
@@ -238,3 +240,19 @@
 		})
 	}
 }
+
+// Guards against a malformed response that leaves no line in the log when another server serves
+// its request.
+func TestMalformedResponseIsLogged(t *testing.T) {
+	t.Parallel()
+	logs := memory.New()
+	f := newTestServer(t, newBackend(t, "i-malformed", rawHead("HTTP/1.1 200 OK\r\nX Odd: 1", "oops")), newBackend(t, "i-sound", respondOK))
+	f.handler.cfg.Log = &log.Logger{Handler: logs, Level: log.WarnLevel}
+	status, _, err := f.sendRaw(t, "/look/1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	awaitDone(t, f.handler)
+	e := logs.Entries[0]
+	assert.Equal(t, e.Message, "malformed response")
+	assert.DeepEqual(t, e.Fields, log.Fields{"request-id": "r-1", "server": "i-malformed", "fault": "field", "line": "X Odd: 1"})
+}
