--- a/http1/head.go
+++ b/http1/head.go
@@ -35,7 +35,7 @@
 	return fmt.Sprintf("malformed response: %s: %q", e.Fault, e.Line)
 }
 
-func malformed(f Fault, line []byte) error {
+func newMalformedError(f Fault, line []byte) error {
 	return &MalformedError{f, string(line[:min(len(line), maxErrorBytes)])}
 }
 
@@ -49,11 +49,11 @@
 // head checks the head of a response, and those of the interim responses before it, as its
 // bytes arrive.
 type head struct {
-	partial []byte // beginning of a line whose end has not arrived
-	fields  bool   // the status line was read
-	final   bool   // it is not that of an interim response
-	http10  bool   // its version is HTTP/1.0
-	done    bool   // what follows is the body
+	partial    []byte // beginning of a line whose end has not arrived
+	statusRead bool   // the status line was
+	final      bool   // it is not that of an interim response
+	http10     bool   // its version is HTTP/1.0
+	done       bool   // what follows is the body
 }
 
 // read checks the next bytes. Those behind the head are not looked at.
@@ -82,11 +82,11 @@
 
 func (h *head) readLine(line []byte) error {
 	switch {
-	case !h.fields:
-		h.fields = true
+	case !h.statusRead:
+		h.statusRead = true
 		return h.readStatusLine(line)
 	case len(line) == 0:
-		h.fields, h.done = false, h.final
+		h.statusRead, h.done = false, h.final
 		return nil
 	}
 	return h.readField(line)
@@ -98,15 +98,15 @@
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	minor, ok := bytes.CutPrefix(version, versionPrefix)
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
-		return malformed(FaultVersion, line)
+		return newMalformedError(FaultVersion, line)
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, ok := parseStatus(code)
 	if !ok || status == http.StatusSwitchingProtocols {
-		return malformed(FaultStatus, line)
+		return newMalformedError(FaultStatus, line)
 	}
 	if slices.ContainsFunc(reason, isControl) {
-		return malformed(FaultReason, line)
+		return newMalformedError(FaultReason, line)
 	}
 	h.final, h.http10 = status >= minFinal, minor[0] == '0'
 	return nil
@@ -139,13 +139,13 @@
 		return nil // more of the value before; net/http rejects it in the first field
 	}
 	name, _, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 || slices.ContainsFunc(name, isNoTokenByte) {
-		return malformed(FaultField, line)
+	if !ok || len(name) == 0 || slices.ContainsFunc(name, isInvalidNameByte) {
+		return newMalformedError(FaultField, line)
 	}
 	if h.http10 && bytes.EqualFold(name, transferEncoding) {
-		return malformed(FaultFraming, line)
+		return newMalformedError(FaultFraming, line)
 	}
 	return nil
 }
 
-func isNoTokenByte(c byte) bool { return !httpguts.IsTokenRune(rune(c)) }
+func isInvalidNameByte(c byte) bool { return !httpguts.IsTokenRune(rune(c)) }
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -101,7 +101,7 @@
 	}
 	for name, values := range b.resp.Trailer {
 		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) { // else it is announced only
-			return n, malformed(FaultField, []byte(name+": "+values[0]))
+			return n, newMalformedError(FaultField, []byte(name+": "+values[0]))
 		}
 	}
 	return n, io.EOF
