--- a/citest/citest.go
+++ b/citest/citest.go
@@ -1,5 +1,6 @@
 // Package citest makes tests reproducible in CI: it fixes the seed of property-based
-// tests and fails no test for exceeding a time bound on a busy machine.
+// tests and fails no test for exceeding a time bound on a busy machine. It also has what tests of
+// several packages share.
 //
 // # Usage
 //
