--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,16 @@
 // sendRaw sends a request and reads its connection to the end. status is 0 if there is no
 // response; err tells of one that is visibly not whole.
 func (f *testServer) sendRaw(t *testing.T, path string) (status int, body string, err error) {
+	t.Helper()
+	resp, body, err := f.exchangeRaw(t, path)
+	if resp == nil {
+		return 0, "", err
+	}
+	return resp.StatusCode, body, err
+}
+
+// exchangeRaw is sendRaw that returns the response, whose body is read; nil if there is none.
+func (f *testServer) exchangeRaw(t *testing.T, path string) (resp *http.Response, body string, err error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.URL, "http://"))
 	assert.NilError(t, err)
@@ -39,7 +50,7 @@
 	assert.NilError(t, err)
 	response, err := io.ReadAll(conn)
 	if len(response) == 0 {
-		return 0, "", err
+		return nil, "", err
 	}
 	resp, parseErr := http.ReadResponse(bufio.NewReader(bytes.NewReader(response)), nil)
 	assert.NilError(t, parseErr, "%q", response)
@@ -48,7 +59,7 @@
 	if err == nil {
 		err = bodyErr
 	}
-	return resp.StatusCode, string(text), err
+	return resp, string(text), err
 }
 
 // assertMalformed asserts that a response that is no response counts as a broken connection: its
@@ -195,16 +206,55 @@
 	}
 }
 
+// Guards against a check that ends with the first response of a connection.
+func TestMalformedResponseOnKeptConnectionIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{"HTTP/1.1 000 Odd\r\nContent-Length: 4", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 4"} {
+		for _, first := range []string{"200 OK", "204 No Content", "304 Not Modified"} {
+			t.Run(fmt.Sprintf("%.20q after %s", head, first), func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				requests := map[net.Conn]int{}
+				f := newTestServer(t, newBackend(t, "i-1", func(c net.Conn, r *http.Request, id string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					if requests[c]++; requests[c] > 1 {
+						return rawHead(head, "oops")(c, r, id)
+					}
+					_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: r-1\r\nX-Chestnutstream-Server-Signature: sig\r\n", first, requestIDHeader)
+					if first == "200 OK" {
+						_, err = io.WriteString(c, "Content-Length: 4\r\n\r\nfine")
+					} else if err == nil {
+						_, err = io.WriteString(c, "\r\n")
+					}
+					return err == nil
+				}))
+				for i, want := range []string{first[:3], "502"} {
+					status, body, err := f.sendRaw(t, "/order/1")
+					assert.NilError(t, err)
+					assert.Equal(t, fmt.Sprint(status), want, "request %d: %q", i, body)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				assert.Equal(t, len(requests), 1, "the connection was not kept")
+			})
+		}
+	}
+}
+
 // Guards against responses that are odd but allowed and do not reach the caller.
 func TestOddResponseIsRelayed(t *testing.T) {
 	t.Parallel()
-	const length = "\r\nContent-Length: 4"
+	const (
+		length  = "\r\nContent-Length: 4"
+		oddName = "!#$%&'*+-.^_`|~09azAZ"
+	)
 	tests := []struct {
 		name, head, body string // body as the server sends it
 		status           int
 		want             string // body
 	}{
-		{"any token as a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n1: 2" + length, "fine", 200, "fine"},
+		{"any token as a name", "HTTP/1.1 200 OK\r\n" + oddName + ": 1\r\n1: 2" + length, "fine", 200, "fine"},
 		{"no reason phrase", "HTTP/1.1 200 " + length, "fine", 200, "fine"},
 		{"no blank after the status", "HTTP/1.1 200" + length, "fine", 200, "fine"},
 		{"reason phrase with a tab and obs-text", "HTTP/1.1 200 tr\xe8s\tbien" + length, "fine", 200, "fine"},
@@ -231,10 +281,13 @@
 			here := newTestServer(t, newBackend(t, "i-1", rawHead(tt.head, tt.body)))
 			for i, s := range []*testServer{here, forwardingServer(t, here.peerAddress(t))} {
 				for _, path := range []string{"/look/1", "/order/1"} {
-					status, body, err := s.sendRaw(t, path)
+					resp, body, err := s.exchangeRaw(t, path)
 					assert.NilError(t, err, "server %d, %s", i, path)
-					assert.Equal(t, status, tt.status, "server %d, %s: %q", i, path, body)
+					assert.Equal(t, resp.StatusCode, tt.status, "server %d, %s: %q", i, path, body)
 					assert.Equal(t, body, tt.want, "server %d, %s", i, path)
+					if strings.Contains(tt.head, oddName) {
+						assert.Equal(t, resp.Header.Get(oddName), "1", "server %d, %s: %v", i, path, resp.Header)
+					}
 				}
 			}
 		})
