http1: interim heads and control bytes in the table of heads

The grammar side of the interim ones is back where it needs no port: each head with a bad name also as an interim response, and names with NUL, DEL, CR and a delimiter.

--- a/http1/bench_test.go
+++ b/http1/bench_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// BenchmarkRoundTrip measures a request with a small response on a kept connection, which its
-// sender is told.
+// BenchmarkRoundTrip measures a request with a small response on a kept connection, with a trace
+// of the connection.
 func BenchmarkRoundTrip(b *testing.B) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Chestnutstream-Server-Signature", "3e1b.07.5a2.600.0.c9f2a4d1")
--- a/http1/head_test.go
+++ b/http1/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,11 @@
 	{"HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\nA : 1\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\nA\t: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA\x00: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA\x7f: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nA\rB: 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\n(A): 1\r\n\r\n", FaultField},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\n: 1\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\nA\r\n\r\n", FaultField},
 	{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\r\n", FaultField},
@@ -108,3 +114,18 @@
 		}
 	})
 }
+
+// Guards against a malformed interim response that is passed over because the final one is sound.
+func TestInterimHeadsAreChecked(t *testing.T) {
+	for _, tt := range heads {
+		if tt.fault != FaultField {
+			continue
+		}
+		var h head
+		interim := strings.Replace(tt.head, "200 OK", "103 Early Hints", 1)
+		err := h.read([]byte(interim + "HTTP/1.1 200 OK\r\n\r\n"))
+		var malformed *MalformedError
+		assert.Assert(t, errors.As(err, &malformed), "%q: %v", interim, err)
+		assert.Equal(t, malformed.Fault, FaultField, "%q", interim)
+	}
+}
